Lay the workspace: modules, formatter, linter, names, verdicts, contracts

Cause: the repository was empty; every later change needs one build that checks style and tests. Ruled out: the ServiceTalk BOM, which the registry does not serve at 0.42.62; the versions are named one by one. Change: Maven workspace of seven modules, Spotless with Palantir Java format, Checkstyle, Error Prone, warnings as errors; the names and verdict types; docs/PLATFORM.md and docs/API.md as the contracts of both edges. Conclusion: the modules can grow side by side against the two contracts.

--- /dev/null
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks and slopes.
+ */
+package org.trefoilpost.bench;
--- /dev/null
+++ b/trefoilpost-cli/src/main/java/org/trefoilpost/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' command line.
+ */
+package org.trefoilpost.cli;
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry instance.
+ */
+package org.trefoilpost.entry;
--- /dev/null
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/DataCentreName.java
@@ -0,0 +1,28 @@
+package org.trefoilpost.model;
+
+import org.trefoilpost.model.base.AbstractName;
+
+/**
+ * Name of a data centre.
+ */
+public final class DataCentreName extends AbstractName {
+    private DataCentreName(String text) {
+        super(text);
+    }
+
+    /**
+     * Obtains a name from its text.
+     *
+     * @param text  the text, not null
+     * @return the name, not null
+     * @throws IllegalArgumentException if the text is not a valid name
+     */
+    public static DataCentreName of(String text) {
+        return new DataCentreName(text);
+    }
+
+    @Override
+    protected String kind() {
+        return "data centre";
+    }
+}
--- /dev/null
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/JobId.java
@@ -0,0 +1,28 @@
+package org.trefoilpost.model;
+
+import org.trefoilpost.model.base.AbstractName;
+
+/**
+ * Name of a job.
+ */
+public final class JobId extends AbstractName {
+    private JobId(String text) {
+        super(text);
+    }
+
+    /**
+     * Obtains a name from its text.
+     *
+     * @param text  the text, not null
+     * @return the name, not null
+     * @throws IllegalArgumentException if the text is not a valid name
+     */
+    public static JobId of(String text) {
+        return new JobId(text);
+    }
+
+    @Override
+    protected String kind() {
+        return "job";
+    }
+}
--- /dev/null
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/RackName.java
@@ -0,0 +1,28 @@
+package org.trefoilpost.model;
+
+import org.trefoilpost.model.base.AbstractName;
+
+/**
+ * Name of a rack, the smallest failure domain.
+ */
+public final class RackName extends AbstractName {
+    private RackName(String text) {
+        super(text);
+    }
+
+    /**
+     * Obtains a name from its text.
+     *
+     * @param text  the text, not null
+     * @return the name, not null
+     * @throws IllegalArgumentException if the text is not a valid name
+     */
+    public static RackName of(String text) {
+        return new RackName(text);
+    }
+
+    @Override
+    protected String kind() {
+        return "rack";
+    }
+}
--- /dev/null
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/base/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Abstract bases of the value types.
+ */
+package org.trefoilpost.model.base;
--- /dev/null
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/verdict/UncertaintyReason.java
@@ -0,0 +1,46 @@
+package org.trefoilpost.model.verdict;
+
+/**
+ * Why it is unknown whether a request ran.
+ *
+ * <p>Each reason has a stable code, which is also the value of its counter's {@code reason} tag, and the HTTP status of
+ * its answer.
+ */
+public enum UncertaintyReason {
+    /** The connection to the target broke after the request was sent. */
+    CONNECTION_LOST("connection-lost", 502),
+    /** The target's answer broke off before it was complete. */
+    ANSWER_INCOMPLETE("answer-incomplete", 502),
+    /** The deadline passed after the request was sent. */
+    DEADLINE_PASSED("deadline-passed", 504),
+    /** The idempotency key was claimed earlier, and the outcome is unknown. */
+    CLAIMED_EARLIER("claimed-earlier", 409),
+    /** The owner of the idempotency key's shard was lost after the request was forwarded to it. */
+    OWNER_LOST("owner-lost", 502);
+
+    private final String code;
+    private final int status;
+
+    UncertaintyReason(String code, int status) {
+        this.code = code;
+        this.status = status;
+    }
+
+    /**
+     * Returns the stable code of this reason.
+     *
+     * @return the code, not null
+     */
+    public String code() {
+        return code;
+    }
+
+    /**
+     * Returns the HTTP status of an answer with this reason.
+     *
+     * @return the status
+     */
+    public int status() {
+        return status;
+    }
+}
