--- /dev/null
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What a caller says of its request.
+ */
+package org.trefoilpost.model.request;
