--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP plumbing shared by the packages that talk HTTP.
+ */
+package org.trefoilpost.entry.http;
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/log/EventLog.java
@@ -0,0 +1,84 @@
+package org.trefoilpost.entry.log;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.jboss.logging.Logger;
+
+/**
+ * Writes events as JSON lines through JBoss Logging.
+ */
+public final class EventLog {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Logger logger;
+
+    private EventLog(Logger logger) {
+        this.logger = logger;
+    }
+
+    /**
+     * Obtains the log of a class.
+     *
+     * @param source  the class that logs, not null
+     * @return the log, not null
+     */
+    public static EventLog of(Class<?> source) {
+        return new EventLog(Logger.getLogger(source));
+    }
+
+    /**
+     * Logs an event that operators need only when they search for a fault.
+     *
+     * @param event  the event, not null
+     */
+    public void debug(LogEvent event) {
+        if (logger.isDebugEnabled()) {
+            logger.debug(line("debug", event));
+        }
+    }
+
+    /**
+     * Logs an ordinary event.
+     *
+     * @param event  the event, not null
+     */
+    public void info(LogEvent event) {
+        if (logger.isInfoEnabled()) {
+            logger.info(line("info", event));
+        }
+    }
+
+    /**
+     * Logs an event that may need an operator's attention.
+     *
+     * @param event  the event, not null
+     */
+    public void warn(LogEvent event) {
+        logger.warn(line("warn", event));
+    }
+
+    /**
+     * Logs a failure of the entry itself.
+     *
+     * @param event  the event, not null
+     */
+    public void error(LogEvent event) {
+        logger.error(line("error", event));
+    }
+
+    private String line(String level, LogEvent event) {
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("time", Instant.now().toString());
+        line.put("level", level);
+        line.put("event", event.name());
+        line.putAll(event.fields());
+        try {
+            return MAPPER.writeValueAsString(line);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("an event's fields are texts, numbers and truth values", e);
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The platform: its key-value service and its list of instances.
+ */
+package org.trefoilpost.entry.platform;
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/runtime/Duty.java
@@ -0,0 +1,191 @@
+package org.trefoilpost.entry.runtime;
+
+import java.util.Objects;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import org.jctools.queues.MpscArrayQueue;
+import org.trefoilpost.entry.log.EventLog;
+import org.trefoilpost.entry.log.LogEvent;
+
+/**
+ * A thread that handles the events of one duty, one at a time, from a bounded ring.
+ *
+ * <p>Any thread may offer events. Timers belong to the duty's own thread: only a handler may schedule one.
+ *
+ * @param <E> the type of events
+ */
+public final class Duty<E> implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(Duty.class);
+    private static final long MAX_PARK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final int BATCH = 256;
+
+    private final String name;
+    private final MpscArrayQueue<E> ring;
+    private final MillisClock clock;
+    private final PriorityQueue<Timer<E>> timers = new PriorityQueue<>();
+    private final AtomicBoolean parked = new AtomicBoolean();
+    private final Thread thread;
+    private volatile boolean closed;
+    private DutyHandler<E> handler;
+    private long timerSequence;
+
+    private Duty(String name, int capacity, MillisClock clock) {
+        this.name = name;
+        this.ring = new MpscArrayQueue<>(capacity);
+        this.clock = clock;
+        this.thread = new Thread(this::run, "duty-" + name);
+        this.thread.setDaemon(true);
+    }
+
+    /**
+     * Obtains a duty that has not started.
+     *
+     * @param <E>  the type of events
+     * @param name  the duty's name, which its thread carries, not null
+     * @param capacity  the most events that wait, at least 2
+     * @param clock  the clock, not null
+     * @return the duty, not null
+     */
+    public static <E> Duty<E> of(String name, int capacity, MillisClock clock) {
+        return new Duty<>(Objects.requireNonNull(name, "name"), capacity, Objects.requireNonNull(clock, "clock"));
+    }
+
+    /**
+     * Returns the duty's name.
+     *
+     * @return the name, not null
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Returns how many events wait.
+     *
+     * @return the number, not negative
+     */
+    public int waiting() {
+        return ring.size();
+    }
+
+    /**
+     * Starts the thread.
+     *
+     * @param newHandler  the handler of every event, not null
+     */
+    public void start(DutyHandler<E> newHandler) {
+        this.handler = Objects.requireNonNull(newHandler, "handler");
+        thread.start();
+    }
+
+    /**
+     * Offers an event, without waiting.
+     *
+     * @param event  the event, not null
+     * @return true if the ring had room for the event
+     */
+    public boolean offer(E event) {
+        boolean taken = !closed && ring.offer(event);
+        if (taken && parked.compareAndSet(true, false)) {
+            LockSupport.unpark(thread);
+        }
+        return taken;
+    }
+
+    /**
+     * Schedules an event; to be called by this duty's handler only.
+     *
+     * @param atMillis  the time at which the event is handled, in milliseconds since 1970
+     * @param event  the event, not null
+     */
+    public void schedule(long atMillis, E event) {
+        timers.add(new Timer<>(atMillis, timerSequence++, event));
+    }
+
+    /**
+     * Ends the thread after the event in hand. Events that wait are dropped.
+     */
+    @Override
+    public void close() {
+        closed = true;
+        LockSupport.unpark(thread);
+    }
+
+    private void run() {
+        while (!closed) {
+            int handled = handleRing() + handleTimers();
+            if (handled == 0) {
+                park();
+            }
+        }
+    }
+
+    private int handleRing() {
+        int handled = 0;
+        while (handled < BATCH) {
+            E event = ring.poll();
+            if (event == null) {
+                return handled;
+            }
+            handle(event);
+            handled++;
+        }
+        return handled;
+    }
+
+    private int handleTimers() {
+        int handled = 0;
+        while (!timers.isEmpty() && timers.peek().atMillis <= clock.nowMillis()) {
+            handle(timers.poll().event);
+            handled++;
+        }
+        return handled;
+    }
+
+    private void handle(E event) {
+        try {
+            handler.handle(event, clock.nowMillis());
+        } catch (RuntimeException e) {
+            LOG.error(LogEvent.of("duty-handler-failed").with("duty", name).withFailure(e));
+        }
+    }
+
+    private void park() {
+        parked.set(true);
+        if (ring.isEmpty() && !closed) {
+            LockSupport.parkNanos(this, parkNanos());
+        }
+        parked.set(false);
+    }
+
+    private long parkNanos() {
+        if (timers.isEmpty()) {
+            return MAX_PARK_NANOS;
+        }
+        long untilTimer = TimeUnit.MILLISECONDS.toNanos(timers.peek().atMillis - clock.nowMillis());
+        return Math.max(1, Math.min(MAX_PARK_NANOS, untilTimer));
+    }
+
+    /**
+     * An event that is handled at a time.
+     */
+    private static final class Timer<E> implements Comparable<Timer<E>> {
+        private final long atMillis;
+        private final long sequence;
+        private final E event;
+
+        private Timer(long atMillis, long sequence, E event) {
+            this.atMillis = atMillis;
+            this.sequence = sequence;
+            this.event = event;
+        }
+
+        @Override
+        public int compareTo(Timer<E> other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/runtime/DutyHandler.java
@@ -0,0 +1,17 @@
+package org.trefoilpost.entry.runtime;
+
+/**
+ * Handles the events of one duty, on the duty's own thread.
+ *
+ * @param <E> the type of events
+ */
+@FunctionalInterface
+public interface DutyHandler<E> {
+    /**
+     * Handles an event.
+     *
+     * @param event  the event, not null
+     * @param nowMillis  the present time in milliseconds since 1970
+     */
+    void handle(E event, long nowMillis);
+}
