Add the events, actions and values of the claim shards

Cause: requests with an idempotency key must run at most once; the runtime needs the types of that decision first. Ruled out: one wide event type with optional fields, since a sealed type lets the compiler check each switch.

--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ClaimAction.java
@@ -0,0 +1,7 @@
+package org.trefoilpost.decision.claim;
+
+/**
+ * What a claim shard wants done.
+ */
+public sealed interface ClaimAction
+        permits SetTimer, OwnershipGained, OwnershipLost, HandOverReady, JournalRefused, StoreCall, RequestAction {}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ClaimSettings.java
@@ -0,0 +1,250 @@
+package org.trefoilpost.decision.claim;
+
+/**
+ * Limits of a claim shard.
+ */
+public final class ClaimSettings {
+    private final long retentionMillis;
+    private final double writesPerSecond;
+    private final int writeBurst;
+    private final int tailBytes;
+    private final int archiveBytes;
+    private final int maxBatchClaims;
+    private final int maxPendingRequests;
+    private final long maxAnswerBytes;
+    private final long retryAfterMillis;
+
+    private ClaimSettings(Builder builder) {
+        retentionMillis = builder.retentionMillis;
+        writesPerSecond = builder.writesPerSecond;
+        writeBurst = builder.writeBurst;
+        tailBytes = builder.tailBytes;
+        archiveBytes = builder.archiveBytes;
+        maxBatchClaims = builder.maxBatchClaims;
+        maxPendingRequests = builder.maxPendingRequests;
+        maxAnswerBytes = builder.maxAnswerBytes;
+        retryAfterMillis = builder.retryAfterMillis;
+    }
+
+    /**
+     * Returns a builder with the default limits.
+     *
+     * @return the builder, not null
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Returns the time for which a key is held, in milliseconds.
+     *
+     * @return the time for which a key is held
+     */
+    public long retentionMillis() {
+        return retentionMillis;
+    }
+
+    /**
+     * Returns the share of this shard in the store's granted writes and deletes a second.
+     *
+     * @return the share of this shard in the store's granted writes and deletes a second
+     */
+    public double writesPerSecond() {
+        return writesPerSecond;
+    }
+
+    /**
+     * Returns the most writes at once after a pause.
+     *
+     * @return the most writes at once after a pause
+     */
+    public int writeBurst() {
+        return writeBurst;
+    }
+
+    /**
+     * Returns the size in bytes from which the tail is moved to an archive.
+     *
+     * @return the size in bytes from which the tail is moved to an archive
+     */
+    public int tailBytes() {
+        return tailBytes;
+    }
+
+    /**
+     * Returns the largest size in bytes of an archive, at most half of what a value may have.
+     *
+     * @return the largest size in bytes of an archive
+     */
+    public int archiveBytes() {
+        return archiveBytes;
+    }
+
+    /**
+     * Returns the most claims in a write.
+     *
+     * @return the most claims in a write
+     */
+    public int maxBatchClaims() {
+        return maxBatchClaims;
+    }
+
+    /**
+     * Returns the most requests that wait for their claim.
+     *
+     * @return the most requests that wait for their claim
+     */
+    public int maxPendingRequests() {
+        return maxPendingRequests;
+    }
+
+    /**
+     * Returns the most bytes of answers kept for repeats.
+     *
+     * @return the most bytes of answers kept for repeats
+     */
+    public long maxAnswerBytes() {
+        return maxAnswerBytes;
+    }
+
+    /**
+     * Returns the time after which a refused caller may come back, in milliseconds.
+     *
+     * @return the time after which a refused caller may come back
+     */
+    public long retryAfterMillis() {
+        return retryAfterMillis;
+    }
+
+    /**
+     * Builds settings.
+     */
+    public static final class Builder {
+        private long retentionMillis = 15 * 60 * 1000;
+        private double writesPerSecond = 300.0 / ShardMap.DEFAULT_SHARDS;
+        private int writeBurst = 4;
+        private int tailBytes = 16 * 1024;
+        private int archiveBytes = 256 * 1024;
+        private int maxBatchClaims = 2_048;
+        private int maxPendingRequests = 4_096;
+        private long maxAnswerBytes = 8L * 1024 * 1024;
+        private long retryAfterMillis = 1_000;
+
+        private Builder() {}
+
+        /**
+         * Sets the time for which a key is held, in milliseconds.
+         *
+         * @param value  the time for which a key is held, more than 0
+         * @return this builder, not null
+         */
+        public Builder retentionMillis(long value) {
+            retentionMillis = value;
+            return this;
+        }
+
+        /**
+         * Sets the share of this shard in the store's granted writes and deletes a second.
+         *
+         * @param value  the share of this shard in the store's granted writes and deletes a second, more than 0
+         * @return this builder, not null
+         */
+        public Builder writesPerSecond(double value) {
+            writesPerSecond = value;
+            return this;
+        }
+
+        /**
+         * Sets the most writes at once after a pause.
+         *
+         * @param value  the most writes at once after a pause, more than 0
+         * @return this builder, not null
+         */
+        public Builder writeBurst(int value) {
+            writeBurst = value;
+            return this;
+        }
+
+        /**
+         * Sets the size in bytes from which the tail is moved to an archive.
+         *
+         * @param value  the size in bytes from which the tail is moved to an archive, more than 0
+         * @return this builder, not null
+         */
+        public Builder tailBytes(int value) {
+            tailBytes = value;
+            return this;
+        }
+
+        /**
+         * Sets the largest size in bytes of an archive, at most half of what a value may have.
+         *
+         * @param value  the largest size in bytes of an archive, more than 0
+         * @return this builder, not null
+         */
+        public Builder archiveBytes(int value) {
+            archiveBytes = value;
+            return this;
+        }
+
+        /**
+         * Sets the most claims in a write.
+         *
+         * @param value  the most claims in a write, more than 0
+         * @return this builder, not null
+         */
+        public Builder maxBatchClaims(int value) {
+            maxBatchClaims = value;
+            return this;
+        }
+
+        /**
+         * Sets the most requests that wait for their claim.
+         *
+         * @param value  the most requests that wait for their claim, more than 0
+         * @return this builder, not null
+         */
+        public Builder maxPendingRequests(int value) {
+            maxPendingRequests = value;
+            return this;
+        }
+
+        /**
+         * Sets the most bytes of answers kept for repeats.
+         *
+         * @param value  the most bytes of answers kept for repeats, more than 0
+         * @return this builder, not null
+         */
+        public Builder maxAnswerBytes(long value) {
+            maxAnswerBytes = value;
+            return this;
+        }
+
+        /**
+         * Sets the time after which a refused caller may come back, in milliseconds.
+         *
+         * @param value  the time after which a refused caller may come back, more than 0
+         * @return this builder, not null
+         */
+        public Builder retryAfterMillis(long value) {
+            retryAfterMillis = value;
+            return this;
+        }
+
+        /**
+         * Builds the settings.
+         *
+         * @return the settings, not null
+         * @throws IllegalArgumentException if a limit is not positive
+         */
+        public ClaimSettings build() {
+            if (Math.min(retentionMillis, retryAfterMillis) <= 0 || writesPerSecond <= 0 || writeBurst <= 0) {
+                throw new IllegalArgumentException("times, rate and burst must be positive");
+            }
+            if (Math.min(Math.min(tailBytes, archiveBytes), Math.min(maxBatchClaims, maxPendingRequests)) <= 0) {
+                throw new IllegalArgumentException("sizes must be positive");
+            }
+            return new ClaimSettings(this);
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/Hashes.java
@@ -0,0 +1,32 @@
+package org.trefoilpost.decision.claim;
+
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * Hash functions of claims.
+ */
+final class Hashes {
+    private static final String ALGORITHM = "SHA-256";
+
+    private Hashes() {}
+
+    static MessageDigest digest() {
+        try {
+            return MessageDigest.getInstance(ALGORITHM);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(ALGORITHM + " is not available", e);
+        }
+    }
+
+    static ByteBuffer finish(MessageDigest digest) {
+        return ByteBuffer.wrap(digest.digest());
+    }
+
+    static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+        mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+        return mixed ^ (mixed >>> 31);
+    }
+}
