Add the router of a pool and the register of leaving workers

Cause: each entry sees only part of a pool's load, yet the workers' slots are shared by all entries. Ruled out: a random draw over all workers with retries, since it misses the single free slot of a busy pool; the candidates with a free slot are kept in dense arrays instead, so that every draw is a worker with a free slot. Change: PoolRouter with own and reported counts, ejection with probes, a momentary cap after rejections, and LeavingRegister as a join of all signals. Selection policies behind SelectionPolicy.

--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Candidates.java
@@ -0,0 +1,119 @@
+package org.trefoilpost.decision.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.trefoilpost.model.DataCentreName;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.worker.Worker;
+
+/**
+ * The workers that a router knows, those of them that have a free slot, and their sums.
+ */
+final class Candidates {
+    private final SelectionPolicy policy;
+    private final long failureHalfLifeMillis;
+    private final Map<WorkerId, Candidate> byId = new HashMap<>();
+    private final List<Candidate> members = new ArrayList<>();
+    private final Map<DataCentreName, CandidateGroup> groups = new HashMap<>();
+    private final CandidateGroup all = new CandidateGroup(CandidateGroup.POOL);
+    private int usableSlots;
+    private int peerInFlight;
+
+    Candidates(SelectionPolicy policy, long failureHalfLifeMillis) {
+        this.policy = policy;
+        this.failureHalfLifeMillis = failureHalfLifeMillis;
+    }
+
+    /** Returns the candidate of a worker, or null. */
+    Candidate find(WorkerId worker) {
+        return byId.get(worker);
+    }
+
+    List<Candidate> members() {
+        return members;
+    }
+
+    CandidateGroup all() {
+        return all;
+    }
+
+    /** Returns the free candidates of a data centre, or null if it never had any. */
+    CandidateGroup group(DataCentreName dataCentre) {
+        return groups.get(dataCentre);
+    }
+
+    int usableSlots() {
+        return usableSlots;
+    }
+
+    int peerInFlight() {
+        return peerInFlight;
+    }
+
+    /** Returns the candidate of a worker, which is a member afterwards. */
+    Candidate put(Worker worker) {
+        Candidate candidate = byId.computeIfAbsent(worker.id(), id -> new Candidate(worker, failureHalfLifeMillis));
+        if (!candidate.member()) {
+            candidate.member(true);
+            members.add(candidate);
+        }
+        return candidate;
+    }
+
+    /** Takes the candidates of other workers out of the pool and returns them. */
+    List<Candidate> retain(Set<WorkerId> workers) {
+        List<Candidate> removed = new ArrayList<>();
+        for (Candidate candidate : members) {
+            if (!workers.contains(candidate.worker().id())) {
+                candidate.member(false);
+                removed.add(candidate);
+            }
+        }
+        members.removeIf(candidate -> !candidate.member());
+        removed.forEach(this::refresh);
+        return removed;
+    }
+
+    /** Replaces what the platform tells of a candidate's worker. */
+    void replace(Candidate candidate, Worker worker) {
+        leaveGroups(candidate);
+        candidate.worker(worker);
+        refresh(candidate);
+    }
+
+    /** Brings the groups and the sums in line with a candidate that changed. */
+    void refresh(Candidate candidate) {
+        boolean takesWork = candidate.takesWork();
+        usableSlots -= candidate.countedSlots();
+        peerInFlight -= candidate.countedPeerInFlight();
+        candidate.counted(takesWork ? candidate.slots() : 0, takesWork ? candidate.peerInFlight() : 0);
+        usableSlots += candidate.countedSlots();
+        peerInFlight += candidate.countedPeerInFlight();
+        if (takesWork && free(candidate) > 0) {
+            groups.computeIfAbsent(
+                            candidate.worker().dataCentre(), name -> new CandidateGroup(CandidateGroup.DATA_CENTRE))
+                    .add(candidate);
+            all.add(candidate);
+        } else {
+            leaveGroups(candidate);
+        }
+        if (!candidate.member() && candidate.ownInFlight() == 0) {
+            byId.remove(candidate.worker().id());
+        }
+    }
+
+    private int free(Candidate candidate) {
+        return policy.freeSlots(candidate.slots(), candidate.ownInFlight(), candidate.peerInFlight());
+    }
+
+    private void leaveGroups(Candidate candidate) {
+        CandidateGroup group = groups.get(candidate.worker().dataCentre());
+        if (group != null) {
+            group.remove(candidate);
+        }
+        all.remove(candidate);
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Ejection.java
@@ -0,0 +1,36 @@
+package org.trefoilpost.decision.routing;
+
+/**
+ * An ejection of a worker and its next probe.
+ */
+final class Ejection implements Comparable<Ejection> {
+    private final Candidate candidate;
+    private final long probeAtMillis;
+    private boolean probing;
+
+    Ejection(Candidate candidate, long probeAtMillis) {
+        this.candidate = candidate;
+        this.probeAtMillis = probeAtMillis;
+    }
+
+    Candidate candidate() {
+        return candidate;
+    }
+
+    long probeAtMillis() {
+        return probeAtMillis;
+    }
+
+    boolean probing() {
+        return probing;
+    }
+
+    void startProbe() {
+        probing = true;
+    }
+
+    @Override
+    public int compareTo(Ejection other) {
+        return Long.compare(probeAtMillis, other.probeAtMillis);
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Ejector.java
@@ -0,0 +1,144 @@
+package org.trefoilpost.decision.routing;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
+
+/**
+ * Ejects the workers that fail more than their pool and schedules their probes.
+ */
+final class Ejector {
+    /** The most candidates to which a worker is compared, so that a failure costs the same in a pool of any size. */
+    private static final int MAX_COMPARED = 32;
+    /** The least share of the back-off that passes before a probe. */
+    private static final double MIN_BACK_OFF_SHARE = 0.5;
+
+    private static final int MAX_DOUBLINGS = 30;
+
+    private final RouterSettings settings;
+    private final RandomGenerator random;
+    private final PriorityQueue<Ejection> probes = new PriorityQueue<>();
+    private int ejected;
+
+    Ejector(RouterSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+    }
+
+    int ejected() {
+        return ejected;
+    }
+
+    /** Returns the ejected candidate whose probe is due, or null. */
+    Candidate due(RouteRequest request, long nowMillis) {
+        Ejection next = probes.peek();
+        while (next != null && next.probeAtMillis() <= nowMillis) {
+            Candidate candidate = next.candidate();
+            boolean free = candidate.estimatedInFlight() < candidate.slots();
+            if (free && !candidate.leaving()) {
+                return request.allows(candidate.worker()) ? candidate : null;
+            }
+            probes.remove();
+            schedule(candidate, nowMillis);
+            next = probes.peek();
+        }
+        return null;
+    }
+
+    void probeStarted(Candidate candidate) {
+        Ejection ejection = candidate.ejection();
+        if (ejection != null && !ejection.probing()) {
+            probes.remove(ejection);
+            ejection.startProbe();
+        }
+    }
+
+    /** Records the end of an attempt; the candidate's ejection is up to date afterwards. */
+    void finished(Candidate candidate, List<Candidate> pool, Outcome outcome, boolean probe, long nowMillis) {
+        if (outcome == Outcome.ANSWERED || outcome == Outcome.FAILED) {
+            candidate.failureRate().record(outcome == Outcome.FAILED, nowMillis);
+        }
+        if (candidate.ejection() != null) {
+            if (probe) {
+                probeFinished(candidate, pool, outcome, nowMillis);
+            }
+        } else if (outcome == Outcome.FAILED && mayEject(pool) && failsMore(candidate, pool, nowMillis)) {
+            eject(candidate, nowMillis);
+        }
+    }
+
+    /** Ends an ejection, if there is one, and forgets the candidate's failures. */
+    void reinstate(Candidate candidate, long nowMillis) {
+        if (candidate.ejection() == null) {
+            return;
+        }
+        probes.remove(candidate.ejection());
+        candidate.ejection(null);
+        candidate.reinstatedMillis(nowMillis);
+        candidate.failureRate().reset();
+        ejected--;
+    }
+
+    private void probeFinished(Candidate candidate, List<Candidate> pool, Outcome outcome, long nowMillis) {
+        if (outcome == Outcome.ANSWERED || (outcome == Outcome.FAILED && !failsMoreThanPool(candidate, pool))) {
+            reinstate(candidate, nowMillis);
+            return;
+        }
+        candidate.ejections(candidate.ejections() + (outcome == Outcome.FAILED ? 1 : 0));
+        schedule(candidate, nowMillis);
+    }
+
+    private boolean mayEject(List<Candidate> pool) {
+        return ejected + 1 <= (int) (settings.maxEjectedShare() * pool.size());
+    }
+
+    private void eject(Candidate candidate, long nowMillis) {
+        boolean relapse =
+                candidate.ejections() > 0 && nowMillis - candidate.reinstatedMillis() < settings.maxProbeMillis();
+        candidate.ejections(relapse ? candidate.ejections() + 1 : 1);
+        ejected++;
+        schedule(candidate, nowMillis);
+    }
+
+    private void schedule(Candidate candidate, long nowMillis) {
+        int doublings = Math.min(MAX_DOUBLINGS, candidate.ejections() - 1);
+        long backOff = Math.min(settings.maxProbeMillis(), settings.firstProbeMillis() << doublings);
+        double share = MIN_BACK_OFF_SHARE + (1 - MIN_BACK_OFF_SHARE) * random.nextDouble();
+        Ejection ejection = new Ejection(candidate, nowMillis + Math.max(1, (long) (backOff * share)));
+        candidate.ejection(ejection);
+        probes.add(ejection);
+    }
+
+    private boolean failsMore(Candidate candidate, List<Candidate> pool, long nowMillis) {
+        return candidate.failureRate().failures(nowMillis) >= settings.minFailures() - 0.5
+                && candidate.failureRate().rate() >= settings.minFailureRate()
+                && failsMoreThanPool(candidate, pool);
+    }
+
+    private boolean failsMoreThanPool(Candidate candidate, List<Candidate> pool) {
+        double limit = settings.failureRateRatio() * healthyRate(candidate, pool);
+        return candidate.failureRate().rate() > limit;
+    }
+
+    /** Returns the rate that the healthiest workers, as many as must stay in the pool, do not exceed. */
+    private double healthyRate(Candidate candidate, List<Candidate> pool) {
+        int size = pool.size();
+        int compared = Math.min(size, MAX_COMPARED);
+        int start = size <= MAX_COMPARED ? 0 : random.nextInt(size);
+        double[] rates = new double[compared];
+        int count = 0;
+        for (int i = 0; i < compared; i++) {
+            Candidate other = pool.get((start + i) % size);
+            if (other != candidate) {
+                rates[count] = other.failureRate().rate();
+                count++;
+            }
+        }
+        if (count == 0) {
+            return 1;
+        }
+        Arrays.sort(rates, 0, count);
+        return rates[(int) ((1 - settings.maxEjectedShare()) * (count - 1))];
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PoolRouter.java
@@ -0,0 +1,296 @@
+package org.trefoilpost.decision.routing;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.worker.Worker;
+
+/**
+ * Chooses the worker of each attempt in one pool.
+ *
+ * <p>A worker's occupancy is estimated from this entry's attempts in flight and the counts that peers report. A worker
+ * without a free slot, one that is leaving and one that is ejected is no candidate. A choice costs the same in a pool
+ * of any size. One thread owns a router.
+ */
+public final class PoolRouter {
+    private static final double SERVICE_TIME_WEIGHT = 0.05;
+
+    private final RouterSettings settings;
+    private final SelectionPolicy policy;
+    private final RandomGenerator random;
+    private final PeerCounts peerCounts;
+    private final Ejector ejector;
+    private final Candidates candidates;
+    private final Consumer<Candidate> refresh;
+    private final ArrayDeque<Hold> holds = new ArrayDeque<>();
+    private LeavingRegister leaving = LeavingRegister.empty();
+    private int ownInFlight;
+    private double serviceMillis;
+
+    private PoolRouter(RouterSettings settings, SelectionPolicy policy, RandomGenerator random) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.policy = Objects.requireNonNull(policy, "policy");
+        this.random = Objects.requireNonNull(random, "random");
+        this.peerCounts = new PeerCounts(settings.peerCountMaxAgeMillis());
+        this.ejector = new Ejector(settings, random);
+        this.candidates = new Candidates(policy, settings.failureHalfLifeMillis());
+        this.refresh = candidates::refresh;
+    }
+
+    /**
+     * Obtains a router without workers.
+     *
+     * @param settings  the limits and times, not null
+     * @param policy  the policy that selects among the workers with a free slot, not null
+     * @param random  the source of random numbers, not null
+     * @return the router, not null
+     */
+    public static PoolRouter of(RouterSettings settings, SelectionPolicy policy, RandomGenerator random) {
+        return new PoolRouter(settings, policy, random);
+    }
+
+    /**
+     * Chooses a worker for an attempt; the caller then calls {@link #started}.
+     *
+     * @param request  what the attempt asks, not null
+     * @param nowMillis  the present time in milliseconds
+     * @return the choice, not null, empty if no allowed worker has a free slot
+     */
+    public Optional<Choice> choose(RouteRequest request, long nowMillis) {
+        expire(nowMillis);
+        Candidate probed = ejector.due(request, nowMillis);
+        if (probed != null) {
+            return probed.choice(true, !isLocal(probed, request));
+        }
+        CandidateGroup local = candidates.group(request.ownDataCentre());
+        Candidate chosen = local == null ? null : select(local, request);
+        if (chosen == null) {
+            chosen = select(candidates.all(), request);
+        }
+        return chosen == null ? Optional.empty() : chosen.choice(false, !isLocal(chosen, request));
+    }
+
+    /**
+     * Records that an attempt begins.
+     *
+     * @param choice  the choice of the attempt, not null
+     */
+    public void started(Choice choice) {
+        Candidate candidate = candidates.find(choice.worker().id());
+        if (candidate == null) {
+            return;
+        }
+        ownInFlight++;
+        candidate.addOwn(1);
+        if (choice.probe()) {
+            ejector.probeStarted(candidate);
+        }
+        candidates.refresh(candidate);
+    }
+
+    /**
+     * Records that an attempt ended, once for each start.
+     *
+     * @param choice  the choice of the attempt, not null
+     * @param outcome  how the attempt ended, not null
+     * @param latencyMillis  the time since the start in milliseconds, not negative
+     * @param nowMillis  the present time in milliseconds
+     */
+    public void finished(Choice choice, Outcome outcome, long latencyMillis, long nowMillis) {
+        Candidate candidate = candidates.find(choice.worker().id());
+        if (candidate == null || candidate.ownInFlight() == 0) {
+            return;
+        }
+        ownInFlight--;
+        candidate.addOwn(-1);
+        if (outcome == Outcome.ANSWERED) {
+            recordServiceTime(latencyMillis);
+        }
+        if (candidate.worker().incarnation() == choice.worker().incarnation()) {
+            judge(candidate, outcome, choice.probe(), nowMillis);
+        }
+        candidates.refresh(candidate);
+    }
+
+    /**
+     * Records how many attempts of a peer are in flight at a worker; the count expires unless it is reported again.
+     *
+     * @param entry  the peer, not null
+     * @param worker  the worker, not null
+     * @param inFlight  the attempts, not negative
+     * @param nowMillis  the present time in milliseconds
+     */
+    public void peerOccupancy(EntryId entry, WorkerId worker, int inFlight, long nowMillis) {
+        Candidate candidate = candidates.find(worker);
+        if (candidate != null && candidate.member()) {
+            peerCounts.report(candidate, entry, Math.max(0, inFlight), nowMillis);
+            candidates.refresh(candidate);
+        }
+    }
+
+    /**
+     * Replaces the pool's workers.
+     *
+     * @param workers  the workers, not null
+     * @param nowMillis  the present time in milliseconds
+     */
+    public void members(Collection<Worker> workers, long nowMillis) {
+        Set<WorkerId> listed = new HashSet<>();
+        for (Worker worker : workers) {
+            listed.add(worker.id());
+            leaving = leaving.withListed(worker);
+        }
+        for (Candidate removed : candidates.retain(listed)) {
+            peerCounts.forget(removed);
+            ejector.reinstate(removed, nowMillis);
+        }
+        workers.forEach(worker -> put(worker, nowMillis));
+    }
+
+    /**
+     * Merges a register of leaving workers into this router's.
+     *
+     * @param register  the register, not null
+     */
+    public void leaving(LeavingRegister register) {
+        leaving = leaving.merge(register);
+        for (Candidate candidate : candidates.members()) {
+            candidate.leaving(leaving.leaving(candidate.worker()));
+            candidates.refresh(candidate);
+        }
+    }
+
+    /**
+     * Returns the slots of the workers that take work.
+     *
+     * @return the slots, not negative
+     */
+    public int usableSlots() {
+        return candidates.usableSlots();
+    }
+
+    /**
+     * Returns the attempts of peers at the workers that take work, as they reported.
+     *
+     * @return the attempts, not negative
+     */
+    public int peerInFlight() {
+        return candidates.peerInFlight();
+    }
+
+    /**
+     * Returns the attempts of this entry in flight in the pool.
+     *
+     * @return the attempts, not negative
+     */
+    public int ownInFlight() {
+        return ownInFlight;
+    }
+
+    /**
+     * Returns the attempts of this entry in flight at a worker.
+     *
+     * @param worker  the worker, not null
+     * @return the attempts, not negative
+     */
+    public int ownInFlight(WorkerId worker) {
+        Candidate candidate = candidates.find(worker);
+        return candidate == null ? 0 : candidate.ownInFlight();
+    }
+
+    /**
+     * Returns the number of ejected workers.
+     *
+     * @return the number, not negative
+     */
+    public int ejectedWorkers() {
+        return ejector.ejected();
+    }
+
+    /**
+     * Returns whether a worker is ejected.
+     *
+     * @param worker  the worker, not null
+     * @return true if ejected
+     */
+    public boolean ejected(WorkerId worker) {
+        Candidate candidate = candidates.find(worker);
+        return candidate != null && candidate.ejection() != null;
+    }
+
+    /**
+     * Returns the mean time of the recent answers.
+     *
+     * @return the time in milliseconds, 0 before the first answer
+     */
+    public double serviceMillis() {
+        return serviceMillis;
+    }
+
+    private void put(Worker worker, long nowMillis) {
+        Candidate candidate = candidates.put(worker);
+        if (worker.incarnation() > candidate.worker().incarnation()) {
+            peerCounts.forget(candidate);
+            ejector.reinstate(candidate, nowMillis);
+            candidate.failureRate().reset();
+        }
+        if (worker.incarnation() >= candidate.worker().incarnation() && !worker.equals(candidate.worker())) {
+            candidates.replace(candidate, worker);
+        }
+        candidate.leaving(leaving.leaving(candidate.worker()));
+        candidates.refresh(candidate);
+    }
+
+    private static boolean isLocal(Candidate candidate, RouteRequest request) {
+        return candidate.worker().dataCentre().equals(request.ownDataCentre());
+    }
+
+    private Candidate select(CandidateGroup group, RouteRequest request) {
+        int index = policy.select(group, request, random);
+        return index == SelectionPolicy.NONE ? null : group.candidate(index);
+    }
+
+    private void recordServiceTime(long latencyMillis) {
+        serviceMillis = serviceMillis == 0
+                ? latencyMillis
+                : serviceMillis + SERVICE_TIME_WEIGHT * (latencyMillis - serviceMillis);
+    }
+
+    private void judge(Candidate candidate, Outcome outcome, boolean probe, long nowMillis) {
+        if (outcome == Outcome.REJECTED) {
+            long untilMillis = nowMillis + settings.rejectionHoldMillis();
+            candidate.hold(candidate.estimatedInFlight(), untilMillis);
+            holds.add(new Hold(candidate, untilMillis));
+        }
+        ejector.finished(candidate, candidates.members(), outcome, probe, nowMillis);
+    }
+
+    private void expire(long nowMillis) {
+        while (!holds.isEmpty() && holds.peek().untilMillis <= nowMillis) {
+            Candidate candidate = holds.poll().candidate;
+            candidate.endHold(nowMillis);
+            candidates.refresh(candidate);
+        }
+        peerCounts.expire(nowMillis, refresh);
+    }
+
+    /**
+     * The time at which a worker that rejected a request counts in full again.
+     */
+    private static final class Hold {
+        private final Candidate candidate;
+        private final long untilMillis;
+
+        private Hold(Candidate candidate, long untilMillis) {
+            this.candidate = candidate;
+            this.untilMillis = untilMillis;
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/RandomPolicy.java
@@ -0,0 +1,18 @@
+package org.trefoilpost.decision.routing;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Selects any candidate, knowing only this entry's own attempts.
+ */
+public final class RandomPolicy implements SelectionPolicy {
+    @Override
+    public int select(CandidateView candidates, RouteRequest request, RandomGenerator random) {
+        return RandomScan.pick(candidates, request, random);
+    }
+
+    @Override
+    public int freeSlots(int slots, int ownInFlight, int peerInFlight) {
+        return slots - ownInFlight;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/RoundRobinPolicy.java
@@ -0,0 +1,27 @@
+package org.trefoilpost.decision.routing;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Selects the candidates in turn, knowing only this entry's own attempts.
+ */
+public final class RoundRobinPolicy implements SelectionPolicy {
+    private int next;
+
+    @Override
+    public int select(CandidateView candidates, RouteRequest request, RandomGenerator random) {
+        int size = candidates.size();
+        for (int look = 0; look < size; look++) {
+            next = (next + 1) % size;
+            if (request.allows(candidates.worker(next))) {
+                return next;
+            }
+        }
+        return NONE;
+    }
+
+    @Override
+    public int freeSlots(int slots, int ownInFlight, int peerInFlight) {
+        return slots - ownInFlight;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/RouterSettings.java
@@ -0,0 +1,242 @@
+package org.trefoilpost.decision.routing;
+
+/**
+ * Limits and times by which a router judges its workers.
+ */
+public final class RouterSettings {
+    private static final RouterSettings DEFAULTS = builder().build();
+
+    private final long peerCountMaxAgeMillis;
+    private final long rejectionHoldMillis;
+    private final long failureHalfLifeMillis;
+    private final int minFailures;
+    private final double minFailureRate;
+    private final double failureRateRatio;
+    private final double maxEjectedShare;
+    private final long firstProbeMillis;
+    private final long maxProbeMillis;
+
+    private RouterSettings(Builder builder) {
+        this.peerCountMaxAgeMillis = builder.peerCountMaxAgeMillis;
+        this.rejectionHoldMillis = builder.rejectionHoldMillis;
+        this.failureHalfLifeMillis = builder.failureHalfLifeMillis;
+        this.minFailures = builder.minFailures;
+        this.minFailureRate = builder.minFailureRate;
+        this.failureRateRatio = builder.failureRateRatio;
+        this.maxEjectedShare = builder.maxEjectedShare;
+        this.firstProbeMillis = builder.firstProbeMillis;
+        this.maxProbeMillis = builder.maxProbeMillis;
+    }
+
+    /**
+     * Returns the settings used unless others are given.
+     *
+     * @return the settings, not null
+     */
+    public static RouterSettings defaults() {
+        return DEFAULTS;
+    }
+
+    /**
+     * Returns a builder that holds the defaults.
+     *
+     * @return the builder, not null
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Returns the age at which a peer's count no longer counts.
+     *
+     * @return the age in milliseconds
+     */
+    public long peerCountMaxAgeMillis() {
+        return peerCountMaxAgeMillis;
+    }
+
+    /**
+     * Returns how long a rejection lowers the estimated capacity of its worker.
+     *
+     * @return the time in milliseconds
+     */
+    public long rejectionHoldMillis() {
+        return rejectionHoldMillis;
+    }
+
+    /**
+     * Returns the time after which an outcome counts half.
+     *
+     * @return the time in milliseconds
+     */
+    public long failureHalfLifeMillis() {
+        return failureHalfLifeMillis;
+    }
+
+    /**
+     * Returns the failures in recent time below which no worker is ejected.
+     *
+     * @return the failures
+     */
+    public int minFailures() {
+        return minFailures;
+    }
+
+    /**
+     * Returns the failure rate below which no worker is ejected.
+     *
+     * @return the rate, from 0 to 1
+     */
+    public double minFailureRate() {
+        return minFailureRate;
+    }
+
+    /**
+     * Returns how many times the failure rate of its pool a worker's rate must exceed.
+     *
+     * @return the ratio, 1 or more
+     */
+    public double failureRateRatio() {
+        return failureRateRatio;
+    }
+
+    /**
+     * Returns the largest share of a pool that may be ejected at a time.
+     *
+     * @return the share, from 0 to 1
+     */
+    public double maxEjectedShare() {
+        return maxEjectedShare;
+    }
+
+    /**
+     * Returns the time from an ejection to its first probe.
+     *
+     * @return the time in milliseconds
+     */
+    public long firstProbeMillis() {
+        return firstProbeMillis;
+    }
+
+    /**
+     * Returns the longest time between two probes.
+     *
+     * @return the time in milliseconds
+     */
+    public long maxProbeMillis() {
+        return maxProbeMillis;
+    }
+
+    /**
+     * Builder of settings.
+     */
+    public static final class Builder {
+        private long peerCountMaxAgeMillis = 3_000;
+        private long rejectionHoldMillis = 200;
+        private long failureHalfLifeMillis = 5_000;
+        private int minFailures = 3;
+        private double minFailureRate = 0.2;
+        private double failureRateRatio = 2;
+        private double maxEjectedShare = 0.7;
+        private long firstProbeMillis = 1_000;
+        private long maxProbeMillis = 60_000;
+
+        private Builder() {}
+
+        /**
+         * Sets the age at which a peer's count no longer counts.
+         *
+         * @param millis  the age in milliseconds, more than 0
+         * @return this builder, not null
+         */
+        public Builder peerCountMaxAgeMillis(long millis) {
+            this.peerCountMaxAgeMillis = millis;
+            return this;
+        }
+
+        /**
+         * Sets how long a rejection lowers the estimated capacity of its worker.
+         *
+         * @param millis  the time in milliseconds, not negative
+         * @return this builder, not null
+         */
+        public Builder rejectionHoldMillis(long millis) {
+            this.rejectionHoldMillis = millis;
+            return this;
+        }
+
+        /**
+         * Sets the time after which an outcome counts half.
+         *
+         * @param millis  the time in milliseconds, more than 0
+         * @return this builder, not null
+         */
+        public Builder failureHalfLifeMillis(long millis) {
+            this.failureHalfLifeMillis = millis;
+            return this;
+        }
+
+        /**
+         * Sets when a worker is ejected.
+         *
+         * @param failures  the least failures in recent time, more than 0
+         * @param rate  the least failure rate, from 0 to 1
+         * @param ratio  how many times the pool's rate the worker's rate must exceed, 1 or more
+         * @return this builder, not null
+         */
+        public Builder ejectionThreshold(int failures, double rate, double ratio) {
+            this.minFailures = failures;
+            this.minFailureRate = rate;
+            this.failureRateRatio = ratio;
+            return this;
+        }
+
+        /**
+         * Sets the largest share of a pool that may be ejected at a time.
+         *
+         * @param share  the share, from 0 to 1
+         * @return this builder, not null
+         */
+        public Builder maxEjectedShare(double share) {
+            this.maxEjectedShare = share;
+            return this;
+        }
+
+        /**
+         * Sets the times between the probes of an ejected worker.
+         *
+         * @param firstMillis  the time to the first probe in milliseconds, more than 0
+         * @param maxMillis  the longest time between two probes in milliseconds, not less than the first
+         * @return this builder, not null
+         */
+        public Builder probeBackOff(long firstMillis, long maxMillis) {
+            this.firstProbeMillis = firstMillis;
+            this.maxProbeMillis = maxMillis;
+            return this;
+        }
+
+        /**
+         * Builds the settings.
+         *
+         * @return the settings, not null
+         * @throws IllegalArgumentException if a value is out of its range
+         */
+        public RouterSettings build() {
+            boolean times = peerCountMaxAgeMillis > 0
+                    && rejectionHoldMillis >= 0
+                    && failureHalfLifeMillis > 0
+                    && firstProbeMillis > 0
+                    && maxProbeMillis >= firstProbeMillis;
+            boolean rates = minFailures > 0
+                    && minFailureRate >= 0
+                    && minFailureRate <= 1
+                    && failureRateRatio >= 1
+                    && maxEjectedShare >= 0
+                    && maxEjectedShare <= 1;
+            if (!times || !rates) {
+                throw new IllegalArgumentException("a router setting is out of its range");
+            }
+            return new RouterSettings(this);
+        }
+    }
+}
