Add the entry's settings and metrics

Cause: a wrong setting must name itself before anything starts, and each refusal reason needs a counter.

--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/metrics/EntryMetrics.java
@@ -0,0 +1,130 @@
+package org.trefoilpost.entry.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.trefoilpost.model.verdict.RefusalReason;
+import org.trefoilpost.model.verdict.UncertaintyReason;
+import org.trefoilpost.model.verdict.Verdict;
+import org.trefoilpost.model.verdict.VerdictKind;
+
+/**
+ * The metrics of an entry.
+ *
+ * <p>A counter of each reason exists from the start, so that a reason that never came reads 0.
+ */
+public final class EntryMetrics {
+    private static final String VERDICTS = "trefoilpost.verdicts";
+    private static final String REASON = "reason";
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<String, Counter> counters = new ConcurrentHashMap<>();
+    private final Timer answerTime = Timer.builder("trefoilpost.answer.time")
+            .description("Time from a request's arrival to its verdict")
+            .publishPercentiles(0.5, 0.99)
+            .register(registry);
+
+    private EntryMetrics() {
+        verdictCounter(VerdictKind.ANSWERED, "none");
+        for (RefusalReason reason : RefusalReason.values()) {
+            verdictCounter(VerdictKind.NOT_RUN, reason.code());
+        }
+        for (UncertaintyReason reason : UncertaintyReason.values()) {
+            verdictCounter(VerdictKind.MAY_HAVE_RUN, reason.code());
+        }
+    }
+
+    /**
+     * Obtains metrics that read 0.
+     *
+     * @return the metrics, not null
+     */
+    public static EntryMetrics create() {
+        return new EntryMetrics();
+    }
+
+    /**
+     * Counts a verdict under its reason.
+     *
+     * @param verdict  the verdict, not null
+     * @param millis  the time from the request's arrival, in milliseconds
+     */
+    public void countVerdict(Verdict verdict, long millis) {
+        verdictCounter(verdict.kind(), verdict.reasonCode()).increment();
+        answerTime.record(Math.max(0, millis), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Counts an occurrence.
+     *
+     * @param name  the counter's name, such as {@code trefoilpost.attempts}, not null
+     * @param reason  the value of the counter's {@code reason} tag, not null
+     */
+    public void count(String name, String reason) {
+        counter(name, reason).increment();
+    }
+
+    /**
+     * Counts an amount.
+     *
+     * @param name  the counter's name, not null
+     * @param reason  the value of the counter's {@code reason} tag, not null
+     * @param amount  the amount, not negative
+     */
+    public void count(String name, String reason, double amount) {
+        counter(name, reason).increment(amount);
+    }
+
+    /**
+     * Returns what a counter reads.
+     *
+     * @param name  the counter's name, not null
+     * @param reason  the value of the counter's {@code reason} tag, not null
+     * @return the sum so far
+     */
+    public double counted(String name, String reason) {
+        return counter(name, reason).count();
+    }
+
+    /**
+     * Registers a gauge.
+     *
+     * @param name  the gauge's name, not null
+     * @param description  what the gauge shows, with its unit, not null
+     * @param value  the value's source, not null
+     */
+    public void gauge(String name, String description, Supplier<Number> value) {
+        Gauge.builder(name, value).description(description).register(registry);
+    }
+
+    /**
+     * Returns all metrics in Prometheus' text format.
+     *
+     * @return the text, not null
+     */
+    public String scrape() {
+        return registry.scrape();
+    }
+
+    private Counter verdictCounter(VerdictKind kind, String reason) {
+        return counters.computeIfAbsent(
+                kind.code() + '/' + reason,
+                key -> Counter.builder(VERDICTS)
+                        .description("Final verdicts by kind and reason")
+                        .tag("kind", kind.code())
+                        .tag(REASON, reason)
+                        .register(registry));
+    }
+
+    private Counter counter(String name, String reason) {
+        return counters.computeIfAbsent(
+                name + '/' + reason,
+                key -> Counter.builder(name).tag(REASON, reason).register(registry));
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry's settings: flags and environment variables, checked together before anything starts.
+ */
+package org.trefoilpost.entry.settings;
