--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/ServiceTime.java
@@ -0,0 +1,33 @@
+package org.trefoilpost.decision.admission;
+
+/**
+ * The mean and the mean deviation of the recent service times of a pool.
+ */
+final class ServiceTime {
+    private static final double MEAN_WEIGHT = 0.05;
+    private static final double DEVIATION_WEIGHT = 0.05;
+    /** The mean deviations above the mean within which most requests are served. */
+    private static final double SAFE_DEVIATIONS = 2;
+
+    private double meanMillis;
+    private double deviationMillis;
+
+    ServiceTime(long initialMillis) {
+        this.meanMillis = initialMillis;
+    }
+
+    void record(long millis) {
+        double error = millis - meanMillis;
+        meanMillis += MEAN_WEIGHT * error;
+        deviationMillis += DEVIATION_WEIGHT * (Math.abs(error) - deviationMillis);
+    }
+
+    double meanMillis() {
+        return Math.max(1, meanMillis);
+    }
+
+    /** Returns the time within which most requests are served. */
+    long safeMillis() {
+        return Math.round(meanMillis() + SAFE_DEVIATIONS * deviationMillis);
+    }
+}
