--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/plan/Plan.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/plan/Plan.java
@@ -1,6 +1,8 @@
 package org.trefoilpost.decision.plan;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -26,6 +28,7 @@
     private final PlanMeasures measures;
     private final PlanMeasures lowerBounds;
     private final List<PlanRefusal> refusals;
+    private final Map<Integer, PlanStep> stepsByNumber;
     private final PlanDigest digest;
 
     private Plan(Builder builder) {
@@ -36,6 +39,8 @@
         this.measures = Objects.requireNonNull(builder.measures, "measures");
         this.lowerBounds = Objects.requireNonNull(builder.lowerBounds, "lowerBounds");
         this.refusals = List.copyOf(builder.refusals);
+        this.stepsByNumber = new HashMap<>();
+        steps().forEach(step -> stepsByNumber.put(step.number(), step));
         this.digest = PlanDigest.of(PlanCodec.encode(this));
     }
 
@@ -139,7 +144,7 @@
      * @return the step, not null, empty if the plan has none with the number
      */
     public Optional<PlanStep> step(int number) {
-        return steps().filter(step -> step.number() == number).findFirst();
+        return Optional.ofNullable(stepsByNumber.get(number));
     }
 
     /**
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepAct.java
@@ -0,0 +1,80 @@
+package org.trefoilpost.decision.wave;
+
+import java.util.Objects;
+import org.trefoilpost.decision.plan.PlanStep;
+
+/**
+ * Does the external act of a step's recorded phase; each act is idempotent.
+ */
+public final class StepAct implements WaveAction {
+    private final PlanStep step;
+    private final StepPhase phase;
+    private final int attempt;
+    private final long incarnation;
+
+    private StepAct(PlanStep step, StepPhase phase, int attempt, long incarnation) {
+        this.step = Objects.requireNonNull(step, "step");
+        this.phase = Objects.requireNonNull(phase, "phase");
+        this.attempt = attempt;
+        this.incarnation = incarnation;
+    }
+
+    /**
+     * Obtains the action.
+     *
+     * @param step  the step, not null
+     * @param phase  the recorded phase, whose act is due, not null
+     * @param attempt  the attempt of the step
+     * @param incarnation  the incarnation of the worker that may be stopped and rebooted, 0 if none is recorded
+     * @return the action, not null
+     */
+    public static StepAct of(PlanStep step, StepPhase phase, int attempt, long incarnation) {
+        return new StepAct(step, phase, attempt, incarnation);
+    }
+
+    /**
+     * Returns the step.
+     *
+     * @return the step, not null
+     */
+    public PlanStep step() {
+        return step;
+    }
+
+    /**
+     * Returns the recorded phase, whose act is due.
+     *
+     * @return the recorded phase, not null
+     */
+    public StepPhase phase() {
+        return phase;
+    }
+
+    /**
+     * Returns the attempt of the step.
+     *
+     * @return the attempt of the step
+     */
+    public int attempt() {
+        return attempt;
+    }
+
+    /**
+     * Returns the incarnation of the worker that may be stopped and rebooted, 0 if none is recorded.
+     *
+     * @return the incarnation of the worker that may be stopped and rebooted
+     */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /**
+     * Returns the type and the fields.
+     *
+     * @return the text, not null
+     */
+    @Override
+    public String toString() {
+        return "StepAct" + " " + step + " " + phase + " " + attempt + " " + incarnation;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/WaveEvent.java
@@ -0,0 +1,7 @@
+package org.trefoilpost.decision.wave;
+
+/**
+ * Something that a plan's execution reacts to.
+ */
+public sealed interface WaveEvent
+        permits BudgetExceeded, CancelRequested, DrainReport, StepCompleted, WaveResumed, WaveSaved, WaveTick {}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/WaveLimits.java
@@ -0,0 +1,80 @@
+package org.trefoilpost.decision.wave;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * How long the phases of a step may take before the step is set aside.
+ */
+public final class WaveLimits {
+    /** The limits used where the configuration names none. */
+    public static final WaveLimits DEFAULT = new WaveLimits(
+            Duration.ofMinutes(30), Duration.ofMinutes(30), Duration.ofMinutes(10), Duration.ofMinutes(15), 3);
+
+    private final long admitMillis;
+    private final long drainMillis;
+    private final long stopMillis;
+    private final long rebootMillis;
+    private final int attempts;
+
+    private WaveLimits(Duration admit, Duration drain, Duration stop, Duration reboot, int attempts) {
+        this.admitMillis = admit.toMillis();
+        this.drainMillis = drain.toMillis();
+        this.stopMillis = stop.toMillis();
+        this.rebootMillis = reboot.toMillis();
+        this.attempts = attempts;
+    }
+
+    /**
+     * Obtains limits.
+     *
+     * @param admit  how long a step waits for its pool's ledger, not null
+     * @param drain  how long a cordoned worker may have work in flight, not null
+     * @param stop  how long a graceful stop may take, not null
+     * @param reboot  how long a reboot may take, and a probe after it, not null
+     * @param attempts  how often a step is begun in all when failures undo it, at least 1
+     * @return the limits, not null
+     */
+    public static WaveLimits of(Duration admit, Duration drain, Duration stop, Duration reboot, int attempts) {
+        Objects.requireNonNull(admit, "admit");
+        if (attempts < 1) {
+            throw new IllegalArgumentException("attempts must be at least 1: " + attempts);
+        }
+        return new WaveLimits(admit, drain, stop, reboot, attempts);
+    }
+
+    /**
+     * Returns how often a step is begun in all when failures undo it.
+     *
+     * @return the attempts, at least 1
+     */
+    public int attempts() {
+        return attempts;
+    }
+
+    /**
+     * Returns how long a step may stay in a phase.
+     *
+     * <p>The time of a drain runs from the cordon. Phases that only write documents or free a worker have no limit.
+     *
+     * @param phase  the phase, not null
+     * @return the limit in milliseconds, {@code Long.MAX_VALUE} if there is none
+     */
+    public long millis(StepPhase phase) {
+        switch (phase) {
+            case ADMIT:
+                return admitMillis;
+            case CORDON:
+            case CHECKPOINT:
+            case DRAIN:
+                return drainMillis;
+            case STOP:
+                return stopMillis;
+            case REBOOT:
+            case PROBE:
+                return rebootMillis;
+            default:
+                return Long.MAX_VALUE;
+        }
+    }
+}
