--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ClaimShard.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ClaimShard.java
@@ -1,13 +1,38 @@
 package org.trefoilpost.decision.claim;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.verdict.RefusalReason;
 
 /**
- * The claims of one shard, as one entry sees them.
+ * The claims of one shard, as one entry sees them: each idempotency key's request is dispatched at most once.
+ *
+ * <p>A single writer drives the shard. Each store call that it asks for is to be answered by one {@link StoreReply},
+ * which is {@link StoreFailed} if the answer does not come in time. A request gets exactly one of {@link Dispatch},
+ * {@link Replay} and {@link Conclude}, unless it is cancelled; after {@link Dispatch} the entry gives its verdict and
+ * reports one of {@link AnswerRecorded}, {@link OutcomeUnknown} and {@link DispatchAbandoned}.
  */
 public final class ClaimShard {
-    private ClaimShard() {}
+    private static final long NO_TIMER = Long.MAX_VALUE;
+
+    private final List<ClaimAction> actions = new ArrayList<>();
+    private final ClaimSettings settings;
+    private final ClaimTable table;
+    private final RequestBook requests;
+    private final ShardClaims claims;
+    private final ShardJournal journal;
+    private long timerAtMillis = NO_TIMER;
+    private boolean releasing;
+
+    private ClaimShard(int shard, EntryId self, long incarnation, ClaimSettings settings) {
+        this.settings = settings;
+        table = new ClaimTable(settings);
+        requests = new RequestBook(settings, actions);
+        claims = new ShardClaims(shard, table, requests, actions);
+        journal = new ShardJournal(shard, self, incarnation, settings, claims);
+    }
 
     /**
      * Obtains a shard that this entry does not own yet.
@@ -19,7 +44,43 @@
      * @return the shard, not null
      */
     public static ClaimShard of(int shard, EntryId self, long incarnation, ClaimSettings settings) {
-        return new ClaimShard();
+        return new ClaimShard(shard, self, incarnation, settings);
+    }
+
+    /**
+     * Returns whether this entry owns the shard, as far as it knows.
+     *
+     * @return true if new keys can be claimed
+     */
+    public boolean isOwner() {
+        return journal.phase() == JournalPhase.OWNED;
+    }
+
+    /**
+     * Returns whether the store is known to be out of service for this shard.
+     *
+     * @return true if new keys are refused because of the store
+     */
+    public boolean isStoreUnavailable() {
+        return journal.isStoreUnavailable();
+    }
+
+    /**
+     * Returns the number of keys that are held.
+     *
+     * @return the number
+     */
+    public int heldKeys() {
+        return table.size();
+    }
+
+    /**
+     * Returns the memory that the held answers take up.
+     *
+     * @return the size in bytes
+     */
+    public long answerBytes() {
+        return table.answerBytes();
     }
 
     /**
@@ -30,6 +91,131 @@
      * @return the actions in their order, not null
      */
     public List<ClaimAction> step(ClaimEvent event, long nowMillis) {
-        return List.of();
+        endPastDeadlines(nowMillis);
+        table.expire(nowMillis);
+        apply(event, nowMillis);
+        advance(nowMillis);
+        List<ClaimAction> result = List.copyOf(actions);
+        actions.clear();
+        return result;
+    }
+
+    private void apply(ClaimEvent event, long nowMillis) {
+        if (event instanceof ClaimRequested requested) {
+            request(requested, nowMillis);
+        } else if (event instanceof StoreReply reply) {
+            handleReply(reply, nowMillis);
+        } else if (event instanceof AnswerRecorded recorded) {
+            claims.recordAnswer(recorded.key(), recorded.answer(), isReleased());
+        } else if (event instanceof OutcomeUnknown unknown) {
+            claims.recordUnknown(unknown.key(), unknown.reason());
+        } else if (event instanceof DispatchAbandoned abandoned) {
+            claims.abandon(abandoned.key(), isReleased(), nowMillis);
+        } else if (event instanceof RequestCancelled cancelled) {
+            requests.find(cancelled.requestId()).ifPresent(claims::withdraw);
+        } else if (event instanceof HandOverReceived received) {
+            claims.merge(received.handOver(), isOwner(), nowMillis - ClaimTable.holdMillis(settings));
+        } else if (event instanceof TakeOverRequested) {
+            journal.acquire();
+        } else if (event instanceof HandOverRequested) {
+            releasing = !isReleased();
+        } else {
+            timerAtMillis = NO_TIMER;
+        }
+    }
+
+    private boolean isReleased() {
+        return journal.phase() == JournalPhase.RELEASED;
+    }
+
+    private void handleReply(StoreReply reply, long nowMillis) {
+        boolean wasAvailable = !journal.isStoreUnavailable();
+        journal.handle(reply, nowMillis);
+        if (wasAvailable && journal.isStoreUnavailable()) {
+            claims.refusePending();
+        }
+    }
+
+    private void advance(long nowMillis) {
+        if (releasing && (!journal.isBatchUnresolved() || journal.isStoreUnavailable())) {
+            journal.release(Optional.empty());
+        }
+        releasing &= !isReleased();
+        journal.nextCall(nowMillis).ifPresent(actions::add);
+        long wakeUp = Math.min(requests.nextDeadlineMillis(), journal.wakeUpAtMillis());
+        if (wakeUp < timerAtMillis) {
+            timerAtMillis = Math.max(wakeUp, nowMillis + 1);
+            actions.add(SetTimer.of(timerAtMillis));
+        }
+    }
+
+    private void endPastDeadlines(long nowMillis) {
+        Optional<Waiter> past = requests.nextPastDeadline(nowMillis);
+        while (past.isPresent()) {
+            claims.endAtDeadline(past.get());
+            past = requests.nextPastDeadline(nowMillis);
+        }
+    }
+
+    private void request(ClaimRequested requested, long nowMillis) {
+        String requestId = requested.requestId();
+        if (requested.deadlineMillis() <= nowMillis) {
+            requests.conclude(requestId, requests.refusal(RefusalReason.DEADLINE_PAST));
+            return;
+        }
+        if (isExpired(requested.key(), nowMillis)) {
+            requests.conclude(requestId, requests.refusal(RefusalReason.KEY_EXPIRED));
+            return;
+        }
+        Optional<Claim> known = table.find(requested.key());
+        if (known.isPresent()) {
+            repeat(requested, known.get(), nowMillis);
+        } else if (releasing || isReleased() || journal.isStoreUnavailable() || requests.isFull()) {
+            requests.conclude(requestId, requests.unavailable());
+        } else {
+            claims.claim(requested, nowMillis);
+        }
+    }
+
+    private boolean isExpired(ClaimKey key, long nowMillis) {
+        if (key.createdAtMillis().isEmpty()) {
+            return false;
+        }
+        long age = nowMillis - key.createdAtMillis().getAsLong();
+        return age > settings.retentionMillis() || age < -ClaimTable.CLOCK_SKEW_MILLIS;
+    }
+
+    private void repeat(ClaimRequested repeated, Claim known, long nowMillis) {
+        String requestId = repeated.requestId();
+        if (!known.claimRecord().fingerprint().equals(repeated.fingerprint())) {
+            requests.conclude(requestId, requests.refusal(RefusalReason.KEY_REUSED));
+            return;
+        }
+        switch (known.stage()) {
+            case ANSWERED -> actions.add(Replay.of(requestId, known.answer().orElseThrow()));
+            case UNKNOWN -> requests.conclude(requestId, RequestBook.claimedEarlier());
+            case UNSENT -> revive(repeated, known, nowMillis);
+            default -> join(repeated, known);
+        }
+    }
+
+    private void join(ClaimRequested repeated, Claim known) {
+        if (requests.isFull()) {
+            requests.conclude(repeated.requestId(), requests.unavailable());
+        } else {
+            requests.await(repeated.requestId(), repeated.deadlineMillis(), known);
+        }
+    }
+
+    private void revive(ClaimRequested repeated, Claim known, long nowMillis) {
+        if (!known.isDurable()) {
+            known.moveTo(ClaimStage.WRITING);
+            join(repeated, known);
+            claims.endIfAbandoned(known);
+        } else if (isReleased() || nowMillis >= requests.sendLimitMillis(known)) {
+            requests.conclude(repeated.requestId(), requests.unavailable());
+        } else {
+            requests.dispatch(repeated.requestId(), repeated.deadlineMillis(), known);
+        }
     }
 }
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/PendingCall.java
@@ -0,0 +1,99 @@
+package org.trefoilpost.decision.claim;
+
+/**
+ * The store call that a shard waits for, with the attempts made so far.
+ *
+ * <p>A call whose answer is lost is made again with the same content: a write has the same expected revision each time,
+ * so that at most one of the attempts can ever take effect, however late the store applies it.
+ */
+final class PendingCall {
+    private static final long NOT_ISSUED = 0;
+    private static final long FIRST_BACKOFF_MILLIS = 20;
+    private static final long MAX_BACKOFF_MILLIS = 1_000;
+    private static final int MAX_BACKOFF_SHIFT = 6;
+
+    private final JournalStep step;
+    private final String storeKey;
+    private final long expectedRevision;
+    private final Segment segment;
+    private byte[] value;
+    private long callId = NOT_ISSUED;
+    private long issueAtMillis;
+    private int failures;
+
+    private PendingCall(JournalStep step, String storeKey, long expectedRevision, Segment segment) {
+        this.step = step;
+        this.storeKey = storeKey;
+        this.expectedRevision = expectedRevision;
+        this.segment = segment;
+    }
+
+    static PendingCall read(JournalStep step, String storeKey, Segment attempted) {
+        return new PendingCall(step, storeKey, 0, attempted);
+    }
+
+    static PendingCall write(JournalStep step, String storeKey, long expectedRevision, Segment segment) {
+        PendingCall call = new PendingCall(step, storeKey, expectedRevision, segment);
+        call.value = SegmentCodec.encode(segment);
+        return call;
+    }
+
+    static PendingCall delete(String storeKey, long expectedRevision) {
+        return new PendingCall(JournalStep.DELETE, storeKey, expectedRevision, null);
+    }
+
+    JournalStep step() {
+        return step;
+    }
+
+    String storeKey() {
+        return storeKey;
+    }
+
+    long expectedRevision() {
+        return expectedRevision;
+    }
+
+    Segment segment() {
+        return segment;
+    }
+
+    int failures() {
+        return failures;
+    }
+
+    PendingCall withFailures(int count) {
+        failures = count;
+        return this;
+    }
+
+    boolean isIssued() {
+        return callId != NOT_ISSUED;
+    }
+
+    boolean isAnsweredBy(StoreReply reply) {
+        return isIssued() && reply.callId() == callId;
+    }
+
+    long issueAtMillis() {
+        return issueAtMillis;
+    }
+
+    StoreCall issue(long newCallId) {
+        callId = newCallId;
+        if (step == JournalStep.DELETE) {
+            return DeleteKey.of(newCallId, storeKey, expectedRevision);
+        }
+        if (step.isRead()) {
+            return ReadKey.of(newCallId, storeKey);
+        }
+        return WriteKey.of(newCallId, storeKey, expectedRevision, value);
+    }
+
+    void fail(long nowMillis) {
+        callId = NOT_ISSUED;
+        long backoff = FIRST_BACKOFF_MILLIS << Math.min(failures, MAX_BACKOFF_SHIFT);
+        issueAtMillis = nowMillis + Math.min(backoff, MAX_BACKOFF_MILLIS);
+        failures++;
+    }
+}
