--- /dev/null
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP plumbing that the stand-ins share.
+ */
+package org.trefoilpost.standins.http;
--- /dev/null
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The relay that puts faults between two processes.
+ */
+package org.trefoilpost.standins.relay;
--- /dev/null
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/worker/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stand-in of the workers.
+ */
+package org.trefoilpost.standins.worker;
