Add the dispatcher of a pool and the requests' duty

Cause: admission, routing and retries need one owner that gives each request exactly one verdict. Ruled out: deciding in the I/O callbacks; the dispatcher is pure and the duty's thread owns it. Change: decision.dispatch; entry.request with the open requests, their attempts and timers. Conclusion: the caller's listener can submit to it.

--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/dispatch/DispatchAction.java
@@ -0,0 +1,13 @@
+package org.trefoilpost.decision.dispatch;
+
+/**
+ * What is to be done for a request.
+ */
+public sealed interface DispatchAction permits StartAttempt, AbandonAttempt, Conclude {
+    /**
+     * Returns the number of the request.
+     *
+     * @return the number, unique in its entry
+     */
+    long requestId();
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/dispatch/PoolDispatcher.java
@@ -0,0 +1,379 @@
+package org.trefoilpost.decision.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.trefoilpost.decision.admission.AdmissionQueue;
+import org.trefoilpost.decision.admission.AdmissionRequest;
+import org.trefoilpost.decision.admission.Refusal;
+import org.trefoilpost.decision.retry.AttemptFailure;
+import org.trefoilpost.decision.retry.Deadline;
+import org.trefoilpost.decision.retry.RetryBudget;
+import org.trefoilpost.decision.retry.RetryDecision;
+import org.trefoilpost.decision.retry.RetryPolicy;
+import org.trefoilpost.decision.retry.RetryRequest;
+import org.trefoilpost.decision.routing.Choice;
+import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.decision.routing.Outcome;
+import org.trefoilpost.decision.routing.PoolRouter;
+import org.trefoilpost.decision.routing.RouteRequest;
+import org.trefoilpost.model.DataCentreName;
+import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.verdict.RefusalReason;
+import org.trefoilpost.model.verdict.UncertaintyReason;
+import org.trefoilpost.model.verdict.Verdict;
+import org.trefoilpost.model.worker.Worker;
+
+/**
+ * The requests of one pool at one entry, from their arrival to their verdict. One thread owns it.
+ *
+ * <p>Each request gets exactly one {@link Conclude}, unless its caller cancels it. A verdict that the request did not run
+ * is given only if no attempt of it is in doubt.
+ */
+public final class PoolDispatcher {
+    private final DataCentreName ownDataCentre;
+    private final PoolRouter router;
+    private final AdmissionQueue admission;
+    private final RetryPolicy retryPolicy;
+    private final RandomGenerator random;
+    private final Map<Long, PendingRequest> pending = new HashMap<>();
+    private final DueQueue retries = new DueQueue();
+    private final DueQueue deadlines = new DueQueue();
+    private RetryBudget retryBudget;
+
+    PoolDispatcher(PoolDispatcherBuilder builder) {
+        this.ownDataCentre = Objects.requireNonNull(builder.ownDataCentre, "ownDataCentre");
+        this.router = Objects.requireNonNull(builder.router, "router");
+        this.admission = Objects.requireNonNull(builder.admission, "admission");
+        this.retryPolicy = builder.retryPolicy;
+        this.retryBudget = builder.retryBudget;
+        this.random = Objects.requireNonNull(builder.random, "random");
+    }
+
+    /**
+     * Returns a builder with the default retry policy and budget.
+     *
+     * @return the builder, not null
+     */
+    public static PoolDispatcherBuilder builder() {
+        return new PoolDispatcherBuilder();
+    }
+
+    /**
+     * Returns the requests that have no verdict yet.
+     *
+     * @return the number, not negative
+     */
+    public int pendingRequests() {
+        return pending.size();
+    }
+
+    /**
+     * Returns the router of the pool.
+     *
+     * @return the router, not null
+     */
+    public PoolRouter router() {
+        return router;
+    }
+
+    /**
+     * Returns the queue of the pool.
+     *
+     * @return the queue, not null
+     */
+    public AdmissionQueue admission() {
+        return admission;
+    }
+
+    /**
+     * Sets the retry budget anew.
+     *
+     * @param budget  the budget, not null
+     */
+    public void retryBudget(RetryBudget budget) {
+        this.retryBudget = Objects.requireNonNull(budget, "budget");
+    }
+
+    /**
+     * Replaces the pool's workers.
+     *
+     * @param workers  the workers, not null
+     * @param nowMillis  the present time in milliseconds
+     * @return the actions, not null
+     */
+    public List<DispatchAction> members(Collection<Worker> workers, long nowMillis) {
+        router.members(workers, nowMillis);
+        return startWaiting(nowMillis);
+    }
+
+    /**
+     * Merges a register of leaving workers.
+     *
+     * @param register  the register, not null
+     */
+    public void leaving(LeavingRegister register) {
+        router.leaving(register);
+    }
+
+    /**
+     * Records how many attempts of a peer are in flight at a worker.
+     *
+     * @param entry  the peer, not null
+     * @param worker  the worker, not null
+     * @param inFlight  the attempts, not negative
+     * @param nowMillis  the present time in milliseconds
+     */
+    public void peerOccupancy(EntryId entry, WorkerId worker, int inFlight, long nowMillis) {
+        router.peerOccupancy(entry, worker, inFlight, nowMillis);
+    }
+
+    /**
+     * Takes in a request.
+     *
+     * @param request  the request, not null
+     * @param nowMillis  the present time in milliseconds
+     * @return the actions, not null
+     */
+    public List<DispatchAction> arrive(DispatchRequest request, long nowMillis) {
+        if (router.usableSlots() == 0) {
+            return List.of(refusal(request.id(), RefusalReason.NO_WORKER));
+        }
+        admission.limit(startLimit());
+        List<DispatchAction> actions = new ArrayList<>();
+        pending.put(request.id(), PendingRequest.of(request));
+        deadlines.add(request.deadlineMillis(), request.id());
+        refuse(admission.offer(request.admission(), nowMillis), actions);
+        actions.addAll(startWaiting(nowMillis));
+        return actions;
+    }
+
+    /**
+     * Takes in the end of the attempt under way of a request. A request that is no longer pending is passed over.
+     *
+     * @param requestId  the number of the request
+     * @param attempt  the number of the attempt, as its start told
+     * @param result  the result, not null
+     * @param nowMillis  the present time in milliseconds
+     * @return the actions, not null
+     */
+    public List<DispatchAction> attemptEnded(long requestId, int attempt, AttemptResult result, long nowMillis) {
+        PendingRequest request = pending.get(requestId);
+        if (request == null || request.choice() == null || request.attempts() != attempt) {
+            return List.of();
+        }
+        long latencyMillis = request.latencyMillis(nowMillis);
+        Choice choice = request.attemptEnded();
+        router.finished(choice, outcome(result), latencyMillis, nowMillis);
+        List<DispatchAction> actions = new ArrayList<>();
+        if (isAnswer(result)) {
+            admission.served(latencyMillis);
+            conclude(requestId, Verdict.answered(), actions);
+        } else {
+            request.failed(failure(choice.worker(), result));
+            decideRetry(request, nowMillis, actions);
+        }
+        actions.addAll(startWaiting(nowMillis));
+        return actions;
+    }
+
+    /**
+     * Takes in that a caller no longer waits.
+     *
+     * @param requestId  the number of the request
+     * @param nowMillis  the present time in milliseconds
+     * @return the actions, not null
+     */
+    public List<DispatchAction> cancelled(long requestId, long nowMillis) {
+        PendingRequest request = pending.remove(requestId);
+        if (request == null) {
+            return List.of();
+        }
+        List<DispatchAction> actions = new ArrayList<>();
+        if (!admission.cancel(requestId)) {
+            abandon(request, nowMillis, actions);
+            admission.finished(requestId);
+        }
+        actions.addAll(startWaiting(nowMillis));
+        return actions;
+    }
+
+    /**
+     * Carries out what has become due: retries, deadlines, and requests that cannot be served in time.
+     *
+     * @param nowMillis  the present time in milliseconds
+     * @return the actions, not null
+     */
+    public List<DispatchAction> tick(long nowMillis) {
+        List<DispatchAction> actions = new ArrayList<>();
+        endLate(nowMillis, actions);
+        while (retries.nextMillis() <= nowMillis) {
+            PendingRequest request = pending.get(retries.poll());
+            if (request != null && request.choice() == null) {
+                start(request, nowMillis, actions);
+            }
+        }
+        actions.addAll(startWaiting(nowMillis));
+        return actions;
+    }
+
+    /**
+     * Returns when {@link #tick} is next due.
+     *
+     * @return the time in milliseconds, empty if nothing is pending
+     */
+    public OptionalLong nextTickMillis() {
+        long next = Math.min(retries.nextMillis(), deadlines.nextMillis());
+        OptionalLong expiry = admission.nextExpiryMillis();
+        if (expiry.isPresent()) {
+            next = Math.min(next, expiry.getAsLong());
+        }
+        return next == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(next);
+    }
+
+    private int startLimit() {
+        return Math.max(1, router.usableSlots() - router.peerInFlight());
+    }
+
+    private List<DispatchAction> startWaiting(long nowMillis) {
+        List<DispatchAction> actions = new ArrayList<>();
+        admission.limit(startLimit());
+        refuse(admission.expire(nowMillis), actions);
+        Optional<AdmissionRequest> next = admission.poll(nowMillis);
+        while (next.isPresent()) {
+            if (!start(pending.get(next.get().id()), nowMillis, actions)) {
+                return actions;
+            }
+            next = admission.poll(nowMillis);
+        }
+        return actions;
+    }
+
+    /** Starts an attempt of an admitted request, or puts it back; returns whether others may be tried. */
+    private boolean start(PendingRequest request, long nowMillis, List<DispatchAction> actions) {
+        long id = request.request().id();
+        RouteRequest route = request.history().routeRequest(ownDataCentre);
+        Optional<Choice> choice = router.choose(route, nowMillis);
+        if (choice.isEmpty()) {
+            return noWorker(request, actions);
+        }
+        if (request.attempts() == 0) {
+            retryBudget.firstAttempt();
+        }
+        router.started(choice.get());
+        request.attemptStarted(choice.get(), nowMillis);
+        long timeoutMillis = Math.max(1, request.request().deadlineMillis() - nowMillis - Deadline.HOP_MARGIN_MILLIS);
+        actions.add(StartAttempt.of(id, request.attempts(), choice.get().worker(), timeoutMillis));
+        return true;
+    }
+
+    private boolean noWorker(PendingRequest request, List<DispatchAction> actions) {
+        long id = request.request().id();
+        if (request.attempts() == 0) {
+            admission.putBack(id);
+            return false;
+        }
+        Verdict verdict = request.history()
+                .uncertainty()
+                .map(Verdict::mayHaveRun)
+                .orElseGet(() -> notRun(RefusalReason.WORKERS_REJECTED));
+        conclude(id, verdict, actions);
+        return true;
+    }
+
+    private void decideRetry(PendingRequest request, long nowMillis, List<DispatchAction> actions) {
+        RetryRequest retry = RetryRequest.builder(
+                        request.history(), request.request().deadlineMillis())
+                .repeatable(request.request().repeatable())
+                .serviceMillis(Math.round(router.serviceMillis()))
+                .retryAfterMillis(admission.retryAfterMillis())
+                .build();
+        RetryDecision decision = retryPolicy.decide(retry, retryBudget, random, nowMillis);
+        if (decision.retryAtMillis().isPresent()) {
+            retries.add(decision.retryAtMillis().getAsLong(), request.request().id());
+        } else {
+            conclude(request.request().id(), decision.verdict().orElseThrow(), actions);
+        }
+    }
+
+    private void endLate(long nowMillis, List<DispatchAction> actions) {
+        while (deadlines.nextMillis() <= nowMillis) {
+            PendingRequest request = pending.get(deadlines.poll());
+            if (request != null) {
+                endLate(request, nowMillis, actions);
+            }
+        }
+    }
+
+    private void endLate(PendingRequest request, long nowMillis, List<DispatchAction> actions) {
+        long id = request.request().id();
+        boolean sent = request.choice() != null;
+        abandon(request, nowMillis, actions);
+        admission.cancel(id);
+        Verdict verdict = sent
+                ? Verdict.mayHaveRun(UncertaintyReason.DEADLINE_PASSED)
+                : request.history()
+                        .uncertainty()
+                        .map(Verdict::mayHaveRun)
+                        .orElseGet(() -> notRun(RefusalReason.DEADLINE_UNREACHABLE));
+        conclude(id, verdict, actions);
+    }
+
+    private void abandon(PendingRequest request, long nowMillis, List<DispatchAction> actions) {
+        if (request.choice() != null) {
+            long latencyMillis = request.latencyMillis(nowMillis);
+            router.finished(request.attemptEnded(), Outcome.ABANDONED, latencyMillis, nowMillis);
+            actions.add(AbandonAttempt.of(request.request().id()));
+        }
+    }
+
+    private void refuse(List<Refusal> refusals, List<DispatchAction> actions) {
+        for (Refusal refusal : refusals) {
+            PendingRequest request = pending.remove(refusal.request().id());
+            Verdict verdict = request == null
+                    ? refusal.verdict()
+                    : request.history().uncertainty().map(Verdict::mayHaveRun).orElse(refusal.verdict());
+            actions.add(Conclude.of(refusal.request().id(), verdict));
+        }
+    }
+
+    private void conclude(long id, Verdict verdict, List<DispatchAction> actions) {
+        pending.remove(id);
+        admission.finished(id);
+        actions.add(Conclude.of(id, verdict));
+    }
+
+    private Conclude refusal(long id, RefusalReason reason) {
+        return Conclude.of(id, notRun(reason));
+    }
+
+    private Verdict notRun(RefusalReason reason) {
+        return Verdict.notRun(reason, Duration.ofMillis(admission.retryAfterMillis()));
+    }
+
+    private static boolean isAnswer(AttemptResult result) {
+        return result.kind() == AttemptResult.Kind.ANSWERED || result.kind() == AttemptResult.Kind.SERVER_ERROR;
+    }
+
+    private static Outcome outcome(AttemptResult result) {
+        return switch (result.kind()) {
+            case ANSWERED -> Outcome.ANSWERED;
+            case NOT_STARTED, NOT_SENT -> Outcome.REJECTED;
+            case SERVER_ERROR, NOT_CONNECTED, DOUBTFUL -> Outcome.FAILED;
+        };
+    }
+
+    private static AttemptFailure failure(Worker worker, AttemptResult result) {
+        return result.uncertainty()
+                .map(reason -> AttemptFailure.doubtful(worker, reason))
+                .orElseGet(() -> AttemptFailure.notStarted(worker));
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
@@ -0,0 +1,124 @@
+package org.trefoilpost.entry.request;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.trefoilpost.decision.admission.AdmissionQueue;
+import org.trefoilpost.decision.admission.AdmissionSettings;
+import org.trefoilpost.decision.admission.TeamQuotas;
+import org.trefoilpost.decision.dispatch.PoolDispatcher;
+import org.trefoilpost.decision.retry.RetryBudget;
+import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.decision.routing.PoolRouter;
+import org.trefoilpost.decision.routing.RouterSettings;
+import org.trefoilpost.decision.routing.TwoChoicesPolicy;
+import org.trefoilpost.model.DataCentreName;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.TeamName;
+import org.trefoilpost.model.configuration.Configuration;
+import org.trefoilpost.model.configuration.PoolSettings;
+
+/**
+ * The pools of the configuration in force, and those removed that still have requests under way.
+ */
+final class PoolSet {
+    private static final long PEER_COUNT_MAX_AGE_MILLIS = 3_000;
+
+    private final DataCentreName ownDataCentre;
+    private final RandomGenerator random = RandomGenerator.getDefault();
+    private final TeamQuotas quotas = TeamQuotas.of(PEER_COUNT_MAX_AGE_MILLIS);
+    private final Map<PoolName, Pool> pools = new TreeMap<>();
+    private LeavingRegister leaving = LeavingRegister.empty();
+
+    PoolSet(DataCentreName ownDataCentre) {
+        this.ownDataCentre = ownDataCentre;
+    }
+
+    /**
+     * Returns every pool, also those removed.
+     *
+     * @return the pools, not null
+     */
+    Collection<Pool> all() {
+        return pools.values();
+    }
+
+    /**
+     * Finds a pool of the configuration in force.
+     *
+     * @param name  the name, not null
+     * @return the pool, empty if the configuration does not have it, not null
+     */
+    Optional<Pool> inForce(PoolName name) {
+        return Optional.ofNullable(pools.get(name)).filter(pool -> !pool.isRemoved());
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param configuration  the configuration, not null
+     */
+    void configure(Configuration configuration) {
+        for (PoolSettings settings : configuration.pools().values()) {
+            put(settings);
+        }
+        for (Pool pool : pools.values()) {
+            if (configuration.pool(pool.name()).isEmpty()) {
+                pool.remove();
+            }
+        }
+        Map<TeamName, Integer> limits = new HashMap<>();
+        configuration.teams().forEach((team, quota) -> limits.put(team, quota.concurrentRequests()));
+        quotas.quotas(limits);
+    }
+
+    /**
+     * Merges a register of leaving workers into every pool's.
+     *
+     * @param register  the register, not null
+     */
+    void leaving(LeavingRegister register) {
+        leaving = leaving.merge(register);
+        pools.values().forEach(pool -> pool.dispatcher().leaving(register));
+    }
+
+    /**
+     * Forgets removed pools without requests under way.
+     */
+    void dropIdle() {
+        pools.values().removeIf(pool -> pool.isRemoved() && pool.dispatcher().pendingRequests() == 0);
+    }
+
+    private void put(PoolSettings settings) {
+        Pool pool = pools.get(settings.name());
+        if (pool == null) {
+            pools.put(settings.name(), new Pool(settings, dispatcher(settings)));
+        } else if (!pool.settings().equals(settings) || pool.isRemoved()) {
+            pool.settings(settings);
+            pool.dispatcher().retryBudget(retryBudget(settings));
+        }
+    }
+
+    private PoolDispatcher dispatcher(PoolSettings settings) {
+        PoolRouter router = PoolRouter.of(RouterSettings.defaults(), new TwoChoicesPolicy(), random);
+        router.leaving(leaving);
+        AdmissionSettings limits = AdmissionSettings.builder()
+                .maxQueued(settings.queueLimit())
+                .bulkShare(settings.bulkShare())
+                .build();
+        return PoolDispatcher.builder()
+                .ownDataCentre(ownDataCentre)
+                .router(router)
+                .admission(AdmissionQueue.of(limits, quotas, random))
+                .retryBudget(retryBudget(settings))
+                .random(random)
+                .build();
+    }
+
+    private static RetryBudget retryBudget(PoolSettings settings) {
+        return RetryBudget.of(settings.retryShare(), RetryBudget.DEFAULT_BURST);
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/runtime/Duty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/runtime/Duty.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
@@ -23,6 +25,7 @@
 
     private final String name;
     private final MpscArrayQueue<E> ring;
+    private final Queue<E> completions = new ConcurrentLinkedQueue<>();
     private final MillisClock clock;
     private final PriorityQueue<Timer<E>> timers = new PriorityQueue<>();
     private final AtomicBoolean parked = new AtomicBoolean();
@@ -94,6 +97,19 @@
         return taken;
     }
 
+    /**
+     * Posts the end of something that this duty began. It is never refused: the things under way are bounded, and so is
+     * what waits here.
+     *
+     * @param event  the event, not null
+     */
+    public void post(E event) {
+        completions.add(event);
+        if (parked.compareAndSet(true, false)) {
+            LockSupport.unpark(thread);
+        }
+    }
+
     /**
      * Schedules an event; to be called by this duty's handler only.
      *
@@ -125,7 +141,7 @@
     private int handleRing() {
         int handled = 0;
         while (handled < BATCH) {
-            E event = ring.poll();
+            E event = next();
             if (event == null) {
                 return handled;
             }
@@ -135,6 +151,11 @@
         return handled;
     }
 
+    private E next() {
+        E completion = completions.poll();
+        return completion != null ? completion : ring.poll();
+    }
+
     private int handleTimers() {
         int handled = 0;
         while (!timers.isEmpty() && timers.peek().atMillis <= clock.nowMillis()) {
@@ -154,7 +175,7 @@
 
     private void park() {
         parked.set(true);
-        if (ring.isEmpty() && !closed) {
+        if (ring.isEmpty() && completions.isEmpty() && !closed) {
             LockSupport.parkNanos(this, parkNanos());
         }
         parked.set(false);
