--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/plan/PlanStep.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/plan/PlanStep.java
@@ -87,7 +87,8 @@
     }
 
     /**
-     * Returns the pool that the worker belongs to when the step starts, whose ledger the step uses.
+     * Returns the pool that the worker belongs to when the step starts, whose ledger the step uses; for an assignment the
+     * pool that the worker joins.
      *
      * @return the pool, not null
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/plan/StepKind.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/plan/StepKind.java
@@ -13,6 +13,8 @@
     RETIRE,
     /** Reboots, probes and uncordons a worker that is out of service. */
     RELEASE,
+    /** Puts a worker that has no pool yet into its first pool. */
+    ASSIGN,
     /** Drains the worker and moves it to another pool for good. */
     MOVE,
     /** Drains the worker and lends it to another pool. */
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/planner/DraftLoan.java
@@ -0,0 +1,36 @@
+package org.trefoilpost.decision.planner;
+
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.WorkerId;
+
+/**
+ * A loan of a worker that a draft makes before a wave and returns after it.
+ */
+final class DraftLoan {
+    private final WorkerId worker;
+    private final PoolName lender;
+    private final PoolName borrower;
+
+    DraftLoan(WorkerId worker, PoolName lender, PoolName borrower) {
+        this.worker = worker;
+        this.lender = lender;
+        this.borrower = borrower;
+    }
+
+    WorkerId worker() {
+        return worker;
+    }
+
+    PoolName lender() {
+        return lender;
+    }
+
+    PoolName borrower() {
+        return borrower;
+    }
+
+    @Override
+    public String toString() {
+        return worker + " from " + lender + " to " + borrower;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/planner/FleetDraft.java
@@ -0,0 +1,164 @@
+package org.trefoilpost.decision.planner;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.trefoilpost.decision.inventory.PoolMember;
+import org.trefoilpost.decision.ledger.BudgetLedger;
+import org.trefoilpost.decision.plan.PlanBatch;
+import org.trefoilpost.decision.plan.PlanMeasures;
+import org.trefoilpost.decision.plan.PlanStep;
+import org.trefoilpost.decision.plan.StepKind;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.WorkerId;
+
+/**
+ * A plan while it is drafted, batch by batch.
+ *
+ * <p>A step is taken in only if the budget of its pool holds with all steps of the batch under way, so every draft keeps
+ * the budgets.
+ */
+final class FleetDraft {
+    private final WaveEstimates estimates;
+    private final Map<PoolName, DraftPool> pools = new TreeMap<>();
+    private final Map<WorkerId, DraftMember> members = new HashMap<>();
+    private final List<PlanBatch> batches = new ArrayList<>();
+    private final List<Double> minutes = new ArrayList<>();
+    private final Map<PlanStep, DraftMember> current = new LinkedHashMap<>();
+    private final Set<DraftMember> busy = new HashSet<>();
+    private final List<PlanStep> unledgered = new ArrayList<>();
+    private int steps;
+    private int moves;
+
+    FleetDraft(FleetSnapshot snapshot, Collection<PoolName> names) {
+        this.estimates = snapshot.estimates();
+        for (PoolName name : names) {
+            DraftPool pool = new DraftPool(name, snapshot.budget(name));
+            BudgetLedger ledger = snapshot.ledger(name);
+            for (PoolMember member : snapshot.inventory().pool(name).members()) {
+                boolean held = ledger.stop(member.worker()).isPresent();
+                DraftMember drafted = new DraftMember(member, pool, held);
+                pool.add(drafted);
+                members.put(member.worker(), drafted);
+            }
+            pools.put(name, pool);
+        }
+    }
+
+    Collection<DraftPool> pools() {
+        return pools.values();
+    }
+
+    DraftPool pool(PoolName name) {
+        return pools.get(name);
+    }
+
+    Optional<DraftMember> member(WorkerId worker) {
+        return Optional.ofNullable(members.get(worker));
+    }
+
+    /** Adds a step that leaves the worker in its pool, if the budget holds with it. */
+    boolean tryStop(StepKind kind, DraftMember member) {
+        if (!idle(member) || !admits(member)) {
+            return false;
+        }
+        take(PlanStep.of(++steps, kind, member.worker(), member.pool().name()), member);
+        return true;
+    }
+
+    /** Adds a step that shifts the worker to another pool, if the budget of its present pool holds with it. */
+    boolean tryShift(StepKind kind, DraftMember member, DraftPool target) {
+        if (member.pool() == target || !idle(member) || !admits(member)) {
+            return false;
+        }
+        take(PlanStep.shift(++steps, kind, member.worker(), member.pool().name(), target.name()), member);
+        moves++;
+        return true;
+    }
+
+    /** Adds a step that puts a worker without a pool into its first pool. */
+    void assign(WorkerId worker, DraftPool target) {
+        unledgered.add(PlanStep.of(++steps, StepKind.ASSIGN, worker, target.name()));
+    }
+
+    /** Adds a step that brings a worker back into service. */
+    void release(WorkerId worker, PoolName pool) {
+        unledgered.add(PlanStep.of(++steps, StepKind.RELEASE, worker, pool));
+    }
+
+    /** Returns whether no step of the present batch uses a free member. */
+    boolean idle(DraftMember member) {
+        return member.free() && !busy.contains(member);
+    }
+
+    private static boolean admits(DraftMember member) {
+        return member.free() && member.pool().headroomWithout(member) >= 0;
+    }
+
+    private void take(PlanStep step, DraftMember member) {
+        member.pool().stop(member);
+        current.put(step, member);
+        busy.add(member);
+    }
+
+    /** Ends the batch: maintained workers are back, shifted ones are in their new pool, retired ones stay out. */
+    void endBatch() {
+        if (current.isEmpty() && unledgered.isEmpty()) {
+            return;
+        }
+        Set<PoolName> used = new TreeSet<>();
+        SortedMap<PoolName, Integer> headroom = new TreeMap<>();
+        double longest = 0;
+        for (PlanStep step : current.keySet()) {
+            used.add(step.pool());
+            headroom.put(step.pool(), pools.get(step.pool()).headroom());
+            longest =
+                    Math.max(longest, step.kind().shifts() ? estimates.shiftMinutes() : estimates.maintenanceMinutes());
+        }
+        if (!unledgered.isEmpty()) {
+            longest = Math.max(longest, estimates.maintenanceMinutes());
+        }
+        for (DraftPool pool : pools.values()) {
+            pool.endBatch(batches.size(), used.contains(pool.name()));
+        }
+        List<PlanStep> all = new ArrayList<>(unledgered);
+        all.addAll(current.keySet());
+        batches.add(PlanBatch.of(all, headroom));
+        minutes.add(longest);
+        current.forEach(this::finish);
+        current.clear();
+        busy.clear();
+        unledgered.clear();
+    }
+
+    private void finish(PlanStep step, DraftMember member) {
+        if (step.target().isPresent()) {
+            member.pool().remove(member);
+            pools.get(step.target().get()).add(member);
+        } else if (step.kind() == StepKind.MAINTAIN) {
+            member.pool().start(member);
+        }
+    }
+
+    List<PlanBatch> batches() {
+        return batches;
+    }
+
+    PlanMeasures measures() {
+        double buffer = 0;
+        for (DraftPool pool : pools.values()) {
+            buffer += pool.bufferCost(minutes);
+        }
+        double rollOut = minutes.stream().mapToDouble(Double::doubleValue).sum();
+        return PlanMeasures.of(buffer, rollOut, moves);
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/planner/LeastCostStrategy.java
@@ -0,0 +1,185 @@
+package org.trefoilpost.decision.planner;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.trefoilpost.decision.plan.PlanStep;
+import org.trefoilpost.decision.plan.StepKind;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.capacity.MeasureWeights;
+
+/**
+ * Maintains each pool in as few batches as its budget allows, all pools side by side, and borrows workers where that is
+ * the only way or, if allowed, where it lowers the weighted cost.
+ */
+public final class LeastCostStrategy implements WaveStrategy {
+    /** The most loans of one plan. */
+    public static final int MAX_LOANS = 8;
+
+    private final boolean loansForCost;
+
+    private LeastCostStrategy(boolean loansForCost) {
+        this.loansForCost = loansForCost;
+    }
+
+    /**
+     * Obtains the strategy that borrows only where a pool can't be maintained otherwise.
+     *
+     * @return the strategy, not null
+     */
+    public static LeastCostStrategy withNeededLoans() {
+        return new LeastCostStrategy(false);
+    }
+
+    /**
+     * Obtains the strategy that also borrows where it lowers the weighted cost.
+     *
+     * @return the strategy, not null
+     */
+    public static LeastCostStrategy withLoansForCost() {
+        return new LeastCostStrategy(true);
+    }
+
+    @Override
+    public String name() {
+        return loansForCost ? "least cost, loans for cost" : "least cost";
+    }
+
+    @Override
+    public WaveDraft draft(FleetSnapshot snapshot, Set<PoolName> pools) {
+        Attempt plain = attempt(snapshot, pools, List.of());
+        Attempt best = plain;
+        boolean improved = loansForCost || plain.deficit > 0;
+        while (improved && best.loans.size() < MAX_LOANS) {
+            Attempt next = bestWithOneMoreLoan(snapshot, pools, best);
+            improved = next != best;
+            best = next;
+        }
+        boolean useful = best.maintained > plain.maintained || best.betterThan(plain, snapshot.weights());
+        return useful ? best.result : plain.result;
+    }
+
+    private Attempt bestWithOneMoreLoan(FleetSnapshot snapshot, Set<PoolName> pools, Attempt present) {
+        Attempt best = present;
+        for (DraftLoan loan : candidates(snapshot, pools, present)) {
+            List<DraftLoan> loans = new ArrayList<>(present.loans);
+            loans.add(loan);
+            Attempt next = attempt(snapshot, pools, loans);
+            if (next.betterThan(best, snapshot.weights())) {
+                best = next;
+            }
+        }
+        return best;
+    }
+
+    private List<DraftLoan> candidates(FleetSnapshot snapshot, Set<PoolName> pools, Attempt present) {
+        FleetDraft draft = lent(snapshot, pools, present.loans);
+        List<DraftLoan> candidates = new ArrayList<>();
+        List<DraftPool> borrowers = pools.stream()
+                .map(draft::pool)
+                .filter(pool -> loansForCost || deficit(pool) > 0)
+                .sorted(Comparator.comparingInt(LeastCostStrategy::deficit)
+                        .reversed()
+                        .thenComparing(DraftPool::headroom))
+                .limit(MAX_LOANS)
+                .toList();
+        borrowers.forEach(pool -> candidates.addAll(LoanCandidates.of(draft, pool)));
+        return candidates;
+    }
+
+    private static FleetDraft lent(FleetSnapshot snapshot, Set<PoolName> pools, List<DraftLoan> loans) {
+        Set<PoolName> all = new HashSet<>(snapshot.inventory().pools().keySet());
+        all.addAll(pools);
+        FleetDraft draft = new FleetDraft(snapshot, all);
+        for (DraftLoan loan : loans) {
+            draft.member(loan.worker())
+                    .ifPresent(member -> draft.tryShift(StepKind.LOAN, member, draft.pool(loan.borrower())));
+        }
+        draft.endBatch();
+        return draft;
+    }
+
+    private static int deficit(DraftPool pool) {
+        return pool.members().stream()
+                .filter(DraftMember::free)
+                .mapToInt(pool::headroomWithout)
+                .map(headroom -> Math.max(0, -headroom))
+                .max()
+                .orElse(0);
+    }
+
+    private static Attempt attempt(FleetSnapshot snapshot, Set<PoolName> pools, List<DraftLoan> loans) {
+        FleetDraft draft = loans.isEmpty() ? new FleetDraft(snapshot, pools) : lent(snapshot, pools, loans);
+        Set<WorkerId> wanted = new HashSet<>();
+        pools.forEach(pool -> snapshot.inventory().pool(pool).members().forEach(member -> wanted.add(member.worker())));
+        int deficit = pools.stream().mapToInt(pool -> deficit(draft.pool(pool))).sum();
+        maintain(draft, wanted);
+        giveBack(draft, loans);
+        return new Attempt(loans, deficit, WaveDraft.of(draft));
+    }
+
+    private static void maintain(FleetDraft draft, Set<WorkerId> wanted) {
+        List<List<List<DraftMember>>> partitions = new ArrayList<>();
+        for (DraftPool pool : draft.pools()) {
+            partitions.add(PoolPartition.of(pool, member -> wanted.contains(member.worker())));
+        }
+        int batches = partitions.stream().mapToInt(List::size).max().orElse(0);
+        for (int batch = 0; batch < batches; batch++) {
+            for (List<List<DraftMember>> partition : partitions) {
+                if (batch < partition.size()) {
+                    partition.get(batch).forEach(member -> draft.tryStop(StepKind.MAINTAIN, member));
+                }
+            }
+            draft.endBatch();
+        }
+    }
+
+    private static void giveBack(FleetDraft draft, List<DraftLoan> loans) {
+        for (DraftLoan loan : loans) {
+            draft.member(loan.worker())
+                    .ifPresent(member -> draft.tryShift(StepKind.RETURN, member, draft.pool(loan.lender())));
+        }
+        draft.endBatch();
+    }
+
+    /**
+     * A draft with some loans.
+     */
+    private static final class Attempt {
+        private final List<DraftLoan> loans;
+        private final int deficit;
+        private final WaveDraft result;
+        private final int maintained;
+        private final boolean returned;
+
+        private Attempt(List<DraftLoan> loans, int deficit, WaveDraft result) {
+            this.loans = loans;
+            this.deficit = deficit;
+            this.result = result;
+            this.maintained = result.maintained();
+            this.returned = result.batches().stream()
+                            .flatMap(batch -> batch.steps().stream())
+                            .map(PlanStep::kind)
+                            .filter(kind -> kind == StepKind.RETURN)
+                            .count()
+                    == loans.size();
+        }
+
+        private boolean betterThan(Attempt other, MeasureWeights weights) {
+            if (returned != other.returned) {
+                return returned;
+            }
+            if (maintained != other.maintained) {
+                return maintained > other.maintained;
+            }
+            if (deficit != other.deficit) {
+                return deficit < other.deficit;
+            }
+            return result.measures().weightedCost(weights)
+                    < other.result.measures().weightedCost(weights);
+        }
+    }
+}
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepDocuments.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepDocuments.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.decision.wave;
 
+import java.util.Optional;
 import org.trefoilpost.decision.inventory.Assignment;
 import org.trefoilpost.decision.inventory.RackInventory;
 import org.trefoilpost.decision.ledger.BudgetLedger;
@@ -58,10 +59,12 @@
      * @throws IllegalArgumentException if the rack doesn't have the worker or the step doesn't shift it
      */
     public static RackInventory shift(PlanStep step, RackInventory inventory) {
-        PoolName target = step.target()
-                .orElseThrow(() -> new IllegalArgumentException("step " + step.number() + " shifts no worker"));
+        PoolName target = step.kind() == StepKind.ASSIGN
+                ? step.pool()
+                : step.target()
+                        .orElseThrow(() -> new IllegalArgumentException("step " + step.number() + " shifts no worker"));
         boolean made =
-                inventory.assignment(step.worker()).flatMap(Assignment::pool).equals(step.target());
+                inventory.assignment(step.worker()).flatMap(Assignment::pool).equals(Optional.of(target));
         if (made) {
             return inventory;
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepRules.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepRules.java
@@ -14,7 +14,14 @@
     }
 
     StepState start(PlanStep step, StepState state, long nowMillis) {
-        return state.withPhase(step.kind() == StepKind.RELEASE ? StepPhase.REBOOT : StepPhase.ADMIT, nowMillis);
+        switch (step.kind()) {
+            case RELEASE:
+                return state.withPhase(StepPhase.REBOOT, nowMillis);
+            case ASSIGN:
+                return state.withPhase(StepPhase.SHIFT, nowMillis);
+            default:
+                return state.withPhase(StepPhase.ADMIT, nowMillis);
+        }
     }
 
     StepState complete(PlanStep step, StepState state, StepCompleted report, long nowMillis) {
@@ -35,7 +42,8 @@
             case PROBE:
                 return state.withPhase(StepPhase.UNCORDON, nowMillis);
             case SHIFT:
-                return state.withRackVersion(report.observed()).withPhase(StepPhase.UNCORDON, nowMillis);
+                return state.withRackVersion(report.observed())
+                        .withPhase(step.kind() == StepKind.ASSIGN ? StepPhase.DONE : StepPhase.UNCORDON, nowMillis);
             case UNCORDON:
                 return state.withPhase(StepPhase.RELEASE, nowMillis);
             case RELEASE:
