Test routing, admission and retries by properties

Ruled out: examples alone; a router driven by random events is compared to a scan of plain maps instead. Change: properties with fixed seeds for each rule. A router now drops expired peer counts before it judges a rejection; the comparison showed that it held one slot too many for an expired count.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/DeadlineQueue.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/DeadlineQueue.java
@@ -63,6 +63,15 @@
         return requests;
     }
 
+    /** Returns the most steps that an operation takes. */
+    int depth() {
+        return depth(root);
+    }
+
+    private static int depth(Node node) {
+        return node == null ? 0 : 1 + Math.max(depth(node.left), depth(node.right));
+    }
+
     private static void collect(Node node, List<AdmissionRequest> requests) {
         if (node != null) {
             collect(node.left, requests);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PoolRouter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PoolRouter.java
@@ -108,6 +108,7 @@
         if (candidate == null || candidate.ownInFlight() == 0) {
             return;
         }
+        expire(nowMillis);
         ownInFlight--;
         candidate.addOwn(-1);
         if (outcome == Outcome.ANSWERED) {
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/routing/CountingView.java
@@ -0,0 +1,37 @@
+package org.trefoilpost.decision.routing;
+
+import org.trefoilpost.model.worker.Worker;
+
+/**
+ * A view that counts how many workers are looked at.
+ */
+final class CountingView implements CandidateView {
+    private final CandidateView view;
+    private final int[] looks;
+
+    CountingView(CandidateView view, int[] looks) {
+        this.view = view;
+        this.looks = looks;
+    }
+
+    @Override
+    public int size() {
+        return view.size();
+    }
+
+    @Override
+    public Worker worker(int index) {
+        looks[0]++;
+        return view.worker(index);
+    }
+
+    @Override
+    public int ownInFlight(int index) {
+        return view.ownInFlight(index);
+    }
+
+    @Override
+    public int estimatedInFlight(int index) {
+        return view.estimatedInFlight(index);
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/routing/PoolRouterTest.java
@@ -0,0 +1,187 @@
+package org.trefoilpost.decision.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.worker.Worker;
+
+class PoolRouterTest {
+    private static final RouteRequest REQUEST = RouteRequest.of(Fleet.dataCentre(0));
+
+    @Property(seed = "21", tries = 300)
+    void choosesLikeAnExactScanUnderAnyEvents(@ForAll long seed, @ForAll @IntRange(min = 1, max = 24) int size) {
+        Random random = new Random(seed);
+        RouterModel model = new RouterModel(Fleet.workers(size, 3), random);
+        for (int step = 0; step < 300; step++) {
+            model.step();
+        }
+    }
+
+    @Test
+    void leavesNoSlotIdleAndFillsNoneTwice() {
+        PoolRouter router = router(Fleet.workers(8, 4), 3);
+        Map<WorkerId, Integer> started = new HashMap<>();
+        for (int i = 0; i < 64; i++) {
+            Choice choice = router.choose(REQUEST, 0).orElseThrow();
+            assertEquals(i >= 32, choice.spilledOver(), "local slots go first");
+            router.started(choice);
+            started.merge(choice.worker().id(), 1, Integer::sum);
+        }
+        started.values().forEach(count -> assertEquals(Fleet.SLOTS, count));
+        assertEquals(Optional.empty(), router.choose(REQUEST, 0));
+    }
+
+    @Test
+    void peersCountsAgeOut() {
+        PoolRouter router = router(Fleet.workers(1, 1), 4);
+        router.peerOccupancy(EntryId.of("e1"), WorkerId.of("w0"), 5, 0);
+        router.peerOccupancy(EntryId.of("e2"), WorkerId.of("w0"), 3, 1_000);
+        assertTrue(router.choose(REQUEST, 2_999).isEmpty());
+        assertTrue(router.choose(REQUEST, 3_000).isPresent());
+        assertEquals(3, router.peerInFlight());
+        router.choose(REQUEST, 4_000);
+        assertEquals(0, router.peerInFlight());
+    }
+
+    @Test
+    void aRejectionLowersCapacityForAMomentWithoutEjection() {
+        PoolRouter router = router(Fleet.workers(1, 1), 5);
+        for (int i = 0; i < 20; i++) {
+            long now = i * 200L;
+            Choice choice = router.choose(REQUEST, now).orElseThrow();
+            router.started(choice);
+            router.finished(choice, Outcome.REJECTED, 1, now);
+            assertEquals(Optional.empty(), router.choose(REQUEST, now + 199));
+            assertFalse(router.ejected(choice.worker().id()));
+        }
+        assertTrue(router.choose(REQUEST, 4_000).isPresent());
+        assertEquals(Fleet.SLOTS, router.usableSlots());
+    }
+
+    @Property(seed = "22", tries = 40)
+    void aFastFailingWorkerGetsUnderTwoPercentOfTheCallsAfterFiveSeconds(
+            @ForAll long seed, @ForAll @IntRange(min = 2, max = 8) int callsInFlight) {
+        FailingPool pool = new FailingPool(Fleet.workers(8, 1), seed, worker -> worker.equals("w3"));
+        pool.run(0, 5_000, callsInFlight);
+        pool.forget();
+        pool.run(5_000, 60_000, callsInFlight);
+        assertTrue(pool.calls("w3") * 50 < pool.calls(), pool.calls("w3") + " of " + pool.calls());
+    }
+
+    @Property(seed = "23", tries = 40)
+    void aFailingRackIsEjectedAndTheRestIsNot(@ForAll long seed) {
+        FailingPool pool = new FailingPool(Fleet.workers(8, 1), seed, worker -> worker.compareTo("w4") < 0);
+        pool.run(0, 20_000, 6);
+        for (int i = 0; i < 8; i++) {
+            assertEquals(i < 4, pool.router.ejected(WorkerId.of("w" + i)), "w" + i);
+        }
+    }
+
+    @Property(seed = "24", tries = 40)
+    void aPoolWideFailureLeavesTheFloorInThePool(@ForAll long seed) {
+        FailingPool pool = new FailingPool(Fleet.workers(8, 1), seed, worker -> true);
+        pool.run(0, 60_000, 4);
+        assertTrue(pool.maxEjected <= 5, "at most 70 percent of 8 are ejected: " + pool.maxEjected);
+        assertEquals(0, pool.refused, "a free slot is always found");
+        pool.failing = worker -> false;
+        pool.run(60_000, 240_000, 4);
+        assertEquals(0, pool.router.ejectedWorkers());
+    }
+
+    @Property(seed = "25", tries = 40)
+    void probesAreSingleAndBackOff(@ForAll long seed) {
+        FailingPool pool = new FailingPool(Fleet.workers(8, 1), seed, worker -> worker.equals("w0"));
+        pool.run(0, 600_000, 2);
+        long gap = 0;
+        for (int i = 1; i < pool.probes.size(); i++) {
+            long next = pool.probes.get(i) - pool.probes.get(i - 1);
+            long backOff = Math.min(60_000, 1_000L << Math.min(i, 20));
+            assertTrue(next * 2 >= backOff, "probe " + i + " after " + next + " ms");
+            gap = Math.max(gap, next);
+        }
+        assertTrue(pool.probes.size() > 10 && gap <= 62_000, pool.probes.size() + " probes, longest gap " + gap);
+    }
+
+    @Test
+    void aNewIncarnationStartsAfreshAndLateOutcomesOfTheOldOneDoNotCount() {
+        List<Worker> workers = Fleet.workers(2, 1);
+        PoolRouter router = router(workers, 6);
+        Choice old = Choice.of(workers.get(0), false, false);
+        for (int i = 0; i < 6; i++) {
+            router.started(old);
+        }
+        for (int i = 0; i < 3; i++) {
+            router.finished(old, Outcome.FAILED, 1, 10);
+        }
+        assertTrue(router.ejected(old.worker().id()));
+        router.members(List.of(Fleet.restarted(workers.get(0), 2), workers.get(1)), 20);
+        assertFalse(router.ejected(old.worker().id()));
+        for (int i = 0; i < 3; i++) {
+            router.finished(old, Outcome.FAILED, 1, 30);
+        }
+        assertFalse(router.ejected(old.worker().id()));
+        assertEquals(0, router.ownInFlight());
+        router.members(workers, 40);
+        Choice choice =
+                router.choose(REQUEST.withoutWorker(WorkerId.of("w1")), 40).orElseThrow();
+        assertEquals(2, choice.worker().incarnation(), "an older listing changes nothing");
+    }
+
+    @Test
+    void aLeavingWorkerIsNoCandidateNorProbed() {
+        List<Worker> workers = Fleet.workers(2, 1);
+        PoolRouter router = router(workers, 7);
+        router.leaving(LeavingRegister.empty().withWorkerSignal(WorkerId.of("w0"), 1));
+        for (int i = 0; i < Fleet.SLOTS; i++) {
+            Choice choice = router.choose(REQUEST, 0).orElseThrow();
+            assertEquals("w1", choice.worker().id().text());
+            router.started(choice);
+        }
+        assertEquals(Optional.empty(), router.choose(REQUEST, 0));
+        router.members(workers, 1);
+        assertEquals(Optional.empty(), router.choose(REQUEST, 1), "the list still shows it as live");
+        router.members(List.of(Fleet.restarted(workers.get(0), 2), workers.get(1)), 2);
+        assertTrue(router.choose(REQUEST, 2).isPresent());
+    }
+
+    @Test
+    void aChoiceLooksAtTheSameNumberOfWorkersInPoolsOfAnySize() {
+        assertEquals(looks(40), looks(25_000));
+        assertTrue(looks(40) <= 2, "looks at two workers");
+    }
+
+    private static int looks(int size) {
+        int[] looks = new int[1];
+        SelectionPolicy counting = (candidates, request, random) -> {
+            CandidateView view = new CountingView(candidates, looks);
+            return new TwoChoicesPolicy().select(view, request, random);
+        };
+        PoolRouter router = PoolRouter.of(RouterSettings.defaults(), counting, new Random(1));
+        router.members(Fleet.workers(size, 1), 0);
+        for (int i = 0; i < 100; i++) {
+            router.started(router.choose(REQUEST, 0).orElseThrow());
+        }
+        return (looks[0] + 99) / 100;
+    }
+
+    private static PoolRouter router(List<Worker> workers, long seed) {
+        RandomGenerator random = new Random(seed);
+        PoolRouter router = PoolRouter.of(RouterSettings.defaults(), new TwoChoicesPolicy(), random);
+        router.members(new ArrayList<>(workers), 0);
+        return router;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/routing/RouterModel.java
@@ -0,0 +1,168 @@
+package org.trefoilpost.decision.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.worker.Worker;
+
+/**
+ * Drives a router with random events and compares it to plain maps that are scanned in whole.
+ */
+final class RouterModel {
+    private static final int PEERS = 3;
+
+    private final Random random;
+    private final PoolRouter router;
+    private final Map<WorkerId, Worker> listed = new HashMap<>();
+    private final Map<WorkerId, Integer> own = new HashMap<>();
+    private final Map<String, long[]> peers = new HashMap<>();
+    private final Map<WorkerId, long[]> holds = new HashMap<>();
+    private final List<Choice> inFlight = new ArrayList<>();
+    private LeavingRegister leaving = LeavingRegister.empty();
+    private long now;
+
+    RouterModel(List<Worker> workers, Random random) {
+        this.random = random;
+        this.router = PoolRouter.of(RouterSettings.defaults(), new TwoChoicesPolicy(), new Random(random.nextLong()));
+        workers.forEach(worker -> listed.put(worker.id(), worker));
+        router.members(workers, 0);
+    }
+
+    void step() {
+        now += random.nextInt(60);
+        int kind = random.nextInt(20);
+        if (kind < 9) {
+            chooseAndCompare();
+        } else if (kind < 15) {
+            finish();
+        } else if (kind < 18) {
+            peerReport();
+        } else if (kind < 19) {
+            signal();
+        } else {
+            restart();
+        }
+    }
+
+    private void chooseAndCompare() {
+        RouteRequest request = RouteRequest.of(Fleet.dataCentre(random.nextInt(4)));
+        if (random.nextInt(4) == 0) {
+            request = request.withoutWorker(any().id()).withoutRack(any().rack());
+        }
+        Optional<Choice> choice = router.choose(request, now);
+        boolean local = false;
+        boolean some = false;
+        for (Worker worker : listed.values()) {
+            boolean candidate = request.allows(worker) && free(worker) && !router.ejected(worker.id());
+            some |= candidate;
+            local |= candidate && worker.dataCentre().equals(request.ownDataCentre());
+        }
+        assertSums();
+        if (choice.isEmpty()) {
+            assertTrue(!some, "a free worker was not found");
+            return;
+        }
+        Worker chosen = choice.get().worker();
+        assertTrue(request.allows(chosen) && free(chosen), chosen + " is no candidate");
+        assertEquals(choice.get().probe(), router.ejected(chosen.id()), "only probes go to ejected workers");
+        if (!choice.get().probe()) {
+            assertEquals(local, chosen.dataCentre().equals(request.ownDataCentre()), "local workers go first");
+        }
+        router.started(choice.get());
+        own.merge(chosen.id(), 1, Integer::sum);
+        inFlight.add(choice.get());
+    }
+
+    private void finish() {
+        if (inFlight.isEmpty()) {
+            return;
+        }
+        Choice choice = inFlight.remove(random.nextInt(inFlight.size()));
+        WorkerId id = choice.worker().id();
+        Outcome outcome = Outcome.values()[random.nextInt(4)];
+        own.merge(id, -1, Integer::sum);
+        router.finished(choice, outcome, 10, now);
+        boolean current = listed.get(id).incarnation() == choice.worker().incarnation();
+        if (outcome == Outcome.REJECTED && current) {
+            holds.put(id, new long[] {estimated(id), now + 200});
+        }
+    }
+
+    private void peerReport() {
+        WorkerId id = any().id();
+        int peer = random.nextInt(PEERS);
+        int count = random.nextInt(5);
+        router.peerOccupancy(EntryId.of("e" + peer), id, count, now);
+        peers.put(id + " " + peer, new long[] {count, now});
+        router.choose(RouteRequest.of(Fleet.dataCentre(0)), now);
+    }
+
+    private void signal() {
+        Worker worker = any();
+        LeavingRegister signal = random.nextBoolean()
+                ? LeavingRegister.empty().withWorkerSignal(worker.id(), worker.incarnation() - random.nextInt(2))
+                : LeavingRegister.empty().withCordon(worker.id(), random.nextInt(20), random.nextBoolean());
+        leaving = leaving.merge(signal);
+        router.leaving(signal);
+    }
+
+    private void restart() {
+        Worker worker = any();
+        Worker next = Fleet.restarted(worker, worker.incarnation() + 1);
+        listed.put(worker.id(), next);
+        holds.remove(worker.id());
+        for (int peer = 0; peer < PEERS; peer++) {
+            peers.remove(worker.id() + " " + peer);
+        }
+        router.members(listed.values(), now);
+    }
+
+    private void assertSums() {
+        int slots = 0;
+        int ownSum = 0;
+        int peerSum = 0;
+        for (Worker worker : listed.values()) {
+            boolean takesWork = !leaving.leaving(worker) && !router.ejected(worker.id());
+            slots += takesWork ? slots(worker.id()) : 0;
+            peerSum += takesWork ? peersAt(worker.id()) : 0;
+            ownSum += own.getOrDefault(worker.id(), 0);
+        }
+        assertEquals(slots, router.usableSlots());
+        assertEquals(peerSum, router.peerInFlight());
+        assertEquals(ownSum, router.ownInFlight());
+    }
+
+    private boolean free(Worker worker) {
+        return !leaving.leaving(worker) && estimated(worker.id()) < slots(worker.id());
+    }
+
+    private int slots(WorkerId id) {
+        long[] hold = holds.get(id);
+        return hold != null && now < hold[1] ? (int) Math.min(Fleet.SLOTS, hold[0]) : Fleet.SLOTS;
+    }
+
+    private int estimated(WorkerId id) {
+        return own.getOrDefault(id, 0) + peersAt(id);
+    }
+
+    private int peersAt(WorkerId id) {
+        int sum = 0;
+        for (int peer = 0; peer < PEERS; peer++) {
+            long[] report = peers.getOrDefault(id + " " + peer, new long[] {0, Long.MIN_VALUE / 2});
+            sum += now - report[1] < 3_000 ? (int) report[0] : 0;
+        }
+        return sum;
+    }
+
+    private Worker any() {
+        return listed.get(WorkerId.of("w" + random.nextInt(listed.size())));
+    }
+}
