Add the membership of entries and its heartbeat codec

Cause: entries must find each other while the store is out of service, and their views are only hints. Ruled out: sending the addresses in a window that moves with each message, because with some numbers of peers one peer always got the same window; the window moves once in each interval instead. Change: Membership as a state machine over heartbeats, registrations and ticks, three manners of surveillance, and HeartbeatCodec with a format number, a size limit and typed faults. A test first failed because a paused older incarnation of a replaced entry never learned of the newer one; peers now answer its heartbeat.

--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/membership/HeartbeatWriter.java
@@ -0,0 +1,102 @@
+package org.trefoilpost.decision.membership;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessagePacker;
+import org.trefoilpost.decision.routing.LeavingEntry;
+import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.model.TeamName;
+import org.trefoilpost.model.WorkerId;
+
+/**
+ * Writes the fields of a heartbeat.
+ */
+final class HeartbeatWriter {
+    /** The fields of a heartbeat, with the format number. */
+    static final int FIELDS = 11;
+    /** The fields of a member. */
+    static final int MEMBER_FIELDS = 4;
+    /** The fields of a pool's load. */
+    static final int LOAD_FIELDS = 3;
+    /** The fields of a leaving worker. */
+    static final int LEAVING_FIELDS = 4;
+
+    private final MessagePacker packer;
+
+    HeartbeatWriter(MessagePacker packer) {
+        this.packer = packer;
+    }
+
+    void write(Heartbeat heartbeat) throws IOException {
+        packer.packArrayHeader(FIELDS);
+        packer.packInt(HeartbeatCodec.FORMAT);
+        member(heartbeat.sender());
+        packer.packLong(heartbeat.sequence());
+        packer.packLong(heartbeat.configVersion());
+        packer.packLong(heartbeat.configAgeMillis());
+        members(heartbeat.members());
+        members(heartbeat.suspects());
+        loads(heartbeat.loads());
+        teams(heartbeat.teamRequests());
+        leaving(heartbeat.leaving());
+        shards(heartbeat.shardEpochs());
+    }
+
+    private void member(Member member) throws IOException {
+        packer.packArrayHeader(MEMBER_FIELDS);
+        packer.packString(member.id().text());
+        packer.packLong(member.incarnation());
+        packer.packString(member.endpoint().host());
+        packer.packInt(member.endpoint().port());
+    }
+
+    private void members(List<Member> members) throws IOException {
+        packer.packArrayHeader(members.size());
+        for (Member member : members) {
+            member(member);
+        }
+    }
+
+    private void loads(List<PoolLoad> loads) throws IOException {
+        packer.packArrayHeader(loads.size());
+        for (PoolLoad load : loads) {
+            packer.packArrayHeader(LOAD_FIELDS);
+            packer.packString(load.pool().text());
+            packer.packInt(load.queued());
+            packer.packMapHeader(load.inFlight().size());
+            for (Map.Entry<WorkerId, Integer> item : load.inFlight().entrySet()) {
+                packer.packString(item.getKey().text());
+                packer.packInt(item.getValue());
+            }
+        }
+    }
+
+    private void teams(Map<TeamName, Integer> teams) throws IOException {
+        packer.packMapHeader(teams.size());
+        for (Map.Entry<TeamName, Integer> item : teams.entrySet()) {
+            packer.packString(item.getKey().text());
+            packer.packInt(item.getValue());
+        }
+    }
+
+    private void leaving(LeavingRegister register) throws IOException {
+        packer.packMapHeader(register.entries().size());
+        for (Map.Entry<WorkerId, LeavingEntry> item : register.entries().entrySet()) {
+            packer.packString(item.getKey().text());
+            packer.packArrayHeader(LEAVING_FIELDS);
+            packer.packLong(item.getValue().listIncarnation());
+            packer.packLong(item.getValue().workerIncarnation());
+            packer.packLong(item.getValue().cordonVersion());
+            packer.packBoolean(item.getValue().cordoned());
+        }
+    }
+
+    private void shards(Map<Integer, Long> shards) throws IOException {
+        packer.packMapHeader(shards.size());
+        for (Map.Entry<Integer, Long> item : shards.entrySet()) {
+            packer.packInt(item.getKey());
+            packer.packLong(item.getValue());
+        }
+    }
+}
