--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/ConnectionLimit.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/ConnectionLimit.java
@@ -1,17 +1,16 @@
 package org.trefoilpost.standins.http;
 
 import io.servicetalk.concurrent.api.Completable;
+import io.servicetalk.transport.api.ConnectionContext;
 import io.servicetalk.transport.api.ConnectionInfo;
-import io.servicetalk.transport.api.ConnectionObserver;
 import io.servicetalk.transport.api.LateConnectionAcceptor;
-import io.servicetalk.transport.api.TransportObserver;
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Counts the open connections of a listener and closes each new one over the limit.
+ * Counts the accepted connections of a listener and closes each new one over the limit.
  */
-final class ConnectionLimit implements TransportObserver, LateConnectionAcceptor {
+final class ConnectionLimit implements LateConnectionAcceptor {
     private final AtomicInteger open = new AtomicInteger();
     private final int maxConnections;
 
@@ -20,27 +19,18 @@
     }
 
     @Override
-    public ConnectionObserver onNewConnection(Object localAddress, Object remoteAddress) {
-        open.incrementAndGet();
-        return new ConnectionObserver() {
-            @Override
-            public void connectionClosed(Throwable error) {
-                open.decrementAndGet();
-            }
-
-            @Override
-            public void connectionClosed() {
-                open.decrementAndGet();
-            }
-        };
+    public Completable accept(ConnectionContext connection) {
+        if (open.incrementAndGet() > maxConnections) {
+            open.decrementAndGet();
+            return Completable.failed(new IOException("more than " + maxConnections + " connections"));
+        }
+        connection.onClose().whenFinally(open::decrementAndGet).subscribe();
+        return Completable.completed();
     }
 
     @Override
     @SuppressWarnings("deprecation")
     public Completable accept(ConnectionInfo info) {
-        if (open.get() > maxConnections) {
-            return Completable.failed(new IOException("more than " + maxConnections + " connections"));
-        }
-        return Completable.completed();
+        return Completable.failed(new IOException("a connection that does not tell its end can't be counted"));
     }
 }
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/HttpAnswer.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/HttpAnswer.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * The answer to a call, or the way in which the answer fails to reach the caller.
@@ -105,6 +106,16 @@
         return body;
     }
 
+    /**
+     * Returns a header.
+     *
+     * @param name  the header's name as it was given, not null
+     * @return the value, not null, empty if the answer lacks it
+     */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(headers.get(name));
+    }
+
     Delivery delivery() {
         return delivery;
     }
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/HttpListener.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/HttpListener.java
@@ -13,6 +13,7 @@
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import io.servicetalk.http.netty.HttpServers;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -27,6 +28,8 @@
 public final class HttpListener implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(HttpListener.class);
 
+    private static final String IN_USE = "Address already in use";
+
     private final HttpServerContext context;
 
     private HttpListener(HttpServerContext context) {
@@ -40,22 +43,29 @@
      * @param maxConnections  the connections that are accepted at the same time
      * @param handler  the handler of every call, not null
      * @return the listener, not null
-     * @throws IOException if the endpoint can't be bound
+     * @throws BindException if the endpoint is in use
+     * @throws IOException if the endpoint can't be bound for another reason
      */
     public static HttpListener start(Endpoint endpoint, int maxConnections, HttpHandler handler) throws IOException {
-        ConnectionLimit limit = new ConnectionLimit(maxConnections);
         try {
             return new HttpListener(HttpServers.forAddress(new InetSocketAddress(endpoint.host(), endpoint.port()))
                     .executionStrategy(HttpExecutionStrategies.offloadNone())
-                    .transportObserver(limit)
-                    .appendLateConnectionAcceptor(limit)
+                    .appendLateConnectionAcceptor(new ConnectionLimit(maxConnections))
                     .listenStreamingAndAwait((ctx, request, factory) ->
                             request.toRequest().flatMap(whole -> serve(ctx, whole, factory, handler))));
-        } catch (IOException e) {
-            throw e;
         } catch (Exception e) {
-            throw new IOException(endpoint + " can't be bound", e);
+            throw bindFailure(endpoint, e);
+        }
+    }
+
+    private static IOException bindFailure(Endpoint endpoint, Exception cause) {
+        String message = endpoint + " can't be bound: " + cause.getMessage();
+        if (message.contains(IN_USE)) {
+            BindException inUse = new BindException(message);
+            inUse.initCause(cause);
+            return inUse;
         }
+        return new IOException(message, cause);
     }
 
     private static Single<StreamingHttpResponse> serve(
@@ -109,9 +119,7 @@
     }
 
     private static StreamingHttpResponse head(StreamingHttpResponseFactory factory, HttpAnswer answer) {
-        HttpResponseStatus.StatusClass statusClass = HttpResponseStatus.StatusClass.fromStatusCode(answer.status());
-        StreamingHttpResponse response =
-                factory.newResponse(HttpResponseStatus.of(answer.status(), statusClass.name()));
+        StreamingHttpResponse response = factory.newResponse(HttpResponseStatus.of(answer.status(), ""));
         response.version(HttpProtocolVersion.HTTP_1_1);
         answer.headers().forEach(response::setHeader);
         return response;
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/Timers.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/Timers.java
@@ -6,11 +6,13 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.jboss.logging.Logger;
 
 /**
  * The timer that all stand-ins of a process share.
  */
 public final class Timers {
+    private static final Logger LOG = Logger.getLogger(Timers.class);
     private static final ScheduledExecutorService EXECUTOR = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "standin-timer");
         thread.setDaemon(true);
@@ -40,10 +42,18 @@
      * Runs a step again and again.
      *
      * @param millis  the time between two runs in milliseconds
-     * @param step  the step, which must not throw, not null
+     * @param step  the step, whose failures are logged, not null
      * @return the handle that ends the runs, not null
      */
     public static ScheduledFuture<?> every(long millis, Runnable step) {
-        return EXECUTOR.scheduleWithFixedDelay(step, millis, millis, TimeUnit.MILLISECONDS);
+        return EXECUTOR.scheduleWithFixedDelay(() -> runLogged(step), millis, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private static void runLogged(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.error("a timed step failed", e);
+        }
     }
 }
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/InstanceList.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/InstanceList.java
@@ -4,7 +4,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.trefoilpost.standins.http.Json;
 
@@ -69,16 +72,30 @@
     }
 
     synchronized ObjectNode toJson(long nowMillis) {
-        while (!waiting.isEmpty() && waiting.peek().visibleAtMillis <= nowMillis) {
-            Update update = waiting.remove();
-            shown.put(update.id, update.instance);
-        }
+        showDue(nowMillis);
         ObjectNode json = Json.object();
         ArrayNode instances = json.putArray("instances");
         shown.values().forEach(instances::add);
         return json;
     }
 
+    /**
+     * Shows each instance's newest report that is due and drops the reports before it.
+     */
+    private void showDue(long nowMillis) {
+        Set<String> settled = new HashSet<>();
+        for (Iterator<Update> newestFirst = waiting.descendingIterator(); newestFirst.hasNext(); ) {
+            Update update = newestFirst.next();
+            if (settled.contains(update.id)) {
+                newestFirst.remove();
+            } else if (update.visibleAtMillis <= nowMillis) {
+                settled.add(update.id);
+                shown.put(update.id, update.instance);
+                newestFirst.remove();
+            }
+        }
+    }
+
     /**
      * A report on its way to the public view.
      */
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/KeyValueStore.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/KeyValueStore.java
@@ -57,9 +57,10 @@
         T result;
         Map<Watch, Changes> woken;
         synchronized (this) {
+            long before = state.revision();
             state.lapseLeases(nowMillis);
             result = step.apply(state);
-            woken = takeWoken();
+            woken = state.revision() == before ? Map.of() : takeWoken();
         }
         woken.forEach((watch, changes) -> watch.future.complete(changes));
         return result;
@@ -69,7 +70,9 @@
         Map<Watch, Changes> woken = new HashMap<>();
         for (Watch watch : watches) {
             List<Change> changes = state.changes(watch.prefix, watch.after);
-            if (!changes.isEmpty()) {
+            if (changes.isEmpty()) {
+                watch.after = Math.max(watch.after, state.revision());
+            } else {
                 woken.put(watch, new Changes(state.revision(), changes));
             }
         }
@@ -81,9 +84,15 @@
      * Waits for changes under a prefix. The future is completed by the change, or by {@link #endWatch}.
      */
     CompletableFuture<Changes> watch(String prefix, long after, long nowMillis) {
-        Watch watch = new Watch(prefix, after);
-        change(nowMillis, held -> watches.add(watch));
-        return watch.future;
+        return change(nowMillis, held -> {
+            List<Change> changes = held.changes(prefix, after);
+            if (!changes.isEmpty()) {
+                return CompletableFuture.completedFuture(new Changes(held.revision(), changes));
+            }
+            Watch watch = new Watch(prefix, after);
+            watches.add(watch);
+            return watch.future;
+        });
     }
 
     /**
@@ -183,7 +192,7 @@
      */
     private static final class Watch {
         private final String prefix;
-        private final long after;
+        private long after;
         private final CompletableFuture<Changes> future = new CompletableFuture<>();
 
         private Watch(String prefix, long after) {
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/PlatformService.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/PlatformService.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.standins.platform;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
@@ -74,9 +75,11 @@
             return CompletableFuture.completedFuture(HttpAnswer.of(503));
         }
         RateLimit limit = kind == CallKind.WRITE ? writes : reads;
-        if (!limit.take(clock.getAsLong())) {
+        OptionalLong retrySeconds = limit.take(clock.getAsLong());
+        if (retrySeconds.isPresent()) {
             counters.rejected(prefix);
-            return CompletableFuture.completedFuture(HttpAnswer.of(429).with("Retry-After", "1"));
+            String seconds = Long.toString(retrySeconds.getAsLong());
+            return CompletableFuture.completedFuture(HttpAnswer.of(429).with("Retry-After", seconds));
         }
         return Timers.after(present.latencyMillis(), () -> kind == CallKind.WRITE ? write(call, present) : read(call));
     }
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/RateLimit.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/RateLimit.java
@@ -1,5 +1,7 @@
 package org.trefoilpost.standins.platform;
 
+import java.util.OptionalLong;
+
 /**
  * A bucket of calls that fills at a steady rate and holds the calls of one second.
  */
@@ -12,7 +14,7 @@
 
     private RateLimit(double perSecond, long nowMillis) {
         this.perSecond = perSecond;
-        this.tokens = perSecond;
+        this.tokens = Math.max(1, perSecond);
         this.filledAtMillis = nowMillis;
     }
 
@@ -21,19 +23,19 @@
     }
 
     /**
-     * Takes a call out of the bucket and says whether one was there; a rate of 0 sets no limit.
+     * Takes a call out of the bucket, or returns the whole seconds until one is there; a rate of 0 sets no limit.
      */
-    synchronized boolean take(long nowMillis) {
+    synchronized OptionalLong take(long nowMillis) {
         if (perSecond <= 0) {
-            return true;
+            return OptionalLong.empty();
         }
         long elapsed = Math.max(0, nowMillis - filledAtMillis);
         filledAtMillis = Math.max(filledAtMillis, nowMillis);
         tokens = Math.min(Math.max(1, perSecond), tokens + elapsed * perSecond / MILLIS_PER_SECOND);
         if (tokens < 1) {
-            return false;
+            return OptionalLong.of((long) Math.ceil((1 - tokens) / perSecond));
         }
         tokens--;
-        return true;
+        return OptionalLong.empty();
     }
 }
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/StoreState.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/platform/StoreState.java
@@ -1,7 +1,6 @@
 package org.trefoilpost.standins.platform;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +15,7 @@
 final class StoreState {
     private final NavigableMap<String, StoredValue> values;
     private final NavigableMap<String, Long> deletions;
+    private final NavigableMap<Long, Change> changes;
     private final Map<Long, Lease> leases;
     private long revision;
     private long lastLease;
@@ -23,6 +23,7 @@
     private StoreState(StoreState source) {
         this.values = new TreeMap<>(source.values);
         this.deletions = new TreeMap<>(source.deletions);
+        this.changes = new TreeMap<>(source.changes);
         this.leases = new HashMap<>(source.leases);
         this.revision = source.revision;
         this.lastLease = source.lastLease;
@@ -31,6 +32,7 @@
     private StoreState() {
         this.values = new TreeMap<>();
         this.deletions = new TreeMap<>();
+        this.changes = new TreeMap<>();
         this.leases = new HashMap<>();
     }
 
@@ -62,7 +64,7 @@
         if (lease.isPresent() && !leases.containsKey(lease.getAsLong())) {
             return WriteOutcome.of(WriteOutcome.Kind.NO_LEASE, present);
         }
-        revision++;
+        noteChange(key, false);
         values.put(key, StoredValue.of(value, revision, lease));
         deletions.remove(key);
         return WriteOutcome.of(WriteOutcome.Kind.DONE, revision);
@@ -81,32 +83,28 @@
     }
 
     private void remove(String key) {
-        revision++;
+        noteChange(key, true);
         values.remove(key);
         deletions.put(key, revision);
     }
 
+    private void noteChange(String key, boolean deleted) {
+        changes.remove(deletions.getOrDefault(key, revisionOf(key)));
+        revision++;
+        changes.put(revision, Change.of(key, revision, deleted));
+    }
+
     private long revisionOf(String key) {
         return read(key).map(StoredValue::revision).orElse(0L);
     }
 
+    /**
+     * Returns the latest change of each key under a prefix that changed after a revision, by revision.
+     */
     List<Change> changes(String prefix, long after) {
-        List<Change> changes = new ArrayList<>();
-        if (after >= revision) {
-            return changes;
-        }
-        under(prefix).forEach((key, value) -> {
-            if (value.revision() > after) {
-                changes.add(Change.of(key, value.revision(), false));
-            }
-        });
-        deletions.subMap(prefix, true, endOf(prefix), false).forEach((key, deletedAt) -> {
-            if (deletedAt > after) {
-                changes.add(Change.of(key, deletedAt, true));
-            }
-        });
-        changes.sort(Comparator.comparingLong(Change::revision));
-        return changes;
+        return changes.tailMap(after, false).values().stream()
+                .filter(change -> change.key().startsWith(prefix))
+                .toList();
     }
 
     private static String endOf(String prefix) {
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/worker/WorkerRequest.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/worker/WorkerRequest.java
@@ -15,17 +15,22 @@
     private final String path;
     private final long deadlineMillis;
 
-    private WorkerRequest(HttpCall call) {
-        this.requestId = call.header("Trefoilpost-Request-Id");
-        this.key = call.header("Idempotency-Key");
-        this.path = call.target();
-        this.deadlineMillis = call.header("Trefoilpost-Deadline-Millis")
-                .map(WorkerRequest::parseDeadline)
-                .orElse(Long.MAX_VALUE);
+    private WorkerRequest(Optional<String> requestId, Optional<String> key, String path, long deadlineMillis) {
+        this.requestId = requestId;
+        this.key = key;
+        this.path = path;
+        this.deadlineMillis = deadlineMillis;
+    }
+
+    static WorkerRequest of(Optional<String> requestId, Optional<String> key, String path, long deadlineMillis) {
+        return new WorkerRequest(requestId, key, path, deadlineMillis);
     }
 
     static WorkerRequest of(HttpCall call) {
-        return new WorkerRequest(call);
+        long deadlineMillis = call.header("Trefoilpost-Deadline-Millis")
+                .map(WorkerRequest::parseDeadline)
+                .orElse(Long.MAX_VALUE);
+        return of(call.header("Trefoilpost-Request-Id"), call.header("Idempotency-Key"), call.target(), deadlineMillis);
     }
 
     private static long parseDeadline(String text) {
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/worker/WorkerService.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/worker/WorkerService.java
@@ -68,8 +68,8 @@
         return answer;
     }
 
-    private synchronized CompletableFuture<Void> released() {
-        return released;
+    private synchronized CompletableFuture<Void> released(WorkerFaults faults) {
+        return faults.hangs() ? released : CompletableFuture.completedFuture(null);
     }
 
     private synchronized boolean drawsBelow(double share) {
@@ -87,7 +87,7 @@
         WorkerFaults faults = core.faults();
         long millis = faults.failsFast() ? 0 : ownMillis + faults.slowMillis();
         HttpAnswer answer = addressed(answer(call, request, faults, answerBytes), request);
-        return released()
+        return released(faults)
                 .thenCompose(nothing -> Timers.after(
                         millis,
                         () -> CompletableFuture.completedFuture(finish(request, answer, faults.breakAnswers()))));
