--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryDuties.java
@@ -0,0 +1,74 @@
+package org.trefoilpost.entry;
+
+import org.trefoilpost.entry.configuration.ConfigurationDuty;
+import org.trefoilpost.entry.fleet.FleetDuty;
+import org.trefoilpost.entry.membership.MembershipDuty;
+import org.trefoilpost.entry.peer.PeerNetwork;
+import org.trefoilpost.entry.request.RequestDuty;
+
+/**
+ * The duties of an entry, which refer to each other and so are set one after the other at the start.
+ */
+final class EntryDuties {
+    private volatile RequestDuty requests;
+    private volatile FleetDuty fleet;
+    private volatile ConfigurationDuty configuration;
+    private volatile MembershipDuty membership;
+    private volatile PeerNetwork network;
+
+    RequestDuty requests() {
+        return started(requests);
+    }
+
+    FleetDuty fleet() {
+        return started(fleet);
+    }
+
+    ConfigurationDuty configuration() {
+        return started(configuration);
+    }
+
+    MembershipDuty membership() {
+        return started(membership);
+    }
+
+    PeerNetwork network() {
+        return started(network);
+    }
+
+    /**
+     * Returns whether every duty has been set.
+     *
+     * @return true if peers' messages can be handled
+     */
+    boolean isComplete() {
+        return requests != null && fleet != null && configuration != null && membership != null && network != null;
+    }
+
+    void requests(RequestDuty duty) {
+        this.requests = duty;
+    }
+
+    void fleet(FleetDuty duty) {
+        this.fleet = duty;
+    }
+
+    void configuration(ConfigurationDuty duty) {
+        this.configuration = duty;
+    }
+
+    void membership(MembershipDuty duty) {
+        this.membership = duty;
+    }
+
+    void network(PeerNetwork newNetwork) {
+        this.network = newNetwork;
+    }
+
+    private static <T> T started(T duty) {
+        if (duty == null) {
+            throw new IllegalStateException("a duty has not started yet");
+        }
+        return duty;
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryFleetPorts.java
@@ -0,0 +1,78 @@
+package org.trefoilpost.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.entry.fleet.Cordon;
+import org.trefoilpost.entry.fleet.DrainCount;
+import org.trefoilpost.entry.fleet.FleetPorts;
+import org.trefoilpost.entry.peer.CordonNotice;
+import org.trefoilpost.entry.peer.DrainAnswer;
+import org.trefoilpost.entry.peer.DrainQuery;
+import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.worker.Worker;
+
+/**
+ * Connects the fleet's duty to the other duties and to the peers.
+ */
+final class EntryFleetPorts implements FleetPorts {
+    private static final long CALL_TIMEOUT_MILLIS = 1_000;
+
+    private final EntryDuties duties;
+
+    EntryFleetPorts(EntryDuties duties) {
+        this.duties = duties;
+    }
+
+    @Override
+    public void members(Map<PoolName, List<Worker>> members) {
+        duties.requests().members(members);
+    }
+
+    @Override
+    public void leaving(LeavingRegister register) {
+        duties.requests().leaving(register);
+    }
+
+    @Override
+    public CompletableFuture<Map<WorkerId, Integer>> inFlight() {
+        return duties.requests().inFlight();
+    }
+
+    @Override
+    public CompletableFuture<Set<WorkerId>> ejected() {
+        return duties.requests().ejected();
+    }
+
+    @Override
+    public Set<EntryId> liveEntries() {
+        return duties.membership().liveEntries();
+    }
+
+    @Override
+    public Set<EntryId> possibleEntries() {
+        return duties.membership().possibleEntries();
+    }
+
+    @Override
+    public void tellCordon(Cordon cordon) {
+        duties.network()
+                .broadcast(CordonNotice.of(
+                        cordon.plan(), cordon.step(), cordon.attempt(), cordon.worker(), cordon.isCordoned()));
+    }
+
+    @Override
+    public CompletableFuture<DrainCount> askInFlight(EntryId peer, PlanDigest plan, int step, WorkerId worker) {
+        return duties.network()
+                .call(peer, callId -> DrainQuery.of(callId, plan, step, worker), CALL_TIMEOUT_MILLIS)
+                .thenApply(reply -> {
+                    DrainAnswer answer = (DrainAnswer) reply;
+                    return DrainCount.of(answer.acknowledged(), answer.inFlight());
+                });
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryGateway.java
@@ -0,0 +1,59 @@
+package org.trefoilpost.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.entry.caller.RequestGateway;
+import org.trefoilpost.entry.request.CallerRequest;
+import org.trefoilpost.entry.request.RequestOutcome;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.configuration.Configuration;
+import org.trefoilpost.model.configuration.PoolSettings;
+import org.trefoilpost.model.verdict.RefusalReason;
+import org.trefoilpost.model.verdict.Verdict;
+
+/**
+ * Hands callers' requests to the duty that carries them.
+ */
+final class EntryGateway implements RequestGateway {
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final EntryDuties duties;
+    private volatile boolean shuttingDown;
+
+    EntryGateway(EntryDuties duties) {
+        this.duties = duties;
+    }
+
+    /**
+     * Takes no requests from now on.
+     */
+    void shutDown() {
+        shuttingDown = true;
+    }
+
+    @Override
+    public Optional<RefusalReason> closed() {
+        if (shuttingDown) {
+            return Optional.of(RefusalReason.SHUTTING_DOWN);
+        }
+        return duties.configuration().status().configuration().isPresent()
+                ? Optional.empty()
+                : Optional.of(RefusalReason.NOT_READY);
+    }
+
+    @Override
+    public Optional<PoolSettings> pool(PoolName pool) {
+        Optional<Configuration> configuration = duties.configuration().status().configuration();
+        return configuration.flatMap(present -> present.pool(pool));
+    }
+
+    @Override
+    public CompletableFuture<RequestOutcome> submit(CallerRequest request) {
+        if (request.idempotencyKey().isPresent()) {
+            return CompletableFuture.completedFuture(
+                    RequestOutcome.of(Verdict.notRun(RefusalReason.CLAIM_UNAVAILABLE, RETRY_AFTER)));
+        }
+        return duties.requests().submit(request);
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryHeartbeatContent.java
@@ -0,0 +1,60 @@
+package org.trefoilpost.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.trefoilpost.decision.configuration.ChangeId;
+import org.trefoilpost.decision.membership.Heartbeat;
+import org.trefoilpost.decision.membership.PoolLoad;
+import org.trefoilpost.entry.configuration.ConfigurationStatus;
+import org.trefoilpost.entry.membership.HeartbeatContent;
+import org.trefoilpost.entry.request.RequestLoads;
+import org.trefoilpost.entry.runtime.MillisClock;
+
+/**
+ * Puts the load and the configuration's version into heartbeats, and takes the peers' in.
+ */
+final class EntryHeartbeatContent implements HeartbeatContent {
+    private static final long UNCONFIRMED = Long.MAX_VALUE;
+
+    private final EntryDuties duties;
+    private final MillisClock clock;
+
+    EntryHeartbeatContent(EntryDuties duties, MillisClock clock) {
+        this.duties = duties;
+        this.clock = clock;
+    }
+
+    @Override
+    public void fill(Heartbeat.Builder heartbeat) {
+        ConfigurationStatus status = duties.configuration().status();
+        long nowMillis = clock.nowMillis();
+        OptionalLong asOf = status.confirmedAsOfMillis();
+        heartbeat.config(status.version(), asOf.isPresent() ? Math.max(0, nowMillis - asOf.getAsLong()) : UNCONFIRMED);
+        RequestLoads loads = duties.requests().loads();
+        List<PoolLoad> poolLoads = new ArrayList<>();
+        loads.inFlight().forEach((pool, counts) -> poolLoads.add(PoolLoad.of(pool, loads.queued(pool), counts)));
+        heartbeat.loads(poolLoads);
+        heartbeat.teamRequests(loads.teams());
+    }
+
+    @Override
+    public String configurationChange() {
+        return duties.configuration().status().change().map(ChangeId::text).orElse("");
+    }
+
+    @Override
+    public void heard(Heartbeat heartbeat, String configurationChange) {
+        duties.requests().peerLoads(heartbeat.sender().id(), heartbeat.loads(), heartbeat.teamRequests());
+        if (!configurationChange.isEmpty()) {
+            duties.configuration()
+                    .peerReported(
+                            heartbeat.configVersion(), ChangeId.of(configurationChange), confirmedAsOf(heartbeat));
+        }
+    }
+
+    /** Returns the time up to which a peer's confirmation reaches, less the time since its earliest sending. */
+    private OptionalLong confirmedAsOf(Heartbeat heartbeat) {
+        return OptionalLong.empty();
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
@@ -0,0 +1,176 @@
+package org.trefoilpost.entry.caller;
+
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaderValues;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpServiceContext;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import io.servicetalk.http.api.StreamingHttpService;
+import io.servicetalk.http.netty.HttpServers;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.trefoilpost.entry.log.EventLog;
+import org.trefoilpost.entry.log.LogEvent;
+import org.trefoilpost.entry.metrics.EntryMetrics;
+import org.trefoilpost.entry.request.CallerRequest;
+import org.trefoilpost.entry.request.RequestOutcome;
+import org.trefoilpost.entry.runtime.MillisClock;
+import org.trefoilpost.model.Endpoint;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.configuration.PoolSettings;
+import org.trefoilpost.model.verdict.RefusalReason;
+import org.trefoilpost.model.verdict.UncertaintyReason;
+import org.trefoilpost.model.verdict.Verdict;
+
+/**
+ * The callers' listener.
+ */
+public final class CallerServer implements StreamingHttpService, AutoCloseable {
+    private static final EventLog LOG = EventLog.of(CallerServer.class);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final RequestGateway gateway;
+    private final EntryMetrics metrics;
+    private final MillisClock clock;
+    private HttpServerContext server;
+
+    private CallerServer(RequestGateway gateway, EntryMetrics metrics, MillisClock clock) {
+        this.gateway = gateway;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    /**
+     * Starts the listener.
+     *
+     * @param listen  the address to listen on, not null
+     * @param gateway  what requests are handed to, not null
+     * @param metrics  the metrics, not null
+     * @param clock  the clock, not null
+     * @return the listener, not null
+     * @throws Exception if the address cannot be listened on
+     */
+    public static CallerServer start(Endpoint listen, RequestGateway gateway, EntryMetrics metrics, MillisClock clock)
+            throws Exception {
+        CallerServer caller = new CallerServer(gateway, metrics, clock);
+        caller.server = HttpServers.forAddress(new InetSocketAddress(listen.host(), listen.port()))
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .listenStreamingAndAwait(caller);
+        return caller;
+    }
+
+    /**
+     * Returns the address listened on.
+     *
+     * @return the address, not null
+     */
+    public Endpoint endpoint() {
+        InetSocketAddress address = (InetSocketAddress) server.listenAddress();
+        return Endpoint.of(address.getAddress().getHostAddress(), address.getPort());
+    }
+
+    @Override
+    public Single<StreamingHttpResponse> handle(
+            HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
+        long arrivalMillis = clock.nowMillis();
+        return Single.defer(() -> carry(request, factory, arrivalMillis))
+                .onErrorResume(failure -> Single.succeeded(rejected(failure, factory, arrivalMillis)));
+    }
+
+    /**
+     * Stops taking connections and waits for the requests under way.
+     *
+     * @param grace  the longest wait, not null
+     */
+    public void closeGracefully(Duration grace) {
+        try {
+            server.closeAsyncGracefully().toFuture().get(grace.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            LOG.warn(LogEvent.of("caller-listener-closed-hard").withFailure(e));
+            close();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            close();
+        }
+    }
+
+    /**
+     * Closes the listener and its connections.
+     */
+    @Override
+    public void close() {
+        server.closeAsync().subscribe();
+    }
+
+    private Single<StreamingHttpResponse> carry(
+            StreamingHttpRequest request, StreamingHttpResponseFactory factory, long arrivalMillis) {
+        return read(request, arrivalMillis)
+                .flatMap(read -> submit(read)
+                        .map(outcome -> concluded(outcome, factory, arrivalMillis))
+                        .onErrorReturn(failure -> unwritable(failure, factory, arrivalMillis)));
+    }
+
+    private Single<CallerRequest> read(StreamingHttpRequest request, long arrivalMillis) {
+        gateway.closed().ifPresent(reason -> {
+            throw new RejectedRequestException(reason, "the entry takes no requests");
+        });
+        PoolName name = RequestReader.pool(request);
+        PoolSettings settings = gateway.pool(name)
+                .orElseThrow(() -> new RejectedRequestException(
+                        RefusalReason.UNKNOWN_POOL, "the configuration in force has no pool '" + name + "'"));
+        CallerRequest.Builder builder = RequestReader.read(request, settings, arrivalMillis);
+        int limit = settings.maxBodyBytes();
+        LimitedBody.check(limit, RequestReader.contentLength(request));
+        return request.payloadBody()
+                .collect(() -> new LimitedBody(limit), LimitedBody::add)
+                .map(body -> builder.body(body.toByteArray()).build());
+    }
+
+    private Single<RequestOutcome> submit(CallerRequest request) {
+        return Single.defer(() -> {
+            CompletableFuture<RequestOutcome> outcome = gateway.submit(request);
+            return Single.fromStage(outcome).beforeCancel(() -> outcome.cancel(true));
+        });
+    }
+
+    private StreamingHttpResponse concluded(
+            RequestOutcome outcome, StreamingHttpResponseFactory factory, long arrivalMillis) {
+        StreamingHttpResponse response = AnswerWriter.write(outcome, Optional.empty(), factory);
+        metrics.countVerdict(outcome.verdict(), clock.nowMillis() - arrivalMillis);
+        return response;
+    }
+
+    private StreamingHttpResponse unwritable(
+            Throwable failure, StreamingHttpResponseFactory factory, long arrivalMillis) {
+        LOG.error(LogEvent.of("answer-unwritable").withFailure(failure));
+        Verdict verdict = Verdict.mayHaveRun(UncertaintyReason.ANSWER_INCOMPLETE);
+        return concluded(RequestOutcome.of(verdict), factory, arrivalMillis);
+    }
+
+    private StreamingHttpResponse rejected(
+            Throwable failure, StreamingHttpResponseFactory factory, long arrivalMillis) {
+        RefusalReason reason = RefusalReason.MALFORMED;
+        if (failure instanceof RejectedRequestException rejection) {
+            reason = rejection.reason();
+        } else {
+            LOG.warn(LogEvent.of("request-unreadable").withFailure(failure));
+        }
+        Verdict verdict = Verdict.notRun(reason, RETRY_AFTER);
+        metrics.countVerdict(verdict, clock.nowMillis() - arrivalMillis);
+        StreamingHttpResponse response = AnswerWriter.write(
+                RequestOutcome.of(verdict), Optional.of(String.valueOf(failure.getMessage())), factory);
+        if (reason == RefusalReason.BODY_TOO_LARGE) {
+            response.setHeader(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return response;
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The callers: their requests come in here, and each gets its verdict here.
+ */
+package org.trefoilpost.entry.caller;
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/configuration/ConfigurationDuty.java
@@ -0,0 +1,282 @@
+package org.trefoilpost.entry.configuration;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.trefoilpost.decision.configuration.ChangeId;
+import org.trefoilpost.decision.configuration.ChangeOutcome;
+import org.trefoilpost.decision.configuration.ConfigurationAcceptor;
+import org.trefoilpost.decision.configuration.ConfigurationAction;
+import org.trefoilpost.decision.configuration.ConfigurationEvent;
+import org.trefoilpost.decision.configuration.ConfigurationFollower;
+import org.trefoilpost.decision.configuration.ConfigurationKeys;
+import org.trefoilpost.decision.configuration.ConfigurationSnapshot;
+import org.trefoilpost.decision.configuration.ConfigurationUpdate;
+import org.trefoilpost.entry.log.EventLog;
+import org.trefoilpost.entry.log.LogEvent;
+import org.trefoilpost.entry.metrics.EntryMetrics;
+import org.trefoilpost.entry.platform.KeyValueStore;
+import org.trefoilpost.entry.platform.StoreWatcher;
+import org.trefoilpost.entry.platform.WatchAnswer;
+import org.trefoilpost.entry.runtime.Duty;
+import org.trefoilpost.entry.runtime.MillisClock;
+import org.trefoilpost.model.configuration.Configuration;
+
+/**
+ * The duty that follows and changes the configuration. Its methods may be called from any thread.
+ */
+public final class ConfigurationDuty implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(ConfigurationDuty.class);
+    private static final int RING_CAPACITY = 1_024;
+    private static final long TICK_MILLIS = 250;
+    private static final long WATCH_WAIT_MILLIS = 10_000;
+
+    private final Duty<Event> duty;
+    private final KeyValueStore store;
+    private final EntryMetrics metrics;
+    private final Listener listener;
+    private final ConfigurationFollower follower = new ConfigurationFollower();
+    private final ConfigurationAcceptor acceptor = new ConfigurationAcceptor(follower);
+    private final Map<ChangeId, CompletableFuture<ChangeOutcome>> changes = new HashMap<>();
+    private final StoreActions followerCalls;
+    private final StoreActions acceptorCalls;
+    private StoreWatcher watcher;
+    private volatile ConfigurationStatus status = ConfigurationStatus.initial();
+
+    private ConfigurationDuty(Duty<Event> duty, KeyValueStore store, EntryMetrics metrics, Listener listener) {
+        this.duty = duty;
+        this.store = store;
+        this.metrics = metrics;
+        this.listener = listener;
+        this.followerCalls = new StoreActions(store, result -> duty.post(now -> follow(result, now)));
+        this.acceptorCalls = new StoreActions(store, result -> duty.post(now -> accept(result, now)));
+    }
+
+    /**
+     * Starts the duty.
+     *
+     * @param store  the platform's key-value service, not null
+     * @param metrics  the metrics, not null
+     * @param listener  what is told of the configuration in force and of what peers are to get, not null
+     * @param clock  the clock, not null
+     * @return the duty, not null
+     */
+    public static ConfigurationDuty start(
+            KeyValueStore store, EntryMetrics metrics, Listener listener, MillisClock clock) {
+        Duty<Event> duty = Duty.of("configuration", RING_CAPACITY, clock);
+        ConfigurationDuty configuration = new ConfigurationDuty(duty, store, metrics, listener);
+        duty.start((event, nowMillis) -> event.apply(nowMillis));
+        duty.post(configuration::tick);
+        configuration.watcher = StoreWatcher.start(store, ConfigurationKeys.HEAD, 0, configuration::watched, clock);
+        return configuration;
+    }
+
+    /**
+     * Returns what is known of the configuration in force.
+     *
+     * @return the status, not null
+     */
+    public ConfigurationStatus status() {
+        return status;
+    }
+
+    /**
+     * Asks for a change to a whole configuration.
+     *
+     * @param configuration  the configuration that is wanted, not null
+     * @param expectedVersion  the version that must be in force, empty if any may be, not null
+     * @return how the change ended, not null
+     */
+    public CompletableFuture<ChangeOutcome> change(Configuration configuration, OptionalLong expectedVersion) {
+        CompletableFuture<ChangeOutcome> outcome = new CompletableFuture<>();
+        ChangeId change = ChangeId.of(UUID.randomUUID().toString());
+        duty.post(now -> {
+            changes.put(change, outcome);
+            accept(ConfigurationEvent.ChangeRequested.of(change, configuration, expectedVersion), now);
+        });
+        return outcome;
+    }
+
+    /**
+     * Takes in a change that a peer sent.
+     *
+     * @param update  the change, not null
+     */
+    public void pushed(ConfigurationUpdate update) {
+        duty.post(now -> follow(ConfigurationEvent.UpdateReceived.of(update), now));
+    }
+
+    /**
+     * Takes in what a peer's heartbeat told of its configuration.
+     *
+     * @param version  the version in force at the peer
+     * @param change  the change that made the version, not null
+     * @param confirmedAsOfMillis  the time up to which the peer's confirmation surely reaches, empty if unknown, not null
+     */
+    public void peerReported(long version, ChangeId change, OptionalLong confirmedAsOfMillis) {
+        duty.post(now -> follow(ConfigurationEvent.PeerReported.of(version, change, confirmedAsOfMillis), now));
+    }
+
+    /**
+     * Returns the whole configuration in force, for a peer that asked.
+     *
+     * @param lowestVersion  the lowest version that the peer wants
+     * @param answer  is told of the configuration unless it is older, not null
+     */
+    public void snapshotFor(long lowestVersion, Consumer<ConfigurationUpdate> answer) {
+        duty.post(now -> follower.inForce()
+                .filter(snapshot -> snapshot.version().number() >= lowestVersion)
+                .map(ConfigurationSnapshot::toUpdate)
+                .ifPresent(answer));
+    }
+
+    /**
+     * Ends the duty's thread.
+     */
+    @Override
+    public void close() {
+        watcher.close();
+        duty.close();
+    }
+
+    private void tick(long nowMillis) {
+        follow(ConfigurationEvent.Tick.of(), nowMillis);
+        accept(ConfigurationEvent.Tick.of(), nowMillis);
+        status = status.withConfirmation(follower.confirmationAge(nowMillis), follower.isInformed(), nowMillis);
+        duty.schedule(nowMillis + TICK_MILLIS, this::tick);
+    }
+
+    private void watched(WatchAnswer answer, long startMillis) {
+        Long revision = answer.changes().get(ConfigurationKeys.HEAD);
+        if (revision != null) {
+            duty.post(now -> follow(ConfigurationEvent.HeadChanged.of(revision), now));
+        } else if (answer.changes().isEmpty()) {
+            long asOfMillis = startMillis + WATCH_WAIT_MILLIS;
+            duty.post(now ->
+                    follow(ConfigurationEvent.HeadUnchanged.of(answer.revision(), Math.min(now, asOfMillis)), now));
+        }
+    }
+
+    private void follow(ConfigurationEvent event, long nowMillis) {
+        run(follower.step(event, nowMillis), followerCalls, nowMillis);
+    }
+
+    private void accept(ConfigurationEvent event, long nowMillis) {
+        run(acceptor.step(event, nowMillis), acceptorCalls, nowMillis);
+    }
+
+    private void run(List<ConfigurationAction> actions, StoreActions calls, long nowMillis) {
+        for (ConfigurationAction action : actions) {
+            run(action, calls, nowMillis);
+        }
+    }
+
+    private void run(ConfigurationAction action, StoreActions calls, long nowMillis) {
+        if (action instanceof ConfigurationAction.Publish publish) {
+            publish(publish.snapshot(), nowMillis);
+        } else if (action instanceof ConfigurationAction.PushToPeers push) {
+            listener.push(push.update());
+            follow(ConfigurationEvent.UpdateReceived.of(push.update()), nowMillis);
+        } else if (action instanceof ConfigurationAction.RequestFromPeers request) {
+            listener.wanted(request.version());
+        } else if (action instanceof ConfigurationAction.AnswerOperator answer) {
+            Optional.ofNullable(changes.remove(answer.change()))
+                    .ifPresent(outcome -> outcome.complete(answer.outcome()));
+        } else if (action instanceof ConfigurationAction.RaiseAlarm alarm) {
+            raise(alarm);
+        } else {
+            calls.run(action);
+        }
+    }
+
+    private void publish(ConfigurationSnapshot snapshot, long nowMillis) {
+        long version = snapshot.version().number();
+        Configuration configuration = snapshot.configuration().withVersion(version);
+        status = status.withInForce(configuration, snapshot.version().change());
+        LOG.info(LogEvent.of("configuration-in-force")
+                .with("version", version)
+                .with("change", snapshot.version().change()));
+        listener.inForce(configuration);
+        status = status.withConfirmation(follower.confirmationAge(nowMillis), follower.isInformed(), nowMillis);
+    }
+
+    private void raise(ConfigurationAction.RaiseAlarm alarm) {
+        metrics.count("trefoilpost.configuration.alarms", alarm.alarm().name().toLowerCase(java.util.Locale.ROOT));
+        LOG.warn(LogEvent.of("configuration-alarm")
+                .with("alarm", alarm.alarm().name().toLowerCase(java.util.Locale.ROOT))
+                .with("detail", alarm.detail()));
+    }
+
+    /**
+     * Something that the duty does on its own thread.
+     */
+    @FunctionalInterface
+    private interface Event {
+        void apply(long nowMillis);
+    }
+
+    /**
+     * Is told of the configuration, on the duty's thread.
+     */
+    public interface Listener {
+        /**
+         * Is told of a configuration that is now in force.
+         *
+         * @param configuration  the configuration with its version, not null
+         */
+        void inForce(Configuration configuration);
+
+        /**
+         * Is to send a change to all peers.
+         *
+         * @param update  the change, not null
+         */
+        void push(ConfigurationUpdate update);
+
+        /**
+         * Is to ask all peers for the configuration in force.
+         *
+         * @param version  the lowest version that is wanted
+         */
+        void wanted(long version);
+    }
+
+    /**
+     * Carries out the calls to the store that a state machine asks for.
+     */
+    private static final class StoreActions {
+        private final KeyValueStore store;
+        private final Consumer<org.trefoilpost.decision.configuration.StoreResult> results;
+
+        private StoreActions(
+                KeyValueStore store, Consumer<org.trefoilpost.decision.configuration.StoreResult> results) {
+            this.store = store;
+            this.results = results;
+        }
+
+        private void run(ConfigurationAction action) {
+            if (action instanceof ConfigurationAction.ReadKey read) {
+                store.read(read.key())
+                        .whenComplete((value, failure) -> results.accept(
+                                failure != null
+                                        ? StoreResults.failed(read.callId())
+                                        : StoreResults.read(read.callId(), value)));
+            } else if (action instanceof ConfigurationAction.WriteKey write) {
+                byte[] bytes = write.value().getBytes(StandardCharsets.UTF_8);
+                store.write(write.key(), write.expectedRevision(), bytes, Optional.empty())
+                        .whenComplete((outcome, failure) -> results.accept(
+                                failure != null
+                                        ? StoreResults.failed(write.callId())
+                                        : StoreResults.written(write.callId(), outcome)));
+            } else if (action instanceof ConfigurationAction.DeleteKey delete) {
+                store.delete(delete.key(), delete.expectedRevision());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/configuration/ConfigurationStatus.java
@@ -0,0 +1,110 @@
+package org.trefoilpost.entry.configuration;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.trefoilpost.decision.configuration.ChangeId;
+import org.trefoilpost.model.configuration.Configuration;
+
+/**
+ * What an entry knows of the configuration in force, and how fresh that is.
+ */
+public final class ConfigurationStatus {
+    private static final ConfigurationStatus INITIAL = new ConfigurationStatus(null, null, OptionalLong.empty(), false);
+
+    private final Configuration configuration;
+    private final ChangeId change;
+    private final OptionalLong confirmedAsOfMillis;
+    private final boolean informed;
+
+    private ConfigurationStatus(
+            Configuration configuration, ChangeId change, OptionalLong confirmedAsOfMillis, boolean informed) {
+        this.configuration = configuration;
+        this.change = change;
+        this.confirmedAsOfMillis = confirmedAsOfMillis;
+        this.informed = informed;
+    }
+
+    /**
+     * Returns the status of an entry that knows nothing yet.
+     *
+     * @return the status, not null
+     */
+    static ConfigurationStatus initial() {
+        return INITIAL;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration, empty if there is none, not null
+     */
+    public Optional<Configuration> configuration() {
+        return Optional.ofNullable(configuration);
+    }
+
+    /**
+     * Returns the change that made the version in force.
+     *
+     * @return the change, empty if there is none, not null
+     */
+    public Optional<ChangeId> change() {
+        return Optional.ofNullable(change);
+    }
+
+    /**
+     * Returns the version in force.
+     *
+     * @return the version, 0 if there is none
+     */
+    public long version() {
+        return configuration == null ? 0 : configuration.version();
+    }
+
+    /**
+     * Returns the time up to which the version is known to be the newest.
+     *
+     * @return the time in milliseconds since 1970, empty if it was never confirmed, not null
+     */
+    public OptionalLong confirmedAsOfMillis() {
+        return confirmedAsOfMillis;
+    }
+
+    /**
+     * Returns whether the entry knows what is in force, be it that nothing is.
+     *
+     * @return true if it does
+     */
+    public boolean isInformed() {
+        return informed;
+    }
+
+    /**
+     * Returns a copy with a configuration in force.
+     *
+     * @param newConfiguration  the configuration, not null
+     * @param newChange  the change that made it, not null
+     * @return the copy, not null
+     */
+    ConfigurationStatus withInForce(Configuration newConfiguration, ChangeId newChange) {
+        return new ConfigurationStatus(
+                Objects.requireNonNull(newConfiguration, "configuration"),
+                Objects.requireNonNull(newChange, "change"),
+                confirmedAsOfMillis,
+                true);
+    }
+
+    /**
+     * Returns a copy with another freshness.
+     *
+     * @param ageMillis  the age of the last confirmation, empty if there is none, not null
+     * @param newInformed  true if the entry knows what is in force
+     * @param nowMillis  the present time in milliseconds since 1970
+     * @return the copy, not null
+     */
+    ConfigurationStatus withConfirmation(OptionalLong ageMillis, boolean newInformed, long nowMillis) {
+        OptionalLong asOf =
+                ageMillis.isPresent() ? OptionalLong.of(nowMillis - ageMillis.getAsLong()) : OptionalLong.empty();
+        return new ConfigurationStatus(configuration, change, asOf, newInformed);
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/CordonBook.java
@@ -0,0 +1,94 @@
+package org.trefoilpost.entry.fleet;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.decision.wave.CordonRegister;
+import org.trefoilpost.decision.wave.StepPhase;
+import org.trefoilpost.decision.wave.WaveState;
+import org.trefoilpost.model.WorkerId;
+
+/**
+ * The cordons in force at this entry, and the request path's view of them. The duty's thread owns it.
+ */
+final class CordonBook {
+    private final CordonRegister register = new CordonRegister();
+    private final FleetPorts ports;
+    private Set<WorkerId> told = Set.of();
+    private long version;
+
+    CordonBook(FleetPorts ports) {
+        this.ports = ports;
+    }
+
+    /**
+     * Takes in a cordon or an uncordon, and puts it in force on the request path.
+     *
+     * @param cordon  the cordon, not null
+     */
+    void apply(Cordon cordon) {
+        if (cordon.isCordoned()) {
+            register.cordon(cordon.plan(), cordon.step(), cordon.attempt(), cordon.worker());
+        } else {
+            register.uncordon(cordon.plan(), cordon.step(), cordon.attempt(), cordon.worker());
+        }
+        tell();
+    }
+
+    /**
+     * Takes in the cordons that a plan's state records.
+     *
+     * @param state  the state, not null
+     */
+    void apply(WaveState state) {
+        PlanDigest digest = state.plan().digest();
+        state.plan().steps().forEach(step -> {
+            StepPhase phase = state.state(step).phase();
+            int attempt = state.state(step).attempt();
+            if (phase.cordoned()
+                    || phase == StepPhase.SET_ASIDE && state.cordonedWorkers().contains(step.worker())) {
+                register.cordon(digest, step.number(), attempt, step.worker());
+            } else if (phase != StepPhase.PENDING && phase != StepPhase.ADMIT) {
+                register.uncordon(digest, step.number(), attempt, step.worker());
+            }
+        });
+        tell();
+    }
+
+    /**
+     * Returns the newest attempt of a step whose cordon is in force here.
+     *
+     * @param plan  the digest of the plan, not null
+     * @param step  the number of the step
+     * @return the attempt, 0 if none
+     */
+    int acknowledged(PlanDigest plan, int step) {
+        return register.acknowledged(plan, step);
+    }
+
+    /**
+     * Returns the cordoned workers.
+     *
+     * @return the workers, not null
+     */
+    Set<WorkerId> workers() {
+        return told;
+    }
+
+    private void tell() {
+        Set<WorkerId> present = register.workers();
+        if (present.equals(told)) {
+            return;
+        }
+        version++;
+        LeavingRegister changes = LeavingRegister.empty();
+        Set<WorkerId> concerned = new HashSet<>(told);
+        concerned.addAll(present);
+        for (WorkerId worker : concerned) {
+            changes = changes.withCordon(worker, version, present.contains(worker));
+        }
+        told = present;
+        ports.leaving(changes);
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/EventRecorder.java
@@ -0,0 +1,127 @@
+package org.trefoilpost.entry.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.event.EventCodec;
+import org.trefoilpost.decision.event.EventLog;
+import org.trefoilpost.decision.event.EventSegment;
+import org.trefoilpost.decision.event.FleetEvent;
+import org.trefoilpost.entry.log.LogEvent;
+import org.trefoilpost.entry.platform.KeyValueStore;
+import org.trefoilpost.entry.platform.StoredValue;
+
+/**
+ * Appends events to the log that the key-value service keeps within a bounded size, one write at a time.
+ *
+ * <p>An event that cannot be written waits, and is dropped from the front when too many wait; the JSON log has it still.
+ */
+final class EventRecorder {
+    private static final org.trefoilpost.entry.log.EventLog LOG =
+            org.trefoilpost.entry.log.EventLog.of(EventRecorder.class);
+    private static final int MAX_WAITING = 1_000;
+    private static final int MAX_ATTEMPTS = 5;
+
+    private final KeyValueStore store;
+    private final EventLog log = EventLog.DEFAULT;
+    private final Deque<FleetEvent> waiting = new ArrayDeque<>();
+    private boolean writing;
+
+    EventRecorder(KeyValueStore store) {
+        this.store = store;
+    }
+
+    /**
+     * Records events; called from any thread.
+     *
+     * @param events  the events, not null
+     */
+    void record(List<FleetEvent> events) {
+        synchronized (this) {
+            for (FleetEvent event : events) {
+                LOG.info(logEvent(event));
+                waiting.add(event);
+            }
+            while (waiting.size() > MAX_WAITING) {
+                waiting.remove();
+            }
+        }
+        writeNext();
+    }
+
+    private void writeNext() {
+        List<FleetEvent> batch;
+        synchronized (this) {
+            if (writing || waiting.isEmpty()) {
+                return;
+            }
+            writing = true;
+            batch = new ArrayList<>(waiting);
+            waiting.clear();
+        }
+        write(batch, MAX_ATTEMPTS).whenComplete((done, failure) -> {
+            synchronized (this) {
+                writing = false;
+            }
+            writeNext();
+        });
+    }
+
+    private CompletableFuture<Void> write(List<FleetEvent> batch, int attempts) {
+        if (attempts == 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return newest().thenCompose(found -> {
+            EventSegment segment = found.map(Versioned::document).orElse(EventSegment.of(0, List.of()));
+            EventSegment next = segment;
+            for (FleetEvent event : batch) {
+                next = log.append(next, event);
+            }
+            long number = next.number();
+            long revision =
+                    number == segment.number() ? found.map(Versioned::revision).orElse(0L) : -1;
+            return writeSegment(next, revision)
+                    .thenCompose(written ->
+                            written ? CompletableFuture.<Void>completedFuture(null) : write(batch, attempts - 1));
+        });
+    }
+
+    private CompletableFuture<Boolean> writeSegment(EventSegment segment, long revision) {
+        String key = FleetKeys.events(log.slot(segment));
+        CompletableFuture<Long> expected = revision >= 0
+                ? CompletableFuture.completedFuture(revision)
+                : store.read(key)
+                        .thenApply(value -> value.map(StoredValue::revision).orElse(0L));
+        return expected.thenCompose(present -> store.write(key, present, EventCodec.encode(segment), Optional.empty()))
+                .thenApply(outcome -> outcome.isWritten());
+    }
+
+    private CompletableFuture<Optional<Versioned<EventSegment>>> newest() {
+        return store.list(FleetKeys.EVENTS).thenApply(values -> {
+            Versioned<EventSegment> newest = null;
+            for (StoredValue value : values) {
+                EventSegment segment = EventCodec.decode(value.bytes());
+                if (newest == null || segment.number() > newest.document().number()) {
+                    newest = Versioned.of(segment, value.revision());
+                }
+            }
+            return Optional.ofNullable(newest);
+        });
+    }
+
+    private static LogEvent logEvent(FleetEvent event) {
+        LogEvent line = LogEvent.of("fleet-" + event.kind().code())
+                .with("cause", event.cause())
+                .with("figures", event.figures());
+        if (event.plan().isPresent()) {
+            line = line.with("plan", event.plan().get().text());
+        }
+        if (event.pool().isPresent()) {
+            line = line.with("pool", event.pool().get());
+        }
+        return event.worker().isPresent() ? line.with("worker", event.worker().get()) : line;
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDocuments.java
@@ -0,0 +1,132 @@
+package org.trefoilpost.entry.fleet;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.trefoilpost.decision.inventory.DocumentException;
+import org.trefoilpost.decision.inventory.RackInventory;
+import org.trefoilpost.decision.inventory.RackInventoryCodec;
+import org.trefoilpost.decision.ledger.BudgetLedger;
+import org.trefoilpost.decision.ledger.BudgetLedgerCodec;
+import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.decision.plan.PlanIndex;
+import org.trefoilpost.decision.plan.PlanIndexCodec;
+import org.trefoilpost.decision.wave.WaveState;
+import org.trefoilpost.decision.wave.WaveStateCodec;
+import org.trefoilpost.entry.log.EventLog;
+import org.trefoilpost.entry.log.LogEvent;
+import org.trefoilpost.entry.platform.StoredValue;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.RackName;
+
+/**
+ * The fleet's documents as this entry last read them. The duty's thread owns it.
+ *
+ * <p>A document that cannot be read is reported and left untouched; the rest goes on.
+ */
+final class FleetDocuments {
+    private static final EventLog LOG = EventLog.of(FleetDocuments.class);
+
+    private final Map<RackName, Versioned<RackInventory>> inventories = new TreeMap<>();
+    private final Map<PoolName, Versioned<BudgetLedger>> ledgers = new TreeMap<>();
+    private final Map<PlanDigest, Versioned<WaveState>> plans = new TreeMap<>();
+    private final Map<String, Long> unreadable = new HashMap<>();
+    private Versioned<PlanIndex> index = Versioned.of(PlanIndex.empty(), 0);
+
+    /**
+     * Takes in a value as read.
+     *
+     * @param value  the value, not null
+     */
+    void put(StoredValue value) {
+        String key = value.key();
+        try {
+            if (key.startsWith(FleetKeys.INVENTORY)) {
+                RackInventory inventory = RackInventoryCodec.decode(value.bytes());
+                inventories.put(inventory.rack(), Versioned.of(inventory, value.revision()));
+            } else if (key.startsWith(FleetKeys.LEDGER)) {
+                BudgetLedger ledger = BudgetLedgerCodec.decode(value.bytes());
+                ledgers.put(ledger.pool(), Versioned.of(ledger, value.revision()));
+            } else if (key.startsWith(FleetKeys.PLANS)) {
+                WaveState state = WaveStateCodec.decode(value.bytes());
+                plans.put(state.plan().digest(), Versioned.of(state, value.revision()));
+            } else if (key.equals(FleetKeys.INDEX)) {
+                index = Versioned.of(PlanIndexCodec.decode(value.bytes()), value.revision());
+            }
+            unreadable.remove(key);
+        } catch (DocumentException e) {
+            reportOnce(value, e);
+        }
+    }
+
+    /**
+     * Takes in that a key no longer exists.
+     *
+     * @param key  the key, not null
+     */
+    void remove(String key) {
+        inventories.keySet().removeIf(rack -> FleetKeys.inventory(rack).equals(key));
+        ledgers.keySet().removeIf(pool -> FleetKeys.ledger(pool).equals(key));
+        plans.keySet().removeIf(plan -> FleetKeys.plan(plan).equals(key));
+        unreadable.remove(key);
+    }
+
+    /**
+     * Returns the keys of the documents that could not be read.
+     *
+     * @return the keys, not null
+     */
+    Collection<String> unreadable() {
+        return unreadable.keySet();
+    }
+
+    Map<RackName, Versioned<RackInventory>> inventories() {
+        return inventories;
+    }
+
+    Map<PoolName, Versioned<BudgetLedger>> ledgers() {
+        return ledgers;
+    }
+
+    Map<PlanDigest, Versioned<WaveState>> plans() {
+        return plans;
+    }
+
+    Versioned<PlanIndex> index() {
+        return index;
+    }
+
+    Versioned<BudgetLedger> ledger(PoolName pool) {
+        return ledgers.getOrDefault(pool, Versioned.of(BudgetLedger.empty(pool), 0));
+    }
+
+    Optional<Versioned<RackInventory>> inventory(RackName rack) {
+        return Optional.ofNullable(inventories.get(rack));
+    }
+
+    /**
+     * Returns the documents of a map without their revisions.
+     *
+     * @param <K>  the type of the keys
+     * @param <T>  the type of the documents
+     * @param versioned  the documents, not null
+     * @return the documents, not null
+     */
+    static <K, T> Map<K, T> plain(Map<K, Versioned<T>> versioned) {
+        Map<K, T> plain = new TreeMap<>();
+        versioned.forEach((key, value) -> plain.put(key, value.document()));
+        return plain;
+    }
+
+    private void reportOnce(StoredValue value, DocumentException fault) {
+        Long reported = unreadable.put(value.key(), value.revision());
+        if (reported == null || reported != value.revision()) {
+            LOG.error(LogEvent.of("document-unreadable")
+                    .with("key", value.key())
+                    .with("fault", fault.fault())
+                    .with("detail", fault.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
@@ -0,0 +1,76 @@
+package org.trefoilpost.entry.fleet;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.worker.Worker;
+
+/**
+ * What the fleet's duty needs of the other duties and of the peers.
+ */
+public interface FleetPorts {
+    /**
+     * Replaces the workers of every pool on the request path.
+     *
+     * @param members  the workers by pool, not null
+     */
+    void members(Map<PoolName, java.util.List<Worker>> members);
+
+    /**
+     * Takes workers out of the candidates on the request path, or puts them back.
+     *
+     * @param register  the register of leaving workers, not null
+     */
+    void leaving(LeavingRegister register);
+
+    /**
+     * Returns the requests of this entry in flight, by worker.
+     *
+     * @return the requests at workers that have any, not null
+     */
+    CompletableFuture<Map<WorkerId, Integer>> inFlight();
+
+    /**
+     * Returns the workers that this entry has ejected for their failures.
+     *
+     * @return the workers, not null
+     */
+    CompletableFuture<Set<WorkerId>> ejected();
+
+    /**
+     * Returns this entry and its live peers.
+     *
+     * @return the entries, not null
+     */
+    Set<EntryId> liveEntries();
+
+    /**
+     * Returns every entry that may have requests in flight.
+     *
+     * @return the entries, not null
+     */
+    Set<EntryId> possibleEntries();
+
+    /**
+     * Tells all peers of a cordon or an uncordon.
+     *
+     * @param cordon  the cordon, not null
+     */
+    void tellCordon(Cordon cordon);
+
+    /**
+     * Asks a peer how many requests it has in flight on a cordoned worker.
+     *
+     * @param peer  the peer, not null
+     * @param plan  the digest of the plan, not null
+     * @param step  the number of the step
+     * @param worker  the worker, not null
+     * @return the report, not null; fails if the peer can't be asked
+     */
+    CompletableFuture<DrainCount> askInFlight(EntryId peer, PlanDigest plan, int step, WorkerId worker);
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
@@ -0,0 +1,121 @@
+package org.trefoilpost.entry.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.trefoilpost.decision.inventory.InventoryView;
+import org.trefoilpost.decision.inventory.WorkerHealth;
+import org.trefoilpost.decision.ledger.BudgetFigures;
+import org.trefoilpost.decision.planner.FleetSnapshot;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.capacity.AvailabilityBudget;
+import org.trefoilpost.model.configuration.Configuration;
+import org.trefoilpost.model.worker.Worker;
+import org.trefoilpost.model.worker.WorkerState;
+
+/**
+ * Everything that this entry knows of the fleet. The duty's thread owns it.
+ */
+final class FleetState {
+    private final FleetDocuments documents = new FleetDocuments();
+    private Map<WorkerId, Worker> listed = Map.of();
+    private Set<WorkerId> ejected = Set.of();
+    private Configuration configuration = Configuration.builder().build();
+
+    FleetDocuments documents() {
+        return documents;
+    }
+
+    Configuration configuration() {
+        return configuration;
+    }
+
+    void configuration(Configuration newConfiguration) {
+        this.configuration = newConfiguration;
+    }
+
+    void listed(List<Worker> workers) {
+        Map<WorkerId, Worker> byId = new HashMap<>();
+        workers.forEach(worker -> byId.merge(
+                worker.id(), worker, (one, other) -> one.incarnation() >= other.incarnation() ? one : other));
+        this.listed = byId;
+    }
+
+    void ejected(Set<WorkerId> workers) {
+        this.ejected = workers;
+    }
+
+    Map<WorkerId, Worker> listed() {
+        return listed;
+    }
+
+    Optional<Worker> worker(WorkerId id) {
+        return Optional.ofNullable(listed.get(id));
+    }
+
+    /**
+     * Returns the pools and their members, each worker's health counted from the worst of what is known of it.
+     *
+     * @return the view, not null
+     */
+    InventoryView inventory() {
+        Map<WorkerId, WorkerHealth> health = new HashMap<>();
+        listed.forEach((id, worker) -> health.put(
+                id, WorkerHealth.of(worker.state(), worker.state() != WorkerState.GONE, !ejected.contains(id))));
+        return InventoryView.of(FleetDocuments.plain(documents.inventories()).values(), health);
+    }
+
+    /**
+     * Returns the workers of each pool, as the request path needs them.
+     *
+     * @return the workers by pool, not null
+     */
+    Map<PoolName, List<Worker>> members() {
+        Map<PoolName, List<Worker>> members = new TreeMap<>();
+        Set<WorkerId> taken = new HashSet<>();
+        documents
+                .inventories()
+                .values()
+                .forEach(rack -> rack.document().workers().forEach((id, assignment) -> {
+                    Worker worker = listed.get(id);
+                    boolean usable = worker != null && worker.state() != WorkerState.GONE;
+                    if (usable && assignment.pool().isPresent() && taken.add(id)) {
+                        members.computeIfAbsent(assignment.pool().get(), pool -> new ArrayList<>())
+                                .add(worker);
+                    }
+                }));
+        return members;
+    }
+
+    /**
+     * Returns what plans are computed from.
+     *
+     * @return the snapshot, not null
+     */
+    FleetSnapshot snapshot() {
+        Map<PoolName, AvailabilityBudget> budgets = new TreeMap<>();
+        configuration.pools().forEach((name, settings) -> budgets.put(name, settings.budget()));
+        return FleetSnapshot.builder(inventory(), budgets)
+                .ledgers(FleetDocuments.plain(documents.ledgers()))
+                .weights(configuration.weights())
+                .versions(configuration.version(), documents.index().document().version())
+                .build();
+    }
+
+    AvailabilityBudget budget(PoolName pool) {
+        return configuration
+                .pool(pool)
+                .map(settings -> settings.budget())
+                .orElse(AvailabilityBudget.of(0, org.trefoilpost.model.capacity.FailureDomain.NONE));
+    }
+
+    BudgetFigures figures(PoolName pool) {
+        return documents.ledger(pool).document().figures(inventory().pool(pool), budget(pool));
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanDesk.java
@@ -0,0 +1,266 @@
+package org.trefoilpost.entry.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.trefoilpost.decision.event.FleetEvent;
+import org.trefoilpost.decision.event.FleetEventKind;
+import org.trefoilpost.decision.inventory.RackInventoryCodec;
+import org.trefoilpost.decision.ledger.BudgetLedgerCodec;
+import org.trefoilpost.decision.plan.ConfirmationDecision;
+import org.trefoilpost.decision.plan.Intent;
+import org.trefoilpost.decision.plan.Plan;
+import org.trefoilpost.decision.plan.PlanCodec;
+import org.trefoilpost.decision.plan.PlanConfirmation;
+import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.decision.plan.PlanIndex;
+import org.trefoilpost.decision.plan.PlanIndexCodec;
+import org.trefoilpost.decision.plan.PlanVersions;
+import org.trefoilpost.decision.planner.LeastCostStrategy;
+import org.trefoilpost.decision.planner.Planner;
+import org.trefoilpost.decision.wave.CancelRequested;
+import org.trefoilpost.decision.wave.SaveState;
+import org.trefoilpost.decision.wave.WaveAction;
+import org.trefoilpost.decision.wave.WaveLimits;
+import org.trefoilpost.decision.wave.WaveState;
+import org.trefoilpost.decision.wave.WaveStateCodec;
+import org.trefoilpost.decision.wave.WaveStepper;
+import org.trefoilpost.entry.platform.KeyValueStore;
+import org.trefoilpost.entry.platform.StoreException;
+import org.trefoilpost.entry.platform.StoredValue;
+import org.trefoilpost.entry.platform.WriteOutcome;
+import org.trefoilpost.entry.runtime.MillisClock;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.RackName;
+
+/**
+ * What operators do with plans: propose, confirm and cancel. Any entry serves any operator.
+ */
+public final class PlanDesk {
+    private static final Duration PROPOSAL_LIFE = Duration.ofHours(1);
+    private static final int MAX_ATTEMPTS = 8;
+
+    private final FleetDuty fleet;
+    private final KeyValueStore store;
+    private final MillisClock clock;
+    private final Planner planner = Planner.of(LeastCostStrategy.withLoansForCost());
+
+    private PlanDesk(FleetDuty fleet, KeyValueStore store, MillisClock clock) {
+        this.fleet = fleet;
+        this.store = store;
+        this.clock = clock;
+    }
+
+    /**
+     * Obtains a desk.
+     *
+     * @param fleet  the fleet's duty, not null
+     * @param store  the key-value service, not null
+     * @param clock  the clock, not null
+     * @return the desk, not null
+     */
+    public static PlanDesk of(FleetDuty fleet, KeyValueStore store, MillisClock clock) {
+        return new PlanDesk(fleet, store, clock);
+    }
+
+    /**
+     * Makes a plan for an intent, and keeps it for its confirmation.
+     *
+     * @param intent  the intent, not null
+     * @return the plan, not null
+     */
+    public CompletableFuture<Plan> propose(Intent intent) {
+        return plan(intent).thenCompose(this::keep);
+    }
+
+    /**
+     * Confirms a plan.
+     *
+     * @param digest  the plan's digest, not null
+     * @param operator  the operator's name, not null
+     * @return the confirmed plan, not null; fails with a {@link ProposalException} or a {@link StoreException}
+     */
+    public CompletableFuture<Plan> confirm(PlanDigest digest, String operator) {
+        return proposal(digest).thenCompose(plan -> confirm(plan, operator, MAX_ATTEMPTS));
+    }
+
+    /**
+     * Cancels a confirmed plan: steps that have not stopped their workers are undone, the others go on to their end.
+     *
+     * @param digest  the plan's digest, not null
+     * @param operator  the operator's name, not null
+     * @return the plan's state, not null; fails with a {@link ProposalException} or a {@link StoreException}
+     */
+    public CompletableFuture<WaveState> cancel(PlanDigest digest, String operator) {
+        return cancel(digest, operator, MAX_ATTEMPTS);
+    }
+
+    private CompletableFuture<Plan> plan(Intent intent) {
+        long nowMillis = clock.nowMillis();
+        return fleet.ask(FleetState::snapshot).thenApply(snapshot -> planner.plan(intent, snapshot, nowMillis));
+    }
+
+    private CompletableFuture<Plan> keep(Plan plan) {
+        String key = FleetKeys.proposal(plan.digest());
+        return store.grantLease(PROPOSAL_LIFE)
+                .thenCompose(lease -> store.write(key, 0, PlanCodec.encode(plan), Optional.of(lease)))
+                .thenApply(outcome -> plan);
+    }
+
+    private CompletableFuture<Plan> proposal(PlanDigest digest) {
+        return store.read(FleetKeys.proposal(digest))
+                .thenCompose(value -> value.isPresent()
+                        ? CompletableFuture.completedFuture(
+                                PlanCodec.decode(value.get().bytes()))
+                        : confirmed(digest).thenApply(state -> state.document().plan()));
+    }
+
+    private CompletableFuture<Versioned<WaveState>> confirmed(PlanDigest digest) {
+        return store.read(FleetKeys.plan(digest))
+                .thenApply(value -> value.map(
+                                found -> Versioned.of(WaveStateCodec.decode(found.bytes()), found.revision()))
+                        .orElseThrow(() -> ProposalException.of(
+                                ProposalException.Kind.UNKNOWN_PLAN,
+                                "no plan has the digest " + digest.text() + "; a proposal is kept for one hour")));
+    }
+
+    private CompletableFuture<Plan> confirm(Plan plan, String operator, int attempts) {
+        return presentVersions(plan)
+                .thenCompose(present -> store.read(FleetKeys.INDEX).thenCompose(value -> {
+                    PlanIndex index = value.map(found -> PlanIndexCodec.decode(found.bytes()))
+                            .orElse(PlanIndex.empty());
+                    long revision = value.map(StoredValue::revision).orElse(0L);
+                    ConfirmationDecision decision =
+                            PlanConfirmation.decide(plan, index, present, operator, clock.nowMillis());
+                    return carryOut(plan, operator, decision, revision, attempts);
+                }));
+    }
+
+    private CompletableFuture<Plan> carryOut(
+            Plan plan, String operator, ConfirmationDecision decision, long indexRevision, int attempts) {
+        return switch (decision.outcome()) {
+            case ALREADY_CONFIRMED -> CompletableFuture.completedFuture(plan);
+            case NOTHING_TO_DO ->
+                CompletableFuture.failedFuture(ProposalException.of(
+                        ProposalException.Kind.NOTHING_TO_DO, "the plan has no steps; nothing is to be confirmed"));
+            case VOID ->
+                propose(plan.intent()).thenApply(fresh -> {
+                    throw ProposalException.voided(describe(decision), fresh);
+                });
+            case CONFIRMED -> write(plan, operator, decision.index().orElseThrow(), indexRevision, attempts);
+        };
+    }
+
+    private CompletableFuture<Plan> write(
+            Plan plan, String operator, PlanIndex next, long indexRevision, int attempts) {
+        if (attempts == 0) {
+            return CompletableFuture.failedFuture(ProposalException.of(
+                    ProposalException.Kind.CONTENTION, "other changes came first each time; try again"));
+        }
+        WaveState state = WaveState.of(plan, operator, clock.nowMillis());
+        return store.write(FleetKeys.plan(plan.digest()), 0, WaveStateCodec.encode(state), Optional.empty())
+                .thenCompose(written ->
+                        store.write(FleetKeys.INDEX, indexRevision, PlanIndexCodec.encode(next), Optional.empty()))
+                .handle((outcome, failure) -> isWritten(outcome, failure))
+                .thenCompose(written -> {
+                    if (!written) {
+                        return confirm(plan, operator, attempts - 1);
+                    }
+                    fleet.record(List.of(FleetEvent.builder(
+                                    FleetEventKind.PLAN_CONFIRMED, clock.nowMillis(), "confirmed by " + operator)
+                            .plan(plan.digest())
+                            .build()));
+                    return CompletableFuture.completedFuture(plan);
+                });
+    }
+
+    private static boolean isWritten(WriteOutcome outcome, Throwable failure) {
+        return failure == null && outcome.isWritten();
+    }
+
+    private CompletableFuture<PlanVersions> presentVersions(Plan plan) {
+        PlanVersions planned = plan.versions();
+        Map<RackName, CompletableFuture<Long>> racks = new TreeMap<>();
+        planned.racks()
+                .keySet()
+                .forEach(rack -> racks.put(
+                        rack,
+                        version(
+                                FleetKeys.inventory(rack),
+                                bytes -> RackInventoryCodec.decode(bytes).version())));
+        Map<PoolName, CompletableFuture<Long>> ledgers = new TreeMap<>();
+        planned.ledgers()
+                .keySet()
+                .forEach(pool -> ledgers.put(
+                        pool,
+                        version(
+                                FleetKeys.ledger(pool),
+                                bytes -> BudgetLedgerCodec.decode(bytes).version())));
+        CompletableFuture<Long> configuration =
+                fleet.ask(state -> state.configuration().version());
+        CompletableFuture<?>[] all = java.util.stream.Stream.concat(racks.values().stream(), ledgers.values().stream())
+                .toArray(CompletableFuture[]::new);
+        return CompletableFuture.allOf(all)
+                .thenCombine(
+                        configuration,
+                        (done, version) -> PlanVersions.of(version, planned.index(), joined(racks), joined(ledgers)));
+    }
+
+    private CompletableFuture<Long> version(String key, java.util.function.ToLongFunction<byte[]> reader) {
+        return store.read(key)
+                .thenApply(value ->
+                        value.map(found -> reader.applyAsLong(found.bytes())).orElse(0L));
+    }
+
+    private static <K extends Comparable<? super K>> Map<K, Long> joined(Map<K, CompletableFuture<Long>> futures) {
+        Map<K, Long> joined = new TreeMap<>();
+        futures.forEach((key, value) -> joined.put(key, value.join()));
+        return joined;
+    }
+
+    private static String describe(ConfirmationDecision decision) {
+        String others = decision.others().stream()
+                .map(other -> "plan " + other.digest().text() + " confirmed by " + other.operator())
+                .collect(Collectors.joining(", "));
+        String changes = decision.changes().stream()
+                .map(change -> change.document() + " changed from " + change.planned() + " to " + change.present())
+                .collect(Collectors.joining(", "));
+        String joint = others.isEmpty() || changes.isEmpty() ? "" : "; ";
+        return "the plan is out of date: " + others + joint + changes;
+    }
+
+    private CompletableFuture<WaveState> cancel(PlanDigest digest, String operator, int attempts) {
+        if (attempts == 0) {
+            return CompletableFuture.failedFuture(
+                    ProposalException.of(ProposalException.Kind.CONTENTION, "the plan changed each time; try again"));
+        }
+        return confirmed(digest).thenCompose(present -> {
+            WaveState state = present.document();
+            if (state.ended()) {
+                return CompletableFuture.failedFuture(
+                        ProposalException.of(ProposalException.Kind.ENDED, "the plan has ended"));
+            }
+            List<WaveAction> actions =
+                    WaveStepper.of(WaveLimits.DEFAULT).step(state, CancelRequested.of(operator), clock.nowMillis());
+            if (actions.isEmpty() || !(actions.get(0) instanceof SaveState save)) {
+                return CompletableFuture.completedFuture(state);
+            }
+            return store.write(
+                            FleetKeys.plan(digest),
+                            present.revision(),
+                            WaveStateCodec.encode(save.state()),
+                            Optional.empty())
+                    .thenCompose(outcome -> {
+                        if (!outcome.isWritten()) {
+                            return cancel(digest, operator, attempts - 1);
+                        }
+                        fleet.record(save.events());
+                        return CompletableFuture.completedFuture(save.state());
+                    });
+        });
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/package-info.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The entry instance.
+ * The entry instance: wires the duties to the callers, targets, peers, operators and the platform.
  */
 package org.trefoilpost.entry;
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/ConfigurationPush.java
@@ -0,0 +1,43 @@
+package org.trefoilpost.entry.peer;
+
+import org.trefoilpost.decision.configuration.ConfigurationUpdate;
+
+/**
+ * Sends an accepted change of the configuration.
+ */
+public final class ConfigurationPush implements PeerMessage {
+    private final ConfigurationUpdate update;
+
+    private ConfigurationPush(ConfigurationUpdate update) {
+        this.update = update;
+    }
+
+    /**
+     * Obtains a message.
+     *
+     * @param update  the change, not null
+     * @return the message, not null
+     */
+    public static ConfigurationPush of(ConfigurationUpdate update) {
+        return new ConfigurationPush(update);
+    }
+
+    /**
+     * Returns the change.
+     *
+     * @return the change, not null
+     */
+    public ConfigurationUpdate update() {
+        return update;
+    }
+
+    /**
+     * Returns the kind of the message with its values.
+     *
+     * @return the text, not null
+     */
+    @Override
+    public String toString() {
+        return "ConfigurationPush(" + "" + ")";
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/MalformedFrameException.java
@@ -0,0 +1,18 @@
+package org.trefoilpost.entry.peer;
+
+/**
+ * A frame that is not a message.
+ */
+public final class MalformedFrameException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Constructs a failure.
+     *
+     * @param message  what is wrong, not null
+     * @param cause  the cause, null if there is none
+     */
+    public MalformedFrameException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
@@ -0,0 +1,169 @@
+package org.trefoilpost.entry.peer;
+
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.WorkerId;
+
+/**
+ * Encodes messages between entries in MessagePack: the kind's number, then the kind's values.
+ */
+public final class PeerCodec {
+    /** The most bytes that a frame may have. */
+    public static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+    private static final int CHALLENGE = 1;
+    private static final int HELLO = 2;
+    private static final int HEARTBEAT = 3;
+    private static final int CONFIGURATION_PUSH = 4;
+    private static final int CONFIGURATION_WANTED = 5;
+    private static final int CORDON = 6;
+    private static final int LEAVING = 7;
+    private static final int DRAIN_QUERY = 8;
+    private static final int DRAIN_ANSWER = 9;
+    private static final int FORWARD_REQUEST = 10;
+    private static final int FORWARD_OUTCOME = 11;
+
+    private PeerCodec() {}
+
+    /**
+     * Encodes a message.
+     *
+     * @param message  the message, not null
+     * @return the frame without its length, not null
+     */
+    public static byte[] encode(PeerMessage message) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(kind(message));
+            pack(packer, message);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("a buffer in memory cannot fail", e);
+        }
+    }
+
+    /**
+     * Decodes a message.
+     *
+     * @param frame  the frame without its length, not null
+     * @return the message, not null
+     * @throws MalformedFrameException if the frame is not a message
+     */
+    public static PeerMessage decode(byte[] frame) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
+            PeerMessage message = unpack(unpacker.unpackInt(), unpacker);
+            if (unpacker.hasNext()) {
+                throw new MalformedFrameException("a frame has bytes after its message", null);
+            }
+            return message;
+        } catch (IOException | MessagePackException | IllegalArgumentException e) {
+            throw new MalformedFrameException("a frame is not a message: " + e.getMessage(), e);
+        }
+    }
+
+    private static int kind(PeerMessage message) {
+        if (message instanceof Challenge) {
+            return CHALLENGE;
+        } else if (message instanceof Hello) {
+            return HELLO;
+        } else if (message instanceof HeartbeatFrame) {
+            return HEARTBEAT;
+        } else if (message instanceof ConfigurationPush) {
+            return CONFIGURATION_PUSH;
+        } else if (message instanceof ConfigurationWanted) {
+            return CONFIGURATION_WANTED;
+        } else if (message instanceof CordonNotice) {
+            return CORDON;
+        } else if (message instanceof LeavingNotice) {
+            return LEAVING;
+        } else if (message instanceof DrainQuery) {
+            return DRAIN_QUERY;
+        } else if (message instanceof DrainAnswer) {
+            return DRAIN_ANSWER;
+        } else if (message instanceof ForwardRequest) {
+            return FORWARD_REQUEST;
+        }
+        return FORWARD_OUTCOME;
+    }
+
+    private static void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        if (message instanceof Challenge challenge) {
+            PackedValues.packBytes(packer, challenge.nonce());
+        } else if (message instanceof Hello hello) {
+            packer.packString(hello.entry().text());
+            PackedValues.packBytes(packer, hello.proof());
+        } else if (message instanceof HeartbeatFrame heartbeat) {
+            PackedValues.packBytes(packer, heartbeat.heartbeat());
+            packer.packString(heartbeat.configurationChange());
+        } else if (message instanceof ConfigurationPush push) {
+            PackedUpdates.pack(packer, push.update());
+        } else if (message instanceof ConfigurationWanted wanted) {
+            packer.packLong(wanted.version());
+        } else if (message instanceof LeavingNotice leaving) {
+            packer.packString(leaving.worker().text()).packLong(leaving.incarnation());
+        } else if (message instanceof CordonNotice cordon) {
+            packCordon(packer, cordon);
+        } else {
+            packCallOrReply(packer, message);
+        }
+    }
+
+    private static void packCordon(MessageBufferPacker packer, CordonNotice cordon) throws IOException {
+        packer.packString(cordon.plan().text()).packInt(cordon.step()).packInt(cordon.attempt());
+        packer.packString(cordon.worker().text()).packBoolean(cordon.cordoned());
+    }
+
+    private static void packCallOrReply(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        if (message instanceof DrainQuery query) {
+            packer.packLong(query.callId()).packString(query.plan().text());
+            packer.packInt(query.step()).packString(query.worker().text());
+        } else if (message instanceof DrainAnswer answer) {
+            packer.packLong(answer.callId()).packInt(answer.acknowledged()).packInt(answer.inFlight());
+        } else if (message instanceof ForwardRequest forward) {
+            packer.packLong(forward.callId()).packLong(forward.remainingMillis());
+            PackedRequests.pack(packer, forward.request());
+        } else if (message instanceof ForwardOutcome outcome) {
+            packer.packLong(outcome.callId());
+            PackedRequests.packOutcome(packer, outcome.outcome());
+        }
+    }
+
+    private static PeerMessage unpack(int kind, MessageUnpacker unpacker) throws IOException {
+        return switch (kind) {
+            case CHALLENGE -> Challenge.of(PackedValues.unpackBytes(unpacker));
+            case HELLO -> Hello.of(EntryId.of(unpacker.unpackString()), PackedValues.unpackBytes(unpacker));
+            case HEARTBEAT -> HeartbeatFrame.of(PackedValues.unpackBytes(unpacker), unpacker.unpackString());
+            case CONFIGURATION_PUSH -> ConfigurationPush.of(PackedUpdates.unpack(unpacker));
+            case CONFIGURATION_WANTED -> ConfigurationWanted.of(unpacker.unpackLong());
+            case CORDON -> unpackCordon(unpacker);
+            case LEAVING -> LeavingNotice.of(WorkerId.of(unpacker.unpackString()), unpacker.unpackLong());
+            case DRAIN_QUERY -> unpackDrainQuery(unpacker);
+            case DRAIN_ANSWER -> DrainAnswer.of(unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackInt());
+            case FORWARD_REQUEST ->
+                ForwardRequest.of(unpacker.unpackLong(), unpacker.unpackLong(), PackedRequests.unpack(unpacker));
+            case FORWARD_OUTCOME -> ForwardOutcome.of(unpacker.unpackLong(), PackedRequests.unpackOutcome(unpacker));
+            default -> throw new MalformedFrameException("no message has the kind " + kind, null);
+        };
+    }
+
+    private static PeerMessage unpackCordon(MessageUnpacker unpacker) throws IOException {
+        return CordonNotice.of(
+                PlanDigest.parse(unpacker.unpackString()),
+                unpacker.unpackInt(),
+                unpacker.unpackInt(),
+                WorkerId.of(unpacker.unpackString()),
+                unpacker.unpackBoolean());
+    }
+
+    private static PeerMessage unpackDrainQuery(MessageUnpacker unpacker) throws IOException {
+        return DrainQuery.of(
+                unpacker.unpackLong(),
+                PlanDigest.parse(unpacker.unpackString()),
+                unpacker.unpackInt(),
+                WorkerId.of(unpacker.unpackString()));
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/platform/HttpKeyValueStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/platform/HttpKeyValueStore.java
@@ -12,7 +12,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.entry.http.HttpClientFactory;
@@ -198,11 +200,11 @@
     }
 
     private static WatchAnswer parseWatch(JsonNode answer) {
-        List<String> keys = new ArrayList<>();
+        Map<String, Long> changes = new HashMap<>();
         for (JsonNode entry : answer.path("entries")) {
-            keys.add(entry.path("key").asText());
+            changes.put(entry.path("key").asText(), entry.path("revision").asLong());
         }
-        return WatchAnswer.of(answer.path("revision").asLong(), keys);
+        return WatchAnswer.of(answer.path("revision").asLong(), changes);
     }
 
     private static String encode(String text) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/platform/WatchAnswer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/platform/WatchAnswer.java
@@ -1,28 +1,28 @@
 package org.trefoilpost.entry.platform;
 
-import java.util.List;
+import java.util.Map;
 
 /**
  * The answer to a watch: the keys that changed, and the revision to watch from next.
  */
 public final class WatchAnswer {
     private final long revision;
-    private final List<String> changedKeys;
+    private final Map<String, Long> changes;
 
-    private WatchAnswer(long revision, List<String> changedKeys) {
+    private WatchAnswer(long revision, Map<String, Long> changes) {
         this.revision = revision;
-        this.changedKeys = changedKeys;
+        this.changes = changes;
     }
 
     /**
      * Obtains an answer.
      *
      * @param revision  the service's revision
-     * @param changedKeys  the keys that changed or were deleted, not null
+     * @param changes  the keys that changed or were deleted, each with the revision of its change, not null
      * @return the answer, not null
      */
-    public static WatchAnswer of(long revision, List<String> changedKeys) {
-        return new WatchAnswer(revision, List.copyOf(changedKeys));
+    public static WatchAnswer of(long revision, Map<String, Long> changes) {
+        return new WatchAnswer(revision, Map.copyOf(changes));
     }
 
     /**
@@ -35,11 +35,11 @@
     }
 
     /**
-     * Returns the keys that changed or were deleted.
+     * Returns the keys that changed or were deleted, each with the revision of its change.
      *
-     * @return the unmodifiable keys, empty if the wait ended without a change, not null
+     * @return the unmodifiable changes, empty if the wait ended without one, not null
      */
-    public List<String> changedKeys() {
-        return changedKeys;
+    public Map<String, Long> changes() {
+        return changes;
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.trefoilpost.decision.admission.AdmissionQueue;
@@ -16,8 +18,10 @@
 import org.trefoilpost.decision.routing.RouterSettings;
 import org.trefoilpost.decision.routing.TwoChoicesPolicy;
 import org.trefoilpost.model.DataCentreName;
+import org.trefoilpost.model.EntryId;
 import org.trefoilpost.model.PoolName;
 import org.trefoilpost.model.TeamName;
+import org.trefoilpost.model.WorkerId;
 import org.trefoilpost.model.configuration.Configuration;
 import org.trefoilpost.model.configuration.PoolSettings;
 
@@ -31,6 +35,7 @@
     private final RandomGenerator random = RandomGenerator.getDefault();
     private final TeamQuotas quotas = TeamQuotas.of(PEER_COUNT_MAX_AGE_MILLIS);
     private final Map<PoolName, Pool> pools = new TreeMap<>();
+    private Set<TeamName> teams = Set.of();
     private LeavingRegister leaving = LeavingRegister.empty();
 
     PoolSet(DataCentreName ownDataCentre) {
@@ -73,6 +78,7 @@
         Map<TeamName, Integer> limits = new HashMap<>();
         configuration.teams().forEach((team, quota) -> limits.put(team, quota.concurrentRequests()));
         quotas.quotas(limits);
+        teams = Set.copyOf(limits.keySet());
     }
 
     /**
@@ -85,6 +91,36 @@
         pools.values().forEach(pool -> pool.dispatcher().leaving(register));
     }
 
+    /**
+     * Takes in what a peer told of the teams' requests.
+     *
+     * @param entry  the peer, not null
+     * @param teams  the requests of each team, not null
+     * @param nowMillis  the present time in milliseconds since 1970
+     */
+    void peerTeams(EntryId entry, Map<TeamName, Integer> teams, long nowMillis) {
+        teams.forEach((team, requests) -> quotas.peerRequests(entry, team, requests, nowMillis));
+    }
+
+    /**
+     * Returns the present load.
+     *
+     * @param attempts  the pool and the worker of each attempt in flight, not null
+     * @return the load, not null
+     */
+    RequestLoads loads(List<Map.Entry<PoolName, WorkerId>> attempts) {
+        Map<PoolName, Map<WorkerId, Integer>> inFlight = new HashMap<>();
+        attempts.forEach(attempt -> inFlight.computeIfAbsent(attempt.getKey(), pool -> new HashMap<>())
+                .merge(attempt.getValue(), 1, Integer::sum));
+        Map<PoolName, Integer> queued = new HashMap<>();
+        pools.values()
+                .forEach(pool ->
+                        queued.put(pool.name(), pool.dispatcher().admission().queued()));
+        Map<TeamName, Integer> own = new HashMap<>();
+        teams.forEach(team -> own.put(team, quotas.ownRequests(team)));
+        return RequestLoads.of(inFlight, queued, own);
+    }
+
     /**
      * Forgets removed pools without requests under way.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDesk.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDesk.java
@@ -15,6 +15,7 @@
 import org.trefoilpost.decision.dispatch.DispatchAction;
 import org.trefoilpost.decision.dispatch.DispatchRequest;
 import org.trefoilpost.decision.dispatch.StartAttempt;
+import org.trefoilpost.decision.membership.PoolLoad;
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.entry.runtime.Duty;
 import org.trefoilpost.entry.target.TargetAnswer;
@@ -22,6 +23,7 @@
 import org.trefoilpost.entry.target.TargetRequest;
 import org.trefoilpost.model.EntryId;
 import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.TeamName;
 import org.trefoilpost.model.WorkerId;
 import org.trefoilpost.model.configuration.Configuration;
 import org.trefoilpost.model.verdict.RefusalReason;
@@ -34,6 +36,7 @@
  */
 final class RequestDesk {
     private static final Duration UNKNOWN_POOL_RETRY_AFTER = Duration.ofSeconds(5);
+    private static final long LOADS_INTERVAL_MILLIS = 200;
     private static final String ATTEMPTS = "trefoilpost.attempts";
     private static final String ATTEMPT_FAILURES = "trefoilpost.attempt.failures";
     private static final String RETRIES = "trefoilpost.retries";
@@ -45,6 +48,7 @@
     private long lastId;
     private long scheduledMillis = Long.MAX_VALUE;
     private volatile int pendingRequests;
+    private volatile RequestLoads loads = RequestLoads.NONE;
 
     RequestDesk(RequestContext context, Duty<RequestEvent> duty) {
         this.context = context;
@@ -61,6 +65,29 @@
         return pendingRequests;
     }
 
+    /**
+     * Returns the load of a moment ago; may be read from any thread.
+     *
+     * @return the load, not null
+     */
+    RequestLoads loads() {
+        return loads;
+    }
+
+    /**
+     * Takes note of the present load, now and from time to time.
+     *
+     * @param nowMillis  the present time in milliseconds since 1970
+     */
+    void noteLoads(long nowMillis) {
+        loads = pools.loads(open.values().stream()
+                .filter(request -> request.worker() != null)
+                .map(request ->
+                        Map.entry(request.pool().name(), request.worker().id()))
+                .toList());
+        duty.schedule(nowMillis + LOADS_INTERVAL_MILLIS, RequestDesk::noteLoads);
+    }
+
     /**
      * Takes in a request.
      *
@@ -125,16 +152,21 @@
     }
 
     /**
-     * Takes in what a peer told of its attempts in flight.
+     * Takes in what a peer told of its load.
      *
      * @param entry  the peer, not null
-     * @param inFlight  the attempts by worker, not null
+     * @param loads  the load by pool, not null
+     * @param teams  the requests of each team, not null
      * @param nowMillis  the present time in milliseconds since 1970
      */
-    void peerInFlight(EntryId entry, Map<WorkerId, Integer> inFlight, long nowMillis) {
-        for (Pool pool : pools.all()) {
-            inFlight.forEach((worker, count) -> pool.dispatcher().peerOccupancy(entry, worker, count, nowMillis));
+    void peerLoads(EntryId entry, List<PoolLoad> loads, Map<TeamName, Integer> teams, long nowMillis) {
+        for (PoolLoad load : loads) {
+            pools.inForce(load.pool())
+                    .ifPresent(pool -> load.inFlight()
+                            .forEach((worker, count) ->
+                                    pool.dispatcher().peerOccupancy(entry, worker, count, nowMillis)));
         }
+        pools.peerTeams(entry, teams, nowMillis);
         tick(nowMillis);
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDuty.java
@@ -2,14 +2,17 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.membership.PoolLoad;
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.entry.runtime.Duty;
 import org.trefoilpost.entry.runtime.MillisClock;
 import org.trefoilpost.model.EntryId;
 import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.TeamName;
 import org.trefoilpost.model.WorkerId;
 import org.trefoilpost.model.configuration.Configuration;
 import org.trefoilpost.model.verdict.RefusalReason;
@@ -42,6 +45,7 @@
         Duty<RequestEvent> duty = Duty.of("requests", ringCapacity, clock);
         RequestDesk desk = new RequestDesk(context, duty);
         duty.start((event, nowMillis) -> event.apply(desk, nowMillis));
+        duty.post(RequestDesk::noteLoads);
         return new RequestDuty(duty, desk);
     }
 
@@ -89,13 +93,23 @@
     }
 
     /**
-     * Takes in what a peer told of its attempts in flight.
+     * Takes in what a peer told of its load.
      *
      * @param entry  the peer, not null
-     * @param inFlight  the attempts by worker, not null
+     * @param loads  the load by pool, not null
+     * @param teams  the requests of each team, not null
      */
-    public void peerInFlight(EntryId entry, Map<WorkerId, Integer> inFlight) {
-        duty.post((state, nowMillis) -> state.peerInFlight(entry, inFlight, nowMillis));
+    public void peerLoads(EntryId entry, List<PoolLoad> loads, Map<TeamName, Integer> teams) {
+        duty.post((state, nowMillis) -> state.peerLoads(entry, loads, teams, nowMillis));
+    }
+
+    /**
+     * Returns the load of a moment ago.
+     *
+     * @return the load, not null
+     */
+    public RequestLoads loads() {
+        return desk.loads();
     }
 
     /**
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestLoads.java
@@ -0,0 +1,62 @@
+package org.trefoilpost.entry.request;
+
+import java.util.Map;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.TeamName;
+import org.trefoilpost.model.WorkerId;
+
+/**
+ * The load that this entry puts on pools and quotas at one time, for its peers.
+ */
+public final class RequestLoads {
+    /** No load. */
+    static final RequestLoads NONE = new RequestLoads(Map.of(), Map.of(), Map.of());
+
+    private final Map<PoolName, Map<WorkerId, Integer>> inFlight;
+    private final Map<PoolName, Integer> queued;
+    private final Map<TeamName, Integer> teams;
+
+    private RequestLoads(
+            Map<PoolName, Map<WorkerId, Integer>> inFlight,
+            Map<PoolName, Integer> queued,
+            Map<TeamName, Integer> teams) {
+        this.inFlight = inFlight;
+        this.queued = queued;
+        this.teams = teams;
+    }
+
+    static RequestLoads of(
+            Map<PoolName, Map<WorkerId, Integer>> inFlight,
+            Map<PoolName, Integer> queued,
+            Map<TeamName, Integer> teams) {
+        return new RequestLoads(Map.copyOf(inFlight), Map.copyOf(queued), Map.copyOf(teams));
+    }
+
+    /**
+     * Returns the attempts in flight.
+     *
+     * @return the attempts at workers that have any, by pool, not null
+     */
+    public Map<PoolName, Map<WorkerId, Integer>> inFlight() {
+        return inFlight;
+    }
+
+    /**
+     * Returns the requests that wait in a pool's queue.
+     *
+     * @param pool  the pool, not null
+     * @return the requests, not negative
+     */
+    public int queued(PoolName pool) {
+        return queued.getOrDefault(pool, 0);
+    }
+
+    /**
+     * Returns the requests of each team.
+     *
+     * @return the requests, not null
+     */
+    public Map<TeamName, Integer> teams() {
+        return teams;
+    }
+}
