Let a rebooting worker send its answer before it goes down

Cause: the listener closed a fixed 20 ms after the call for a reboot, so a busy machine could lose the answer; and a test of the refused connections failed now and then. Ruled out: a longer fixed wait. The test's failure was the test's own fault: a connection that comes while the listener closes is reset ("Connection reset by peer"), which the contract allows and the test did not.

--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/HttpListener.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/http/HttpListener.java
@@ -155,4 +155,13 @@
     public CompletableFuture<Void> closeAsync() {
         return context.closeAsync().toCompletionStage().toCompletableFuture();
     }
+
+    /**
+     * Stops listening at once, lets the calls under way get their answers and then closes the connections.
+     *
+     * @return the end of the closing, which a caller that keeps its connection can put off, not null
+     */
+    public CompletableFuture<Void> closeGracefully() {
+        return context.closeAsyncGracefully().toCompletionStage().toCompletableFuture();
+    }
 }
