Report a restored store, and heed the epochs that peers know

Ruled out: refusing the shard after a restore, as the owner's memory is the best record that is left. Change: the action StoreRestored, once for each recovery, and the event EpochObserved.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ClaimEvent.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ClaimEvent.java
@@ -13,4 +13,5 @@
                 TakeOverRequested,
                 HandOverRequested,
                 HandOverReceived,
+                EpochObserved,
                 StoreReply {}
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ClaimShard.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ClaimShard.java
@@ -115,6 +115,8 @@
             requests.find(cancelled.requestId()).ifPresent(claims::withdraw);
         } else if (event instanceof HandOverReceived received) {
             claims.merge(received.handOver(), isOwner(), nowMillis - ClaimTable.holdMillis(settings));
+        } else if (event instanceof EpochObserved observed) {
+            journal.observe(observed.epoch());
         } else if (event instanceof TakeOverRequested) {
             journal.acquire();
         } else if (event instanceof HandOverRequested) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/JournalListener.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/JournalListener.java
@@ -26,6 +26,9 @@
     /** Tells that this entry does not own the shard. */
     void ownershipLost(long epoch, Optional<EntryId> successor);
 
+    /** Tells that the journal is older than what this entry knows of it. */
+    void storeRestored(long foundEpoch, long knownEpoch);
+
     /** Tells that a value of the journal cannot be used. */
     void journalRefused(String storeKey, JournalFault fault);
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ShardClaims.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ShardClaims.java
@@ -247,6 +247,11 @@
         }
     }
 
+    @Override
+    public void storeRestored(long foundEpoch, long knownEpoch) {
+        actions.add(StoreRestored.of(foundEpoch, knownEpoch));
+    }
+
     @Override
     public void journalRefused(String storeKey, JournalFault fault) {
         actions.add(JournalRefused.of(storeKey, fault));
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ShardJournal.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ShardJournal.java
@@ -35,6 +35,7 @@
     private List<ClaimRecord> recovered = new ArrayList<>();
     private PendingCall call;
     private boolean deletedLast;
+    private boolean restoreReported;
 
     ShardJournal(int shard, EntryId self, long incarnation, ClaimSettings settings, JournalListener listener) {
         this.shard = shard;
@@ -68,6 +69,10 @@
         }
     }
 
+    void observe(long otherEpoch) {
+        highestEpoch = Math.max(highestEpoch, otherEpoch);
+    }
+
     void release(Optional<EntryId> successor) {
         phase = JournalPhase.RELEASED;
         call = null;
@@ -178,7 +183,8 @@
 
     private void handleSealed(Segment sealed, long revision) {
         epoch = sealed.epoch();
-        highestEpoch = Math.max(highestEpoch, epoch);
+        observe(epoch);
+        restoreReported = false;
         tailRevision = revision;
         tailClaims = sealed.claims();
         archives.reset(sealed.first(), sealed.last());
@@ -258,7 +264,10 @@
             handleSealed(present, revision);
             return;
         }
-        highestEpoch = Math.max(highestEpoch, present.epoch());
+        if (present.epoch() < highestEpoch) {
+            reportRestore(present.epoch());
+        }
+        observe(present.epoch());
         if (attempted.isPresent() && present.epoch() >= attempted.get().epoch()) {
             release(Optional.of(present.stamp().owner()));
             return;
@@ -282,19 +291,27 @@
         if (found.isPresent() && found.get().stamp().isSameWrite(attempted.stamp())) {
             handleBatchWritten(attempted, revision, nowMillis);
         } else if (found.isPresent() && found.get().epoch() > epoch) {
-            highestEpoch = Math.max(highestEpoch, found.get().epoch());
+            observe(found.get().epoch());
             release(Optional.of(found.get().stamp().owner()));
         } else {
+            reportRestore(found.map(Segment::epoch).orElse(0L));
             startRecovery();
         }
     }
 
+    private void reportRestore(long foundEpoch) {
+        if (!restoreReported) {
+            restoreReported = true;
+            listener.storeRestored(foundEpoch, highestEpoch);
+        }
+    }
+
     private void resolveArchive(PendingCall done, Optional<Segment> found, long revision) {
         Segment attempted = done.segment();
         if (found.isPresent() && found.get().stamp().isSameWrite(attempted.stamp())) {
             handleArchiveWritten(attempted, revision);
         } else if (found.isPresent() && found.get().epoch() > epoch) {
-            highestEpoch = Math.max(highestEpoch, found.get().epoch());
+            observe(found.get().epoch());
             call = PendingCall.read(JournalStep.RESOLVE_BATCH, keys.tail(), attempted);
         } else {
             call = PendingCall.write(JournalStep.WRITE_ARCHIVE, done.storeKey(), revision, attempted);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/claim/ClaimFencingTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/claim/ClaimFencingTest.java
@@ -141,6 +141,7 @@
         assertTrue(first.dispatched("c"));
         assertTrue(first.request("a2", 1, 500).replayed("a2"));
         assertEquals(2, first.all(OwnershipGained.class).get(1).epoch());
+        assertEquals(1, first.all(StoreRestored.class).size());
         ShardHarness second = second();
         assertEquals(3, second.all(OwnershipGained.class).get(0).epoch());
         second.request("a3", 1, 500).request("b3", 2, 500).request("c3", 3, 500).settle();
@@ -155,12 +156,24 @@
         store.restore();
         third.request("c", 3, 5_000).settle();
         assertEquals(4, third.all(OwnershipGained.class).get(1).epoch());
+        assertEquals(1, third.all(StoreRestored.class).get(0).foundEpoch());
+        assertEquals(1, third.all(StoreRestored.class).size());
         assertEquals(UNAVAILABLE, second.request("b2", 2, 500).settle().verdict("b2"));
         second.own().request("b3", 2, 500).settle();
         assertEquals(5, second.all(OwnershipGained.class).get(1).epoch());
         assertEquals(CLAIMED_EARLIER, second.verdict("b3"));
     }
 
+    @Test
+    void takerReportsAJournalBehindTheEpochThatPeersKnow() {
+        ShardHarness second =
+                new ShardHarness(store, "second", 2, ShardHarness.settings().build());
+        second.send(EpochObserved.of(7)).own();
+        assertEquals(1, second.all(StoreRestored.class).get(0).foundEpoch());
+        assertEquals(8, second.all(OwnershipGained.class).get(0).epoch());
+        assertTrue(first.all(StoreRestored.class).isEmpty());
+    }
+
     @Test
     void newerAndDamagedSegmentsAreLeftUntouched() {
         String tail = "trefoilpost/claims/0/tail";
