--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/configuration/ConfigurationAcceptor.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/configuration/ConfigurationAcceptor.java
@@ -21,6 +21,9 @@
     /** The wait before a failed call is repeated, in milliseconds. */
     public static final long RETRY_INTERVAL_MILLIS = 250;
 
+    /** The wait between two reads that follow up a change of unknown outcome, in milliseconds. */
+    public static final long FOLLOW_UP_INTERVAL_MILLIS = 5_000;
+
     /** The time for which a replaced version of a part is kept, in milliseconds. */
     public static final long CLEANUP_DELAY_MILLIS = 60_000;
 
@@ -53,9 +56,9 @@
         if (event instanceof ConfigurationEvent.ChangeRequested request) {
             request(request, nowMillis, actions);
         } else if (event instanceof StoreResult.ReadFound found) {
-            readFound(found, actions);
+            readFound(found, nowMillis, actions);
         } else if (event instanceof StoreResult.ReadAbsent absent) {
-            changeOf(absent.callId()).ifPresent(change -> change.readAbsent(actions));
+            changeOf(absent.callId()).ifPresent(change -> change.readAbsent(nowMillis, actions));
             cleanupOf(absent.callId()).ifPresent(PartCleanup::abandon);
         } else if (event instanceof StoreResult.WriteDone done) {
             changeOf(done.callId()).ifPresent(change -> change.writeDone(done.callId(), done.revision(), actions));
@@ -80,8 +83,8 @@
         changes.add(new PendingChange(request, view, this::nextCall, nowMillis));
     }
 
-    private void readFound(StoreResult.ReadFound found, List<ConfigurationAction> actions) {
-        changeOf(found.callId()).ifPresent(change -> change.readFound(found, actions));
+    private void readFound(StoreResult.ReadFound found, long nowMillis, List<ConfigurationAction> actions) {
+        changeOf(found.callId()).ifPresent(change -> change.readFound(found, nowMillis, actions));
         cleanupOf(found.callId()).ifPresent(cleanup -> cleanup.headFound(found.value(), actions));
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/configuration/PendingChange.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/configuration/PendingChange.java
@@ -121,8 +121,9 @@
         actions.add(ConfigurationAction.WriteKey.of(headCall, ConfigurationKeys.HEAD, present.baseRevision(), text));
     }
 
-    void readFound(StoreResult.ReadFound found, List<ConfigurationAction> actions) {
+    void readFound(StoreResult.ReadFound found, long nowMillis, List<ConfigurationAction> actions) {
         headCall = NO_CALL;
+        delayFollowUp(nowMillis);
         try {
             headKnown(ConfigurationDocuments.readHead(found.value()), found.revision(), actions);
         } catch (NewerFormatException e) {
@@ -132,11 +133,19 @@
         }
     }
 
-    void readAbsent(List<ConfigurationAction> actions) {
+    void readAbsent(long nowMillis, List<ConfigurationAction> actions) {
         headCall = NO_CALL;
+        delayFollowUp(nowMillis);
         headKnown(ConfigurationHead.EMPTY, 0, actions);
     }
 
+    /** Spaces the reads of a change whose operator was already told that its outcome is unknown. */
+    private void delayFollowUp(long nowMillis) {
+        if (isAnswered) {
+            retryMillis = nowMillis + ConfigurationAcceptor.FOLLOW_UP_INTERVAL_MILLIS;
+        }
+    }
+
     private void headKnown(ConfigurationHead head, long revision, List<ConfigurationAction> actions) {
         if (state == State.READ_HEAD) {
             decide(head, revision, actions);
