--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/ledger/BudgetLedger.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/ledger/BudgetLedger.java
@@ -173,7 +173,7 @@
      *
      * <p>The version grows even if the stop isn't there, so that a late write of an admission conflicts.
      *
-     * @param stop  the stop, not null; its epoch and time don't matter
+     * @param stop  the stop, not null; a later epoch of it is kept, its time doesn't matter
      * @return the ledger, not null
      */
     public BudgetLedger withoutStop(PlannedStop stop) {
@@ -183,7 +183,7 @@
     /**
      * Returns a copy without a planned stop, whose worker has left the pool.
      *
-     * @param stop  the stop, not null; its epoch and time don't matter
+     * @param stop  the stop, not null; a later epoch of it is kept, its time doesn't matter
      * @param rack  the worker's rack, not null
      * @param rackVersion  the version of the rack's inventory that shows the departure
      * @return the ledger, not null
@@ -196,7 +196,7 @@
 
     private SortedMap<WorkerId, PlannedStop> without(PlannedStop stop) {
         SortedMap<WorkerId, PlannedStop> copy = new TreeMap<>(stops);
-        copy.values().removeIf(present -> present.sameStep(stop));
+        copy.values().removeIf(present -> present.sameStep(stop) && present.epoch() <= stop.epoch());
         return copy;
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/CordonRegister.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/CordonRegister.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.decision.plan.PlanStep;
 import org.trefoilpost.model.WorkerId;
 
 /**
@@ -22,6 +23,25 @@
      */
     public CordonRegister() {}
 
+    /**
+     * Takes note of the cordons and uncordons that a plan's state shows.
+     *
+     * <p>An entry that starts reads the plans before it gives work to anyone. It then also knows which cordons are over,
+     * so that a late message about one of them has no effect.
+     *
+     * @param state  the plan's state, not null
+     */
+    public void load(WaveState state) {
+        Set<WorkerId> cordoned = state.cordonedWorkers();
+        for (PlanStep step : state.plan().steps().toList()) {
+            StepState present = state.state(step);
+            Key key = new Key(state.plan().digest(), step.number());
+            boolean begun = present.phase().compareTo(StepPhase.CORDON) >= 0;
+            int attempt = begun ? present.attempt() : present.attempt() - 1;
+            mark(key, new Mark(step.worker(), attempt, begun && cordoned.contains(step.worker())));
+        }
+    }
+
     /**
      * Takes note of a cordon.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepAct.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepAct.java
@@ -11,12 +11,14 @@
     private final StepPhase phase;
     private final int attempt;
     private final long incarnation;
+    private final long rackVersion;
 
-    private StepAct(PlanStep step, StepPhase phase, int attempt, long incarnation) {
+    private StepAct(PlanStep step, StepPhase phase, int attempt, long incarnation, long rackVersion) {
         this.step = Objects.requireNonNull(step, "step");
         this.phase = Objects.requireNonNull(phase, "phase");
         this.attempt = attempt;
         this.incarnation = incarnation;
+        this.rackVersion = rackVersion;
     }
 
     /**
@@ -26,10 +28,11 @@
      * @param phase  the recorded phase, whose act is due, not null
      * @param attempt  the attempt of the step
      * @param incarnation  the incarnation of the worker that may be stopped and rebooted, 0 if none is recorded
+     * @param rackVersion  the version of the rack's inventory after the shift, 0 before it
      * @return the action, not null
      */
-    public static StepAct of(PlanStep step, StepPhase phase, int attempt, long incarnation) {
-        return new StepAct(step, phase, attempt, incarnation);
+    public static StepAct of(PlanStep step, StepPhase phase, int attempt, long incarnation, long rackVersion) {
+        return new StepAct(step, phase, attempt, incarnation, rackVersion);
     }
 
     /**
@@ -68,6 +71,15 @@
         return incarnation;
     }
 
+    /**
+     * Returns the version of the rack's inventory after the shift.
+     *
+     * @return the version, 0 before the shift
+     */
+    public long rackVersion() {
+        return rackVersion;
+    }
+
     /**
      * Returns the type and the fields.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepDocuments.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/StepDocuments.java
@@ -5,6 +5,7 @@
 import org.trefoilpost.decision.inventory.RackInventory;
 import org.trefoilpost.decision.ledger.BudgetLedger;
 import org.trefoilpost.decision.ledger.PlannedStop;
+import org.trefoilpost.decision.plan.Plan;
 import org.trefoilpost.decision.plan.PlanDigest;
 import org.trefoilpost.decision.plan.PlanStep;
 import org.trefoilpost.decision.plan.StepKind;
@@ -30,24 +31,27 @@
     }
 
     /**
-     * Returns the ledger of a step's pool without the step's planned stop.
+     * Returns the ledger of a step's pool without the planned stop that a release act ends.
      *
-     * @param plan  the digest of the plan, not null
-     * @param step  the step, not null
-     * @param state  the step's state, not null
+     * <p>A late act leaves the stops alone that were admitted after it: those of later attempts, and for a release of a
+     * worker those that are newer than its plan.
+     *
+     * @param plan  the plan, not null
+     * @param act  the release, not null
      * @param inventory  the inventory of the worker's rack, not null
      * @param ledger  the ledger of the step's pool, not null
      * @return the ledger, not null
      */
-    public static BudgetLedger release(
-            PlanDigest plan, PlanStep step, StepState state, RackInventory inventory, BudgetLedger ledger) {
+    public static BudgetLedger release(Plan plan, StepAct act, RackInventory inventory, BudgetLedger ledger) {
+        PlanStep step = act.step();
         if (step.kind() == StepKind.RELEASE) {
-            return ledger.withoutAbandoned(stop -> stop.worker().equals(step.worker()));
+            return ledger.withoutAbandoned(
+                    stop -> stop.worker().equals(step.worker()) && stop.sinceMillis() <= plan.createdMillis());
         }
-        PlannedStop stop = plannedStop(plan, step, state.attempt(), 0);
-        return state.rackVersion() == 0
+        PlannedStop stop = plannedStop(plan.digest(), step, act.attempt(), 0);
+        return act.rackVersion() == 0
                 ? ledger.withoutStop(stop)
-                : ledger.withDeparture(stop, inventory.rack(), state.rackVersion());
+                : ledger.withDeparture(stop, inventory.rack(), act.rackVersion());
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/WaveState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/WaveState.java
@@ -146,6 +146,23 @@
         return workers;
     }
 
+    /**
+     * Returns the workers that must not be counted as usable because of this plan: the cordoned ones, and those of which
+     * not every entry knows yet that they are back.
+     *
+     * <p>A view of the pools reads the inventories before the plans: a worker that it finds in its new pool is then found
+     * here until all entries give it work.
+     *
+     * @return the workers, not null
+     */
+    public Set<WorkerId> unavailableWorkers() {
+        Set<WorkerId> workers = cordonedWorkers();
+        plan.steps()
+                .filter(step -> state(step).phase() == StepPhase.UNCORDON)
+                .forEach(step -> workers.add(step.worker()));
+        return workers;
+    }
+
     private static boolean cordoned(PlanStep step, StepState state) {
         boolean retired = step.kind() == StepKind.RETIRE && state.phase() == StepPhase.DONE;
         return state.phase().cordoned() || state.keepsBudget() || retired;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/WaveStepper.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/wave/WaveStepper.java
@@ -142,7 +142,8 @@
             StepState present = state.state(step);
             boolean due = previous == null || !previous.state(step).equals(present);
             if (due && present.phase() != StepPhase.PENDING && !present.phase().ended()) {
-                acts.add(StepAct.of(step, present.phase(), present.attempt(), present.incarnation()));
+                acts.add(StepAct.of(
+                        step, present.phase(), present.attempt(), present.incarnation(), present.rackVersion()));
             }
         });
         if (state.ended()) {
