--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/configuration/ConfigurationBytesTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/configuration/ConfigurationBytesTest.java
@@ -11,7 +11,7 @@
  * Counts the bytes of a change at 15,000 changes a day and about 200 KB of configuration.
  */
 class ConfigurationBytesTest {
-    private static final int POOLS = 430;
+    private static final int POOLS = 600;
     private static final int CHANGES = 100;
     private static final long NOW = 1_000_000;
     private static final double CHANGES_PER_SECOND = 15_000 / 86_400.0;
