Run requests with a key at most once, over all entries

Cause: keyed requests were refused, since nothing claimed their keys. Ruled out: a claim at whichever entry the balancer picked, which would need a store write for each request; a shard's owner groups claims, and other entries forward to it over the peers' frames. Change: the claims' duty drives the claim shards: forwarding, group commit, replays, hand-over on a change of members and on a shutdown, epochs on heartbeats. An entry takes requests only once it has read the fleet's documents, so that it knows the cordons.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryDuties.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryDuties.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.entry;
 
+import org.trefoilpost.entry.claim.ClaimDuty;
 import org.trefoilpost.entry.configuration.ConfigurationDuty;
 import org.trefoilpost.entry.fleet.FleetDuty;
 import org.trefoilpost.entry.membership.MembershipDuty;
@@ -11,6 +12,7 @@
  */
 final class EntryDuties {
     private volatile RequestDuty requests;
+    private volatile ClaimDuty claims;
     private volatile FleetDuty fleet;
     private volatile ConfigurationDuty configuration;
     private volatile MembershipDuty membership;
@@ -20,6 +22,10 @@
         return started(requests);
     }
 
+    ClaimDuty claims() {
+        return started(claims);
+    }
+
     FleetDuty fleet() {
         return started(fleet);
     }
@@ -42,13 +48,22 @@
      * @return true if peers' messages can be handled
      */
     boolean isComplete() {
-        return requests != null && fleet != null && configuration != null && membership != null && network != null;
+        return requests != null
+                && claims != null
+                && fleet != null
+                && configuration != null
+                && membership != null
+                && network != null;
     }
 
     void requests(RequestDuty duty) {
         this.requests = duty;
     }
 
+    void claims(ClaimDuty duty) {
+        this.claims = duty;
+    }
+
     void fleet(FleetDuty duty) {
         this.fleet = duty;
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryGateway.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryGateway.java
@@ -1,6 +1,5 @@
 package org.trefoilpost.entry;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.entry.caller.RequestGateway;
@@ -10,14 +9,11 @@
 import org.trefoilpost.model.configuration.Configuration;
 import org.trefoilpost.model.configuration.PoolSettings;
 import org.trefoilpost.model.verdict.RefusalReason;
-import org.trefoilpost.model.verdict.Verdict;
 
 /**
  * Hands callers' requests to the duty that carries them.
  */
 final class EntryGateway implements RequestGateway {
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-
     private final EntryDuties duties;
     private volatile boolean shuttingDown;
 
@@ -38,6 +34,7 @@
             return Optional.of(RefusalReason.SHUTTING_DOWN);
         }
         return duties.configuration().status().configuration().isPresent()
+                        && duties.fleet().isLoaded()
                 ? Optional.empty()
                 : Optional.of(RefusalReason.NOT_READY);
     }
@@ -51,8 +48,7 @@
     @Override
     public CompletableFuture<RequestOutcome> submit(CallerRequest request) {
         if (request.idempotencyKey().isPresent()) {
-            return CompletableFuture.completedFuture(
-                    RequestOutcome.of(Verdict.notRun(RefusalReason.CLAIM_UNAVAILABLE, RETRY_AFTER)));
+            return duties.claims().submit(request);
         }
         return duties.requests().submit(request);
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryHeartbeatContent.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryHeartbeatContent.java
@@ -27,6 +27,9 @@
 
     @Override
     public void fill(Heartbeat.Builder heartbeat) {
+        if (!duties.isComplete()) {
+            return;
+        }
         ConfigurationStatus status = duties.configuration().status();
         long nowMillis = clock.nowMillis();
         OptionalLong asOf = status.confirmedAsOfMillis();
@@ -36,6 +39,7 @@
         loads.inFlight().forEach((pool, counts) -> poolLoads.add(PoolLoad.of(pool, loads.queued(pool), counts)));
         heartbeat.loads(poolLoads);
         heartbeat.teamRequests(loads.teams());
+        heartbeat.shardEpochs(duties.claims().epochs());
     }
 
     @Override
@@ -45,16 +49,14 @@
 
     @Override
     public void heard(Heartbeat heartbeat, String configurationChange) {
+        if (!duties.isComplete()) {
+            return;
+        }
         duties.requests().peerLoads(heartbeat.sender().id(), heartbeat.loads(), heartbeat.teamRequests());
+        duties.claims().epochsTold(heartbeat.shardEpochs());
         if (!configurationChange.isEmpty()) {
             duties.configuration()
-                    .peerReported(
-                            heartbeat.configVersion(), ChangeId.of(configurationChange), confirmedAsOf(heartbeat));
+                    .peerReported(heartbeat.configVersion(), ChangeId.of(configurationChange), OptionalLong.empty());
         }
     }
-
-    /** Returns the time up to which a peer's confirmation reaches, less the time since its earliest sending. */
-    private OptionalLong confirmedAsOf(Heartbeat heartbeat) {
-        return OptionalLong.empty();
-    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryInstance.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryInstance.java
@@ -4,6 +4,7 @@
 import org.trefoilpost.decision.configuration.ConfigurationUpdate;
 import org.trefoilpost.decision.membership.Member;
 import org.trefoilpost.entry.caller.CallerServer;
+import org.trefoilpost.entry.claim.ClaimDuty;
 import org.trefoilpost.entry.configuration.ConfigurationDuty;
 import org.trefoilpost.entry.fleet.FleetContext;
 import org.trefoilpost.entry.fleet.FleetDuty;
@@ -97,10 +98,12 @@
     public void close() {
         LOG.info(LogEvent.of("entry-stopping"));
         gateway.shutDown();
+        duties.claims().leave();
         awaitPending();
         callers.closeGracefully(Duration.ofMillis(settings.graceMillis()));
         duties.membership().leave();
         duties.fleet().close();
+        duties.claims().close();
         duties.configuration().close();
         duties.membership().close();
         duties.requests().close();
@@ -122,7 +125,7 @@
                 settings.entryId(),
                 settings.peerListen(),
                 settings.peerSecret(),
-                new EntryPeerHandler(duties),
+                new EntryPeerHandler(duties, clock),
                 metrics));
         duties.configuration(ConfigurationDuty.start(store, metrics, new ConfigurationListener(), clock));
         Member self = Member.of(
@@ -133,6 +136,7 @@
                 .content(new EntryHeartbeatContent(duties, clock))
                 .metrics(metrics)
                 .start(clock));
+        duties.claims(ClaimDuty.start(settings, store, new EntryClaimPorts(duties, clock), metrics, clock));
         duties.fleet(FleetDuty.start(FleetContext.builder(settings.entryId())
                 .platform(store, instances)
                 .workers(workers)
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryPeerHandler.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryPeerHandler.java
@@ -8,21 +8,31 @@
 import org.trefoilpost.entry.peer.CordonNotice;
 import org.trefoilpost.entry.peer.DrainAnswer;
 import org.trefoilpost.entry.peer.DrainQuery;
+import org.trefoilpost.entry.peer.ForwardOutcome;
+import org.trefoilpost.entry.peer.ForwardRequest;
+import org.trefoilpost.entry.peer.HandOverNotice;
 import org.trefoilpost.entry.peer.HeartbeatFrame;
 import org.trefoilpost.entry.peer.LeavingNotice;
 import org.trefoilpost.entry.peer.PeerHandler;
 import org.trefoilpost.entry.peer.PeerMessage;
 import org.trefoilpost.entry.peer.PeerReply;
+import org.trefoilpost.entry.request.RequestOutcome;
+import org.trefoilpost.entry.runtime.MillisClock;
+import org.trefoilpost.entry.target.TargetAnswer;
 import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.verdict.UncertaintyReason;
+import org.trefoilpost.model.verdict.Verdict;
 
 /**
  * Hands the messages of peers to the duties that they concern.
  */
 final class EntryPeerHandler implements PeerHandler {
     private final EntryDuties duties;
+    private final MillisClock clock;
 
-    EntryPeerHandler(EntryDuties duties) {
+    EntryPeerHandler(EntryDuties duties, MillisClock clock) {
         this.duties = duties;
+        this.clock = clock;
     }
 
     @Override
@@ -44,6 +54,10 @@
         } else if (message instanceof LeavingNotice leaving) {
             duties.requests()
                     .leaving(LeavingRegister.empty().withWorkerSignal(leaving.worker(), leaving.incarnation()));
+        } else if (message instanceof HandOverNotice notice) {
+            duties.claims().handedOver(notice.handOver());
+        } else if (message instanceof ForwardRequest forward) {
+            forwarded(forward, reply);
         } else if (message instanceof DrainQuery query) {
             duties.fleet()
                     .drainCount(query.plan(), query.step(), query.worker())
@@ -51,4 +65,17 @@
                             reply.accept(DrainAnswer.of(query.callId(), count.acknowledged(), count.inFlight())));
         }
     }
+
+    private void forwarded(ForwardRequest forward, Consumer<PeerReply> reply) {
+        long deadlineMillis = clock.nowMillis() + forward.remainingMillis();
+        duties.claims()
+                .forwarded(forward.request().withDeadlineMillis(deadlineMillis))
+                .thenAccept(outcome -> reply.accept(ForwardOutcome.of(forward.callId(), sendable(outcome))));
+    }
+
+    /** Returns an outcome that fits a frame: an answer that is not held in whole cannot be sent on. */
+    private static RequestOutcome sendable(RequestOutcome outcome) {
+        boolean streamed = outcome.answer().flatMap(TargetAnswer::stream).isPresent();
+        return streamed ? RequestOutcome.of(Verdict.mayHaveRun(UncertaintyReason.ANSWER_INCOMPLETE)) : outcome;
+    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/CordonBook.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/CordonBook.java
@@ -5,7 +5,6 @@
 import org.trefoilpost.decision.plan.PlanDigest;
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.decision.wave.CordonRegister;
-import org.trefoilpost.decision.wave.StepPhase;
 import org.trefoilpost.decision.wave.WaveState;
 import org.trefoilpost.model.WorkerId;
 
@@ -42,17 +41,7 @@
      * @param state  the state, not null
      */
     void apply(WaveState state) {
-        PlanDigest digest = state.plan().digest();
-        state.plan().steps().forEach(step -> {
-            StepPhase phase = state.state(step).phase();
-            int attempt = state.state(step).attempt();
-            if (phase.cordoned()
-                    || phase == StepPhase.SET_ASIDE && state.cordonedWorkers().contains(step.worker())) {
-                register.cordon(digest, step.number(), attempt, step.worker());
-            } else if (phase != StepPhase.PENDING && phase != StepPhase.ADMIT) {
-                register.uncordon(digest, step.number(), attempt, step.worker());
-            }
-        });
+        register.load(state);
         tell();
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDocuments.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDocuments.java
@@ -94,6 +94,12 @@
         return plans;
     }
 
+    Optional<Versioned<WaveState>> plan(String key) {
+        return plans.values().stream()
+                .filter(plan -> FleetKeys.plan(plan.document().plan().digest()).equals(key))
+                .findFirst();
+    }
+
     Versioned<PlanIndex> index() {
         return index;
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
@@ -44,6 +44,7 @@
     private static final EventLog LOG = EventLog.of(FleetDuty.class);
     private static final int RING_CAPACITY = 4_096;
     private static final long LIST_INTERVAL_MILLIS = 1_000;
+    private static final long LOAD_RETRY_MILLIS = 500;
     private static final long TICK_MILLIS = 250;
     private static final int EXECUTION_SHARDS = 1_024;
 
@@ -55,7 +56,7 @@
     private final WaveStepper stepper = WaveStepper.of(WaveLimits.DEFAULT);
     private final EventRecorder events;
     private final Map<PlanDigest, PlanRun> runs = new HashMap<>();
-    private StoreWatcher watcher;
+    private volatile StoreWatcher watcher;
     private boolean planStopsAllowed;
 
     private FleetDuty(FleetContext context) {
@@ -77,11 +78,19 @@
         fleet.duty.start(Consumer::accept);
         fleet.duty.post(fleet::readList);
         fleet.duty.post(fleet::tick);
-        fleet.watcher = StoreWatcher.start(
-                context.store(), FleetKeys.FLEET, 0, (answer, startMillis) -> fleet.changed(answer), context.clock());
+        fleet.duty.post(fleet::loadAll);
         return fleet;
     }
 
+    /**
+     * Returns whether the fleet's documents have been read, so that the pools and the cordons are known.
+     *
+     * @return true if they have
+     */
+    public boolean isLoaded() {
+        return watcher != null;
+    }
+
     /**
      * Puts a configuration in force.
      *
@@ -180,7 +189,7 @@
      */
     @Override
     public void close() {
-        watcher.close();
+        Optional.ofNullable(watcher).ifPresent(StoreWatcher::close);
         duty.close();
     }
 
@@ -245,6 +254,9 @@
     }
 
     private void adopt() {
+        if (!isLoaded()) {
+            return;
+        }
         Adoption.due(state).forEach((rack, inventory) -> {
             if (isResponsible(rack.text())) {
                 adopt(rack, inventory);
@@ -264,6 +276,28 @@
                 .whenComplete((outcome, failure) -> reload(key));
     }
 
+    private void loadAll(long nowMillis) {
+        context.store()
+                .list(FleetKeys.FLEET)
+                .whenComplete((values, failure) -> duty.post(now -> {
+                    if (failure != null) {
+                        duty.schedule(now + LOAD_RETRY_MILLIS, this::loadAll);
+                        return;
+                    }
+                    values.forEach(value -> loaded(value.key(), Optional.of(value)));
+                    long revision = values.stream()
+                            .mapToLong(StoredValue::revision)
+                            .max()
+                            .orElse(0);
+                    watcher = StoreWatcher.start(
+                            context.store(),
+                            FleetKeys.FLEET,
+                            revision,
+                            (answer, start) -> changed(answer),
+                            context.clock());
+                }));
+    }
+
     private void changed(WatchAnswer answer) {
         answer.changes().keySet().forEach(this::reload);
     }
@@ -274,8 +308,8 @@
         } else {
             state.documents().remove(key);
         }
-        if (key.startsWith(FleetKeys.PLANS)) {
-            state.documents().plans().values().forEach(plan -> cordons.apply(plan.document()));
+        if (key.startsWith(FleetKeys.PLANS) && value.isPresent()) {
+            state.documents().plan(key).ifPresent(plan -> cordons.apply(plan.document()));
         } else if (key.startsWith(FleetKeys.INVENTORY)) {
             tellMembers();
         }
@@ -284,7 +318,7 @@
     private void tick(long nowMillis) {
         duty.schedule(nowMillis + TICK_MILLIS, this::tick);
         runs.values().removeIf(PlanRun::isEnded);
-        if (!planStopsAllowed) {
+        if (!planStopsAllowed || !isLoaded()) {
             return;
         }
         for (ConfirmedPlan plan : state.documents().index().document().plans()) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanDesk.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanDesk.java
@@ -47,7 +47,7 @@
     private final FleetDuty fleet;
     private final KeyValueStore store;
     private final MillisClock clock;
-    private final Planner planner = Planner.of(LeastCostStrategy.withLoansForCost());
+    private final Planner planner = Planner.of(LeastCostStrategy.withNeededLoans());
 
     private PlanDesk(FleetDuty fleet, KeyValueStore store, MillisClock clock) {
         this.fleet = fleet;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/StepActs.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/StepActs.java
@@ -20,7 +20,6 @@
 import org.trefoilpost.decision.wave.StepCompleted;
 import org.trefoilpost.decision.wave.StepDocuments;
 import org.trefoilpost.decision.wave.StepPhase;
-import org.trefoilpost.decision.wave.StepState;
 import org.trefoilpost.decision.wave.WaveEvent;
 import org.trefoilpost.decision.wave.WaveState;
 import org.trefoilpost.entry.platform.StoredValue;
@@ -223,7 +222,6 @@
 
     private CompletableFuture<Optional<WaveEvent>> release(WaveState wave, StepAct act) {
         PlanStep step = act.step();
-        StepState reached = wave.state(step);
         Optional<RackInventory> inventory = state.inventory()
                 .rackOf(step.worker())
                 .flatMap(rack -> state.documents().inventory(rack))
@@ -233,8 +231,7 @@
         }
         return context.store().read(FleetKeys.ledger(step.pool())).thenCompose(value -> {
             Versioned<BudgetLedger> ledger = decodedLedger(step, value);
-            BudgetLedger released =
-                    StepDocuments.release(wave.plan().digest(), step, reached, inventory.get(), ledger.document());
+            BudgetLedger released = StepDocuments.release(wave.plan(), act, inventory.get(), ledger.document());
             return writeLedger(step, ledger, released, completed(act, 0));
         });
     }
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/KeptAnswer.java
@@ -0,0 +1,57 @@
+package org.trefoilpost.entry.peer;
+
+import java.util.Map;
+import java.util.Objects;
+import org.trefoilpost.decision.claim.ClaimAnswer;
+import org.trefoilpost.entry.target.TargetAnswer;
+
+/**
+ * A target's answer that is kept for repeats of its request.
+ */
+public final class KeptAnswer implements ClaimAnswer {
+    private static final long OVERHEAD_BYTES = 128;
+
+    private final TargetAnswer answer;
+
+    private KeptAnswer(TargetAnswer answer) {
+        this.answer = answer;
+    }
+
+    /**
+     * Obtains a kept answer.
+     *
+     * @param answer  the answer, held in whole, not null
+     * @return the kept answer, not null
+     */
+    public static KeptAnswer of(TargetAnswer answer) {
+        return new KeptAnswer(Objects.requireNonNull(answer, "answer"));
+    }
+
+    /**
+     * Returns the answer.
+     *
+     * @return the answer, not null
+     */
+    public TargetAnswer answer() {
+        return answer;
+    }
+
+    @Override
+    public long sizeBytes() {
+        long size = OVERHEAD_BYTES + answer.body().length;
+        for (Map.Entry<String, String> header : answer.headers()) {
+            size += header.getKey().length() + header.getValue().length();
+        }
+        return size;
+    }
+
+    /**
+     * Returns the answer's status and size.
+     *
+     * @return the text, not null
+     */
+    @Override
+    public String toString() {
+        return answer.toString();
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PackedHandOvers.java
@@ -0,0 +1,70 @@
+package org.trefoilpost.entry.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+import org.trefoilpost.decision.claim.ClaimKey;
+import org.trefoilpost.decision.claim.ClaimRecord;
+import org.trefoilpost.decision.claim.HandOver;
+import org.trefoilpost.decision.claim.HandedClaim;
+import org.trefoilpost.decision.claim.RequestFingerprint;
+import org.trefoilpost.entry.target.TargetAnswer;
+
+/**
+ * Packs claims and answers that pass from one owner to the next.
+ */
+final class PackedHandOvers {
+    private static final int MAX_CLAIMS = 100_000;
+
+    private PackedHandOvers() {}
+
+    static void pack(MessageBufferPacker packer, HandOver handOver) throws IOException {
+        packer.packInt(handOver.shard());
+        packer.packArrayHeader(handOver.claims().size());
+        for (HandedClaim handed : handOver.claims()) {
+            packClaim(packer, handed.claim());
+            packer.packBoolean(handed.answer().isPresent());
+            if (handed.answer().isPresent()) {
+                packAnswer(packer, ((KeptAnswer) handed.answer().get()).answer());
+            }
+        }
+    }
+
+    static HandOver unpack(MessageUnpacker unpacker) throws IOException {
+        int shard = unpacker.unpackInt();
+        int count = PackedValues.checkedCount(unpacker.unpackArrayHeader(), MAX_CLAIMS);
+        List<HandedClaim> claims = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            ClaimRecord claim = unpackClaim(unpacker);
+            boolean answered = unpacker.unpackBoolean();
+            claims.add(answered ? HandedClaim.of(claim, KeptAnswer.of(unpackAnswer(unpacker))) : HandedClaim.of(claim));
+        }
+        return HandOver.of(shard, claims);
+    }
+
+    private static void packClaim(MessageBufferPacker packer, ClaimRecord claim) throws IOException {
+        packer.packLong(claim.key().high()).packLong(claim.key().low());
+        packer.packLong(claim.fingerprint().hash()).packLong(claim.claimedAtMillis());
+    }
+
+    private static ClaimRecord unpackClaim(MessageUnpacker unpacker) throws IOException {
+        ClaimKey key = ClaimKey.ofHash(unpacker.unpackLong(), unpacker.unpackLong());
+        RequestFingerprint fingerprint = RequestFingerprint.ofHash(unpacker.unpackLong());
+        return ClaimRecord.of(key, fingerprint, unpacker.unpackLong());
+    }
+
+    private static void packAnswer(MessageBufferPacker packer, TargetAnswer answer) throws IOException {
+        packer.packInt(answer.status());
+        PackedValues.packHeaders(packer, answer.headers());
+        PackedValues.packBytes(packer, answer.body());
+    }
+
+    private static TargetAnswer unpackAnswer(MessageUnpacker unpacker) throws IOException {
+        int status = unpacker.unpackInt();
+        List<Map.Entry<String, String>> headers = PackedValues.unpackHeaders(unpacker);
+        return TargetAnswer.whole(status, headers, PackedValues.unpackBytes(unpacker));
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
@@ -27,6 +27,7 @@
     private static final int DRAIN_ANSWER = 9;
     private static final int FORWARD_REQUEST = 10;
     private static final int FORWARD_OUTCOME = 11;
+    private static final int HAND_OVER = 12;
 
     private PeerCodec() {}
 
@@ -86,6 +87,8 @@
             return DRAIN_ANSWER;
         } else if (message instanceof ForwardRequest) {
             return FORWARD_REQUEST;
+        } else if (message instanceof HandOverNotice) {
+            return HAND_OVER;
         }
         return FORWARD_OUTCOME;
     }
@@ -105,6 +108,8 @@
             packer.packLong(wanted.version());
         } else if (message instanceof LeavingNotice leaving) {
             packer.packString(leaving.worker().text()).packLong(leaving.incarnation());
+        } else if (message instanceof HandOverNotice notice) {
+            PackedHandOvers.pack(packer, notice.handOver());
         } else if (message instanceof CordonNotice cordon) {
             packCordon(packer, cordon);
         } else {
@@ -146,6 +151,7 @@
             case FORWARD_REQUEST ->
                 ForwardRequest.of(unpacker.unpackLong(), unpacker.unpackLong(), PackedRequests.unpack(unpacker));
             case FORWARD_OUTCOME -> ForwardOutcome.of(unpacker.unpackLong(), PackedRequests.unpackOutcome(unpacker));
+            case HAND_OVER -> HandOverNotice.of(PackedHandOvers.unpack(unpacker));
             default -> throw new MalformedFrameException("no message has the kind " + kind, null);
         };
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerMessage.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerMessage.java
@@ -11,5 +11,6 @@
                 ConfigurationWanted,
                 CordonNotice,
                 LeavingNotice,
+                HandOverNotice,
                 PeerCall,
                 PeerReply {}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/CallerRequest.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/CallerRequest.java
@@ -136,6 +136,26 @@
         return deadlineMillis;
     }
 
+    /**
+     * Returns a copy of this request with another deadline.
+     *
+     * @param newDeadlineMillis  the time at which the caller stops waiting, in milliseconds since 1970
+     * @return the copy, not null
+     */
+    public CallerRequest withDeadlineMillis(long newDeadlineMillis) {
+        return new Builder(pool)
+                .method(method)
+                .path(path)
+                .headers(headers)
+                .body(body)
+                .requestClass(requestClass)
+                .team(team())
+                .idempotencyKey(idempotencyKey())
+                .repeatable(repeatable)
+                .deadlineMillis(newDeadlineMillis)
+                .build();
+    }
+
     /**
      * Returns the method, the pool and the path.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/EntryFlags.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/EntryFlags.java
@@ -36,6 +36,11 @@
     @Parameter(names = "--claim-shards", description = "Shards of the claim journal, the same at every entry.")
     String claimShards = "32";
 
+    @Parameter(
+            names = "--key-retention-seconds",
+            description = "Time for which idempotency keys are held, the same at every entry.")
+    String keyRetentionSeconds = "900";
+
     @Parameter(names = "--held-answer-kib", description = "Most KiB of an answer held before it is streamed.")
     String heldAnswerKib = "1024";
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/EntrySettings.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/EntrySettings.java
@@ -18,12 +18,13 @@
     private final String peerSecret;
     private final int grantedWritesPerSecond;
     private final int claimShards;
+    private final long keyRetentionMillis;
     private final int heldAnswerBytes;
     private final long replayMemoryBytes;
     private final int ringCapacity;
     private final int graceMillis;
 
-    private EntrySettings(Builder builder) {
+    EntrySettings(EntrySettingsBuilder builder) {
         this.entryId = builder.entryId;
         this.dataCentre = builder.dataCentre;
         this.callerListen = builder.callerListen;
@@ -34,6 +35,7 @@
         this.peerSecret = builder.peerSecret;
         this.grantedWritesPerSecond = builder.grantedWritesPerSecond;
         this.claimShards = builder.claimShards;
+        this.keyRetentionMillis = builder.keyRetentionMillis;
         this.heldAnswerBytes = builder.heldAnswerBytes;
         this.replayMemoryBytes = builder.replayMemoryBytes;
         this.ringCapacity = builder.ringCapacity;
@@ -45,8 +47,8 @@
      *
      * @return the builder, not null
      */
-    static Builder builder() {
-        return new Builder();
+    static EntrySettingsBuilder builder() {
+        return new EntrySettingsBuilder();
     }
 
     /**
@@ -139,6 +141,15 @@
         return claimShards;
     }
 
+    /**
+     * Returns the time for which idempotency keys are held.
+     *
+     * @return the time in milliseconds, positive
+     */
+    public long keyRetentionMillis() {
+        return keyRetentionMillis;
+    }
+
     /**
      * Returns the most bytes of an answer held before it is streamed.
      *
@@ -194,6 +205,7 @@
                 "--peer-secret " + masked(peerSecret),
                 "--granted-writes " + grantedWritesPerSecond,
                 "--claim-shards " + claimShards,
+                "--key-retention-seconds " + keyRetentionMillis / 1000,
                 "--held-answer-kib " + heldAnswerBytes / 1024,
                 "--replay-memory-kib " + replayMemoryBytes / 1024,
                 "--ring-capacity " + ringCapacity,
@@ -203,189 +215,4 @@
     private static String masked(String secret) {
         return secret.isEmpty() ? "(none)" : "********";
     }
-
-    /**
-     * Builder of settings, which a checker fills.
-     */
-    static final class Builder {
-        private EntryId entryId;
-        private DataCentreName dataCentre;
-        private Endpoint callerListen;
-        private Endpoint peerListen;
-        private Endpoint operatorListen;
-        private Endpoint platform;
-        private String operatorToken;
-        private String peerSecret;
-        private int grantedWritesPerSecond;
-        private int claimShards;
-        private int heldAnswerBytes;
-        private long replayMemoryBytes;
-        private int ringCapacity;
-        private int graceMillis;
-
-        private Builder() {}
-
-        /**
-         * Sets the name of this entry.
-         *
-         * @param newEntryId  the name of this entry
-         * @return this builder, not null
-         */
-        Builder entryId(EntryId newEntryId) {
-            this.entryId = newEntryId;
-            return this;
-        }
-
-        /**
-         * Sets the data centre in which this entry runs.
-         *
-         * @param newDataCentre  the data centre in which this entry runs
-         * @return this builder, not null
-         */
-        Builder dataCentre(DataCentreName newDataCentre) {
-            this.dataCentre = newDataCentre;
-            return this;
-        }
-
-        /**
-         * Sets the address for callers.
-         *
-         * @param newCallerListen  the address for callers
-         * @return this builder, not null
-         */
-        Builder callerListen(Endpoint newCallerListen) {
-            this.callerListen = newCallerListen;
-            return this;
-        }
-
-        /**
-         * Sets the address for the other entries.
-         *
-         * @param newPeerListen  the address for the other entries
-         * @return this builder, not null
-         */
-        Builder peerListen(Endpoint newPeerListen) {
-            this.peerListen = newPeerListen;
-            return this;
-        }
-
-        /**
-         * Sets the address for operators.
-         *
-         * @param newOperatorListen  the address for operators
-         * @return this builder, not null
-         */
-        Builder operatorListen(Endpoint newOperatorListen) {
-            this.operatorListen = newOperatorListen;
-            return this;
-        }
-
-        /**
-         * Sets the address of the platform's services.
-         *
-         * @param newPlatform  the address of the platform's services
-         * @return this builder, not null
-         */
-        Builder platform(Endpoint newPlatform) {
-            this.platform = newPlatform;
-            return this;
-        }
-
-        /**
-         * Sets the token that operators send, without text if none is needed.
-         *
-         * @param newOperatorToken  the token that operators send
-         * @return this builder, not null
-         */
-        Builder operatorToken(String newOperatorToken) {
-            this.operatorToken = newOperatorToken;
-            return this;
-        }
-
-        /**
-         * Sets the secret that entries share, without text if none is needed.
-         *
-         * @param newPeerSecret  the secret that entries share
-         * @return this builder, not null
-         */
-        Builder peerSecret(String newPeerSecret) {
-            this.peerSecret = newPeerSecret;
-            return this;
-        }
-
-        /**
-         * Sets the store writes a second granted to all entries together.
-         *
-         * @param newGrantedWritesPerSecond  the store writes a second granted to all entries together
-         * @return this builder, not null
-         */
-        Builder grantedWritesPerSecond(int newGrantedWritesPerSecond) {
-            this.grantedWritesPerSecond = newGrantedWritesPerSecond;
-            return this;
-        }
-
-        /**
-         * Sets the number of shards of the claim journal.
-         *
-         * @param newClaimShards  the number of shards of the claim journal
-         * @return this builder, not null
-         */
-        Builder claimShards(int newClaimShards) {
-            this.claimShards = newClaimShards;
-            return this;
-        }
-
-        /**
-         * Sets the most bytes of an answer held before it is streamed.
-         *
-         * @param newHeldAnswerBytes  the most bytes of an answer held before it is streamed
-         * @return this builder, not null
-         */
-        Builder heldAnswerBytes(int newHeldAnswerBytes) {
-            this.heldAnswerBytes = newHeldAnswerBytes;
-            return this;
-        }
-
-        /**
-         * Sets the most bytes of answers kept for repeated requests.
-         *
-         * @param newReplayMemoryBytes  the most bytes of answers kept for repeated requests
-         * @return this builder, not null
-         */
-        Builder replayMemoryBytes(long newReplayMemoryBytes) {
-            this.replayMemoryBytes = newReplayMemoryBytes;
-            return this;
-        }
-
-        /**
-         * Sets the number of events that wait for a duty before requests are refused.
-         *
-         * @param newRingCapacity  the number of events that wait for a duty before requests are refused
-         * @return this builder, not null
-         */
-        Builder ringCapacity(int newRingCapacity) {
-            this.ringCapacity = newRingCapacity;
-            return this;
-        }
-
-        /**
-         * Sets the time in milliseconds for requests in flight at a shutdown.
-         *
-         * @param newGraceMillis  the time in milliseconds for requests in flight at a shutdown
-         * @return this builder, not null
-         */
-        Builder graceMillis(int newGraceMillis) {
-            this.graceMillis = newGraceMillis;
-            return this;
-        }
-
-        /**
-         * Builds the settings.
-         *
-         * @return the settings, not null
-         */
-        EntrySettings build() {
-            return new EntrySettings(this);
-        }
-    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/SettingsChecker.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/SettingsChecker.java
@@ -12,6 +12,8 @@
  */
 final class SettingsChecker {
     private static final int KIB = 1024;
+    private static final long SECOND_MILLIS = 1_000;
+    private static final int MAX_RETENTION_SECONDS = 24 * 60 * 60;
     private static final int MAX_SHARDS = 256;
     private static final int MAX_KIB = 1024 * 1024;
     private static final int MAX_RING = 1 << 20;
@@ -33,7 +35,7 @@
      * @throws SettingsException if any flag is wrong
      */
     EntrySettings check() {
-        EntrySettings.Builder builder = EntrySettings.builder()
+        EntrySettingsBuilder builder = EntrySettings.builder()
                 .entryId(parsed("--entry-id", flags.entryId, EntryId::of))
                 .dataCentre(parsed("--data-centre", flags.dataCentre, DataCentreName::of))
                 .callerListen(parsed("--caller-listen", flags.callerListen, Endpoint::parse))
@@ -44,6 +46,8 @@
                 .peerSecret(flags.peerSecret)
                 .grantedWritesPerSecond(number("--granted-writes", flags.grantedWrites, 1, MAX_WRITES))
                 .claimShards(number("--claim-shards", flags.claimShards, 1, MAX_SHARDS))
+                .keyRetentionMillis(SECOND_MILLIS
+                        * number("--key-retention-seconds", flags.keyRetentionSeconds, 1, MAX_RETENTION_SECONDS))
                 .heldAnswerBytes(KIB * number("--held-answer-kib", flags.heldAnswerKib, 1, MAX_KIB))
                 .replayMemoryBytes((long) KIB * number("--replay-memory-kib", flags.replayMemoryKib, 1, MAX_KIB))
                 .ringCapacity(number("--ring-capacity", flags.ringCapacity, 2, MAX_RING))
