--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/planner/LowerBounds.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/planner/LowerBounds.java
@@ -31,11 +31,11 @@
         for (DraftPool pool : draft.pools()) {
             int workers =
                     (int) pool.members().stream().filter(DraftMember::free).count();
+            int spare = pool.available() - pool.budget().floor();
             int largest = largestBatch(pool);
             if (largest > 0) {
                 int batches = (workers + largest - 1) / largest;
                 longest = Math.max(longest, batches);
-                int spare = pool.available() - pool.budget().floor();
                 buffer += minutes * Math.max(0, batches * spare - workers);
             }
         }
