--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/configuration/ConfigurationAcceptor.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/configuration/ConfigurationAcceptor.java
@@ -24,7 +24,7 @@
     /** The wait between two reads that follow up a change of unknown outcome, in milliseconds. */
     public static final long FOLLOW_UP_INTERVAL_MILLIS = 5_000;
 
-    /** The time for which a replaced version of a part is kept, in milliseconds. */
+    /** The least time for which a replaced version of a part is kept, and between two cleanups, in milliseconds. */
     public static final long CLEANUP_DELAY_MILLIS = 60_000;
 
     /** The most changes under way at once. */
@@ -32,7 +32,7 @@
 
     private final InForceView view;
     private final List<PendingChange> changes = new ArrayList<>();
-    private final List<PartCleanup> cleanups = new ArrayList<>();
+    private final PartCleanups cleanups = new PartCleanups();
     private long nextCall;
 
     /**
@@ -59,7 +59,7 @@
             readFound(found, nowMillis, actions);
         } else if (event instanceof StoreResult.ReadAbsent absent) {
             changeOf(absent.callId()).ifPresent(change -> change.readAbsent(nowMillis, actions));
-            cleanupOf(absent.callId()).ifPresent(PartCleanup::abandon);
+            abandonCleanup(absent.callId());
         } else if (event instanceof StoreResult.WriteDone done) {
             changeOf(done.callId()).ifPresent(change -> change.writeDone(done.callId(), done.revision(), actions));
         } else if (event instanceof StoreResult.WriteConflict conflict) {
@@ -67,7 +67,7 @@
                     .ifPresent(change -> change.writeConflict(conflict.callId(), conflict.revision(), actions));
         } else if (event instanceof StoreResult.CallFailed failed) {
             changeOf(failed.callId()).ifPresent(change -> change.callFailed(failed.callId(), nowMillis));
-            cleanupOf(failed.callId()).ifPresent(PartCleanup::abandon);
+            abandonCleanup(failed.callId());
         }
         goOn(nowMillis, actions);
         return actions;
@@ -85,31 +85,28 @@
 
     private void readFound(StoreResult.ReadFound found, long nowMillis, List<ConfigurationAction> actions) {
         changeOf(found.callId()).ifPresent(change -> change.readFound(found, nowMillis, actions));
-        cleanupOf(found.callId()).ifPresent(cleanup -> cleanup.headFound(found.value(), actions));
+        if (cleanups.owns(found.callId())) {
+            cleanups.headFound(found.value(), actions);
+        }
     }
 
     private void goOn(long nowMillis, List<ConfigurationAction> actions) {
         changes.forEach(change -> change.tick(nowMillis, actions));
-        for (PendingChange change : changes) {
-            change.accepted().ifPresent(plan -> cleanups.add(new PartCleanup(plan, nowMillis + CLEANUP_DELAY_MILLIS)));
-        }
+        changes.forEach(change -> change.accepted().ifPresent(plan -> cleanups.add(plan, nowMillis)));
         changes.removeIf(PendingChange::isDone);
-        for (PartCleanup cleanup : cleanups) {
-            if (cleanup.isDue(nowMillis)) {
-                cleanup.start(nextCall(), actions);
-            }
+        cleanups.startIfDue(nowMillis, this::nextCall, actions);
+    }
+
+    private void abandonCleanup(long callId) {
+        if (cleanups.owns(callId)) {
+            cleanups.abandon();
         }
-        cleanups.removeIf(PartCleanup::isDone);
     }
 
     private Optional<PendingChange> changeOf(long callId) {
         return changes.stream().filter(change -> change.owns(callId)).findFirst();
     }
 
-    private Optional<PartCleanup> cleanupOf(long callId) {
-        return cleanups.stream().filter(cleanup -> cleanup.owns(callId)).findFirst();
-    }
-
     private long nextCall() {
         return nextCall++;
     }
