--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionQueue.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionQueue.java
@@ -311,7 +311,7 @@
 
     /** Returns when a waiting request is refused; with nothing started, there is no fresh service time to go by. */
     private long latestStartMillis(AdmissionRequest request) {
-        return request.deadlineMillis() - (started.isEmpty() ? 0 : Math.round(serviceTime.meanMillis()));
+        return request.deadlineMillis() - (started.isEmpty() ? 0 : serviceTime.safeMillis());
     }
 
     private Refusal refusal(AdmissionRequest request, RefusalReason reason) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/ConcurrencyShare.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/ConcurrencyShare.java
@@ -60,7 +60,8 @@
         }
         int left = usableSlots - used;
         if (waitingPeers > 0) {
-            left = Math.min(left, (usableSlots - usedBySatisfied) / (waitingPeers + 1));
+            int contenders = waitingPeers + 1;
+            left = (usableSlots - usedBySatisfied + waitingPeers) / contenders;
         }
         return usableSlots == 0 ? 0 : Math.max(1, left);
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Candidate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Candidate.java
@@ -15,25 +15,27 @@
 
     private final Map<EntryId, PeerCounts.Count> peerCounts = new HashMap<>(4);
     private final FailureRate failureRate;
-    private final int[] positions = {ABSENT, ABSENT};
-    private final Map<Integer, Optional<Choice>> choices = new HashMap<>(4);
+    private int groupPosition = ABSENT;
+    private int poolPosition = ABSENT;
+    private Optional<Choice> localChoice;
+    private Optional<Choice> remoteChoice;
+    private int fullSlots;
     private Worker worker;
     private boolean leaving;
     private boolean member;
     private int ownInFlight;
-    private int peerInFlight;
-    private int heldSlots;
-    private long heldUntilMillis = Long.MIN_VALUE;
+    private int peerUnits;
+    private Headroom headroom;
     private int countedSlots;
     private int countedPeerInFlight;
     private Ejection ejection;
     private int ejections;
     private long reinstatedMillis;
 
-    Candidate(Worker worker, long failureHalfLifeMillis) {
-        this.worker = worker;
-        this.failureRate = new FailureRate(failureHalfLifeMillis);
-        this.heldSlots = fullSlots();
+    Candidate(Worker worker, RouterSettings settings) {
+        describe(worker);
+        this.failureRate = new FailureRate(settings.failureHalfLifeMillis());
+        this.headroom = new Headroom(settings);
     }
 
     Map<EntryId, PeerCounts.Count> peerCounts() {
@@ -45,11 +47,15 @@
     }
 
     int position(int group) {
-        return positions[group];
+        return group == CandidateGroup.POOL ? poolPosition : groupPosition;
     }
 
     void position(int group, int position) {
-        positions[group] = position;
+        if (group == CandidateGroup.POOL) {
+            poolPosition = position;
+        } else {
+            groupPosition = position;
+        }
     }
 
     Worker worker() {
@@ -57,9 +63,7 @@
     }
 
     void worker(Worker newWorker) {
-        this.worker = newWorker;
-        this.heldSlots = fullSlots();
-        choices.clear();
+        describe(newWorker);
     }
 
     boolean leaving() {
@@ -86,36 +90,48 @@
         ownInFlight = Math.max(0, ownInFlight + change);
     }
 
+    /** Returns the peers' attempts in whole numbers. */
     int peerInFlight() {
-        return peerInFlight;
+        return (int) Math.round(meanPeerInFlight());
+    }
+
+    void addPeerUnits(int change) {
+        peerUnits += change;
     }
 
-    void addPeer(int change) {
-        peerInFlight += change;
+    void clearPeers() {
+        peerUnits = 0;
+    }
+
+    private double meanPeerInFlight() {
+        return (double) peerUnits / PeerCounts.UNITS;
+    }
+
+    /** Returns the attempts of all entries, the peers' as a mean. */
+    double meanInFlight() {
+        return ownInFlight + meanPeerInFlight();
     }
 
     int estimatedInFlight() {
-        return ownInFlight + peerInFlight;
+        return ownInFlight + peerInFlight();
     }
 
     /** Returns the slots that the worker is taken to have at present. */
     int slots() {
-        return heldSlots;
+        return Math.min(headroom.heldSlots(), fullSlots);
     }
 
-    int fullSlots() {
-        return Math.min(worker.resources().slots(), worker.connections());
+    /** Returns the slots to be taken as used by peers, with the margin. */
+    int peerInFlightWithMargin() {
+        return (int) Math.round(meanPeerInFlight() + headroom.margin());
     }
 
-    void hold(int slots, long untilMillis) {
-        heldSlots = Math.min(slots, fullSlots());
-        heldUntilMillis = untilMillis;
+    Headroom headroom() {
+        return headroom;
     }
 
-    void endHold(long nowMillis) {
-        if (nowMillis >= heldUntilMillis) {
-            heldSlots = fullSlots();
-        }
+    void headroom(Headroom newHeadroom) {
+        this.headroom = newHeadroom;
     }
 
     /** Returns the slots with which this candidate counts in its pool's sum. */
@@ -158,13 +174,22 @@
         this.reinstatedMillis = millis;
     }
 
-    /** Returns the choice of this candidate, made once for each kind. */
+    /** Returns the choice of this candidate; those of ordinary attempts are made once for each incarnation. */
     Optional<Choice> choice(boolean probe, boolean spilledOver) {
-        int kind = (probe ? 2 : 0) + (spilledOver ? 1 : 0);
-        return choices.computeIfAbsent(kind, key -> Optional.of(Choice.of(worker, probe, spilledOver)));
+        if (probe) {
+            return Optional.of(new Choice(this, worker, true, spilledOver));
+        }
+        return spilledOver ? remoteChoice : localChoice;
     }
 
     boolean takesWork() {
         return member && !leaving && ejection == null;
     }
+
+    private void describe(Worker newWorker) {
+        this.worker = newWorker;
+        this.fullSlots = Math.min(newWorker.resources().slots(), newWorker.connections());
+        this.localChoice = Optional.of(new Choice(this, newWorker, false, false));
+        this.remoteChoice = Optional.of(new Choice(this, newWorker, false, true));
+    }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/CandidateGroup.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/CandidateGroup.java
@@ -67,7 +67,7 @@
     }
 
     @Override
-    public int estimatedInFlight(int index) {
-        return candidates[index].estimatedInFlight();
+    public double estimatedInFlight(int index) {
+        return candidates[index].meanInFlight();
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/CandidateView.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/CandidateView.java
@@ -35,5 +35,5 @@
      * @param index  the candidate's index, from 0 to below the size
      * @return the attempts, not negative
      */
-    int estimatedInFlight(int index);
+    double estimatedInFlight(int index);
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Candidates.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Candidates.java
@@ -14,7 +14,7 @@
  */
 final class Candidates {
     private final SelectionPolicy policy;
-    private final long failureHalfLifeMillis;
+    private final RouterSettings settings;
     private final Map<WorkerId, Candidate> byId = new HashMap<>();
     private final List<Candidate> members = new ArrayList<>();
     private final Map<DataCentreName, CandidateGroup> groups = new HashMap<>();
@@ -22,9 +22,9 @@
     private int usableSlots;
     private int peerInFlight;
 
-    Candidates(SelectionPolicy policy, long failureHalfLifeMillis) {
+    Candidates(SelectionPolicy policy, RouterSettings settings) {
         this.policy = policy;
-        this.failureHalfLifeMillis = failureHalfLifeMillis;
+        this.settings = settings;
     }
 
     /** Returns the candidate of a worker, or null. */
@@ -32,6 +32,13 @@
         return byId.get(worker);
     }
 
+    /** Returns the candidate of a choice, or null. */
+    Candidate find(Choice choice) {
+        return choice.candidate() != null
+                ? choice.candidate()
+                : find(choice.worker().id());
+    }
+
     List<Candidate> members() {
         return members;
     }
@@ -55,7 +62,7 @@
 
     /** Returns the candidate of a worker, which is a member afterwards. */
     Candidate put(Worker worker) {
-        Candidate candidate = byId.computeIfAbsent(worker.id(), id -> new Candidate(worker, failureHalfLifeMillis));
+        Candidate candidate = byId.computeIfAbsent(worker.id(), id -> new Candidate(worker, settings));
         if (!candidate.member()) {
             candidate.member(true);
             members.add(candidate);
@@ -92,12 +99,14 @@
         candidate.counted(takesWork ? candidate.slots() : 0, takesWork ? candidate.peerInFlight() : 0);
         usableSlots += candidate.countedSlots();
         peerInFlight += candidate.countedPeerInFlight();
-        if (takesWork && free(candidate) > 0) {
+        boolean isListed = candidate.position(CandidateGroup.POOL) != Candidate.ABSENT;
+        boolean isFree = takesWork && free(candidate) > 0;
+        if (isFree && !isListed) {
             groups.computeIfAbsent(
                             candidate.worker().dataCentre(), name -> new CandidateGroup(CandidateGroup.DATA_CENTRE))
                     .add(candidate);
             all.add(candidate);
-        } else {
+        } else if (!isFree && isListed) {
             leaveGroups(candidate);
         }
         if (!candidate.member() && candidate.ownInFlight() == 0) {
@@ -106,7 +115,7 @@
     }
 
     private int free(Candidate candidate) {
-        return policy.freeSlots(candidate.slots(), candidate.ownInFlight(), candidate.peerInFlight());
+        return policy.freeSlots(candidate.slots(), candidate.ownInFlight(), candidate.peerInFlightWithMargin());
     }
 
     private void leaveGroups(Candidate candidate) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Choice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Choice.java
@@ -7,11 +7,13 @@
  * The worker chosen for an attempt.
  */
 public final class Choice {
+    private final Candidate candidate;
     private final Worker worker;
     private final boolean probe;
     private final boolean spilledOver;
 
-    private Choice(Worker worker, boolean probe, boolean spilledOver) {
+    Choice(Candidate candidate, Worker worker, boolean probe, boolean spilledOver) {
+        this.candidate = candidate;
         this.worker = worker;
         this.probe = probe;
         this.spilledOver = spilledOver;
@@ -26,7 +28,12 @@
      * @return the choice, not null
      */
     public static Choice of(Worker worker, boolean probe, boolean spilledOver) {
-        return new Choice(Objects.requireNonNull(worker, "worker"), probe, spilledOver);
+        return new Choice(null, Objects.requireNonNull(worker, "worker"), probe, spilledOver);
+    }
+
+    /** Returns what the router knows of the worker, or null if the choice is not a router's own. */
+    Candidate candidate() {
+        return candidate;
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/FailureRate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/FailureRate.java
@@ -4,6 +4,9 @@
  * The share of failures among the recent attempts, where older attempts count less.
  */
 final class FailureRate {
+    /** The answers assumed beside the attempts, so that a few failures do not make a high rate. */
+    private static final double ASSUMED_ANSWERS = 2;
+
     private final long halfLifeMillis;
     private double attempts;
     private double failures;
@@ -31,7 +34,7 @@
 
     /** Returns the rate; a worker without recent attempts has failed nothing. */
     double rate() {
-        return attempts <= 0 ? 0 : failures / attempts;
+        return failures / (attempts + ASSUMED_ANSWERS);
     }
 
     private void decay(long nowMillis) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PeerCounts.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PeerCounts.java
@@ -7,12 +7,20 @@
  * The counts that peers reported, which expire in the order of their reports.
  */
 final class PeerCounts {
+    /** The units of a mean that stand for one attempt; whole units make sums exact. */
+    static final int UNITS = 1_024;
+
+    /** The mean below which a peer counts as having nothing in flight, in units. */
+    private static final int MIN_MEAN_UNITS = 20;
+
     private final long maxAgeMillis;
+    private final double weight;
     private Count oldest;
     private Count newest;
 
-    PeerCounts(long maxAgeMillis) {
+    PeerCounts(long maxAgeMillis, double weight) {
         this.maxAgeMillis = maxAgeMillis;
+        this.weight = weight;
     }
 
     /** Records a report; the candidate's sum is up to date afterwards. */
@@ -27,10 +35,12 @@
         } else {
             unlink(count);
         }
-        candidate.addPeer(inFlight - count.inFlight);
-        count.inFlight = inFlight;
+        int change = (int) Math.round(weight * (inFlight * UNITS - count.meanUnits));
+        candidate.addPeerUnits(change);
+        count.meanUnits += change;
         count.reportedMillis = nowMillis;
-        if (inFlight == 0) {
+        if (inFlight == 0 && count.meanUnits < MIN_MEAN_UNITS) {
+            candidate.addPeerUnits(-count.meanUnits);
             candidate.peerCounts().remove(entry);
         } else {
             append(count);
@@ -52,13 +62,13 @@
             unlink(count);
         }
         candidate.peerCounts().clear();
-        candidate.addPeer(-candidate.peerInFlight());
+        candidate.clearPeers();
     }
 
     private void drop(Count count) {
         unlink(count);
         count.candidate.peerCounts().remove(count.entry);
-        count.candidate.addPeer(-count.inFlight);
+        count.candidate.addPeerUnits(-count.meanUnits);
     }
 
     private void append(Count count) {
@@ -93,7 +103,7 @@
     static final class Count {
         private final Candidate candidate;
         private final EntryId entry;
-        private int inFlight;
+        private int meanUnits;
         private long reportedMillis;
         private Count older;
         private Count newer;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PoolRouter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PoolRouter.java
@@ -1,10 +1,10 @@
 package org.trefoilpost.decision.routing;
 
-import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -29,7 +29,7 @@
     private final Ejector ejector;
     private final Candidates candidates;
     private final Consumer<Candidate> refresh;
-    private final ArrayDeque<Hold> holds = new ArrayDeque<>();
+    private final PriorityQueue<Hold> holds = new PriorityQueue<>();
     private LeavingRegister leaving = LeavingRegister.empty();
     private int ownInFlight;
     private double serviceMillis;
@@ -38,9 +38,9 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.policy = Objects.requireNonNull(policy, "policy");
         this.random = Objects.requireNonNull(random, "random");
-        this.peerCounts = new PeerCounts(settings.peerCountMaxAgeMillis());
+        this.peerCounts = new PeerCounts(settings.peerCountMaxAgeMillis(), settings.peerCountWeight());
         this.ejector = new Ejector(settings, random);
-        this.candidates = new Candidates(policy, settings.failureHalfLifeMillis());
+        this.candidates = new Candidates(policy, settings);
         this.refresh = candidates::refresh;
     }
 
@@ -71,9 +71,10 @@
         }
         CandidateGroup local = candidates.group(request.ownDataCentre());
         Candidate chosen = local == null ? null : select(local, request);
-        if (chosen == null) {
-            chosen = select(candidates.all(), request);
+        if (chosen != null) {
+            return chosen.choice(false, false);
         }
+        chosen = select(candidates.all(), request);
         return chosen == null ? Optional.empty() : chosen.choice(false, !isLocal(chosen, request));
     }
 
@@ -83,7 +84,7 @@
      * @param choice  the choice of the attempt, not null
      */
     public void started(Choice choice) {
-        Candidate candidate = candidates.find(choice.worker().id());
+        Candidate candidate = candidates.find(choice);
         if (candidate == null) {
             return;
         }
@@ -104,7 +105,7 @@
      * @param nowMillis  the present time in milliseconds
      */
     public void finished(Choice choice, Outcome outcome, long latencyMillis, long nowMillis) {
-        Candidate candidate = candidates.find(choice.worker().id());
+        Candidate candidate = candidates.find(choice);
         if (candidate == null || candidate.ownInFlight() == 0) {
             return;
         }
@@ -114,7 +115,9 @@
         if (outcome == Outcome.ANSWERED) {
             recordServiceTime(latencyMillis);
         }
-        if (candidate.worker().incarnation() == choice.worker().incarnation()) {
+        boolean sameIncarnation = candidate.worker() == choice.worker()
+                || candidate.worker().incarnation() == choice.worker().incarnation();
+        if (sameIncarnation) {
             judge(candidate, outcome, choice.probe(), nowMillis);
         }
         candidates.refresh(candidate);
@@ -131,6 +134,7 @@
     public void peerOccupancy(EntryId entry, WorkerId worker, int inFlight, long nowMillis) {
         Candidate candidate = candidates.find(worker);
         if (candidate != null && candidate.member()) {
+            expire(nowMillis);
             peerCounts.report(candidate, entry, Math.max(0, inFlight), nowMillis);
             candidates.refresh(candidate);
         }
@@ -241,6 +245,7 @@
             peerCounts.forget(candidate);
             ejector.reinstate(candidate, nowMillis);
             candidate.failureRate().reset();
+            candidate.headroom(new Headroom(settings));
         }
         if (worker.incarnation() >= candidate.worker().incarnation() && !worker.equals(candidate.worker())) {
             candidates.replace(candidate, worker);
@@ -265,10 +270,11 @@
     }
 
     private void judge(Candidate candidate, Outcome outcome, boolean probe, long nowMillis) {
-        if (outcome == Outcome.REJECTED) {
-            long untilMillis = nowMillis + settings.rejectionHoldMillis();
-            candidate.hold(candidate.estimatedInFlight(), untilMillis);
-            holds.add(new Hold(candidate, untilMillis));
+        if (outcome == Outcome.ANSWERED) {
+            candidate.headroom().answered();
+        } else if (outcome == Outcome.REJECTED) {
+            int occupancy = candidate.estimatedInFlight();
+            holds.add(new Hold(candidate, candidate.headroom().rejected(occupancy, nowMillis)));
         }
         ejector.finished(candidate, candidates.members(), outcome, probe, nowMillis);
     }
@@ -276,7 +282,7 @@
     private void expire(long nowMillis) {
         while (!holds.isEmpty() && holds.peek().untilMillis <= nowMillis) {
             Candidate candidate = holds.poll().candidate;
-            candidate.endHold(nowMillis);
+            candidate.headroom().endHold(nowMillis);
             candidates.refresh(candidate);
         }
         peerCounts.expire(nowMillis, refresh);
@@ -285,7 +291,7 @@
     /**
      * The time at which a worker that rejected a request counts in full again.
      */
-    private static final class Hold {
+    private static final class Hold implements Comparable<Hold> {
         private final Candidate candidate;
         private final long untilMillis;
 
@@ -293,5 +299,10 @@
             this.candidate = candidate;
             this.untilMillis = untilMillis;
         }
+
+        @Override
+        public int compareTo(Hold other) {
+            return Long.compare(untilMillis, other.untilMillis);
+        }
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/RouterSettings.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/RouterSettings.java
@@ -7,7 +7,11 @@
     private static final RouterSettings DEFAULTS = builder().build();
 
     private final long peerCountMaxAgeMillis;
+    private final double peerCountWeight;
     private final long rejectionHoldMillis;
+    private final double marginStep;
+    private final double maxMargin;
+    private final double rejectionShare;
     private final long failureHalfLifeMillis;
     private final int minFailures;
     private final double minFailureRate;
@@ -18,7 +22,11 @@
 
     private RouterSettings(Builder builder) {
         this.peerCountMaxAgeMillis = builder.peerCountMaxAgeMillis;
+        this.peerCountWeight = builder.peerCountWeight;
         this.rejectionHoldMillis = builder.rejectionHoldMillis;
+        this.marginStep = builder.marginStep;
+        this.maxMargin = builder.maxMargin;
+        this.rejectionShare = builder.rejectionShare;
         this.failureHalfLifeMillis = builder.failureHalfLifeMillis;
         this.minFailures = builder.minFailures;
         this.minFailureRate = builder.minFailureRate;
@@ -56,7 +64,43 @@
     }
 
     /**
-     * Returns how long a rejection lowers the estimated capacity of its worker.
+     * Returns the weight of a peer's newest count in its mean.
+     *
+     * @return the weight, above 0 and up to 1
+     */
+    public double peerCountWeight() {
+        return peerCountWeight;
+    }
+
+    /**
+     * Returns by how many slots a rejection widens the margin that is left free at its worker.
+     *
+     * @return the slots, not negative
+     */
+    public double marginStep() {
+        return marginStep;
+    }
+
+    /**
+     * Returns the widest margin that is left free at a worker.
+     *
+     * @return the slots, not negative
+     */
+    public double maxMargin() {
+        return maxMargin;
+    }
+
+    /**
+     * Returns the share of rejected attempts at which a worker's margin stays as it is.
+     *
+     * @return the share, from 0 to 1
+     */
+    public double rejectionShare() {
+        return rejectionShare;
+    }
+
+    /**
+     * Returns how long the first rejection in a row holds the estimated capacity of its worker.
      *
      * @return the time in milliseconds
      */
@@ -132,7 +176,11 @@
      */
     public static final class Builder {
         private long peerCountMaxAgeMillis = 3_000;
-        private long rejectionHoldMillis = 200;
+        private double peerCountWeight = 0.3;
+        private long rejectionHoldMillis = 30;
+        private double marginStep = 0.2;
+        private double maxMargin = 3;
+        private double rejectionShare = 0.03;
         private long failureHalfLifeMillis = 5_000;
         private int minFailures = 3;
         private double minFailureRate = 0.2;
@@ -154,6 +202,32 @@
             return this;
         }
 
+        /**
+         * Sets the weight of a peer's newest count in its mean.
+         *
+         * @param weight  the weight, above 0 and up to 1
+         * @return this builder, not null
+         */
+        public Builder peerCountWeight(double weight) {
+            this.peerCountWeight = weight;
+            return this;
+        }
+
+        /**
+         * Sets the margin that is left free at workers that reject.
+         *
+         * @param step  by how many slots a rejection widens the margin, not negative
+         * @param max  the widest margin in slots, not negative
+         * @param share  the share of rejected attempts at which the margin stays, from 0 to 1
+         * @return this builder, not null
+         */
+        public Builder margin(double step, double max, double share) {
+            this.marginStep = step;
+            this.maxMargin = max;
+            this.rejectionShare = share;
+            return this;
+        }
+
         /**
          * Sets how long a rejection lowers the estimated capacity of its worker.
          *
@@ -223,7 +297,12 @@
          */
         public RouterSettings build() {
             boolean times = peerCountMaxAgeMillis > 0
+                    && peerCountWeight > 0
+                    && peerCountWeight <= 1
                     && rejectionHoldMillis >= 0
+                    && marginStep >= 0
+                    && maxMargin >= 0
+                    && rejectionShare >= 0
                     && failureHalfLifeMillis > 0
                     && firstProbeMillis > 0
                     && maxProbeMillis >= firstProbeMillis;
