--- /dev/null
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/ScenariosTest.java
@@ -0,0 +1,19 @@
+package org.trefoilpost.verify;
+
+import static io.cucumber.junit.platform.engine.Constants.GLUE_PROPERTY_NAME;
+import static io.cucumber.junit.platform.engine.Constants.PLUGIN_PROPERTY_NAME;
+
+import org.junit.platform.suite.api.ConfigurationParameter;
+import org.junit.platform.suite.api.IncludeEngines;
+import org.junit.platform.suite.api.SelectClasspathResource;
+import org.junit.platform.suite.api.Suite;
+
+/**
+ * Runs the feature files over real processes.
+ */
+@Suite
+@IncludeEngines("cucumber")
+@SelectClasspathResource("features")
+@ConfigurationParameter(key = GLUE_PROPERTY_NAME, value = "org.trefoilpost.verify.steps")
+@ConfigurationParameter(key = PLUGIN_PROPERTY_NAME, value = "pretty, json:target/scenarios.json")
+class ScenariosTest {}
--- /dev/null
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Scenarios of the users' promises, run over real processes.
+ */
+package org.trefoilpost.verify;
--- /dev/null
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The steps of the scenarios, in the users' words.
+ */
+package org.trefoilpost.verify.steps;
