Bring the target package into the repository, and test the entry's edges

Cause: the ignore rule for build folders also hid the package entry.target, so a clean clone did not compile. Ruled out: renaming the package; 'target' is the users' word. Variables were read before the flags were known and so had no effect; they are now. The watch waits 4 s, below the configuration's poll interval.

--- a/trefoilpost-cli/src/main/java/org/trefoilpost/cli/Settings.java
+++ b/trefoilpost-cli/src/main/java/org/trefoilpost/cli/Settings.java
@@ -12,7 +12,7 @@
  * The global settings of a command, from flags and, where a flag is absent, from environment variables.
  */
 final class Settings {
-    private static final String DEFAULT_ENTRY = "127.0.0.1:7071";
+    private static final String DEFAULT_ENTRY = "127.0.0.1:8082";
     private static final String DEFAULT_TIMEOUT_SECONDS = "15";
     private static final int MAX_TIMEOUT_SECONDS = 3_600;
 
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/dispatch/PoolDispatcherTest.java
@@ -0,0 +1,242 @@
+package org.trefoilpost.decision.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.admission.AdmissionQueue;
+import org.trefoilpost.decision.admission.AdmissionSettings;
+import org.trefoilpost.decision.admission.TeamQuotas;
+import org.trefoilpost.decision.retry.RetryBudget;
+import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.decision.routing.PoolRouter;
+import org.trefoilpost.decision.routing.RouterSettings;
+import org.trefoilpost.decision.routing.TwoChoicesPolicy;
+import org.trefoilpost.model.DataCentreName;
+import org.trefoilpost.model.Endpoint;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.RackName;
+import org.trefoilpost.model.RegionName;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.request.RequestClass;
+import org.trefoilpost.model.verdict.RefusalReason;
+import org.trefoilpost.model.verdict.UncertaintyReason;
+import org.trefoilpost.model.verdict.Verdict;
+import org.trefoilpost.model.verdict.VerdictKind;
+import org.trefoilpost.model.worker.Resources;
+import org.trefoilpost.model.worker.Worker;
+
+class PoolDispatcherTest {
+    private static final PoolName POOL = PoolName.of("pricing");
+    private static final DataCentreName HOME = DataCentreName.of("dc-1");
+    private static final int SLOTS = 2;
+
+    private final Map<Long, Verdict> verdicts = new HashMap<>();
+    private final Map<Long, StartAttempt> underWay = new HashMap<>();
+    private final Set<Long> cancelled = new HashSet<>();
+    private final Set<Long> inDoubt = new HashSet<>();
+    private final Set<Long> repeatable = new HashSet<>();
+    private final Map<Long, Integer> doubtfulRuns = new HashMap<>();
+
+    @Test
+    void givesARequestWithoutWorkersItsRefusalAtOnce() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 0);
+        take(dispatcher.arrive(request(1, false, 1_000), 0));
+        assertEquals(RefusalReason.NO_WORKER, verdicts.get(1L).refusal().orElseThrow());
+        assertTrue(verdicts.get(1L).retryAfter().isPresent());
+    }
+
+    @Test
+    void triesAnotherWorkerAfterARejection() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 4);
+        take(dispatcher.arrive(request(1, false, 10_000), 0));
+        WorkerId first = underWay.get(1L).worker().id();
+        end(dispatcher, 1, AttemptResult.notStarted(), 1);
+        take(dispatcher.tick(200));
+        assertFalse(first.equals(underWay.get(1L).worker().id()));
+        end(dispatcher, 1, AttemptResult.answered(), 210);
+        assertEquals(VerdictKind.ANSWERED, verdicts.get(1L).kind());
+    }
+
+    @Test
+    void neverRepeatsADoubtfulRequestThatMayNotBeRepeated() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 4);
+        take(dispatcher.arrive(request(1, false, 10_000), 0));
+        end(dispatcher, 1, AttemptResult.doubtful(UncertaintyReason.CONNECTION_LOST), 5);
+        assertEquals(
+                UncertaintyReason.CONNECTION_LOST,
+                verdicts.get(1L).uncertainty().orElseThrow());
+        take(dispatcher.tick(5_000));
+        assertNull(underWay.get(1L));
+    }
+
+    @Test
+    void doubtsARequestThatWasSentBeforeItsDeadline() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 4);
+        take(dispatcher.arrive(request(1, true, 500), 0));
+        take(dispatcher.tick(500));
+        assertEquals(
+                UncertaintyReason.DEADLINE_PASSED,
+                verdicts.get(1L).uncertainty().orElseThrow());
+    }
+
+    @Test
+    void passesOverALateEndOfAnEarlierAttempt() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 4);
+        take(dispatcher.arrive(request(1, true, 10_000), 0));
+        end(dispatcher, 1, AttemptResult.notStarted(), 1);
+        take(dispatcher.tick(200));
+        take(dispatcher.attemptEnded(1, 1, AttemptResult.answered(), 201));
+        assertNull(verdicts.get(1L));
+    }
+
+    @Test
+    void givesALeavingWorkerNothingNew() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 2);
+        dispatcher.leaving(LeavingRegister.empty().withCordon(WorkerId.of("w-0"), 1, true));
+        for (long id = 1; id <= SLOTS; id++) {
+            take(dispatcher.arrive(request(id, true, 10_000), 0));
+            assertEquals("w-1", underWay.get(id).worker().id().text());
+        }
+    }
+
+    @Property(tries = 300, seed = "21")
+    void givesEachRequestOneTruthfulVerdict(@ForAll long seed) {
+        verdicts.clear();
+        underWay.clear();
+        cancelled.clear();
+        inDoubt.clear();
+        repeatable.clear();
+        doubtfulRuns.clear();
+        Random random = new Random(seed);
+        PoolDispatcher dispatcher = dispatcher(random, 4);
+        long nowMillis = 0;
+        long requests = 0;
+        for (int turn = 0; turn < 200; turn++) {
+            nowMillis += random.nextInt(30);
+            switch (random.nextInt(5)) {
+                case 0, 1 -> {
+                    requests++;
+                    boolean mayRepeat = random.nextBoolean();
+                    if (mayRepeat) {
+                        repeatable.add(requests);
+                    }
+                    take(dispatcher.arrive(request(requests, mayRepeat, nowMillis + random.nextInt(400)), nowMillis));
+                }
+                case 2 -> endOne(dispatcher, random, nowMillis);
+                case 3 -> cancelOne(dispatcher, random, requests, nowMillis);
+                default -> take(dispatcher.tick(nowMillis));
+            }
+            assertTrue(underWay.size() <= 4 * SLOTS);
+        }
+        take(dispatcher.tick(nowMillis + 1_000));
+        assertEquals(0, dispatcher.pendingRequests());
+        for (long id = 1; id <= requests; id++) {
+            assertEquals(!cancelled.contains(id), verdicts.containsKey(id), "request " + id);
+        }
+        verdicts.forEach((id, verdict) -> {
+            if (inDoubt.contains(id)) {
+                assertTrue(verdict.kind() != VerdictKind.NOT_RUN, () -> "request " + id + " " + verdict);
+            }
+        });
+        doubtfulRuns.forEach((id, runs) -> assertTrue(runs <= 1 || repeatable.contains(id)));
+    }
+
+    private void endOne(PoolDispatcher dispatcher, Random random, long nowMillis) {
+        if (underWay.isEmpty()) {
+            return;
+        }
+        List<Long> ids = new ArrayList<>(underWay.keySet());
+        long id = ids.get(random.nextInt(ids.size()));
+        AttemptResult result = List.of(
+                        AttemptResult.answered(),
+                        AttemptResult.serverError(),
+                        AttemptResult.notStarted(),
+                        AttemptResult.notSent(),
+                        AttemptResult.notConnected(),
+                        AttemptResult.doubtful(UncertaintyReason.CONNECTION_LOST))
+                .get(random.nextInt(6));
+        if (result.uncertainty().isPresent()) {
+            inDoubt.add(id);
+        }
+        if (result.uncertainty().isPresent() || result.kind() == AttemptResult.Kind.ANSWERED) {
+            doubtfulRuns.merge(id, 1, Integer::sum);
+        }
+        end(dispatcher, id, result, nowMillis);
+    }
+
+    private void cancelOne(PoolDispatcher dispatcher, Random random, long requests, long nowMillis) {
+        long id = 1 + random.nextInt((int) requests + 1);
+        if (id <= requests && !verdicts.containsKey(id)) {
+            cancelled.add(id);
+            take(dispatcher.cancelled(id, nowMillis));
+            underWay.remove(id);
+        }
+    }
+
+    private void end(PoolDispatcher dispatcher, long id, AttemptResult result, long nowMillis) {
+        StartAttempt attempt = underWay.remove(id);
+        take(dispatcher.attemptEnded(id, attempt.attempt(), result, nowMillis));
+    }
+
+    private void take(List<DispatchAction> actions) {
+        for (DispatchAction action : actions) {
+            long id = action.requestId();
+            if (action instanceof StartAttempt start) {
+                assertFalse(verdicts.containsKey(id) || cancelled.contains(id), "an attempt after the end of " + id);
+                underWay.put(id, start);
+            } else if (action instanceof AbandonAttempt) {
+                underWay.remove(id);
+                inDoubt.add(id);
+            } else if (action instanceof Conclude conclusion) {
+                assertNull(verdicts.put(id, conclusion.verdict()), "a second verdict for " + id);
+                assertFalse(cancelled.contains(id));
+            }
+        }
+    }
+
+    private static DispatchRequest request(long id, boolean mayRepeat, long deadlineMillis) {
+        return DispatchRequest.builder(id, POOL, deadlineMillis)
+                .repeatable(mayRepeat)
+                .requestClass(RequestClass.NORMAL)
+                .build();
+    }
+
+    private static PoolDispatcher dispatcher(Random random, int workers) {
+        AdmissionSettings limits = AdmissionSettings.builder()
+                .maxQueued(6)
+                .initialServiceMillis(10)
+                .build();
+        PoolDispatcher dispatcher = PoolDispatcher.builder()
+                .ownDataCentre(HOME)
+                .router(PoolRouter.of(RouterSettings.defaults(), new TwoChoicesPolicy(), random))
+                .admission(AdmissionQueue.of(limits, TeamQuotas.of(1_000), random))
+                .retryBudget(RetryBudget.of(0.5, 5))
+                .random(random)
+                .build();
+        List<Worker> members = new ArrayList<>();
+        for (int i = 0; i < workers; i++) {
+            members.add(Worker.builder(WorkerId.of("w-" + i))
+                    .rack(RackName.of("r-" + i / 2))
+                    .dataCentre(HOME)
+                    .region(RegionName.of("region"))
+                    .endpoint(Endpoint.of("127.0.0.1", 1_000 + i))
+                    .resources(Resources.of(32, 1_024, 0, SLOTS))
+                    .connections(64)
+                    .build());
+        }
+        dispatcher.members(members, 0);
+        return dispatcher;
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.entry.caller;
 
+import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpHeaderNames;
@@ -82,7 +83,7 @@
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
         long arrivalMillis = clock.nowMillis();
-        return Single.defer(() -> carry(request, factory, arrivalMillis))
+        return Single.defer(() -> carry(context, request, factory, arrivalMillis))
                 .onErrorResume(failure -> Single.succeeded(rejected(failure, factory, arrivalMillis)));
     }
 
@@ -112,9 +113,12 @@
     }
 
     private Single<StreamingHttpResponse> carry(
-            StreamingHttpRequest request, StreamingHttpResponseFactory factory, long arrivalMillis) {
+            HttpServiceContext context,
+            StreamingHttpRequest request,
+            StreamingHttpResponseFactory factory,
+            long arrivalMillis) {
         return read(request, arrivalMillis)
-                .flatMap(read -> submit(read)
+                .flatMap(read -> submit(context, read)
                         .map(outcome -> concluded(outcome, factory, arrivalMillis))
                         .onErrorReturn(failure -> unwritable(failure, factory, arrivalMillis)));
     }
@@ -135,9 +139,11 @@
                 .map(body -> builder.body(body.toByteArray()).build());
     }
 
-    private Single<RequestOutcome> submit(CallerRequest request) {
+    private Single<RequestOutcome> submit(HttpServiceContext context, CallerRequest request) {
         return Single.defer(() -> {
             CompletableFuture<RequestOutcome> outcome = gateway.submit(request);
+            Cancellable watching = context.onClose().subscribe(() -> outcome.cancel(true));
+            outcome.whenComplete((value, failure) -> watching.cancel());
             return Single.fromStage(outcome).beforeCancel(() -> outcome.cancel(true));
         });
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/configuration/ConfigurationDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/configuration/ConfigurationDuty.java
@@ -34,8 +34,7 @@
 public final class ConfigurationDuty implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(ConfigurationDuty.class);
     private static final int RING_CAPACITY = 1_024;
-    private static final long TICK_MILLIS = 250;
-    private static final long WATCH_WAIT_MILLIS = 10_000;
+    private static final long TICK_MILLIS = 100;
 
     private final Duty<Event> duty;
     private final KeyValueStore store;
@@ -157,7 +156,7 @@
         if (revision != null) {
             duty.post(now -> follow(ConfigurationEvent.HeadChanged.of(revision), now));
         } else if (answer.changes().isEmpty()) {
-            long asOfMillis = startMillis + WATCH_WAIT_MILLIS;
+            long asOfMillis = startMillis + StoreWatcher.WAIT.toMillis();
             duty.post(now ->
                     follow(ConfigurationEvent.HeadUnchanged.of(answer.revision(), Math.min(now, asOfMillis)), now));
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/platform/StoreWatcher.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/platform/StoreWatcher.java
@@ -13,7 +13,9 @@
  */
 public final class StoreWatcher implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(StoreWatcher.class);
-    private static final Duration WAIT = Duration.ofSeconds(10);
+    /** The longest wait of a call. */
+    public static final Duration WAIT = Duration.ofSeconds(4);
+
     private static final long FAILURE_DELAY_MILLIS = 500;
 
     private final KeyValueStore store;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/EntryCommand.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/EntryCommand.java
@@ -36,13 +36,11 @@
      */
     public static EntryCommand parse(String[] arguments, Map<String, String> environment) {
         EntryFlags flags = new EntryFlags();
-        JCommander commander = JCommander.newBuilder()
-                .programName("trefoilpost-entry")
-                .addObject(flags)
-                .acceptUnknownOptions(true)
-                .build();
+        JCommander commander = commander(flags);
+        JCommander described = commander(new EntryFlags());
+        described.parse();
         List<SettingsFault> faults = new ArrayList<>();
-        List<String> merged = new ArrayList<>(environmentArguments(commander, arguments, environment));
+        List<String> merged = new ArrayList<>(environmentArguments(described, arguments, environment));
         merged.addAll(Arrays.asList(arguments));
         try {
             commander.parse(merged.toArray(String[]::new));
@@ -52,7 +50,7 @@
         unknownArguments(commander)
                 .forEach(argument -> faults.add(
                         SettingsFault.of(argument, argument, "no flag has this name; --help lists the flags")));
-        unknownVariables(commander, environment)
+        unknownVariables(described, environment)
                 .forEach(variable -> faults.add(
                         SettingsFault.of(variable, environment.get(variable), "no flag has a variable of this name")));
         return new EntryCommand(flags, commander, faults);
@@ -107,6 +105,14 @@
         return new SettingsChecker(flags, faults).check();
     }
 
+    private static JCommander commander(EntryFlags flags) {
+        return JCommander.newBuilder()
+                .programName("trefoilpost-entry")
+                .addObject(flags)
+                .acceptUnknownOptions(true)
+                .build();
+    }
+
     private static List<String> environmentArguments(
             JCommander commander, String[] arguments, Map<String, String> environment) {
         List<String> fromEnvironment = new ArrayList<>();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/EntryFlags.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/settings/EntryFlags.java
@@ -34,7 +34,7 @@
     String grantedWrites = "300";
 
     @Parameter(names = "--claim-shards", description = "Shards of the claim journal, the same at every entry.")
-    String claimShards = "32";
+    String claimShards = "16";
 
     @Parameter(
             names = "--key-retention-seconds",
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/target/AnswerCollector.java
@@ -0,0 +1,189 @@
+package org.trefoilpost.entry.target;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.PublisherSource;
+import java.io.ByteArrayOutputStream;
+
+/**
+ * Collects an answer's body up to a limit, and turns into a stream past it.
+ *
+ * <p>The body is asked for one buffer at a time, so that a slow caller slows the target down once the answer is streamed.
+ */
+final class AnswerCollector implements PublisherSource.Subscriber<Buffer>, PublisherSource<Buffer> {
+    private final int limit;
+    private final Listener listener;
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+    private PublisherSource.Subscription upstream;
+    private PublisherSource.Subscriber<? super Buffer> downstream;
+    private Buffer overflow;
+    private boolean streaming;
+    private boolean ended;
+    private Throwable failure;
+
+    private AnswerCollector(int limit, Listener listener) {
+        this.limit = limit;
+        this.listener = listener;
+    }
+
+    /**
+     * Obtains a collector.
+     *
+     * @param limit  the most bytes that are held
+     * @param listener  what is told of the outcome, not null
+     * @return the collector, not null
+     */
+    static AnswerCollector of(int limit, Listener listener) {
+        return new AnswerCollector(limit, listener);
+    }
+
+    @Override
+    public void onSubscribe(PublisherSource.Subscription subscription) {
+        upstream = subscription;
+        listener.started(subscription::cancel);
+        subscription.request(1);
+    }
+
+    @Override
+    public void onNext(Buffer buffer) {
+        if (streaming) {
+            downstream.onNext(buffer);
+            return;
+        }
+        if (held.size() + buffer.readableBytes() > limit) {
+            overflow = buffer;
+            streaming = true;
+            listener.overflowed(this);
+            return;
+        }
+        byte[] bytes = new byte[buffer.readableBytes()];
+        buffer.readBytes(bytes);
+        held.writeBytes(bytes);
+        upstream.request(1);
+    }
+
+    @Override
+    public void onError(Throwable throwable) {
+        if (!streaming) {
+            listener.failed(throwable);
+            return;
+        }
+        listener.ended(false);
+        end(throwable);
+    }
+
+    @Override
+    public void onComplete() {
+        if (!streaming) {
+            listener.collected(held.toByteArray());
+            return;
+        }
+        listener.ended(true);
+        end(null);
+    }
+
+    @Override
+    public void subscribe(PublisherSource.Subscriber<? super Buffer> subscriber) {
+        subscriber.onSubscribe(new PublisherSource.Subscription() {
+            private boolean first = true;
+
+            @Override
+            public void request(long n) {
+                if (first) {
+                    first = false;
+                    beginStream(subscriber);
+                    requestMore(n - 1);
+                } else {
+                    requestMore(n);
+                }
+            }
+
+            @Override
+            public void cancel() {
+                upstream.cancel();
+                listener.ended(false);
+            }
+        });
+    }
+
+    private void beginStream(PublisherSource.Subscriber<? super Buffer> subscriber) {
+        Buffer start = overflow;
+        overflow = null;
+        Buffer joined = io.servicetalk.buffer.netty.BufferAllocators.PREFER_HEAP_ALLOCATOR.newBuffer(
+                held.size() + start.readableBytes());
+        joined.writeBytes(held.toByteArray());
+        joined.writeBytes(start);
+        subscriber.onNext(joined);
+        synchronized (this) {
+            downstream = subscriber;
+            if (!ended) {
+                return;
+            }
+        }
+        signalEnd();
+    }
+
+    private void requestMore(long n) {
+        if (n > 0) {
+            upstream.request(n);
+        }
+    }
+
+    private void end(Throwable throwable) {
+        synchronized (this) {
+            ended = true;
+            failure = throwable;
+            if (downstream == null) {
+                return;
+            }
+        }
+        signalEnd();
+    }
+
+    private void signalEnd() {
+        if (failure != null) {
+            downstream.onError(failure);
+        } else {
+            downstream.onComplete();
+        }
+    }
+
+    /**
+     * Is told how collecting an answer went.
+     */
+    interface Listener {
+        /**
+         * Is told that the body has begun.
+         *
+         * @param cancel  ends the body when run, not null
+         */
+        void started(Runnable cancel);
+
+        /**
+         * Is told that the whole body is held.
+         *
+         * @param body  the body, not null
+         */
+        void collected(byte[] body);
+
+        /**
+         * Is told that the body is larger than what is held, and goes on as a stream.
+         *
+         * @param stream  the whole body, not null
+         */
+        void overflowed(PublisherSource<Buffer> stream);
+
+        /**
+         * Is told that the body broke off while it was held.
+         *
+         * @param failure  the failure, not null
+         */
+        void failed(Throwable failure);
+
+        /**
+         * Is told that a streamed body has ended.
+         *
+         * @param whole  true if the whole body came
+         */
+        void ended(boolean whole);
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/target/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The targets: sending requests to workers, and asking workers to stop and reboot.
+ */
+package org.trefoilpost.entry.target;
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/caller/CallerServerTest.java
@@ -0,0 +1,214 @@
+package org.trefoilpost.entry.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.concurrent.api.Publisher;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.trefoilpost.entry.metrics.EntryMetrics;
+import org.trefoilpost.entry.request.CallerRequest;
+import org.trefoilpost.entry.request.RequestOutcome;
+import org.trefoilpost.entry.runtime.MillisClock;
+import org.trefoilpost.entry.target.TargetAnswer;
+import org.trefoilpost.model.Endpoint;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.capacity.AvailabilityBudget;
+import org.trefoilpost.model.capacity.FailureDomain;
+import org.trefoilpost.model.configuration.PoolSettings;
+import org.trefoilpost.model.verdict.RefusalReason;
+import org.trefoilpost.model.verdict.UncertaintyReason;
+import org.trefoilpost.model.verdict.Verdict;
+import org.trefoilpost.model.verdict.VerdictKind;
+
+class CallerServerTest {
+    private static final int MAX_BODY_BYTES = 1_000;
+
+    private final EntryMetrics metrics = EntryMetrics.create();
+    private final AtomicInteger submitted = new AtomicInteger();
+    private final HttpClient http = HttpClient.newHttpClient();
+    private CompletableFuture<RequestOutcome> outcome = new CompletableFuture<>();
+    private Optional<RefusalReason> closed = Optional.empty();
+    private CallerRequest last;
+    private CallerServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = CallerServer.start(Endpoint.of("127.0.0.1", 0), new Gateway(), metrics, MillisClock.steady());
+        outcome.complete(RequestOutcome.answered(
+                TargetAnswer.whole(201, List.of(Map.entry("X-Lot", "7")), new byte[] {'o', 'k'})));
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+    }
+
+    @Test
+    void passesTheRequestAndTheWholeAnswerOn() throws Exception {
+        HttpResponse<String> answer = send(request("/pricing/quote?lot=1").header("Accept", "a/b"));
+        assertEquals(201, answer.statusCode());
+        assertEquals("ok", answer.body());
+        assertEquals("answered", header(answer, "Trefoilpost-Verdict"));
+        assertEquals("7", header(answer, "X-Lot"));
+        assertEquals("/quote?lot=1", last.path());
+        assertTrue(last.repeatable());
+        assertTrue(last.headers().stream().anyMatch(header -> header.getValue().equals("a/b")));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "/Nowhere!/x, , , 400, malformed",
+        "/nowhere/x, , , 404, unknown-pool",
+        "/, , , 400, malformed",
+        "/pricing/x, Trefoilpost-Deadline-Millis, soon, 400, malformed",
+        "/pricing/x, Trefoilpost-Deadline-Millis, 0, 504, deadline-past",
+        "/pricing/x, Trefoilpost-Class, hasty, 400, malformed",
+        "/pricing/x, Trefoilpost-Repeatable, maybe, 400, malformed",
+        "/pricing/x, Trefoilpost-Team, No Such!, 400, malformed",
+        "/pricing/x, Idempotency-Key, with space, 400, malformed"
+    })
+    void refusesBadInputAndCountsIt(String path, String name, String value, int status, String reason)
+            throws Exception {
+        HttpRequest.Builder request = request(path);
+        if (name != null) {
+            request.header(name, value);
+        }
+        HttpResponse<String> answer = send(request);
+        assertEquals(status, answer.statusCode());
+        assertEquals("not-run", header(answer, "Trefoilpost-Verdict"));
+        assertEquals(reason, header(answer, "Trefoilpost-Reason"));
+        assertEquals("1", header(answer, "Retry-After"));
+        assertTrue(answer.body().contains("\"detail\""), answer::body);
+        assertEquals(0, submitted.get());
+        assertTrue(metrics.scrape().contains("reason=\"" + reason + "\"} 1.0"));
+    }
+
+    @Test
+    void refusesALargeBodyWithAndWithoutALength() throws Exception {
+        byte[] body = new byte[MAX_BODY_BYTES + 1];
+        HttpRequest.BodyPublisher chunked =
+                HttpRequest.BodyPublishers.ofInputStream(() -> new java.io.ByteArrayInputStream(body));
+        for (HttpRequest.BodyPublisher publisher : List.of(HttpRequest.BodyPublishers.ofByteArray(body), chunked)) {
+            HttpResponse<String> answer = send(request("/pricing/x").POST(publisher));
+            assertEquals(413, answer.statusCode());
+            assertEquals("body-too-large", header(answer, "Trefoilpost-Reason"));
+        }
+        assertEquals(0, submitted.get());
+    }
+
+    @Test
+    void tellsWhyItTakesNoRequests() throws Exception {
+        closed = Optional.of(RefusalReason.SHUTTING_DOWN);
+        HttpResponse<String> answer = send(request("/pricing/x"));
+        assertEquals(503, answer.statusCode());
+        assertEquals("shutting-down", header(answer, "Trefoilpost-Reason"));
+    }
+
+    @Test
+    void writesRefusalsAndDoubts() throws Exception {
+        outcome = CompletableFuture.completedFuture(
+                RequestOutcome.of(Verdict.notRun(RefusalReason.QUEUE_FULL, Duration.ofMillis(2_100))));
+        HttpResponse<String> refused = send(request("/pricing/x"));
+        assertEquals("3", header(refused, "Retry-After"));
+        assertEquals("queue-full", header(refused, "Trefoilpost-Reason"));
+        outcome = CompletableFuture.completedFuture(
+                RequestOutcome.of(Verdict.mayHaveRun(UncertaintyReason.DEADLINE_PASSED)));
+        HttpResponse<String> doubtful = send(request("/pricing/x"));
+        assertEquals(504, doubtful.statusCode());
+        assertEquals("may-have-run", header(doubtful, "Trefoilpost-Verdict"));
+        assertTrue(doubtful.headers().firstValue("Retry-After").isEmpty());
+    }
+
+    @Test
+    void neverSaysNotRunOnceTheRequestWasHandedOn() throws Exception {
+        outcome = CompletableFuture.completedFuture(
+                RequestOutcome.answered(TargetAnswer.whole(200, List.of(Map.entry("Bad\nName", "x")), new byte[0])));
+        HttpResponse<String> answer = send(request("/pricing/x"));
+        assertEquals(VerdictKind.MAY_HAVE_RUN.code(), header(answer, "Trefoilpost-Verdict"));
+    }
+
+    @Test
+    void breaksTheConnectionWhenAStreamBreaks() {
+        Buffer start = BufferAllocators.PREFER_HEAP_ALLOCATOR.wrap(new byte[100]);
+        Publisher<Buffer> broken = Publisher.from(start).concat(Publisher.failed(new IOException("lost")));
+        outcome = CompletableFuture.completedFuture(
+                RequestOutcome.answered(TargetAnswer.streamed(200, List.of(), broken)));
+        assertThrows(IOException.class, () -> send(request("/pricing/x")));
+    }
+
+    @Test
+    void tellsThatACallerIsGone() throws Exception {
+        outcome = new CompletableFuture<>();
+        try (Socket caller = new Socket("127.0.0.1", server.endpoint().port())) {
+            caller.getOutputStream()
+                    .write("GET /pricing/x HTTP/1.1\r\nHost: entry\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            while (submitted.get() == 0) {
+                Thread.sleep(5);
+            }
+        }
+        long endNanos = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+        while (!outcome.isCancelled()) {
+            assertTrue(System.nanoTime() < endNanos, "the request was not cancelled");
+            Thread.sleep(5);
+        }
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + server.endpoint() + path));
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+        return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static String header(HttpResponse<String> answer, String name) {
+        return answer.headers().firstValue(name).orElse("");
+    }
+
+    /**
+     * Gives every request the same outcome.
+     */
+    private final class Gateway implements RequestGateway {
+        @Override
+        public Optional<RefusalReason> closed() {
+            return closed;
+        }
+
+        @Override
+        public Optional<PoolSettings> pool(PoolName pool) {
+            return Optional.of(pool)
+                    .filter(name -> name.text().equals("pricing"))
+                    .map(name -> PoolSettings.builder(name)
+                            .budget(AvailabilityBudget.of(0, FailureDomain.NONE))
+                            .maxBodyBytes(MAX_BODY_BYTES)
+                            .build());
+        }
+
+        @Override
+        public CompletableFuture<RequestOutcome> submit(CallerRequest request) {
+            last = request;
+            submitted.incrementAndGet();
+            return outcome;
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
@@ -0,0 +1,135 @@
+package org.trefoilpost.entry.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataOutputStream;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.entry.metrics.EntryMetrics;
+import org.trefoilpost.model.Endpoint;
+import org.trefoilpost.model.EntryId;
+import org.trefoilpost.model.WorkerId;
+
+class PeerNetworkTest {
+    private static final Endpoint ANY = Endpoint.of("127.0.0.1", 0);
+    private static final EntryId ONE = EntryId.of("e-1");
+    private static final EntryId TWO = EntryId.of("e-2");
+    private static final String REJECTED = "trefoilpost.peer.frames.rejected";
+    private static final long WAIT_SECONDS = 20;
+
+    private final EntryMetrics metrics = EntryMetrics.create();
+    private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+    private PeerNetwork server;
+    private PeerNetwork client;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = PeerNetwork.start(ONE, ANY, "secret", this::received, metrics);
+        client = PeerNetwork.start(TWO, ANY, "secret", (from, message, reply) -> {}, EntryMetrics.create());
+    }
+
+    @AfterEach
+    void close() {
+        client.close();
+        server.close();
+    }
+
+    @Test
+    void carriesMessagesAndReplies() throws Exception {
+        client.connect(ONE, server.endpoint());
+        await(() -> client.connected().contains(ONE));
+        client.send(ONE, ConfigurationWanted.of(4));
+        assertEquals("ConfigurationWanted(4)", take().toString());
+        DrainAnswer answer =
+                (DrainAnswer) client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 1, WorkerId.of("w")), 10_000)
+                        .get(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertEquals(6, answer.inFlight());
+    }
+
+    @Test
+    void rejectsAWrongSecret() throws Exception {
+        PeerNetwork stranger =
+                PeerNetwork.start(EntryId.of("e-3"), ANY, "guess", (from, message, reply) -> {}, EntryMetrics.create());
+        stranger.connect(ONE, server.endpoint());
+        await(() -> metrics.counted(REJECTED, "unauthenticated") > 0);
+        assertTrue(received.isEmpty());
+        stranger.close();
+    }
+
+    @Test
+    void rejectsAnOversizedAndAMalformedFrameAlone() throws Exception {
+        client.connect(ONE, server.endpoint());
+        await(() -> client.connected().contains(ONE));
+        sendRaw(Integer.MAX_VALUE, new byte[8]);
+        await(() -> metrics.counted(REJECTED, "oversized") > 0);
+        sendRaw(3, new byte[] {99, 1, 2});
+        await(() -> metrics.counted(REJECTED, "malformed") > 0);
+        client.send(ONE, ConfigurationWanted.of(5));
+        assertEquals("ConfigurationWanted(5)", take().toString());
+    }
+
+    @Test
+    void knowsThatACallWithoutALinkWasNotSent() {
+        ExecutionException e = assertThrows(
+                ExecutionException.class,
+                () -> client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 1, WorkerId.of("w")), 1_000)
+                        .get(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertFalse(((PeerCallException) e.getCause()).sent());
+    }
+
+    @Test
+    void failsAnOpenCallWhenThePeerGoes() throws Exception {
+        client.connect(ONE, server.endpoint());
+        await(() -> client.connected().contains(ONE));
+        var call = client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 99, WorkerId.of("w")), 60_000);
+        take();
+        server.close();
+        ExecutionException e = assertThrows(ExecutionException.class, () -> call.get(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertTrue(((PeerCallException) e.getCause()).sent());
+    }
+
+    private void received(EntryId from, PeerMessage message, java.util.function.Consumer<PeerReply> reply) {
+        received.add(message);
+        if (message instanceof DrainQuery query && query.step() != 99) {
+            reply.accept(DrainAnswer.of(query.callId(), 1, 6));
+        }
+    }
+
+    private void sendRaw(int length, byte[] frame) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", server.endpoint().port())) {
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(length);
+            out.write(frame);
+            out.flush();
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            while (socket.getInputStream().read() >= 0) {
+                // Reads the challenge, then waits for the other end to close.
+            }
+        }
+    }
+
+    private PeerMessage take() throws InterruptedException {
+        PeerMessage message = received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertTrue(message != null, "no message came");
+        return message;
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < endNanos, "the condition did not come true");
+            Thread.sleep(10);
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/runtime/DutyTest.java
@@ -0,0 +1,103 @@
+package org.trefoilpost.entry.runtime;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class DutyTest {
+    private static final long WAIT_SECONDS = 20;
+
+    private final Duty<Runnable> duty = Duty.of("test", 4, MillisClock.steady());
+
+    @AfterEach
+    void close() {
+        duty.close();
+    }
+
+    @Test
+    void refusesWhenItsRingIsFullButTakesCompletions() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        CountDownLatch entered = new CountDownLatch(1);
+        duty.start((event, now) -> event.run());
+        duty.offer(() -> {
+            entered.countDown();
+            awaitQuietly(release);
+        });
+        entered.await();
+        AtomicInteger handled = new AtomicInteger();
+        int taken = 0;
+        while (duty.offer(handled::incrementAndGet)) {
+            taken++;
+        }
+        assertEquals(4, taken);
+        CountDownLatch completed = new CountDownLatch(1);
+        duty.post(completed::countDown);
+        release.countDown();
+        assertTrue(completed.await(WAIT_SECONDS, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void losesNoEventOfManyThreads() throws Exception {
+        int threads = 4;
+        int each = 5_000;
+        AtomicInteger handled = new AtomicInteger();
+        CountDownLatch all = new CountDownLatch(threads * each);
+        duty.start((event, now) -> event.run());
+        for (int i = 0; i < threads; i++) {
+            new Thread(() -> {
+                        for (int j = 0; j < each; j++) {
+                            duty.post(() -> {
+                                handled.incrementAndGet();
+                                all.countDown();
+                            });
+                        }
+                    })
+                    .start();
+        }
+        assertTrue(all.await(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(threads * each, handled.get());
+    }
+
+    @Test
+    void firesTimersInOrderAndGoesOnAfterAFailure() throws Exception {
+        List<String> fired = new ArrayList<>();
+        CountDownLatch done = new CountDownLatch(2);
+        duty.start((event, now) -> event.run());
+        duty.post(() -> {
+            long now = MillisClock.steady().nowMillis();
+            duty.schedule(now + 40, () -> {
+                fired.add("late");
+                done.countDown();
+            });
+            duty.schedule(now + 10, () -> {
+                fired.add("early");
+                done.countDown();
+                throw new IllegalStateException("a handler failed");
+            });
+        });
+        assertTrue(done.await(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(List.of("early", "late"), fired);
+    }
+
+    @Test
+    void takesNothingOnceClosed() {
+        duty.close();
+        assertFalse(duty.offer(() -> {}));
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
