Notice a restore by an archive, and replace an archive that it lost

Cause: a longer run of the interleavings with restores found two faults: an owner whose archive was gone wrote it anew without noticing the restore, and an owner whose restored tail named a lost archive (a delayed write had met the restored revision) gave the shard up although it knew all claims. Ruled out: treating every missing archive so, since an entry that never owned the shard can't know its claims. Change: an archive that is gone or older than its owner's write starts a recovery; an owner that knows the claims drops the archives of such a tail and writes all claims again.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/JournalListener.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/JournalListener.java
@@ -20,8 +20,8 @@
     /** Tells that the last write never took effect and that the journal is being recovered anew. */
     void recoveryStarted();
 
-    /** Tells that this entry owns the shard, with all claims that the journal holds. */
-    void recovered(long epoch, List<ClaimRecord> claims);
+    /** Tells that this entry owns the shard, with the claims that stay in the journal and those that must be rewritten. */
+    void recovered(long epoch, List<ClaimRecord> durable, List<ClaimRecord> stranded);
 
     /** Tells that this entry does not own the shard. */
     void ownershipLost(long epoch, Optional<EntryId> successor);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ShardClaims.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ShardClaims.java
@@ -213,13 +213,10 @@
     }
 
     @Override
-    public void recovered(long epoch, List<ClaimRecord> claims) {
+    public void recovered(long epoch, List<ClaimRecord> durable, List<ClaimRecord> stranded) {
         table.all().forEach(claim -> claim.markDurable(false));
-        for (ClaimRecord found : claims) {
-            Claim claim = table.find(found.key()).orElseGet(() -> table.add(found, ClaimStage.UNKNOWN));
-            foundElsewhere(claim, found);
-            claim.markDurable(true);
-        }
+        stranded.forEach(this::found);
+        durable.forEach(claimRecord -> found(claimRecord).markDurable(true));
         unrecorded.clear();
         for (Claim claim : table.all()) {
             if (claim.stage().isKept() && !claim.isDurable()) {
@@ -229,6 +226,12 @@
         actions.add(OwnershipGained.of(epoch));
     }
 
+    private Claim found(ClaimRecord found) {
+        Claim claim = table.find(found.key()).orElseGet(() -> table.add(found, ClaimStage.UNKNOWN));
+        foundElsewhere(claim, found);
+        return claim;
+    }
+
     @Override
     public void ownershipLost(long epoch, Optional<EntryId> successor) {
         for (Claim claim : table.all()) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ShardJournal.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/claim/ShardJournal.java
@@ -36,6 +36,8 @@
     private PendingCall call;
     private boolean deletedLast;
     private boolean restoreReported;
+    private boolean knowsClaims;
+    private boolean archiveMissing;
 
     ShardJournal(int shard, EntryId self, long incarnation, ClaimSettings settings, JournalListener listener) {
         this.shard = shard;
@@ -65,6 +67,7 @@
 
     void acquire() {
         if (phase == JournalPhase.RELEASED) {
+            knowsClaims = false;
             startRecovery();
         }
     }
@@ -185,6 +188,7 @@
         epoch = sealed.epoch();
         observe(epoch);
         restoreReported = false;
+        archiveMissing = false;
         tailRevision = revision;
         tailClaims = sealed.claims();
         archives.reset(sealed.first(), sealed.last());
@@ -199,10 +203,16 @@
             call = PendingCall.read(JournalStep.RECOVER_ARCHIVE, keys.archive(sequence), wanted);
             return;
         }
-        List<ClaimRecord> all = Segment.joined(recovered, tailClaims);
+        List<ClaimRecord> archived = recovered;
         recovered = new ArrayList<>();
         phase = JournalPhase.OWNED;
-        listener.recovered(epoch, all);
+        knowsClaims = true;
+        if (archiveMissing) {
+            archives.reset(archives.last() + 1, archives.last());
+            listener.recovered(epoch, tailClaims, archived);
+        } else {
+            listener.recovered(epoch, Segment.joined(archived, tailClaims), List.of());
+        }
     }
 
     private void handleBatchWritten(Segment written, long revision, long nowMillis) {
@@ -277,11 +287,16 @@
     }
 
     private void handleRecovered(PendingCall done, Optional<Segment> found, long revision) {
+        long sequence = done.segment().last();
+        if (found.isEmpty() && knowsClaims) {
+            archiveMissing = true;
+            recoverArchive(sequence + 1);
+            return;
+        }
         if (found.isEmpty()) {
             refuse(done.storeKey(), JournalFault.MISSING);
             return;
         }
-        long sequence = done.segment().last();
         archives.put(sequence, revision, found.get().claims());
         recovered.addAll(found.get().claims());
         recoverArchive(sequence + 1);
@@ -313,11 +328,20 @@
         } else if (found.isPresent() && found.get().epoch() > epoch) {
             observe(found.get().epoch());
             call = PendingCall.read(JournalStep.RESOLVE_BATCH, keys.tail(), attempted);
+        } else if (isArchiveLost(attempted.last(), found)) {
+            reportRestore(epoch);
+            startRecovery();
         } else {
             call = PendingCall.write(JournalStep.WRITE_ARCHIVE, done.storeKey(), revision, attempted);
         }
     }
 
+    /** Returns whether an archive that this entry wrote or read is gone or has become an older one of its own. */
+    private boolean isArchiveLost(long sequence, Optional<Segment> found) {
+        boolean known = archives.revisionOf(sequence) != 0;
+        return known && (found.isEmpty() || found.get().stamp().incarnation() == incarnation);
+    }
+
     private void refuse(String storeKey, JournalFault fault) {
         listener.journalRefused(storeKey, fault);
         release(Optional.empty());
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/claim/ClaimFencingTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/claim/ClaimFencingTest.java
@@ -148,6 +148,43 @@
         assertTrue(second.all(Dispatch.class).isEmpty());
     }
 
+    @Test
+    void ownerNoticesARestoreByItsArchiveAlso() {
+        ShardHarness second = new ShardHarness(
+                store, "second", 2, ShardHarness.settings().tailBytes(80).build());
+        second.own();
+        store.backUp();
+        second.run("a", 1).run("b", 2).run("c", 3).run("d", 4).run("e", 5);
+        assertTrue(store.revisionOf("trefoilpost/claims/0/000000000001") > 0);
+        store.restore();
+        second.request("f", 6, 5_000).send(RequestCancelled.of("f")).settle();
+        assertEquals(1, second.all(StoreRestored.class).size());
+        ShardHarness third = ShardHarness.owner(store, "third", 3);
+        for (int i = 1; i <= 5; i++) {
+            third.request("t" + i, i, 500).settle();
+        }
+        assertTrue(third.all(Dispatch.class).isEmpty());
+    }
+
+    @Test
+    void ownerWithMemoryReplacesAnArchiveThatARestoreLost() {
+        ShardHarness second = new ShardHarness(
+                store, "second", 2, ShardHarness.settings().tailBytes(80).build());
+        second.own().run("a", 1).run("b", 2).run("c", 3).run("d", 4);
+        store.backUp();
+        second.run("e", 5);
+        store.restore();
+        store.values().remove("trefoilpost/claims/0/000000000001");
+        second.run("f", 6).pass(1_000).settle();
+        assertTrue(second.dispatched("f"));
+        ShardHarness third = ShardHarness.owner(store, "third", 3);
+        for (int i = 1; i <= 6; i++) {
+            third.request("t" + i, i, 500).settle();
+        }
+        assertTrue(third.shard().isOwner());
+        assertTrue(third.all(Dispatch.class).isEmpty());
+    }
+
     @Test
     void ownerNeverReusesAnEpochOfALostHistory() {
         store.backUp();
