Let the test of a lost archive reach the archive

Cause: the test passed with the check of the archive taken out, because its owner wrote the tail before the archive. Change: one more claim before the restore, so that the next write is one of the archive. As a trial with the check taken out, the test now fails. Conclusion: none beyond the test.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/claim/ClaimFencingTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/claim/ClaimFencingTest.java
@@ -154,13 +154,13 @@
                 store, "second", 2, ShardHarness.settings().tailBytes(80).build());
         second.own();
         store.backUp();
-        second.run("a", 1).run("b", 2).run("c", 3).run("d", 4).run("e", 5);
+        second.run("a", 1).run("b", 2).run("c", 3).run("d", 4).run("e", 5).run("f", 6);
         assertTrue(store.revisionOf("trefoilpost/claims/0/000000000001") > 0);
         store.restore();
-        second.request("f", 6, 5_000).send(RequestCancelled.of("f")).settle();
+        second.request("g", 7, 5_000).send(RequestCancelled.of("g")).settle();
         assertEquals(1, second.all(StoreRestored.class).size());
         ShardHarness third = ShardHarness.owner(store, "third", 3);
-        for (int i = 1; i <= 5; i++) {
+        for (int i = 1; i <= 6; i++) {
             third.request("t" + i, i, 500).settle();
         }
         assertTrue(third.all(Dispatch.class).isEmpty());
