Make loans beside the first batch of a wave

Cause: A loan in a batch of its own held every pool's spare for longer, so loans for cost never paid. Ruled out: Loans for cost as the default: they trade moves for buffer cost. Change: Loans run beside a first batch of maintenance, and go back beside the batches that other pools still need. All tests of the module pass.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/planner/LeastCostStrategy.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/planner/LeastCostStrategy.java
@@ -4,7 +4,9 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.trefoilpost.decision.plan.PlanStep;
 import org.trefoilpost.decision.plan.StepKind;
 import org.trefoilpost.model.PoolName;
@@ -76,7 +78,7 @@
     }
 
     private List<DraftLoan> candidates(FleetSnapshot snapshot, Set<PoolName> pools, Attempt present) {
-        FleetDraft draft = lent(snapshot, pools, present.loans);
+        FleetDraft draft = lent(snapshot, pools, present.loans, new HashSet<>());
         List<DraftLoan> candidates = new ArrayList<>();
         List<DraftPool> borrowers = pools.stream()
                 .map(draft::pool)
@@ -90,7 +92,9 @@
         return candidates;
     }
 
-    private static FleetDraft lent(FleetSnapshot snapshot, Set<PoolName> pools, List<DraftLoan> loans) {
+    /** Begins a draft with the loans and, beside them, a first batch of maintenance. */
+    private static FleetDraft lent(
+            FleetSnapshot snapshot, Set<PoolName> pools, List<DraftLoan> loans, Set<WorkerId> left) {
         Set<PoolName> all = new HashSet<>(snapshot.inventory().pools().keySet());
         all.addAll(pools);
         FleetDraft draft = new FleetDraft(snapshot, all);
@@ -98,10 +102,23 @@
             draft.member(loan.worker())
                     .ifPresent(member -> draft.tryShift(StepKind.LOAN, member, draft.pool(loan.borrower())));
         }
+        for (DraftPool pool : draft.pools()) {
+            List<List<DraftMember>> partition =
+                    PoolPartition.of(pool, member -> draft.idle(member) && left.contains(member.worker()));
+            partition.stream().max(Comparator.comparingInt(List::size)).ifPresent(batch -> stop(draft, batch, left));
+        }
         draft.endBatch();
         return draft;
     }
 
+    private static void stop(FleetDraft draft, List<DraftMember> batch, Set<WorkerId> left) {
+        for (DraftMember member : batch) {
+            if (draft.tryStop(StepKind.MAINTAIN, member)) {
+                left.remove(member.worker());
+            }
+        }
+    }
+
     private static int deficit(DraftPool pool) {
         return pool.members().stream()
                 .filter(DraftMember::free)
@@ -112,37 +129,44 @@
     }
 
     private static Attempt attempt(FleetSnapshot snapshot, Set<PoolName> pools, List<DraftLoan> loans) {
-        FleetDraft draft = loans.isEmpty() ? new FleetDraft(snapshot, pools) : lent(snapshot, pools, loans);
-        Set<WorkerId> wanted = new HashSet<>();
-        pools.forEach(pool -> snapshot.inventory().pool(pool).members().forEach(member -> wanted.add(member.worker())));
+        Set<WorkerId> left = wanted(snapshot, pools);
+        FleetDraft draft = loans.isEmpty() ? new FleetDraft(snapshot, pools) : lent(snapshot, pools, loans, left);
         int deficit = pools.stream().mapToInt(pool -> deficit(draft.pool(pool))).sum();
-        maintain(draft, wanted);
-        giveBack(draft, loans);
+        maintain(draft, left, loans);
         return new Attempt(loans, deficit, WaveDraft.of(draft));
     }
 
-    private static void maintain(FleetDraft draft, Set<WorkerId> wanted) {
-        List<List<List<DraftMember>>> partitions = new ArrayList<>();
+    private static Set<WorkerId> wanted(FleetSnapshot snapshot, Set<PoolName> pools) {
+        Set<WorkerId> wanted = new HashSet<>();
+        pools.forEach(pool -> snapshot.inventory().pool(pool).members().forEach(member -> wanted.add(member.worker())));
+        return wanted;
+    }
+
+    private static void maintain(FleetDraft draft, Set<WorkerId> left, List<DraftLoan> loans) {
+        Map<PoolName, List<List<DraftMember>>> partitions = new TreeMap<>();
         for (DraftPool pool : draft.pools()) {
-            partitions.add(PoolPartition.of(pool, member -> wanted.contains(member.worker())));
+            partitions.put(pool.name(), PoolPartition.of(pool, member -> left.contains(member.worker())));
         }
-        int batches = partitions.stream().mapToInt(List::size).max().orElse(0);
+        int batches = partitions.values().stream().mapToInt(List::size).max().orElse(0);
+        List<DraftLoan> open = new ArrayList<>(loans);
         for (int batch = 0; batch < batches; batch++) {
-            for (List<List<DraftMember>> partition : partitions) {
+            int present = batch;
+            open.removeIf(loan -> partitions.get(loan.borrower()).size() <= present && giveBack(draft, loan));
+            for (List<List<DraftMember>> partition : partitions.values()) {
                 if (batch < partition.size()) {
-                    partition.get(batch).forEach(member -> draft.tryStop(StepKind.MAINTAIN, member));
+                    stop(draft, partition.get(batch), left);
                 }
             }
             draft.endBatch();
         }
+        open.forEach(loan -> giveBack(draft, loan));
+        draft.endBatch();
     }
 
-    private static void giveBack(FleetDraft draft, List<DraftLoan> loans) {
-        for (DraftLoan loan : loans) {
-            draft.member(loan.worker())
-                    .ifPresent(member -> draft.tryShift(StepKind.RETURN, member, draft.pool(loan.lender())));
-        }
-        draft.endBatch();
+    private static boolean giveBack(FleetDraft draft, DraftLoan loan) {
+        return draft.member(loan.worker())
+                .map(member -> draft.tryShift(StepKind.RETURN, member, draft.pool(loan.lender())))
+                .orElse(false);
     }
 
     /**
