Repair pools under their budget, and follow the capacity side's rules for resuming and sweeping

Cause: a pool under its floor after a failure got no plan; a plan taken up by another entry could time steps out before its acts were answered; stops of ended plans could stay in a ledger. Ruled out: repairs by every entry at once; the responsible entry makes them, and the index's revision settles a race. Change: Repairs (offered, or run under the pool's standing consent), LedgerSweep, PlanRuns with the pools' own drain and reboot limits and 5 s without timeouts after a take-up; drain queries carry the cordon; workers that plans hold out of service count as failed. A caller that closes its connection cancels its request. Conclusion: the fleet repairs itself within the consent that its operators gave.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryFleetPorts.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryFleetPorts.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.trefoilpost.decision.plan.PlanDigest;
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.entry.fleet.Cordon;
 import org.trefoilpost.entry.fleet.DrainCount;
@@ -67,9 +66,13 @@
     }
 
     @Override
-    public CompletableFuture<DrainCount> askInFlight(EntryId peer, PlanDigest plan, int step, WorkerId worker) {
+    public CompletableFuture<DrainCount> askInFlight(EntryId peer, Cordon cordon) {
         return duties.network()
-                .call(peer, callId -> DrainQuery.of(callId, plan, step, worker), CALL_TIMEOUT_MILLIS)
+                .call(
+                        peer,
+                        callId ->
+                                DrainQuery.of(callId, cordon.plan(), cordon.step(), cordon.attempt(), cordon.worker()),
+                        CALL_TIMEOUT_MILLIS)
                 .thenApply(reply -> {
                     DrainAnswer answer = (DrainAnswer) reply;
                     return DrainCount.of(answer.acknowledged(), answer.inFlight());
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryPeerHandler.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryPeerHandler.java
@@ -60,7 +60,7 @@
             forwarded(forward, reply);
         } else if (message instanceof DrainQuery query) {
             duties.fleet()
-                    .drainCount(query.plan(), query.step(), query.worker())
+                    .drainCount(Cordon.of(query.plan(), query.step(), query.attempt(), query.worker(), true))
                     .thenAccept(count ->
                             reply.accept(DrainAnswer.of(query.callId(), count.acknowledged(), count.inFlight())));
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
@@ -142,7 +142,7 @@
     private Single<RequestOutcome> submit(HttpServiceContext context, CallerRequest request) {
         return Single.defer(() -> {
             CompletableFuture<RequestOutcome> outcome = gateway.submit(request);
-            Cancellable watching = context.onClose().subscribe(() -> outcome.cancel(true));
+            Cancellable watching = context.onClosing().subscribe(() -> outcome.cancel(true));
             outcome.whenComplete((value, failure) -> watching.cancel());
             return Single.fromStage(outcome).beforeCancel(() -> outcome.cancel(true));
         });
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
@@ -1,37 +1,23 @@
 package org.trefoilpost.entry.fleet;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.trefoilpost.decision.claim.ShardMap;
 import org.trefoilpost.decision.event.FleetEvent;
 import org.trefoilpost.decision.inventory.RackInventory;
 import org.trefoilpost.decision.inventory.RackInventoryCodec;
-import org.trefoilpost.decision.plan.ConfirmedPlan;
 import org.trefoilpost.decision.plan.PlanDigest;
 import org.trefoilpost.decision.plan.PlanIndex;
 import org.trefoilpost.decision.plan.PlanIndexCodec;
-import org.trefoilpost.decision.wave.BudgetExceeded;
-import org.trefoilpost.decision.wave.WaveEvent;
-import org.trefoilpost.decision.wave.WaveLimits;
-import org.trefoilpost.decision.wave.WaveResumed;
 import org.trefoilpost.decision.wave.WaveState;
-import org.trefoilpost.decision.wave.WaveStepper;
-import org.trefoilpost.decision.wave.WaveTick;
-import org.trefoilpost.entry.log.EventLog;
-import org.trefoilpost.entry.log.LogEvent;
 import org.trefoilpost.entry.platform.StoreWatcher;
 import org.trefoilpost.entry.platform.StoredValue;
 import org.trefoilpost.entry.platform.WatchAnswer;
 import org.trefoilpost.entry.runtime.Duty;
-import org.trefoilpost.model.EntryId;
-import org.trefoilpost.model.PoolName;
 import org.trefoilpost.model.RackName;
 import org.trefoilpost.model.WorkerId;
 import org.trefoilpost.model.configuration.Configuration;
@@ -41,21 +27,20 @@
  * The duty that knows the fleet and executes confirmed plans. Its methods may be called from any thread.
  */
 public final class FleetDuty implements PlanRun.Host, AutoCloseable {
-    private static final EventLog LOG = EventLog.of(FleetDuty.class);
     private static final int RING_CAPACITY = 4_096;
     private static final long LIST_INTERVAL_MILLIS = 1_000;
     private static final long LOAD_RETRY_MILLIS = 500;
     private static final long TICK_MILLIS = 250;
-    private static final int EXECUTION_SHARDS = 1_024;
 
     private final FleetContext context;
     private final Duty<Consumer<Long>> duty;
     private final FleetState state = new FleetState();
     private final CordonBook cordons;
-    private final StepActs acts;
-    private final WaveStepper stepper = WaveStepper.of(WaveLimits.DEFAULT);
     private final EventRecorder events;
-    private final Map<PlanDigest, PlanRun> runs = new HashMap<>();
+    private final Responsibility responsibility;
+    private final PlanRuns plans;
+    private final LedgerSweep sweep;
+    private final Repairs repairs;
     private volatile StoreWatcher watcher;
     private boolean planStopsAllowed;
 
@@ -63,8 +48,13 @@
         this.context = context;
         this.duty = Duty.of("fleet", RING_CAPACITY, context.clock());
         this.cordons = new CordonBook(context.ports());
-        this.acts = new StepActs(context, state, cordons);
         this.events = new EventRecorder(context.store());
+        this.responsibility = new Responsibility(context.entry(), context.ports());
+        StepActs acts = new StepActs(context, state, cordons);
+        this.plans = new PlanRuns(context, state, acts, this, responsibility);
+        this.sweep = new LedgerSweep(context.store(), state, responsibility, this);
+        PlanDesk desk = PlanDesk.of(this, context.store(), context.clock());
+        this.repairs = new Repairs(state, responsibility, desk, this);
     }
 
     /**
@@ -123,18 +113,19 @@
     }
 
     /**
-     * Returns how many requests this entry has in flight on a cordoned worker.
+     * Takes in a cordon, then returns how many requests this entry has in flight on its worker.
      *
-     * @param plan  the digest of the plan, not null
-     * @param step  the number of the step
-     * @param worker  the worker, not null
+     * @param cordon  the cordon, not null
      * @return the count, not null
      */
-    public CompletableFuture<DrainCount> drainCount(PlanDigest plan, int step, WorkerId worker) {
-        return ask(fleet -> cordons.acknowledged(plan, step))
+    public CompletableFuture<DrainCount> drainCount(Cordon cordon) {
+        return ask(fleet -> {
+                    cordons.apply(cordon);
+                    return cordons.acknowledged(cordon.plan(), cordon.step());
+                })
                 .thenCompose(acknowledged -> context.ports()
                         .inFlight()
-                        .thenApply(counts -> DrainCount.of(acknowledged, counts.getOrDefault(worker, 0))));
+                        .thenApply(counts -> DrainCount.of(acknowledged, counts.getOrDefault(cordon.worker(), 0))));
     }
 
     /**
@@ -165,16 +156,6 @@
         return ask(fleet -> cordons.workers());
     }
 
-    /**
-     * Hands an event to the plan that this entry executes; other entries read it from the plan's document.
-     *
-     * @param plan  the digest of the plan, not null
-     * @param event  the event, not null
-     */
-    void planEvent(PlanDigest plan, WaveEvent event) {
-        duty.post(now -> Optional.ofNullable(runs.get(plan)).ifPresent(run -> run.apply(event, now)));
-    }
-
     /**
      * Records events.
      *
@@ -258,7 +239,7 @@
             return;
         }
         Adoption.due(state).forEach((rack, inventory) -> {
-            if (isResponsible(rack.text())) {
+            if (responsibility.isOurs(rack.text())) {
                 adopt(rack, inventory);
             }
         });
@@ -317,53 +298,13 @@
 
     private void tick(long nowMillis) {
         duty.schedule(nowMillis + TICK_MILLIS, this::tick);
-        runs.values().removeIf(PlanRun::isEnded);
-        if (!planStopsAllowed || !isLoaded()) {
-            return;
-        }
-        for (ConfirmedPlan plan : state.documents().index().document().plans()) {
-            if (!plan.ended()) {
-                tick(plan.digest(), nowMillis);
-            }
-        }
-    }
-
-    private void tick(PlanDigest digest, long nowMillis) {
-        Versioned<WaveState> present = state.documents().plans().get(digest);
-        if (!isResponsible(digest.text()) || present == null) {
-            runs.remove(digest);
-            return;
-        }
-        PlanRun run = runs.get(digest);
-        if (run == null) {
-            run = new PlanRun(context, stepper, acts, this, present);
-            runs.put(digest, run);
-            LOG.info(LogEvent.of("plan-executed-here").with("plan", digest.text()));
-            run.apply(WaveResumed.INSTANCE, nowMillis);
-        }
-        tellExceeded(run, present.document(), nowMillis);
-        run.apply(WaveTick.INSTANCE, nowMillis);
-    }
-
-    private void tellExceeded(PlanRun run, WaveState wave, long nowMillis) {
-        for (PoolName pool : wave.plan().touchedPools()) {
-            int headroom = state.figures(pool).headroom();
-            if (headroom < 0) {
-                run.apply(BudgetExceeded.of(pool, -headroom), nowMillis);
-            }
+        if (planStopsAllowed && isLoaded()) {
+            plans.tick(nowMillis);
+            sweep.tick(nowMillis);
+            repairs.tick(nowMillis);
         }
     }
 
-    /** Returns whether this entry is the one of the live entries that looks after something. */
-    private boolean isResponsible(String name) {
-        Set<EntryId> live = context.ports().liveEntries();
-        ShardMap entries = ShardMap.of(EXECUTION_SHARDS, live);
-        int shard = Math.floorMod(name.hashCode(), EXECUTION_SHARDS);
-        return entries.preferredOwner(shard)
-                .map(owner -> owner.equals(context.entry()))
-                .orElse(true);
-    }
-
     /**
      * What was seen of the workers at one time.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
@@ -3,7 +3,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.trefoilpost.decision.plan.PlanDigest;
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.model.EntryId;
 import org.trefoilpost.model.PoolName;
@@ -64,13 +63,11 @@
     void tellCordon(Cordon cordon);
 
     /**
-     * Asks a peer how many requests it has in flight on a cordoned worker.
+     * Tells a peer of a cordon, and asks how many requests it has in flight on the cordoned worker.
      *
      * @param peer  the peer, not null
-     * @param plan  the digest of the plan, not null
-     * @param step  the number of the step
-     * @param worker  the worker, not null
+     * @param cordon  the cordon, not null
      * @return the report, not null; fails if the peer can't be asked
      */
-    CompletableFuture<DrainCount> askInFlight(EntryId peer, PlanDigest plan, int step, WorkerId worker);
+    CompletableFuture<DrainCount> askInFlight(EntryId peer, Cordon cordon);
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
@@ -65,9 +65,14 @@
      * @return the view, not null
      */
     InventoryView inventory() {
+        Set<WorkerId> outOfService = new HashSet<>(ejected);
+        documents
+                .plans()
+                .values()
+                .forEach(plan -> outOfService.addAll(plan.document().unavailableWorkers()));
         Map<WorkerId, WorkerHealth> health = new HashMap<>();
         listed.forEach((id, worker) -> health.put(
-                id, WorkerHealth.of(worker.state(), worker.state() != WorkerState.GONE, !ejected.contains(id))));
+                id, WorkerHealth.of(worker.state(), worker.state() != WorkerState.GONE, !outOfService.contains(id))));
         return InventoryView.of(FleetDocuments.plain(documents.inventories()).values(), health);
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanDesk.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanDesk.java
@@ -104,7 +104,13 @@
         return fleet.ask(FleetState::snapshot).thenApply(snapshot -> planner.plan(intent, snapshot, nowMillis));
     }
 
-    private CompletableFuture<Plan> keep(Plan plan) {
+    /**
+     * Keeps a plan for its confirmation.
+     *
+     * @param plan  the plan, not null
+     * @return the plan, not null
+     */
+    CompletableFuture<Plan> keep(Plan plan) {
         String key = FleetKeys.proposal(plan.digest());
         return store.grantLease(PROPOSAL_LIFE)
                 .thenCompose(lease -> store.write(key, 0, PlanCodec.encode(plan), Optional.of(lease)))
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanRun.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanRun.java
@@ -34,18 +34,26 @@
     private final WaveStepper stepper;
     private final StepActs acts;
     private final Host host;
+    private final long beganMillis;
     private final Set<String> actsUnderWay = new HashSet<>();
     private final Deque<WaveEvent> waiting = new ArrayDeque<>();
     private Versioned<WaveState> present;
     private boolean saving;
     private boolean ended;
 
-    PlanRun(FleetContext context, WaveStepper stepper, StepActs acts, Host host, Versioned<WaveState> present) {
+    PlanRun(
+            FleetContext context,
+            WaveStepper stepper,
+            StepActs acts,
+            Host host,
+            Versioned<WaveState> present,
+            long beganMillis) {
         this.context = context;
         this.stepper = stepper;
         this.acts = acts;
         this.host = host;
         this.present = present;
+        this.beganMillis = beganMillis;
     }
 
     /**
@@ -57,6 +65,15 @@
         return ended;
     }
 
+    /**
+     * Returns when this entry took the plan up.
+     *
+     * @return the time in milliseconds since 1970
+     */
+    long beganMillis() {
+        return beganMillis;
+    }
+
     /**
      * Returns the plan's digest.
      *
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanRuns.java
@@ -0,0 +1,106 @@
+package org.trefoilpost.entry.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.trefoilpost.decision.plan.ConfirmedPlan;
+import org.trefoilpost.decision.plan.Plan;
+import org.trefoilpost.decision.plan.PlanDigest;
+import org.trefoilpost.decision.wave.BudgetExceeded;
+import org.trefoilpost.decision.wave.WaveLimits;
+import org.trefoilpost.decision.wave.WaveResumed;
+import org.trefoilpost.decision.wave.WaveState;
+import org.trefoilpost.decision.wave.WaveStepper;
+import org.trefoilpost.decision.wave.WaveTick;
+import org.trefoilpost.entry.log.EventLog;
+import org.trefoilpost.entry.log.LogEvent;
+import org.trefoilpost.model.PoolName;
+import org.trefoilpost.model.configuration.PoolSettings;
+
+/**
+ * The confirmed plans that this entry executes. The duty's thread owns it.
+ */
+final class PlanRuns {
+    private static final EventLog LOG = EventLog.of(PlanRuns.class);
+    /** The time for which a plan that is taken up gets no timeouts, so that its acts can be answered first. */
+    private static final long RESUME_MILLIS = 5_000;
+
+    private static final Duration ADMIT_TIMEOUT = Duration.ofHours(4);
+
+    private final FleetContext context;
+    private final FleetState state;
+    private final StepActs acts;
+    private final PlanRun.Host host;
+    private final Responsibility responsibility;
+    private final Map<PlanDigest, PlanRun> runs = new HashMap<>();
+
+    PlanRuns(FleetContext context, FleetState state, StepActs acts, PlanRun.Host host, Responsibility responsibility) {
+        this.context = context;
+        this.state = state;
+        this.acts = acts;
+        this.host = host;
+        this.responsibility = responsibility;
+    }
+
+    /**
+     * Moves the plans on that are this entry's to execute.
+     *
+     * @param nowMillis  the present time in milliseconds since 1970
+     */
+    void tick(long nowMillis) {
+        runs.values().removeIf(PlanRun::isEnded);
+        for (ConfirmedPlan plan : state.documents().index().document().plans()) {
+            if (!plan.ended()) {
+                tick(plan.digest(), nowMillis);
+            }
+        }
+    }
+
+    private void tick(PlanDigest digest, long nowMillis) {
+        Versioned<WaveState> present = state.documents().plans().get(digest);
+        if (!responsibility.isOurs(digest.text()) || present == null) {
+            runs.remove(digest);
+            return;
+        }
+        PlanRun run = runs.computeIfAbsent(digest, key -> begin(present, nowMillis));
+        if (nowMillis - run.beganMillis() < RESUME_MILLIS) {
+            run.apply(WaveResumed.INSTANCE, nowMillis);
+            return;
+        }
+        tellExceeded(run, present.document(), nowMillis);
+        run.apply(WaveTick.INSTANCE, nowMillis);
+    }
+
+    private PlanRun begin(Versioned<WaveState> present, long nowMillis) {
+        LOG.info(LogEvent.of("plan-executed-here")
+                .with("plan", present.document().plan().digest().text()));
+        WaveStepper stepper = WaveStepper.of(limits(present.document().plan()));
+        return new PlanRun(context, stepper, acts, host, present, nowMillis);
+    }
+
+    /** Returns the time limits of a plan: the longest that its pools allow. */
+    private WaveLimits limits(Plan plan) {
+        Duration drain = Duration.ZERO;
+        Duration reboot = Duration.ZERO;
+        for (PoolName name : plan.touchedPools()) {
+            Optional<PoolSettings> pool = state.configuration().pool(name);
+            drain = longest(drain, pool.map(PoolSettings::drainTimeout).orElse(PoolSettings.DEFAULT_DRAIN_TIMEOUT));
+            reboot = longest(reboot, pool.map(PoolSettings::rebootTimeout).orElse(PoolSettings.DEFAULT_REBOOT_TIMEOUT));
+        }
+        return WaveLimits.of(ADMIT_TIMEOUT, drain, drain, reboot, WaveLimits.DEFAULT.attempts());
+    }
+
+    private static Duration longest(Duration one, Duration other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
+    private void tellExceeded(PlanRun run, WaveState wave, long nowMillis) {
+        for (PoolName pool : wave.plan().touchedPools()) {
+            int headroom = state.figures(pool).headroom();
+            if (headroom < 0) {
+                run.apply(BudgetExceeded.of(pool, -headroom), nowMillis);
+            }
+        }
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/StepActs.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/StepActs.java
@@ -119,11 +119,12 @@
         if (worker.isEmpty()) {
             return none();
         }
+        Cordon cordon = Cordon.of(plan, step.number(), act.attempt(), step.worker(), true);
         int headroom = state.figures(step.pool()).headroom();
         Set<EntryId> entries = context.ports().possibleEntries();
         List<CompletableFuture<InFlightReport>> reports = new ArrayList<>();
         for (EntryId entry : entries) {
-            reports.add(report(entry, plan, step));
+            reports.add(report(entry, cordon));
         }
         return CompletableFuture.allOf(reports.toArray(CompletableFuture[]::new))
                 .thenCompose(all -> context.workers().status(worker.get().endpoint()))
@@ -138,16 +139,16 @@
                 });
     }
 
-    private CompletableFuture<InFlightReport> report(EntryId entry, PlanDigest plan, PlanStep step) {
+    private CompletableFuture<InFlightReport> report(EntryId entry, Cordon cordon) {
         if (entry.equals(context.entry())) {
-            int acknowledged = cordons.acknowledged(plan, step.number());
+            int acknowledged = cordons.acknowledged(cordon.plan(), cordon.step());
             return context.ports()
                     .inFlight()
                     .thenApply(counts -> new InFlightReport(
-                            entry, DrainCount.of(acknowledged, counts.getOrDefault(step.worker(), 0))));
+                            entry, DrainCount.of(acknowledged, counts.getOrDefault(cordon.worker(), 0))));
         }
         return context.ports()
-                .askInFlight(entry, plan, step.number(), step.worker())
+                .askInFlight(entry, cordon)
                 .handle((count, failure) -> new InFlightReport(entry, failure == null ? count : DrainCount.of(0, 0)));
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/DrainQuery.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/DrainQuery.java
@@ -10,12 +10,14 @@
     private final long callId;
     private final PlanDigest plan;
     private final int step;
+    private final int attempt;
     private final WorkerId worker;
 
-    private DrainQuery(long callId, PlanDigest plan, int step, WorkerId worker) {
+    private DrainQuery(long callId, PlanDigest plan, int step, int attempt, WorkerId worker) {
         this.callId = callId;
         this.plan = plan;
         this.step = step;
+        this.attempt = attempt;
         this.worker = worker;
     }
 
@@ -25,11 +27,12 @@
      * @param callId  the number of the call
      * @param plan  the digest of the plan, not null
      * @param step  the number of the step
+     * @param attempt  the attempt of the step, whose cordon the query carries
      * @param worker  the worker, not null
      * @return the message, not null
      */
-    public static DrainQuery of(long callId, PlanDigest plan, int step, WorkerId worker) {
-        return new DrainQuery(callId, plan, step, worker);
+    public static DrainQuery of(long callId, PlanDigest plan, int step, int attempt, WorkerId worker) {
+        return new DrainQuery(callId, plan, step, attempt, worker);
     }
 
     @Override
@@ -55,6 +58,15 @@
         return step;
     }
 
+    /**
+     * Returns the attempt of the step, whose cordon the query carries.
+     *
+     * @return the attempt
+     */
+    public int attempt() {
+        return attempt;
+    }
+
     /**
      * Returns the worker.
      *
@@ -71,6 +83,6 @@
      */
     @Override
     public String toString() {
-        return "DrainQuery(" + callId + ", " + plan + ", " + step + ", " + worker + ")";
+        return "DrainQuery(" + callId + ", " + plan + ", " + step + ", " + attempt + ", " + worker + ")";
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
@@ -125,7 +125,9 @@
     private static void packCallOrReply(MessageBufferPacker packer, PeerMessage message) throws IOException {
         if (message instanceof DrainQuery query) {
             packer.packLong(query.callId()).packString(query.plan().text());
-            packer.packInt(query.step()).packString(query.worker().text());
+            packer.packInt(query.step())
+                    .packInt(query.attempt())
+                    .packString(query.worker().text());
         } else if (message instanceof DrainAnswer answer) {
             packer.packLong(answer.callId()).packInt(answer.acknowledged()).packInt(answer.inFlight());
         } else if (message instanceof ForwardRequest forward) {
@@ -170,6 +172,7 @@
                 unpacker.unpackLong(),
                 PlanDigest.parse(unpacker.unpackString()),
                 unpacker.unpackInt(),
+                unpacker.unpackInt(),
                 WorkerId.of(unpacker.unpackString()));
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerCodecTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerCodecTest.java
@@ -58,7 +58,7 @@
                 ConfigurationWanted.of(7),
                 CordonNotice.of(PLAN, 2, 1, WORKER, true),
                 LeavingNotice.of(WORKER, 5),
-                DrainQuery.of(1, PLAN, 2, WORKER),
+                DrainQuery.of(1, PLAN, 2, 1, WORKER),
                 DrainAnswer.of(1, 2, 3),
                 ForwardRequest.of(1, 2_000, request),
                 ForwardOutcome.of(1, RequestOutcome.answered(answer)),
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
@@ -51,8 +51,8 @@
         await(() -> client.connected().contains(ONE));
         client.send(ONE, ConfigurationWanted.of(4));
         assertEquals("ConfigurationWanted(4)", take().toString());
-        DrainAnswer answer =
-                (DrainAnswer) client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 1, WorkerId.of("w")), 10_000)
+        DrainAnswer answer = (DrainAnswer)
+                client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 1, 1, WorkerId.of("w")), 10_000)
                         .get(WAIT_SECONDS, TimeUnit.SECONDS);
         assertEquals(6, answer.inFlight());
     }
@@ -83,7 +83,7 @@
     void knowsThatACallWithoutALinkWasNotSent() {
         ExecutionException e = assertThrows(
                 ExecutionException.class,
-                () -> client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 1, WorkerId.of("w")), 1_000)
+                () -> client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 1, 1, WorkerId.of("w")), 1_000)
                         .get(WAIT_SECONDS, TimeUnit.SECONDS));
         assertFalse(((PeerCallException) e.getCause()).sent());
     }
@@ -92,7 +92,7 @@
     void failsAnOpenCallWhenThePeerGoes() throws Exception {
         client.connect(ONE, server.endpoint());
         await(() -> client.connected().contains(ONE));
-        var call = client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 99, WorkerId.of("w")), 60_000);
+        var call = client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 99, 1, WorkerId.of("w")), 60_000);
         take();
         server.close();
         ExecutionException e = assertThrows(ExecutionException.class, () -> call.get(WAIT_SECONDS, TimeUnit.SECONDS));
