Limit refutations to one in each interval

Ruled out: dropping the telling of suspicions, without which a ring's other entries never learn of a stop. Change: an entry refutes at most once in an interval and tells new suspicions once in a tick. A suspect, and in a ring a removed peer, is told so directly, because a refutation lost earlier left a live peer removed in the property test. Conclusion: the ring is bounded, but not good under loss; all to all is unaffected.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/membership/Membership.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/membership/Membership.java
@@ -28,12 +28,14 @@
     private long sequence;
     private long steppedMillis;
     private int firstAddress;
+    private long refutedMillis;
 
     private Membership(Member self, MembershipSettings settings, Surveillance surveillance, long nowMillis) {
         this.self = Objects.requireNonNull(self, "self");
         this.settings = Objects.requireNonNull(settings, "settings");
         this.surveillance = Objects.requireNonNull(surveillance, "surveillance");
         this.steppedMillis = nowMillis;
+        this.refutedMillis = nowMillis - settings.intervalMillis();
     }
 
     /**
@@ -113,7 +115,8 @@
         for (Peer peer : List.copyOf(peers.values())) {
             int position = ring.indexOf(peer);
             boolean quiet = position < 0;
-            boolean chosen = quiet || surveillance.sends(own, place(position, own), ring.size() + 1);
+            boolean asked = quiet || peer.state() == MemberState.SUSPECTED;
+            boolean chosen = asked || surveillance.sends(own, place(position, own), ring.size() + 1);
             long interval = quiet ? QUIET_INTERVALS * settings.intervalMillis() : settings.intervalMillis();
             if (chosen && nowMillis - peer.sentMillis() >= interval) {
                 send(peer, nowMillis);
@@ -178,19 +181,21 @@
     private void judge(long nowMillis) {
         List<Peer> ring = ring();
         int own = position(ring);
+        boolean suspected = false;
         for (Peer peer : ring) {
             long silence = nowMillis - peer.heardMillis();
             boolean watched = surveillance.watches(own, place(ring.indexOf(peer), own), ring.size() + 1);
             if (peer.state() == MemberState.ALIVE && watched && silence >= settings.suspectAfterMillis()) {
                 suspect(peer);
-                if (surveillance.tellsSuspicions()) {
-                    sendToAll(nowMillis);
-                }
+                suspected = true;
             }
             if (peer.state() == MemberState.SUSPECTED && silence >= settings.removeAfterMillis()) {
                 remove(peer);
             }
         }
+        if (suspected && surveillance.tellsSuspicions()) {
+            sendToAll(nowMillis);
+        }
         peers.values().removeIf(peer -> forgotten(peer, nowMillis));
     }
 
@@ -228,9 +233,7 @@
     /** Takes a peer's suspicion over, unless this entry heard the suspect itself; a suspect refutes it. */
     private void told(Member suspect, long nowMillis) {
         if (suspect.id().equals(self.id())) {
-            if (suspect.incarnation() == self.incarnation()) {
-                sendToAll(nowMillis);
-            }
+            refute(suspect, nowMillis);
             return;
         }
         Peer peer = peers.get(suspect.id());
@@ -248,6 +251,15 @@
         return watches && nowMillis - peer.heardMillis() < settings.suspectAfterMillis();
     }
 
+    /** Makes this entry heard by all, at most once in each interval, so that suspicions cannot multiply messages. */
+    private void refute(Member suspect, long nowMillis) {
+        boolean due = nowMillis - refutedMillis >= settings.intervalMillis();
+        if (due && suspect.incarnation() == self.incarnation()) {
+            refutedMillis = nowMillis;
+            sendToAll(nowMillis);
+        }
+    }
+
     private void learn(List<Member> members, long nowMillis) {
         for (Member member : members) {
             if (isSelf(member)) {
@@ -292,7 +304,11 @@
 
     private void send(Peer peer, long nowMillis) {
         peer.sentMillis(nowMillis);
-        actions.add(MembershipAction.send(peer.member(), nextHeartbeat()));
+        Heartbeat heartbeat = nextHeartbeat();
+        if (surveillance.tellsSuspicions() && peer.state() == MemberState.REMOVED) {
+            heartbeat = heartbeat.toBuilder().suspects(List.of(peer.member())).build();
+        }
+        actions.add(MembershipAction.send(peer.member(), heartbeat));
     }
 
     /** Returns some of the live peers, others in each interval, so that every peer hears of all of them in turn. */
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/membership/MembershipTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/membership/MembershipTest.java
@@ -124,6 +124,22 @@
         assertEquals(2, membership.step(MembershipEvent.urgent(), 551).size());
     }
 
+    @Test
+    void manySuspicionsAreRefutedOnceInAnInterval() {
+        Member self = Mesh.member(0, 1, 0);
+        Membership membership = Membership.of(self, MembershipSettings.defaults(), RingSurveillance.of(2), 0);
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            Heartbeat heartbeat = Heartbeat.builder(Mesh.member(1 + i % 5, 1, 1 + i % 5), i)
+                    .suspects(List.of(self))
+                    .build();
+            sent += (int) membership.step(MembershipEvent.heartbeat(heartbeat), 1 + i).stream()
+                    .filter(action -> action.kind() == MembershipAction.Kind.SEND)
+                    .count();
+        }
+        assertTrue(sent >= 1 && sent <= 5, "one heartbeat to each peer at most: " + sent);
+    }
+
     private static List<Member> live(Mesh mesh, int port) {
         return mesh.entries.get(port).live();
     }
