--- a/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/World.java
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/World.java
@@ -23,6 +23,7 @@
     final List<CompletableFuture<CallerAnswer>> pending = new ArrayList<>();
     final Map<String, String> notes = new HashMap<>();
     Optional<CallerLoad> load = Optional.empty();
+    EntryProcess frozen;
     private Optional<Fleet> fleet = Optional.empty();
     private boolean ownFleet;
 
@@ -81,6 +82,15 @@
         return all;
     }
 
+    /** Returns what the entries counted of attempts, for messages. */
+    List<String> attemptCounters() {
+        return fleet().running().stream()
+                .flatMap(entry ->
+                        Operator.at(entry).call("GET", "/metrics", "").body().lines())
+                .filter(line -> line.startsWith("trefoilpost_attempt") || line.startsWith("trefoilpost_retries"))
+                .toList();
+    }
+
     List<String> logsOfEntries() {
         return fleet.map(present -> present.entries().stream()
                         .map(entry -> entry.id() + ": " + entry.lastLines())
