--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionQueue.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionQueue.java
@@ -23,7 +23,7 @@
     /** The credit at which a bulk request goes first, less the rounding of its sum. */
     private static final double FULL_CREDIT = 1 - 1e-9;
 
-    private final AdmissionSettings settings;
+    private AdmissionSettings settings;
     private final TeamQuotas quotas;
     private final RandomGenerator random;
     private final ServiceTime serviceTime;
@@ -55,6 +55,15 @@
         return new AdmissionQueue(settings, quotas, random);
     }
 
+    /**
+     * Replaces the limits; requests that wait already stay.
+     *
+     * @param newSettings  the limits, not null
+     */
+    public void settings(AdmissionSettings newSettings) {
+        this.settings = Objects.requireNonNull(newSettings, "settings");
+    }
+
     /**
      * Sets the requests that may be started at a time.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
@@ -135,25 +135,29 @@
         } else if (!pool.settings().equals(settings) || pool.isRemoved()) {
             pool.settings(settings);
             pool.dispatcher().retryBudget(retryBudget(settings));
+            pool.dispatcher().admission().settings(limits(settings));
         }
     }
 
     private PoolDispatcher dispatcher(PoolSettings settings) {
         PoolRouter router = PoolRouter.of(RouterSettings.defaults(), new TwoChoicesPolicy(), random);
         router.leaving(leaving);
-        AdmissionSettings limits = AdmissionSettings.builder()
-                .maxQueued(settings.queueLimit())
-                .bulkShare(settings.bulkShare())
-                .build();
         return PoolDispatcher.builder()
                 .ownDataCentre(ownDataCentre)
                 .router(router)
-                .admission(AdmissionQueue.of(limits, quotas, random))
+                .admission(AdmissionQueue.of(limits(settings), quotas, random))
                 .retryBudget(retryBudget(settings))
                 .random(random)
                 .build();
     }
 
+    private static AdmissionSettings limits(PoolSettings settings) {
+        return AdmissionSettings.builder()
+                .maxQueued(settings.queueLimit())
+                .bulkShare(settings.bulkShare())
+                .build();
+    }
+
     private static RetryBudget retryBudget(PoolSettings settings) {
         return RetryBudget.of(settings.retryShare(), RetryBudget.DEFAULT_BURST);
     }
