Share a pool's slots by the peers' whole loads

Cause: an entry took the slots that peers left without regard to peers whose requests wait, and kept a peer's count at a worker until it aged out, though its next heartbeat no longer named the worker. Ruled out: heartbeats that name every worker, which grow with the fleet. Change: the dispatcher limits starts by ConcurrencyShare, and takes a heartbeat's load as whole.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/dispatch/PoolDispatcher.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/dispatch/PoolDispatcher.java
@@ -9,10 +9,13 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.trefoilpost.decision.admission.AdmissionQueue;
 import org.trefoilpost.decision.admission.AdmissionRequest;
+import org.trefoilpost.decision.admission.ConcurrencyShare;
 import org.trefoilpost.decision.admission.Refusal;
+import org.trefoilpost.decision.membership.PoolLoad;
 import org.trefoilpost.decision.retry.AttemptFailure;
 import org.trefoilpost.decision.retry.Deadline;
 import org.trefoilpost.decision.retry.RetryBudget;
@@ -39,11 +42,15 @@
  * is given only if no attempt of it is in doubt.
  */
 public final class PoolDispatcher {
+    private static final long PEER_LOAD_MAX_AGE_MILLIS = 3_000;
+
     private final DataCentreName ownDataCentre;
     private final PoolRouter router;
     private final AdmissionQueue admission;
     private final RetryPolicy retryPolicy;
     private final RandomGenerator random;
+    private final ConcurrencyShare share = ConcurrencyShare.of(PEER_LOAD_MAX_AGE_MILLIS);
+    private final Map<EntryId, Set<WorkerId>> peerWorkers = new HashMap<>();
     private final Map<Long, PendingRequest> pending = new HashMap<>();
     private final DueQueue retries = new DueQueue();
     private final DueQueue deadlines = new DueQueue();
@@ -125,15 +132,29 @@
     }
 
     /**
-     * Records how many attempts of a peer are in flight at a worker.
+     * Takes in a peer's whole load on the pool: a worker that it does not name has none of its attempts.
      *
      * @param entry  the peer, not null
-     * @param worker  the worker, not null
-     * @param inFlight  the attempts, not negative
+     * @param load  the load, not null
      * @param nowMillis  the present time in milliseconds
      */
-    public void peerOccupancy(EntryId entry, WorkerId worker, int inFlight, long nowMillis) {
-        router.peerOccupancy(entry, worker, inFlight, nowMillis);
+    public void peerLoad(EntryId entry, PoolLoad load, long nowMillis) {
+        Set<WorkerId> before = peerWorkers.getOrDefault(entry, Set.of());
+        if (load.inFlight().isEmpty() && load.queued() == 0 && before.isEmpty()) {
+            return;
+        }
+        for (WorkerId worker : before) {
+            if (!load.inFlight().containsKey(worker)) {
+                router.peerOccupancy(entry, worker, 0, nowMillis);
+            }
+        }
+        int inFlight = 0;
+        for (Map.Entry<WorkerId, Integer> count : load.inFlight().entrySet()) {
+            router.peerOccupancy(entry, count.getKey(), count.getValue(), nowMillis);
+            inFlight += count.getValue();
+        }
+        peerWorkers.put(entry, Set.copyOf(load.inFlight().keySet()));
+        share.peerLoad(entry, inFlight, load.queued(), nowMillis);
     }
 
     /**
@@ -147,7 +168,7 @@
         if (router.usableSlots() == 0) {
             return List.of(refusal(request.id(), RefusalReason.NO_WORKER));
         }
-        admission.limit(startLimit());
+        admission.limit(share.limit(router.usableSlots(), nowMillis));
         List<DispatchAction> actions = new ArrayList<>();
         pending.put(request.id(), PendingRequest.of(request));
         deadlines.add(request.deadlineMillis(), request.id());
@@ -239,13 +260,9 @@
         return next == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(next);
     }
 
-    private int startLimit() {
-        return Math.max(1, router.usableSlots() - router.peerInFlight());
-    }
-
     private List<DispatchAction> startWaiting(long nowMillis) {
         List<DispatchAction> actions = new ArrayList<>();
-        admission.limit(startLimit());
+        admission.limit(share.limit(router.usableSlots(), nowMillis));
         refuse(admission.expire(nowMillis), actions);
         Optional<AdmissionRequest> next = admission.poll(nowMillis);
         while (next.isPresent()) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryHeartbeatContent.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryHeartbeatContent.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import org.trefoilpost.decision.configuration.ChangeId;
 import org.trefoilpost.decision.membership.Heartbeat;
@@ -36,7 +37,9 @@
         heartbeat.config(status.version(), asOf.isPresent() ? Math.max(0, nowMillis - asOf.getAsLong()) : UNCONFIRMED);
         RequestLoads loads = duties.requests().loads();
         List<PoolLoad> poolLoads = new ArrayList<>();
-        loads.inFlight().forEach((pool, counts) -> poolLoads.add(PoolLoad.of(pool, loads.queued(pool), counts)));
+        loads.loadedPools()
+                .forEach(pool -> poolLoads.add(
+                        PoolLoad.of(pool, loads.queued(pool), loads.inFlight().getOrDefault(pool, Map.of()))));
         heartbeat.loads(poolLoads);
         heartbeat.teamRequests(loads.teams());
         heartbeat.shardEpochs(duties.claims().epochs());
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDesk.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDesk.java
@@ -160,11 +160,11 @@
      * @param nowMillis  the present time in milliseconds since 1970
      */
     void peerLoads(EntryId entry, List<PoolLoad> loads, Map<TeamName, Integer> teams, long nowMillis) {
-        for (PoolLoad load : loads) {
-            pools.inForce(load.pool())
-                    .ifPresent(pool -> load.inFlight()
-                            .forEach((worker, count) ->
-                                    pool.dispatcher().peerOccupancy(entry, worker, count, nowMillis)));
+        Map<PoolName, PoolLoad> byPool = new HashMap<>();
+        loads.forEach(load -> byPool.put(load.pool(), load));
+        for (Pool pool : pools.all()) {
+            PoolLoad load = byPool.getOrDefault(pool.name(), PoolLoad.of(pool.name(), 0, Map.of()));
+            pool.dispatcher().peerLoad(entry, load, nowMillis);
         }
         pools.peerTeams(entry, teams, nowMillis);
         tick(nowMillis);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestLoads.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestLoads.java
@@ -1,6 +1,8 @@
 package org.trefoilpost.entry.request;
 
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.trefoilpost.model.PoolName;
 import org.trefoilpost.model.TeamName;
 import org.trefoilpost.model.WorkerId;
@@ -41,6 +43,21 @@
         return inFlight;
     }
 
+    /**
+     * Returns the pools with attempts in flight or requests that wait.
+     *
+     * @return the pools, not null
+     */
+    public Set<PoolName> loadedPools() {
+        Set<PoolName> loaded = new TreeSet<>(inFlight.keySet());
+        queued.forEach((pool, requests) -> {
+            if (requests > 0) {
+                loaded.add(pool);
+            }
+        });
+        return loaded;
+    }
+
     /**
      * Returns the requests that wait in a pool's queue.
      *
