Explain plans, and halt planned stops while the configuration is unconfirmed

Cause: operators could not ask why a plan is as it is; planned stops went on however old the confirmation of the configuration was. Ruled out: explanations kept beside the plan; they are derived from the plan, its state and its events. Change: GET /v1/plans/DIGEST/explain; the fleet's duty checks the age of the confirmation at each tick.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryFleetPorts.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryFleetPorts.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.configuration.ConfigurationFollower;
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.entry.fleet.Cordon;
 import org.trefoilpost.entry.fleet.DrainCount;
@@ -78,4 +80,10 @@
                     return DrainCount.of(answer.acknowledged(), answer.inFlight());
                 });
     }
+
+    @Override
+    public boolean isConfigurationFresh(long nowMillis) {
+        OptionalLong confirmed = duties.configuration().status().confirmedAsOfMillis();
+        return confirmed.isPresent() && nowMillis - confirmed.getAsLong() < ConfigurationFollower.STALE_AFTER_MILLIS;
+    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryInstance.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryInstance.java
@@ -145,7 +145,6 @@
                 .clock(clock)
                 .build()));
         duties.configuration().status().configuration().ifPresent(this::inForce);
-        duties.fleet().planStops(true);
     }
 
     private void startListeners() throws Exception {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
@@ -42,7 +42,6 @@
     private final LedgerSweep sweep;
     private final Repairs repairs;
     private volatile StoreWatcher watcher;
-    private boolean planStopsAllowed;
 
     private FleetDuty(FleetContext context) {
         this.context = context;
@@ -94,15 +93,6 @@
         });
     }
 
-    /**
-     * Sets whether planned stops may go on; they halt while the configuration in force may be out of date.
-     *
-     * @param allowed  true if they may go on
-     */
-    public void planStops(boolean allowed) {
-        duty.post(now -> planStopsAllowed = allowed);
-    }
-
     /**
      * Takes in a cordon or an uncordon that a peer told.
      *
@@ -298,7 +288,7 @@
 
     private void tick(long nowMillis) {
         duty.schedule(nowMillis + TICK_MILLIS, this::tick);
-        if (planStopsAllowed && isLoaded()) {
+        if (isLoaded() && context.ports().isConfigurationFresh(nowMillis)) {
             plans.tick(nowMillis);
             sweep.tick(nowMillis);
             repairs.tick(nowMillis);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
@@ -70,4 +70,12 @@
      * @return the report, not null; fails if the peer can't be asked
      */
     CompletableFuture<DrainCount> askInFlight(EntryId peer, Cordon cordon);
+
+    /**
+     * Returns whether the configuration in force was confirmed a short time ago; planned stops halt while it was not.
+     *
+     * @param nowMillis  the present time in milliseconds since 1970
+     * @return true if it was
+     */
+    boolean isConfigurationFresh(long nowMillis);
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetReports.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetReports.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -19,12 +18,8 @@
 import org.trefoilpost.decision.ledger.BudgetFigures;
 import org.trefoilpost.decision.plan.ConfirmedPlan;
 import org.trefoilpost.decision.plan.Plan;
-import org.trefoilpost.decision.plan.PlanBatch;
 import org.trefoilpost.decision.plan.PlanCodec;
 import org.trefoilpost.decision.plan.PlanDigest;
-import org.trefoilpost.decision.plan.PlanStep;
-import org.trefoilpost.decision.wave.StepPhase;
-import org.trefoilpost.decision.wave.StepState;
 import org.trefoilpost.decision.wave.WaveState;
 import org.trefoilpost.decision.wave.WaveStateCodec;
 import org.trefoilpost.entry.platform.KeyValueStore;
@@ -113,7 +108,7 @@
                         .put("operator", plan.operator())
                         .put("confirmedMillis", plan.confirmedMillis());
                 Versioned<WaveState> wave = state.documents().plans().get(plan.digest());
-                node.put("state", wave == null ? "confirmed" : planState(wave.document()));
+                node.put("state", wave == null ? "confirmed" : PlanReport.state(wave.document()));
                 ArrayNode pools = node.putArray("pools");
                 plan.pools().forEach(pool -> pools.add(pool.text()));
             }
@@ -132,7 +127,7 @@
             if (value.isPresent()) {
                 WaveState wave = WaveStateCodec.decode(value.get().bytes());
                 return CompletableFuture.completedFuture(
-                        Optional.of(plan(wave, value.get().revision())));
+                        Optional.of(PlanReport.confirmed(wave, value.get().revision())));
             }
             return store.read(FleetKeys.proposal(digest))
                     .thenApply(kept -> kept.map(found -> proposal(PlanCodec.decode(found.bytes()))));
@@ -146,7 +141,30 @@
      * @return the report, not null
      */
     public static ObjectNode proposal(Plan plan) {
-        return head(plan, "proposed", 0, Optional.empty());
+        return PlanReport.proposed(plan);
+    }
+
+    /**
+     * Explains a plan, proposed or confirmed.
+     *
+     * @param digest  the plan's digest, not null
+     * @return the report, empty if no plan has the digest, not null
+     */
+    public CompletableFuture<Optional<ObjectNode>> explain(PlanDigest digest) {
+        return store.read(FleetKeys.plan(digest))
+                .thenCombine(segments(), (value, segments) -> {
+                    List<FleetEvent> events = segments.stream()
+                            .flatMap(segment -> segment.events().stream())
+                            .filter(event -> event.plan().equals(Optional.of(digest)))
+                            .toList();
+                    return value.map(found -> WaveStateCodec.decode(found.bytes()))
+                            .map(wave -> PlanReport.explained(wave.plan(), Optional.of(wave), events));
+                })
+                .thenCompose(report -> report.isPresent()
+                        ? CompletableFuture.completedFuture(report)
+                        : store.read(FleetKeys.proposal(digest))
+                                .thenApply(kept -> kept.map(found -> PlanReport.explained(
+                                        PlanCodec.decode(found.bytes()), Optional.empty(), List.of()))));
     }
 
     /**
@@ -157,10 +175,7 @@
      * @return the report, the oldest event first, not null
      */
     public CompletableFuture<ObjectNode> events(Optional<PoolName> pool, long sinceMillis) {
-        return store.list(FleetKeys.EVENTS).thenApply(values -> {
-            List<EventSegment> segments = new ArrayList<>();
-            values.forEach(value -> segments.add(EventCodec.decode(value.bytes())));
-            segments.sort(Comparator.comparingLong(EventSegment::number));
+        return segments().thenApply(segments -> {
             ObjectNode report = MAPPER.createObjectNode();
             ArrayNode events = report.putArray("events");
             for (EventSegment segment : segments) {
@@ -175,6 +190,15 @@
         });
     }
 
+    private CompletableFuture<List<EventSegment>> segments() {
+        return store.list(FleetKeys.EVENTS).thenApply(values -> {
+            List<EventSegment> segments = new ArrayList<>();
+            values.forEach(value -> segments.add(EventCodec.decode(value.bytes())));
+            segments.sort(Comparator.comparingLong(EventSegment::number));
+            return segments;
+        });
+    }
+
     private static ObjectNode pool(FleetState state, PoolName name) {
         BudgetFigures figures = state.figures(name);
         return MAPPER.createObjectNode()
@@ -200,67 +224,4 @@
                 .put("dataCentre", member.dataCentre().text())
                 .put("state", shown);
     }
-
-    private static ObjectNode plan(WaveState wave, long revision) {
-        ObjectNode report = head(wave.plan(), planState(wave), revision, Optional.of(wave));
-        return report.put("operator", wave.operator()).put("confirmedMillis", wave.confirmedMillis());
-    }
-
-    private static String planState(WaveState wave) {
-        if (wave.ended()) {
-            return wave.cancelled() ? "cancelled" : "done";
-        }
-        return wave.cancelled() ? "cancelling" : "running";
-    }
-
-    private static ObjectNode head(Plan plan, String state, long revision, Optional<WaveState> wave) {
-        ObjectNode tree = PlanCodec.tree(plan);
-        ObjectNode report = MAPPER.createObjectNode()
-                .put("digest", plan.digest().text())
-                .put("state", state)
-                .put("revision", revision);
-        report.set("intent", tree.path("intent"));
-        report.set("measures", measures(plan));
-        ArrayNode steps = report.putArray("steps");
-        int batchNumber = 0;
-        for (PlanBatch batch : plan.batches()) {
-            batchNumber++;
-            for (PlanStep step : batch.steps()) {
-                steps.add(step(step, batch, batchNumber, wave));
-            }
-        }
-        ArrayNode refusals = report.putArray("refusals");
-        plan.refusals()
-                .forEach(refusal -> refusals.addObject()
-                        .put("subject", refusal.subject())
-                        .put("code", refusal.reason().code())
-                        .put("reason", refusal.detail()));
-        report.set("versions", tree.path("versions"));
-        return report;
-    }
-
-    private static ObjectNode measures(Plan plan) {
-        return MAPPER.createObjectNode()
-                .put("bufferCostMinutes", plan.measures().bufferCost())
-                .put("rollOutMinutes", plan.measures().rollOutTime())
-                .put("moves", plan.measures().moves());
-    }
-
-    private static ObjectNode step(PlanStep step, PlanBatch batch, int batchNumber, Optional<WaveState> wave) {
-        ObjectNode node = MAPPER.createObjectNode()
-                .put("number", step.number())
-                .put("batch", batchNumber)
-                .put("worker", step.worker().text())
-                .put("pool", step.pool().text())
-                .put("act", step.kind().code());
-        step.target().ifPresent(target -> node.put("target", target.text()));
-        Map<PoolName, Integer> headroom = batch.headroom();
-        Optional.ofNullable(headroom.get(step.pool())).ifPresent(left -> node.put("headroom", left));
-        StepState reached = wave.map(present -> present.state(step)).orElse(StepState.PENDING);
-        node.put("state", reached.phase().code());
-        if (reached.phase() != StepPhase.PENDING) {
-            node.put("sinceMillis", reached.sinceMillis()).put("attempt", reached.attempt());
-        }
-        return node.put("reason", reached.cause().code());
-    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/PlanRoutes.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/PlanRoutes.java
@@ -36,6 +36,9 @@
             return Optional.of(services.reports().plans().thenApply(report -> OperatorAnswer.json(200, report)));
         } else if (call.fits("GET", "v1", "plans", "*")) {
             return Optional.of(show(call));
+        } else if (call.fits("GET", "v1", "plans", "*", "explain")) {
+            PlanDigest digest = digest(call);
+            return Optional.of(services.reports().explain(digest).thenApply(report -> answer(digest, report)));
         } else if (call.fits("POST", "v1", "plans", "*", "confirm")) {
             return Optional.of(confirm(call));
         } else if (call.fits("POST", "v1", "plans", "*", "cancel")) {
