--- a/trefoilpost-verify/src/test/java/org/trefoilpost/verify/harness/Fleet.java
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/harness/Fleet.java
@@ -149,6 +149,20 @@
                 + "\n    maxBodyBytes: 65536\nweights: {bufferCost: 3, rollOutTime: 1, moves: 1}\n";
     }
 
+    /** Switches the faults of the platform off. */
+    public void clearStoreFaults() {
+        Http.faults(platform.endpoint(), "{'down':false,'silent':false,'latencyMillis':0,'loseAnswers':0}");
+    }
+
+    /** Switches the faults of the platform and of every worker off. */
+    public void clearFaults() {
+        clearStoreFaults();
+        workers.workers()
+                .forEach(worker -> Http.faults(
+                        worker.endpoint(),
+                        "{'slowMillis':0,'failFast':false,'breakAnswers':0,'hang':false,'rejectAll':false}"));
+    }
+
     public String pool() {
         return pool;
     }
