Bound the wait of a pool's queue

Cause: at and beyond capacity the queue stood near the callers' deadline, so that those served waited longest. Ruled out: a smaller queueLimit, which means another time at each pool's service time.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionQueue.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionQueue.java
@@ -253,7 +253,13 @@
         if (request.team().isPresent() && !quotas.allows(request.team().get(), nowMillis)) {
             return Optional.of(RefusalReason.QUOTA_EXCEEDED);
         }
-        boolean reachable = startsAtOnce() || expectedEndMillis(request, nowMillis) <= request.deadlineMillis();
+        if (startsAtOnce()) {
+            return Optional.empty();
+        }
+        if (limit > 0 && expectedWaitMillis(request) > settings.maxWaitMillis()) {
+            return Optional.of(RefusalReason.QUEUE_FULL);
+        }
+        boolean reachable = expectedEndMillis(request, nowMillis) <= request.deadlineMillis();
         return reachable ? Optional.empty() : Optional.of(RefusalReason.DEADLINE_UNREACHABLE);
     }
 
@@ -265,8 +271,11 @@
         if (limit == 0) {
             return nowMillis + serviceTime.safeMillis();
         }
-        double waitMillis = (ahead(request) + 1) * serviceTime.meanMillis() / limit;
-        return nowMillis + Math.round(waitMillis) + serviceTime.safeMillis();
+        return nowMillis + Math.round(expectedWaitMillis(request)) + serviceTime.safeMillis();
+    }
+
+    private double expectedWaitMillis(AdmissionRequest request) {
+        return (ahead(request) + 1) * serviceTime.meanMillis() / limit;
     }
 
     /** Returns the waiting requests that start before a request, as far as is known at its arrival. */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
@@ -155,6 +155,7 @@
         return AdmissionSettings.builder()
                 .maxQueued(settings.queueLimit())
                 .bulkShare(settings.bulkShare())
+                .maxWaitMillis(settings.maxWait().toMillis())
                 .build();
     }
 
