Revert "Bound the wait of a pool's queue"

Ruled out: a wider check; the bound is the users'. Change: the bound on the wait is taken out again. Conclusion: a failed try. The next one has to find why an urgent call waits at one entry while the others start theirs.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionQueue.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionQueue.java
@@ -253,13 +253,7 @@
         if (request.team().isPresent() && !quotas.allows(request.team().get(), nowMillis)) {
             return Optional.of(RefusalReason.QUOTA_EXCEEDED);
         }
-        if (startsAtOnce()) {
-            return Optional.empty();
-        }
-        if (limit > 0 && expectedWaitMillis(request) > settings.maxWaitMillis()) {
-            return Optional.of(RefusalReason.QUEUE_FULL);
-        }
-        boolean reachable = expectedEndMillis(request, nowMillis) <= request.deadlineMillis();
+        boolean reachable = startsAtOnce() || expectedEndMillis(request, nowMillis) <= request.deadlineMillis();
         return reachable ? Optional.empty() : Optional.of(RefusalReason.DEADLINE_UNREACHABLE);
     }
 
@@ -271,11 +265,8 @@
         if (limit == 0) {
             return nowMillis + serviceTime.safeMillis();
         }
-        return nowMillis + Math.round(expectedWaitMillis(request)) + serviceTime.safeMillis();
-    }
-
-    private double expectedWaitMillis(AdmissionRequest request) {
-        return (ahead(request) + 1) * serviceTime.meanMillis() / limit;
+        double waitMillis = (ahead(request) + 1) * serviceTime.meanMillis() / limit;
+        return nowMillis + Math.round(waitMillis) + serviceTime.safeMillis();
     }
 
     /** Returns the waiting requests that start before a request, as far as is known at its arrival. */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionSettings.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/admission/AdmissionSettings.java
@@ -9,7 +9,6 @@
     private final int maxQueued;
     private final double bulkShare;
     private final long initialServiceMillis;
-    private final long maxWaitMillis;
     private final long minRetryAfterMillis;
     private final long maxRetryAfterMillis;
 
@@ -17,7 +16,6 @@
         this.maxQueued = builder.maxQueued;
         this.bulkShare = builder.bulkShare;
         this.initialServiceMillis = builder.initialServiceMillis;
-        this.maxWaitMillis = builder.maxWaitMillis;
         this.minRetryAfterMillis = builder.minRetryAfterMillis;
         this.maxRetryAfterMillis = builder.maxRetryAfterMillis;
     }
@@ -67,15 +65,6 @@
         return initialServiceMillis;
     }
 
-    /**
-     * Returns the longest time for which a request is expected to wait when it is taken in.
-     *
-     * @return the time in milliseconds, more than 0
-     */
-    public long maxWaitMillis() {
-        return maxWaitMillis;
-    }
-
     /**
      * Returns the shortest time after which a refused caller is told to come back.
      *
@@ -101,7 +90,6 @@
         private int maxQueued = 1_024;
         private double bulkShare = 0.05;
         private long initialServiceMillis = 100;
-        private long maxWaitMillis = 2_000;
         private long minRetryAfterMillis = 500;
         private long maxRetryAfterMillis = 30_000;
 
@@ -140,17 +128,6 @@
             return this;
         }
 
-        /**
-         * Sets the longest time for which a request is expected to wait when it is taken in.
-         *
-         * @param millis  the time in milliseconds, more than 0
-         * @return this builder, not null
-         */
-        public Builder maxWaitMillis(long millis) {
-            this.maxWaitMillis = millis;
-            return this;
-        }
-
         /**
          * Sets the range of the times after which refused callers are told to come back.
          *
@@ -171,8 +148,7 @@
          * @throws IllegalArgumentException if a value is out of its range
          */
         public AdmissionSettings build() {
-            boolean queue =
-                    maxQueued > 0 && bulkShare >= 0 && bulkShare < 1 && initialServiceMillis > 0 && maxWaitMillis > 0;
+            boolean queue = maxQueued > 0 && bulkShare >= 0 && bulkShare < 1 && initialServiceMillis > 0;
             if (!queue || minRetryAfterMillis < 0 || maxRetryAfterMillis < minRetryAfterMillis) {
                 throw new IllegalArgumentException("an admission setting is out of its range");
             }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/admission/AdmissionQueueTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/admission/AdmissionQueueTest.java
@@ -160,10 +160,8 @@
 
     @Property(seed = "54", tries = 200)
     void retryAfterFollowsTheDrainTime(@ForAll long seed, @ForAll @IntRange(min = 1, max = 900) int waiting) {
-        AdmissionSettings settings = AdmissionSettings.builder()
-                .initialServiceMillis(100)
-                .maxWaitMillis(FAR)
-                .build();
+        AdmissionSettings settings =
+                AdmissionSettings.builder().initialServiceMillis(100).build();
         AdmissionQueue queue = AdmissionQueue.of(settings, quotas, new Random(seed));
         queue.limit(4);
         for (long id = 0; id < waiting; id++) {
@@ -213,24 +211,4 @@
     private static AdmissionRequest normal(long id, long deadlineMillis) {
         return AdmissionRequest.of(id, RequestClass.NORMAL, deadlineMillis);
     }
-
-    @Test
-    void refusesARequestThatWouldWaitTooLong() {
-        AdmissionSettings settings = AdmissionSettings.builder()
-                .maxQueued(1_000)
-                .initialServiceMillis(100)
-                .maxWaitMillis(1_000)
-                .build();
-        AdmissionQueue queue = AdmissionQueue.of(settings, TeamQuotas.of(1_000), new Random(1));
-        queue.limit(1);
-        int taken = 0;
-        Optional<Refusal> refusal = Optional.empty();
-        while (refusal.isEmpty()) {
-            taken++;
-            refusal = queue.offer(AdmissionRequest.of(taken, RequestClass.NORMAL, 60_000), 0).stream()
-                    .findFirst();
-        }
-        assertEquals(RefusalReason.QUEUE_FULL, refusal.get().reason());
-        assertEquals(11, taken);
-    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
@@ -155,7 +155,6 @@
         return AdmissionSettings.builder()
                 .maxQueued(settings.queueLimit())
                 .bulkShare(settings.bulkShare())
-                .maxWaitMillis(settings.maxWait().toMillis())
                 .build();
     }
 
--- a/trefoilpost-model/src/main/java/org/trefoilpost/model/configuration/ConfigurationReader.java
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/configuration/ConfigurationReader.java
@@ -96,7 +96,6 @@
     }
 
     private static void readTimes(FieldReader fields, PoolSettingsBuilder builder) {
-        builder.maxWait(time(fields, "maxWaitMillis", 1, MAX_TIMEOUT_MILLIS, PoolSettings.DEFAULT_MAX_WAIT));
         builder.timeout(time(fields, "timeoutMillis", 1, MAX_TIMEOUT_MILLIS, PoolSettings.DEFAULT_TIMEOUT));
         builder.drainTimeout(wait(fields, "drainTimeoutMillis", PoolSettings.DEFAULT_DRAIN_TIMEOUT));
         builder.rebootTimeout(wait(fields, "rebootTimeoutMillis", PoolSettings.DEFAULT_REBOOT_TIMEOUT));
--- a/trefoilpost-model/src/main/java/org/trefoilpost/model/configuration/ConfigurationWriter.java
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/configuration/ConfigurationWriter.java
@@ -41,7 +41,6 @@
         node.put("maxBodyBytes", pool.maxBodyBytes());
         node.put("timeoutMillis", pool.timeout().toMillis());
         node.put("queueLimit", pool.queueLimit());
-        node.put("maxWaitMillis", pool.maxWait().toMillis());
         node.put("slotsPerWorker", pool.slotsPerWorker());
         node.put("connectionsPerEntry", pool.connectionsPerEntry());
         node.put("retryShare", pool.retryShare());
--- a/trefoilpost-model/src/main/java/org/trefoilpost/model/configuration/PoolSettings.java
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/configuration/PoolSettings.java
@@ -25,9 +25,6 @@
     /** The default deadline of a request. */
     public static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
 
-    /** The default of the longest expected wait. */
-    public static final Duration DEFAULT_MAX_WAIT = Duration.ofSeconds(2);
-
     /** The default number of requests that wait at one entry. */
     public static final int DEFAULT_QUEUE_LIMIT = 256;
 
@@ -54,7 +51,6 @@
     private final int maxBodyBytes;
     private final Duration timeout;
     private final int queueLimit;
-    private final Duration maxWait;
     private final int slotsPerWorker;
     private final int connectionsPerEntry;
     private final double retryShare;
@@ -71,7 +67,6 @@
         this.maxBodyBytes = checkedAtLeast(1, "maxBodyBytes", builder.maxBodyBytes());
         this.timeout = checkedTime("timeout", builder.timeout());
         this.queueLimit = checkedAtLeast(0, "queueLimit", builder.queueLimit());
-        this.maxWait = checkedTime("maxWait", builder.maxWait());
         this.slotsPerWorker = checkedAtLeast(1, "slotsPerWorker", builder.slotsPerWorker());
         this.connectionsPerEntry = checkedAtLeast(1, "connectionsPerEntry", builder.connectionsPerEntry());
         this.retryShare = checkedShare("retryShare", builder.retryShare());
@@ -175,15 +170,6 @@
         return queueLimit;
     }
 
-    /**
-     * Returns the longest time for which a request is expected to wait when it is taken in.
-     *
-     * @return the time, positive, not null
-     */
-    public Duration maxWait() {
-        return maxWait;
-    }
-
     /**
      * Returns the requests that one worker runs at once.
      *
@@ -260,7 +246,6 @@
         builder.maxBodyBytes(maxBodyBytes);
         builder.timeout(timeout);
         builder.queueLimit(queueLimit);
-        builder.maxWait(maxWait);
         builder.slotsPerWorker(slotsPerWorker);
         builder.connectionsPerEntry(connectionsPerEntry);
         builder.retryShare(retryShare);
@@ -291,7 +276,6 @@
                 maxBodyBytes,
                 timeout,
                 queueLimit,
-                maxWait,
                 slotsPerWorker,
                 connectionsPerEntry,
                 retryShare,
--- a/trefoilpost-model/src/main/java/org/trefoilpost/model/configuration/PoolSettingsBuilder.java
+++ b/trefoilpost-model/src/main/java/org/trefoilpost/model/configuration/PoolSettingsBuilder.java
@@ -22,7 +22,6 @@
     private int maxBodyBytes = PoolSettings.DEFAULT_MAX_BODY_BYTES;
     private Duration timeout = PoolSettings.DEFAULT_TIMEOUT;
     private int queueLimit = PoolSettings.DEFAULT_QUEUE_LIMIT;
-    private Duration maxWait = PoolSettings.DEFAULT_MAX_WAIT;
     private int slotsPerWorker = PoolSettings.DEFAULT_SLOTS_PER_WORKER;
     private int connectionsPerEntry = PoolSettings.DEFAULT_CONNECTIONS_PER_ENTRY;
     private double retryShare = PoolSettings.DEFAULT_SHARE;
@@ -101,17 +100,6 @@
         return this;
     }
 
-    /**
-     * Sets the longest time for which a request is expected to wait when it is taken in.
-     *
-     * @param newMaxWait  the time, positive, not null
-     * @return this builder, not null
-     */
-    public PoolSettingsBuilder maxWait(Duration newMaxWait) {
-        this.maxWait = Objects.requireNonNull(newMaxWait, "maxWait");
-        return this;
-    }
-
     /**
      * Sets the requests that one worker runs at once.
      *
@@ -228,10 +216,6 @@
         return queueLimit;
     }
 
-    Duration maxWait() {
-        return maxWait;
-    }
-
     int slotsPerWorker() {
         return slotsPerWorker;
     }
