Tell the request path of the members once for many documents

Ruled out: a message for each rack, which the routers would have to merge. Change: the members are told at most once in a tick, and when the list of instances differs; the view of the pools is kept until a document, the list or the ejections change; the map of responsible entries until the entries change.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDocuments.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDocuments.java
@@ -33,6 +33,7 @@
     private final Map<PoolName, Versioned<BudgetLedger>> ledgers = new TreeMap<>();
     private final Map<PlanDigest, Versioned<WaveState>> plans = new TreeMap<>();
     private final Map<String, Long> unreadable = new HashMap<>();
+    private long changes;
     private Versioned<PlanIndex> index = Versioned.of(PlanIndex.empty(), 0);
 
     /**
@@ -41,6 +42,7 @@
      * @param value  the value, not null
      */
     void put(StoredValue value) {
+        changes++;
         String key = value.key();
         try {
             if (key.startsWith(FleetKeys.INVENTORY)) {
@@ -67,12 +69,32 @@
      * @param key  the key, not null
      */
     void remove(String key) {
+        changes++;
         inventories.keySet().removeIf(rack -> FleetKeys.inventory(rack).equals(key));
         ledgers.keySet().removeIf(pool -> FleetKeys.ledger(pool).equals(key));
         plans.keySet().removeIf(plan -> FleetKeys.plan(plan).equals(key));
         unreadable.remove(key);
     }
 
+    /**
+     * Takes in a plan's state as this entry wrote it.
+     *
+     * @param plan  the state with its revision, not null
+     */
+    void put(Versioned<WaveState> plan) {
+        changes++;
+        plans.put(plan.document().plan().digest(), plan);
+    }
+
+    /**
+     * Returns how often a document changed.
+     *
+     * @return the number, which grows with each change
+     */
+    long changes() {
+        return changes;
+    }
+
     /**
      * Returns the keys of the documents that could not be read.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
@@ -43,6 +43,7 @@
     private final LedgerSweep sweep;
     private final Repairs repairs;
     private volatile StoreWatcher watcher;
+    private boolean membersChanged;
 
     private FleetDuty(FleetContext context) {
         this.context = context;
@@ -194,7 +195,7 @@
 
     @Override
     public void planSaved(Versioned<WaveState> saved, List<FleetEvent> happened) {
-        state.documents().plans().put(saved.document().plan().digest(), saved);
+        state.documents().put(saved);
         cordons.apply(saved.document());
         events.record(happened);
     }
@@ -242,16 +243,18 @@
 
     private void observed(Observation observation, Throwable failure) {
         if (failure == null) {
-            state.listed(observation.workers);
-            state.ejected(observation.ejected);
+            boolean changed = state.observed(observation.workers, observation.ejected);
             adopt();
-            tellMembers();
+            if (changed) {
+                tellMembers();
+            }
         } else {
             context.metrics().count("trefoilpost.store.failures", "instance-list");
         }
     }
 
     private void tellMembers() {
+        membersChanged = false;
         context.ports().members(state.members());
     }
 
@@ -313,12 +316,15 @@
         if (key.startsWith(FleetKeys.PLANS) && value.isPresent()) {
             state.documents().plan(key).ifPresent(plan -> cordons.apply(plan.document()));
         } else if (key.startsWith(FleetKeys.INVENTORY)) {
-            tellMembers();
+            membersChanged = true;
         }
     }
 
     private void tick(long nowMillis) {
         duty.schedule(nowMillis + TICK_MILLIS, this::tick);
+        if (membersChanged) {
+            tellMembers();
+        }
         if (isLoaded() && context.ports().isConfigurationFresh(nowMillis)) {
             plans.tick(nowMillis);
             sweep.tick(nowMillis);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
@@ -27,6 +27,8 @@
     private Map<WorkerId, Worker> listed = Map.of();
     private Set<WorkerId> ejected = Set.of();
     private Configuration configuration = Configuration.builder().build();
+    private InventoryView inventory;
+    private long inventoryChanges;
 
     FleetDocuments documents() {
         return documents;
@@ -40,15 +42,24 @@
         this.configuration = newConfiguration;
     }
 
-    void listed(List<Worker> workers) {
+    /**
+     * Takes in the list of instances and the workers that this entry has ejected.
+     *
+     * @param workers  the workers as listed, not null
+     * @param newEjected  the ejected workers, not null
+     * @return true if the list differs from the one before
+     */
+    boolean observed(List<Worker> workers, Set<WorkerId> newEjected) {
         Map<WorkerId, Worker> byId = new HashMap<>();
         workers.forEach(worker -> byId.merge(
                 worker.id(), worker, (one, other) -> one.incarnation() >= other.incarnation() ? one : other));
-        this.listed = byId;
-    }
-
-    void ejected(Set<WorkerId> workers) {
-        this.ejected = workers;
+        boolean listChanged = !byId.equals(listed);
+        if (listChanged || !newEjected.equals(ejected)) {
+            inventory = null;
+        }
+        listed = byId;
+        ejected = newEjected;
+        return listChanged;
     }
 
     Map<WorkerId, Worker> listed() {
@@ -65,6 +76,14 @@
      * @return the view, not null
      */
     InventoryView inventory() {
+        if (inventory == null || inventoryChanges != documents.changes()) {
+            inventory = newInventory();
+            inventoryChanges = documents.changes();
+        }
+        return inventory;
+    }
+
+    private InventoryView newInventory() {
         Set<WorkerId> outOfService = new HashSet<>(ejected);
         documents
                 .plans()
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/Responsibility.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/Responsibility.java
@@ -5,7 +5,7 @@
 import org.trefoilpost.model.EntryId;
 
 /**
- * Spreads what needs one entry's care over the live entries.
+ * Spreads what needs one entry's care over the live entries. The duty's thread owns it.
  *
  * <p>Two entries with different views may both think that something is theirs; the revisions of the documents settle that.
  */
@@ -14,6 +14,8 @@
 
     private final EntryId self;
     private final FleetPorts ports;
+    private Set<EntryId> mapped = Set.of();
+    private ShardMap entries;
 
     Responsibility(EntryId self, FleetPorts ports) {
         this.self = self;
@@ -28,7 +30,10 @@
      */
     boolean isOurs(String name) {
         Set<EntryId> live = ports.liveEntries();
-        ShardMap entries = ShardMap.of(SHARDS, live);
+        if (!live.equals(mapped)) {
+            entries = ShardMap.of(SHARDS, live);
+            mapped = live;
+        }
         int shard = Math.floorMod(name.hashCode(), SHARDS);
         return entries.preferredOwner(shard).map(self::equals).orElse(true);
     }
