--- a/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/Http.java
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/Http.java
@@ -14,7 +14,7 @@
 final class Http {
     private static final HttpClient CLIENT =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private static final Duration TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final int FIRST_ERROR_STATUS = 300;
 
     private Http() {}
--- a/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/IdleBench.java
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/IdleBench.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -59,7 +60,7 @@
             MeasuredFleet.sleep(SETTLE_MILLIS);
             String size = String.format(Locale.ROOT, "| %d | %d | %d ", entries, workers, pools);
             out.println(size + figures(fleet));
-        } catch (IllegalStateException | IOException e) {
+        } catch (IllegalStateException | IOException | UncheckedIOException e) {
             out.printf("| %d | %d | %d | failed: %s%n", entries, workers, pools, e.getMessage());
         }
     }
--- a/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/MeasuredFleet.java
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/MeasuredFleet.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -19,7 +20,7 @@
 final class MeasuredFleet implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int PER_RACK = 4;
-    private static final int MAX_WAITS = 360;
+    private static final int MAX_WAITS = 240;
     private static final long WAIT_MILLIS = 500;
 
     private final PlatformServer platform;
@@ -97,12 +98,20 @@
 
     private static void awaitMembers(MeasuredEntry entry, int workerCount) {
         for (int wait = 0; wait < MAX_WAITS; wait++) {
-            if (members(entry) >= workerCount) {
+            if (has(entry, workerCount)) {
                 return;
             }
             sleep(WAIT_MILLIS);
         }
-        throw new IllegalStateException("an entry has " + members(entry) + " of " + workerCount + " workers");
+        throw new IllegalStateException("an entry didn't take in its " + workerCount + " workers");
+    }
+
+    private static boolean has(MeasuredEntry entry, int workerCount) {
+        try {
+            return members(entry) >= workerCount;
+        } catch (UncheckedIOException e) {
+            return false;
+        }
     }
 
     private static int members(MeasuredEntry entry) {
--- a/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/OverheadBench.java
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/OverheadBench.java
@@ -109,6 +109,9 @@
                 through.total() - through.count("answered"),
                 perRequest,
                 MILLIS_PER_SECOND / perRequest);
+        if (through.count("answered") < through.total()) {
+            out.println(through.json());
+        }
     }
 
     private LoadReport load(Endpoint target, String pool, double perSecond, double length, double share) {
