--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobPlacer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobPlacer.java
@@ -167,6 +167,9 @@
             if (worker.isPresent()) {
                 starts.put(spec.id(), worker.get());
                 capacity.take(worker.get().id(), need);
+                if (blame.isBlamed(worker.get().id())) {
+                    closed.get(spec.pool()).add(worker.get().id());
+                }
                 teams.merge(spec.team(), spec.resources(), Resources::plus);
             } else if (spec.requestClass() == RequestClass.URGENT) {
                 makeRoom(capacity, need, excluded);
