--- /dev/null
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/job/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks of the placement of jobs.
+ */
+package org.trefoilpost.bench.job;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobPlacer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobPlacer.java
@@ -104,6 +104,11 @@
         return Optional.of(shortResource(spec, pool));
     }
 
+    /** Returns what quotas count; the memory of a large fleet in MiB would overflow a sum. */
+    private static Resources counted(JobSpec spec) {
+        return Resources.of(spec.resources().cores(), 0, spec.resources().accelerators(), 0);
+    }
+
     private static String shortResource(JobSpec spec, List<JobWorker> pool) {
         Map<String, ToIntFunction<Resources>> kinds = new TreeMap<>();
         kinds.put("cores", Resources::cores);
@@ -139,7 +144,7 @@
             this.fleet = fleet;
             this.nowMillis = nowMillis;
             this.tasks = tasks;
-            tasks.forEach(task -> teams.merge(task.spec().team(), task.spec().resources(), Resources::plus));
+            tasks.forEach(task -> teams.merge(task.spec().team(), counted(task.spec()), Resources::plus));
         }
 
         void decide(Job job) {
@@ -170,7 +175,7 @@
                 if (blame.isBlamed(worker.get().id())) {
                     closed.get(spec.pool()).add(worker.get().id());
                 }
-                teams.merge(spec.team(), spec.resources(), Resources::plus);
+                teams.merge(spec.team(), counted(spec), Resources::plus);
             } else if (spec.requestClass() == RequestClass.URGENT) {
                 makeRoom(capacity, need, excluded);
             }
@@ -249,7 +254,7 @@
 
         private boolean withinQuota(JobSpec spec) {
             TeamQuota quota = fleet.quotas().get(spec.team());
-            Resources used = teams.getOrDefault(spec.team(), Resources.NONE).plus(spec.resources());
+            Resources used = teams.getOrDefault(spec.team(), Resources.NONE).plus(counted(spec));
             return quota == null || used.cores() <= quota.cores() && used.accelerators() <= quota.accelerators();
         }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobShardTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobShardTest.java
@@ -181,6 +181,22 @@
         assertEquals(Set.of(soon.id()), one.starts().keySet());
     }
 
+    @Test
+    void theMemoryOfALargeFleetDoesNotOverflowTheTotalsOfATeam() {
+        JobSpec large = builder("large", 1)
+                .resources(Resources.of(1, Integer.MAX_VALUE / 2, 0, 1))
+                .build();
+        List<JobTask> tasks = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            tasks.add(JobTask.of(large, WorkerId.of("elsewhere" + i), false));
+        }
+        JobSpec spec = job("a", RequestClass.NORMAL, 1);
+        Job waiting = Job.of(spec, JobPhase.WAITING, 0, Optional.empty(), Optional.empty(), Set.of(), "", NOW);
+        assertEquals(
+                Set.of(spec.id()),
+                placer.place(List.of(waiting), tasks, fleet(1), NOW).starts().keySet());
+    }
+
     @Test
     void theDeclaredSizeIsCorrectedWithinBounds() {
         JobSpec spec = job("a", RequestClass.NORMAL, 8);
