Give a worker no more attempts than the entry has connections to it

Ruled out: more connections, as nine entries would pass the worker's 64. Change: CappedPolicy around the selection policy.

--- a/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/IdleBench.java
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/IdleBench.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 
@@ -37,7 +38,7 @@
      */
     public static void main(String[] args) throws Exception {
         IdleBench bench = new IdleBench(System.out, args.length > 0 ? Integer.parseInt(args[0]) : 30);
-        String[] cases = args.length > 1 ? java.util.Arrays.copyOfRange(args, 1, args.length) : DEFAULT_CASES;
+        String[] cases = args.length > 1 ? Arrays.copyOfRange(args, 1, args.length) : DEFAULT_CASES;
         bench.out.println("| entries | workers | pools | CPU % of a core an entry | RSS MiB | live heap MiB"
                 + " | of it own classes MiB | to peers KB/s | from peers KB/s | store calls/s, all | reads/s | writes/s"
                 + " | watches/s | store KB/s from it, an entry |");
--- a/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/MeasuredEntry.java
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/load/MeasuredEntry.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -79,10 +80,7 @@
     }
 
     EntryUsage usage() {
-        long cpuNanos = process.info()
-                .totalCpuDuration()
-                .map(java.time.Duration::toNanos)
-                .orElse(0L);
+        long cpuNanos = process.info().totalCpuDuration().map(Duration::toNanos).orElse(0L);
         String metrics = Http.get("http://" + operators + "/metrics");
         return new EntryUsage(
                 cpuNanos,
--- a/trefoilpost-bench/src/main/java/org/trefoilpost/bench/slope/Usage.java
+++ b/trefoilpost-bench/src/main/java/org/trefoilpost/bench/slope/Usage.java
@@ -2,6 +2,7 @@
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
+import java.util.Arrays;
 import java.util.function.Supplier;
 
 /**
@@ -29,7 +30,7 @@
             repeat(repeats, action);
             micros[round] = (THREADS.getCurrentThreadCpuTime() - before) / NANOS_PER_MICRO / repeats;
         }
-        java.util.Arrays.sort(micros);
+        Arrays.sort(micros);
         return micros[ROUNDS / 2];
     }
 
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/CappedPolicy.java
@@ -0,0 +1,41 @@
+package org.trefoilpost.decision.routing;
+
+import java.util.Objects;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Policy that gives a worker no more of this entry's attempts than the entry may hold connections to it.
+ */
+public final class CappedPolicy implements SelectionPolicy {
+    private final SelectionPolicy policy;
+    private final IntSupplier connections;
+
+    private CappedPolicy(SelectionPolicy policy, IntSupplier connections) {
+        this.policy = policy;
+        this.connections = connections;
+    }
+
+    /**
+     * Obtains a policy.
+     *
+     * @param policy  the policy that selects, not null
+     * @param connections  the most connections to a worker, as they are at present, not null
+     * @return the policy, not null
+     */
+    public static CappedPolicy of(SelectionPolicy policy, IntSupplier connections) {
+        return new CappedPolicy(
+                Objects.requireNonNull(policy, "policy"), Objects.requireNonNull(connections, "connections"));
+    }
+
+    @Override
+    public int select(CandidateView candidates, RouteRequest request, RandomGenerator random) {
+        return policy.select(candidates, request, random);
+    }
+
+    @Override
+    public int freeSlots(int slots, int ownInFlight, int peerInFlight) {
+        int free = policy.freeSlots(slots, ownInFlight, peerInFlight);
+        return Math.min(free, connections.getAsInt() - ownInFlight);
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/routing/CappedPolicyTest.java
@@ -0,0 +1,51 @@
+package org.trefoilpost.decision.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.trefoilpost.model.DataCentreName;
+import org.trefoilpost.model.Endpoint;
+import org.trefoilpost.model.RackName;
+import org.trefoilpost.model.RegionName;
+import org.trefoilpost.model.WorkerId;
+import org.trefoilpost.model.worker.Resources;
+import org.trefoilpost.model.worker.Worker;
+
+class CappedPolicyTest {
+    private static final DataCentreName HOME = DataCentreName.of("dc-1");
+    private static final int SLOTS = 100;
+    private static final int CONNECTIONS = 7;
+
+    @Test
+    void givesAWorkerNoMoreThanTheConnections() {
+        SelectionPolicy policy = CappedPolicy.of(new TwoChoicesPolicy(), () -> CONNECTIONS);
+        PoolRouter router = PoolRouter.of(RouterSettings.defaults(), policy, new Random(1));
+        Worker worker = Worker.builder(WorkerId.of("w-1"))
+                .rack(RackName.of("r-1"))
+                .dataCentre(HOME)
+                .region(RegionName.of("region"))
+                .endpoint(Endpoint.of("127.0.0.1", 1))
+                .resources(Resources.of(1, 1, 0, SLOTS))
+                .connections(64)
+                .build();
+        router.members(List.of(worker), 0);
+        for (int i = 0; i < CONNECTIONS; i++) {
+            Optional<Choice> choice = router.choose(RouteRequest.of(HOME), 0);
+            assertTrue(choice.isPresent());
+            router.started(choice.get());
+        }
+        assertEquals(Optional.empty(), router.choose(RouteRequest.of(HOME), 0));
+    }
+
+    @Test
+    void leavesTheOtherPolicysCountWhereItIsLess() {
+        assertEquals(
+                1, CappedPolicy.of(new TwoChoicesPolicy(), () -> CONNECTIONS).freeSlots(8, 2, 5));
+        assertEquals(
+                5, CappedPolicy.of(new TwoChoicesPolicy(), () -> CONNECTIONS).freeSlots(8, 2, 0));
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/claim/ShardRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/claim/ShardRunner.java
@@ -18,7 +18,9 @@
 import org.trefoilpost.decision.claim.Conclude;
 import org.trefoilpost.decision.claim.Dispatch;
 import org.trefoilpost.decision.claim.DispatchAbandoned;
+import org.trefoilpost.decision.claim.HandOver;
 import org.trefoilpost.decision.claim.HandOverReady;
+import org.trefoilpost.decision.claim.HandedClaim;
 import org.trefoilpost.decision.claim.JournalRefused;
 import org.trefoilpost.decision.claim.OutcomeUnknown;
 import org.trefoilpost.decision.claim.OwnershipGained;
@@ -206,12 +208,10 @@
         if (nextOwner.equals(context.self)) {
             return;
         }
-        List<org.trefoilpost.decision.claim.HandedClaim> claims =
-                ready.handOver().claims();
+        List<HandedClaim> claims = ready.handOver().claims();
         for (int from = 0; from < claims.size(); from += MAX_HANDED_CLAIMS) {
             int to = Math.min(claims.size(), from + MAX_HANDED_CLAIMS);
-            context.ports.handOver(
-                    nextOwner, org.trefoilpost.decision.claim.HandOver.of(number, claims.subList(from, to)));
+            context.ports.handOver(nextOwner, HandOver.of(number, claims.subList(from, to)));
         }
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/configuration/ConfigurationDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/configuration/ConfigurationDuty.java
@@ -18,6 +18,8 @@
 import org.trefoilpost.decision.configuration.ConfigurationKeys;
 import org.trefoilpost.decision.configuration.ConfigurationSnapshot;
 import org.trefoilpost.decision.configuration.ConfigurationUpdate;
+import org.trefoilpost.decision.configuration.StoreResult;
+import org.trefoilpost.entry.log.Codes;
 import org.trefoilpost.entry.log.EventLog;
 import org.trefoilpost.entry.log.LogEvent;
 import org.trefoilpost.entry.metrics.EntryMetrics;
@@ -206,9 +208,9 @@
     }
 
     private void raise(ConfigurationAction.RaiseAlarm alarm) {
-        metrics.count("trefoilpost.configuration.alarms", alarm.alarm().name().toLowerCase(java.util.Locale.ROOT));
+        metrics.count("trefoilpost.configuration.alarms", Codes.of(alarm.alarm()));
         LOG.warn(LogEvent.of("configuration-alarm")
-                .with("alarm", alarm.alarm().name().toLowerCase(java.util.Locale.ROOT))
+                .with("alarm", Codes.of(alarm.alarm()))
                 .with("detail", alarm.detail()));
     }
 
@@ -251,10 +253,9 @@
      */
     private static final class StoreActions {
         private final KeyValueStore store;
-        private final Consumer<org.trefoilpost.decision.configuration.StoreResult> results;
+        private final Consumer<StoreResult> results;
 
-        private StoreActions(
-                KeyValueStore store, Consumer<org.trefoilpost.decision.configuration.StoreResult> results) {
+        private StoreActions(KeyValueStore store, Consumer<StoreResult> results) {
             this.store = store;
             this.results = results;
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/EventRecorder.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/EventRecorder.java
@@ -20,11 +20,10 @@
  * <p>An event that cannot be written waits, and is dropped from the front when too many wait; the JSON log has it still.
  */
 final class EventRecorder {
-    private static final org.trefoilpost.entry.log.EventLog LOG =
-            org.trefoilpost.entry.log.EventLog.of(EventRecorder.class);
     private static final int MAX_WAITING = 1_000;
     private static final int MAX_ATTEMPTS = 5;
 
+    private final org.trefoilpost.entry.log.EventLog lines = org.trefoilpost.entry.log.EventLog.of(EventRecorder.class);
     private final KeyValueStore store;
     private final EventLog log = EventLog.DEFAULT;
     private final Deque<FleetEvent> waiting = new ArrayDeque<>();
@@ -42,7 +41,7 @@
     void record(List<FleetEvent> events) {
         synchronized (this) {
             for (FleetEvent event : events) {
-                LOG.info(logEvent(event));
+                lines.info(logEvent(event));
                 waiting.add(event);
             }
             while (waiting.size() > MAX_WAITING) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.entry.fleet;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -18,7 +19,7 @@
      *
      * @param members  the workers by pool, not null
      */
-    void members(Map<PoolName, java.util.List<Worker>> members);
+    void members(Map<PoolName, List<Worker>> members);
 
     /**
      * Takes workers out of the candidates on the request path, or puts them back.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
@@ -15,6 +15,7 @@
 import org.trefoilpost.model.PoolName;
 import org.trefoilpost.model.WorkerId;
 import org.trefoilpost.model.capacity.AvailabilityBudget;
+import org.trefoilpost.model.capacity.FailureDomain;
 import org.trefoilpost.model.configuration.Configuration;
 import org.trefoilpost.model.worker.Worker;
 import org.trefoilpost.model.worker.WorkerState;
@@ -136,7 +137,7 @@
         return configuration
                 .pool(pool)
                 .map(settings -> settings.budget())
-                .orElse(AvailabilityBudget.of(0, org.trefoilpost.model.capacity.FailureDomain.NONE));
+                .orElse(AvailabilityBudget.of(0, FailureDomain.NONE));
     }
 
     BudgetFigures figures(PoolName pool) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanDesk.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/PlanDesk.java
@@ -6,7 +6,9 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.trefoilpost.decision.event.FleetEvent;
 import org.trefoilpost.decision.event.FleetEventKind;
 import org.trefoilpost.decision.inventory.RackInventoryCodec;
@@ -208,7 +210,7 @@
                                 bytes -> BudgetLedgerCodec.decode(bytes).version())));
         CompletableFuture<Long> configuration =
                 fleet.ask(state -> state.configuration().version());
-        CompletableFuture<?>[] all = java.util.stream.Stream.concat(racks.values().stream(), ledgers.values().stream())
+        CompletableFuture<?>[] all = Stream.concat(racks.values().stream(), ledgers.values().stream())
                 .toArray(CompletableFuture[]::new);
         return CompletableFuture.allOf(all)
                 .thenCombine(
@@ -216,7 +218,7 @@
                         (done, version) -> PlanVersions.of(version, planned.index(), joined(racks), joined(ledgers)));
     }
 
-    private CompletableFuture<Long> version(String key, java.util.function.ToLongFunction<byte[]> reader) {
+    private CompletableFuture<Long> version(String key, ToLongFunction<byte[]> reader) {
         return store.read(key)
                 .thenApply(value ->
                         value.map(found -> reader.applyAsLong(found.bytes())).orElse(0L));
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/log/Codes.java
@@ -0,0 +1,20 @@
+package org.trefoilpost.entry.log;
+
+import java.util.Locale;
+
+/**
+ * Writes constants as the codes that logs, metrics and answers show.
+ */
+public final class Codes {
+    private Codes() {}
+
+    /**
+     * Returns the code of a constant, such as {@code not-connected} for {@code NOT_CONNECTED}.
+     *
+     * @param constant  the constant, not null
+     * @return the code, not null
+     */
+    public static String of(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/membership/EntryRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/membership/EntryRegistry.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -96,7 +97,7 @@
                 .put("entry", self.id().text())
                 .put("incarnation", self.incarnation())
                 .put("peer", self.endpoint().toString());
-        return node.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        return node.toString().getBytes(StandardCharsets.UTF_8);
     }
 
     private static Optional<Member> parse(StoredValue value) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/membership/MembershipDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/membership/MembershipDuty.java
@@ -5,7 +5,9 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.trefoilpost.decision.membership.AllToAllSurveillance;
 import org.trefoilpost.decision.membership.Heartbeat;
 import org.trefoilpost.decision.membership.HeartbeatCodec;
@@ -15,6 +17,7 @@
 import org.trefoilpost.decision.membership.MembershipAction;
 import org.trefoilpost.decision.membership.MembershipEvent;
 import org.trefoilpost.decision.membership.MembershipSettings;
+import org.trefoilpost.entry.log.Codes;
 import org.trefoilpost.entry.log.EventLog;
 import org.trefoilpost.entry.log.LogEvent;
 import org.trefoilpost.entry.metrics.EntryMetrics;
@@ -123,7 +126,7 @@
                 content.heard(heartbeat, frame.configurationChange());
             });
         } catch (HeartbeatException e) {
-            metrics.count("trefoilpost.heartbeats.rejected", e.fault().name().toLowerCase(java.util.Locale.ROOT));
+            metrics.count("trefoilpost.heartbeats.rejected", Codes.of(e.fault()));
         }
     }
 
@@ -140,7 +143,7 @@
     public void leave() {
         try {
             registry.end().get(END_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+        } catch (ExecutionException | TimeoutException e) {
             LOG.warn(LogEvent.of("registration-left-to-lapse").withFailure(e));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -201,7 +204,7 @@
     }
 
     private void tell(MembershipAction action) {
-        String kind = action.kind().name().toLowerCase(java.util.Locale.ROOT);
+        String kind = Codes.of(action.kind());
         metrics.count("trefoilpost.membership.changes", kind);
         LOG.info(LogEvent.of("entry-" + kind)
                 .with("entry", action.member().id())
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/ConfigurationRoutes.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/ConfigurationRoutes.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.configuration.ChangeOutcome;
 import org.trefoilpost.decision.configuration.ChangeRefusal;
+import org.trefoilpost.entry.log.Codes;
 import org.trefoilpost.model.configuration.Configuration;
 import org.trefoilpost.model.configuration.ConfigurationCodec;
 
@@ -70,7 +71,7 @@
 
     private static OperatorAnswer refused(ChangeOutcome outcome) {
         ChangeRefusal refusal = outcome.refusal().orElseThrow();
-        String type = refusal.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        String type = Codes.of(refusal);
         boolean conflict = refusal == ChangeRefusal.CONFLICT || refusal == ChangeRefusal.CONTENTION;
         return OperatorAnswer.problem(
                 conflict ? 409 : 503,
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorFailures.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorFailures.java
@@ -7,6 +7,7 @@
 import org.trefoilpost.decision.plan.IntentException;
 import org.trefoilpost.entry.fleet.FleetReports;
 import org.trefoilpost.entry.fleet.ProposalException;
+import org.trefoilpost.entry.log.Codes;
 import org.trefoilpost.entry.platform.StoreException;
 import org.trefoilpost.model.configuration.ConfigurationException;
 
@@ -53,7 +54,7 @@
     private static OperatorAnswer proposal(ProposalException proposal) {
         ObjectNode members = OperatorAnswer.members();
         proposal.fresh().ifPresent(fresh -> members.set("fresh", FleetReports.proposal(fresh)));
-        String type = proposal.kind().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        String type = Codes.of(proposal.kind());
         int status = proposal.kind() == ProposalException.Kind.UNKNOWN_PLAN ? 404 : 409;
         return OperatorAnswer.problem(status, type, proposal.getMessage(), members);
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServices.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServices.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.trefoilpost.entry.configuration.ConfigurationDuty;
 import org.trefoilpost.entry.fleet.FleetReports;
 import org.trefoilpost.entry.fleet.PlanDesk;
@@ -22,7 +23,7 @@
     private final PlanDesk plans;
     private final EntryMetrics metrics;
     private final MillisClock clock;
-    private final java.util.function.Supplier<Optional<RefusalReason>> closed;
+    private final Supplier<Optional<RefusalReason>> closed;
 
     private OperatorServices(Builder builder) {
         this.entry = Objects.requireNonNull(builder.entry, "entry");
@@ -88,7 +89,7 @@
         private PlanDesk plans;
         private EntryMetrics metrics;
         private MillisClock clock;
-        private java.util.function.Supplier<Optional<RefusalReason>> closed;
+        private Supplier<Optional<RefusalReason>> closed;
 
         private Builder(EntryId entry) {
             this.entry = entry;
@@ -157,7 +158,7 @@
          * @param newClosed  tells the reason, empty if requests are taken, not null
          * @return this builder, not null
          */
-        public Builder closed(java.util.function.Supplier<Optional<RefusalReason>> newClosed) {
+        public Builder closed(Supplier<Optional<RefusalReason>> newClosed) {
             this.closed = newClosed;
             return this;
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/PoolRoutes.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/PoolRoutes.java
@@ -1,5 +1,7 @@
 package org.trefoilpost.entry.operator;
 
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.model.PoolName;
@@ -40,8 +42,8 @@
 
     private static long millis(String time) {
         try {
-            return java.time.Instant.parse(time).toEpochMilli();
-        } catch (java.time.format.DateTimeParseException e) {
+            return Instant.parse(time).toEpochMilli();
+        } catch (DateTimeParseException e) {
             throw new IllegalArgumentException("since is '" + time + "': a time such as 2026-01-31T12:00:00Z", e);
         }
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
@@ -13,9 +13,11 @@
 import org.trefoilpost.decision.admission.TeamQuotas;
 import org.trefoilpost.decision.dispatch.PoolDispatcher;
 import org.trefoilpost.decision.retry.RetryBudget;
+import org.trefoilpost.decision.routing.CappedPolicy;
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.decision.routing.PoolRouter;
 import org.trefoilpost.decision.routing.RouterSettings;
+import org.trefoilpost.decision.routing.SelectionPolicy;
 import org.trefoilpost.decision.routing.TwoChoicesPolicy;
 import org.trefoilpost.model.DataCentreName;
 import org.trefoilpost.model.EntryId;
@@ -140,7 +142,14 @@
     }
 
     private PoolDispatcher dispatcher(PoolSettings settings) {
-        PoolRouter router = PoolRouter.of(RouterSettings.defaults(), new TwoChoicesPolicy(), random);
+        PoolName name = settings.name();
+        SelectionPolicy policy = CappedPolicy.of(
+                new TwoChoicesPolicy(),
+                () -> Optional.ofNullable(pools.get(name))
+                        .map(Pool::settings)
+                        .orElse(settings)
+                        .connectionsPerEntry());
+        PoolRouter router = PoolRouter.of(RouterSettings.defaults(), policy, random);
         router.leaving(leaving);
         return PoolDispatcher.builder()
                 .ownDataCentre(ownDataCentre)
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDesk.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDesk.java
@@ -17,6 +17,7 @@
 import org.trefoilpost.decision.dispatch.StartAttempt;
 import org.trefoilpost.decision.membership.PoolLoad;
 import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.entry.log.Codes;
 import org.trefoilpost.entry.runtime.Duty;
 import org.trefoilpost.entry.target.TargetAnswer;
 import org.trefoilpost.entry.target.TargetFailure;
@@ -268,13 +269,13 @@
             return;
         }
         TargetFailure kind = AttemptResults.targetFailure(failure);
-        context.metrics().count(ATTEMPT_FAILURES, kind.name().toLowerCase(java.util.Locale.ROOT));
+        context.metrics().count(ATTEMPT_FAILURES, Codes.of(kind));
         if (kind == TargetFailure.LEAVING) {
             Worker worker = start.worker();
             context.leavingListener().accept(worker.id(), worker.incarnation());
             pools.leaving(LeavingRegister.empty().withWorkerSignal(worker.id(), worker.incarnation()));
         }
-        request.failed(kind.name().toLowerCase(java.util.Locale.ROOT));
+        request.failed(Codes.of(kind));
         run(
                 request.pool().dispatcher().attemptEnded(id, start.attempt(), AttemptResults.of(failure), nowMillis),
                 nowMillis);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/target/AnswerCollector.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/target/AnswerCollector.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.entry.target;
 
 import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.netty.BufferAllocators;
 import io.servicetalk.concurrent.PublisherSource;
 import java.io.ByteArrayOutputStream;
 
@@ -108,8 +109,7 @@
     private void beginStream(PublisherSource.Subscriber<? super Buffer> subscriber) {
         Buffer start = overflow;
         overflow = null;
-        Buffer joined = io.servicetalk.buffer.netty.BufferAllocators.PREFER_HEAP_ALLOCATOR.newBuffer(
-                held.size() + start.readableBytes());
+        Buffer joined = BufferAllocators.PREFER_HEAP_ALLOCATOR.newBuffer(held.size() + start.readableBytes());
         joined.writeBytes(held.toByteArray());
         joined.writeBytes(start);
         subscriber.onNext(joined);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/target/TargetExchange.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/target/TargetExchange.java
@@ -2,6 +2,7 @@
 
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.PublisherSource;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.SourceAdapters;
@@ -123,7 +124,7 @@
             return;
         }
         StreamingHttpRequest message = message(taken);
-        io.servicetalk.concurrent.Cancellable sending = taken.request(message).subscribe(this::answered, failure -> {
+        Cancellable sending = taken.request(message).subscribe(this::answered, failure -> {
             giveBack(false);
             fail(TargetFailure.CONNECTION_LOST, failure);
         });
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerCodecTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -84,7 +85,7 @@
     void rejectsEveryTruncation(PeerMessage message) {
         byte[] frame = PeerCodec.encode(message);
         for (int length = 0; length < frame.length; length++) {
-            byte[] part = java.util.Arrays.copyOf(frame, length);
+            byte[] part = Arrays.copyOf(frame, length);
             assertThrows(MalformedFrameException.class, () -> PeerCodec.decode(part));
         }
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -99,7 +100,7 @@
         assertTrue(((PeerCallException) e.getCause()).sent());
     }
 
-    private void received(EntryId from, PeerMessage message, java.util.function.Consumer<PeerReply> reply) {
+    private void received(EntryId from, PeerMessage message, Consumer<PeerReply> reply) {
         received.add(message);
         if (message instanceof DrainQuery query && query.step() != 99) {
             reply.accept(DrainAnswer.of(query.callId(), 1, 6));
