Let one value stand for a cordon in the peers' messages, and drop what nothing uses

Cause: a cordon's plan, step, attempt and worker stood again in three messages, were packed three times, and were copied field by field at both ends; the membership's duty had a sender and a listener that nothing calls, the claims' duty a clock that nothing reads, and a keyed request's key was hashed twice. Ruled out: a base class of the three messages; they carry the value Cordon that the fleet has already, now in the peers' package. Change: CordonNotice, DrainQuery and UncordonCall carry a Cordon; one pack and one unpack; the unused members are gone; the key's hash is passed on. The frames of the two calls have one more truth value. Tests keep their assertions. Conclusion: the same behaviour in less code.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryFleetPorts.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryFleetPorts.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.configuration.ConfigurationFollower;
 import org.trefoilpost.decision.routing.LeavingRegister;
-import org.trefoilpost.entry.fleet.Cordon;
 import org.trefoilpost.entry.fleet.DrainCount;
 import org.trefoilpost.entry.fleet.FleetPorts;
+import org.trefoilpost.entry.peer.Cordon;
 import org.trefoilpost.entry.peer.CordonNotice;
 import org.trefoilpost.entry.peer.DrainAnswer;
 import org.trefoilpost.entry.peer.DrainQuery;
@@ -64,19 +64,13 @@
 
     @Override
     public void tellCordon(Cordon cordon) {
-        duties.network()
-                .broadcast(CordonNotice.of(
-                        cordon.plan(), cordon.step(), cordon.attempt(), cordon.worker(), cordon.isCordoned()));
+        duties.network().broadcast(CordonNotice.of(cordon));
     }
 
     @Override
     public CompletableFuture<DrainCount> askInFlight(EntryId peer, Cordon cordon) {
         return duties.network()
-                .call(
-                        peer,
-                        callId ->
-                                DrainQuery.of(callId, cordon.plan(), cordon.step(), cordon.attempt(), cordon.worker()),
-                        CALL_TIMEOUT_MILLIS)
+                .call(peer, callId -> DrainQuery.of(callId, cordon), CALL_TIMEOUT_MILLIS)
                 .thenApply(reply -> {
                     DrainAnswer answer = (DrainAnswer) reply;
                     return DrainCount.of(answer.acknowledged(), answer.inFlight());
@@ -86,16 +80,7 @@
     @Override
     public CompletableFuture<Boolean> askInService(EntryId peer, Cordon cordon, long stoppedIncarnation) {
         return duties.network()
-                .call(
-                        peer,
-                        callId -> UncordonCall.of(
-                                callId,
-                                cordon.plan(),
-                                cordon.step(),
-                                cordon.attempt(),
-                                cordon.worker(),
-                                stoppedIncarnation),
-                        CALL_TIMEOUT_MILLIS)
+                .call(peer, callId -> UncordonCall.of(callId, cordon, stoppedIncarnation), CALL_TIMEOUT_MILLIS)
                 .thenApply(reply -> ((UncordonAnswer) reply).inService());
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryPeerHandler.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryPeerHandler.java
@@ -2,7 +2,6 @@
 
 import java.util.function.Consumer;
 import org.trefoilpost.decision.routing.LeavingRegister;
-import org.trefoilpost.entry.fleet.Cordon;
 import org.trefoilpost.entry.peer.ConfigurationPush;
 import org.trefoilpost.entry.peer.ConfigurationWanted;
 import org.trefoilpost.entry.peer.CordonNotice;
@@ -49,10 +48,8 @@
         } else if (message instanceof ConfigurationWanted wanted) {
             duties.configuration()
                     .snapshotFor(wanted.version(), update -> duties.network().send(from, ConfigurationPush.of(update)));
-        } else if (message instanceof CordonNotice cordon) {
-            duties.fleet()
-                    .cordonTold(Cordon.of(
-                            cordon.plan(), cordon.step(), cordon.attempt(), cordon.worker(), cordon.cordoned()));
+        } else if (message instanceof CordonNotice notice) {
+            duties.fleet().cordonTold(notice.cordon());
         } else if (message instanceof LeavingNotice leaving) {
             duties.requests()
                     .leaving(LeavingRegister.empty().withWorkerSignal(leaving.worker(), leaving.incarnation()));
@@ -62,13 +59,11 @@
             forwarded(forward, reply);
         } else if (message instanceof UncordonCall call) {
             duties.fleet()
-                    .uncordon(
-                            Cordon.of(call.plan(), call.step(), call.attempt(), call.worker(), false),
-                            call.stoppedIncarnation())
+                    .uncordon(call.cordon(), call.stoppedIncarnation())
                     .thenAccept(inService -> reply.accept(UncordonAnswer.of(call.callId(), inService)));
         } else if (message instanceof DrainQuery query) {
             duties.fleet()
-                    .drainCount(Cordon.of(query.plan(), query.step(), query.attempt(), query.worker(), true))
+                    .drainCount(query.cordon())
                     .thenAccept(count ->
                             reply.accept(DrainAnswer.of(query.callId(), count.acknowledged(), count.inFlight())));
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/claim/ClaimDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/claim/ClaimDuty.java
@@ -42,7 +42,6 @@
 
     private final EntryId self;
     private final ClaimPorts ports;
-    private final MillisClock clock;
     private final EntryMetrics metrics;
     private final int shardCount;
     private final Duty<Consumer<Long>> duty;
@@ -56,7 +55,6 @@
             EntrySettings settings, KeyValueStore store, ClaimPorts ports, EntryMetrics metrics, MillisClock clock) {
         this.self = settings.entryId();
         this.ports = ports;
-        this.clock = clock;
         this.metrics = metrics;
         this.shardCount = settings.claimShards();
         this.duty = Duty.of("claims", settings.ringCapacity(), clock);
@@ -96,9 +94,10 @@
      */
     public CompletableFuture<RequestOutcome> submit(CallerRequest request) {
         ClaimKey key = ClaimKey.parse(request.idempotencyKey().orElseThrow());
-        EntryId owner = shards.preferredOwner(shards.shardOf(key)).orElse(self);
+        int shard = shards.shardOf(key);
+        EntryId owner = shards.preferredOwner(shard).orElse(self);
         if (owner.equals(self)) {
-            return claim(request);
+            return claim(request, key, shard);
         }
         metrics.count("trefoilpost.claims.forwarded", "other-owner");
         return ports.forward(owner, request).exceptionally(ClaimDuty::forwardFailed);
@@ -111,7 +110,8 @@
      * @return the outcome, not null; never fails
      */
     public CompletableFuture<RequestOutcome> forwarded(CallerRequest request) {
-        return claim(request);
+        ClaimKey key = ClaimKey.parse(request.idempotencyKey().orElseThrow());
+        return claim(request, key, shards.shardOf(key));
     }
 
     /**
@@ -163,10 +163,8 @@
         duty.close();
     }
 
-    private CompletableFuture<RequestOutcome> claim(CallerRequest request) {
+    private CompletableFuture<RequestOutcome> claim(CallerRequest request, ClaimKey key, int shard) {
         CompletableFuture<RequestOutcome> outcome = new CompletableFuture<>();
-        ClaimKey key = ClaimKey.parse(request.idempotencyKey().orElseThrow());
-        int shard = shards.shardOf(key);
         OpenClaim open = new OpenClaim(request, key, shard, outcome);
         if (!duty.offer(now -> claim(open, now))) {
             outcome.complete(refused(RefusalReason.RING_FULL));
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/CordonBook.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/CordonBook.java
@@ -6,6 +6,7 @@
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.decision.wave.CordonRegister;
 import org.trefoilpost.decision.wave.WaveState;
+import org.trefoilpost.entry.peer.Cordon;
 import org.trefoilpost.model.WorkerId;
 
 /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
@@ -14,6 +14,7 @@
 import org.trefoilpost.decision.plan.PlanIndex;
 import org.trefoilpost.decision.plan.PlanIndexCodec;
 import org.trefoilpost.decision.wave.WaveState;
+import org.trefoilpost.entry.peer.Cordon;
 import org.trefoilpost.entry.platform.StoreWatcher;
 import org.trefoilpost.entry.platform.StoredValue;
 import org.trefoilpost.entry.platform.WatchAnswer;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetPorts.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.routing.LeavingRegister;
+import org.trefoilpost.entry.peer.Cordon;
 import org.trefoilpost.model.EntryId;
 import org.trefoilpost.model.PoolName;
 import org.trefoilpost.model.WorkerId;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/StepActs.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/StepActs.java
@@ -23,6 +23,7 @@
 import org.trefoilpost.decision.wave.StepPhase;
 import org.trefoilpost.decision.wave.WaveEvent;
 import org.trefoilpost.decision.wave.WaveState;
+import org.trefoilpost.entry.peer.Cordon;
 import org.trefoilpost.entry.platform.StoredValue;
 import org.trefoilpost.entry.target.TaskStatus;
 import org.trefoilpost.entry.target.WorkerStatus;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/membership/MembershipDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/membership/MembershipDuty.java
@@ -45,7 +45,6 @@
     private final PeerNetwork network;
     private final HeartbeatContent content;
     private final EntryMetrics metrics;
-    private final Runnable changeListener;
     private volatile List<Member> live = List.of();
     private volatile Set<EntryId> registered = Set.of();
     private volatile boolean storeUp;
@@ -59,7 +58,6 @@
         this.network = builder.network;
         this.content = builder.content;
         this.metrics = builder.metrics;
-        this.changeListener = builder.changeListener;
     }
 
     /**
@@ -130,13 +128,6 @@
         }
     }
 
-    /**
-     * Sends a heartbeat to every peer at once, since something urgent has changed.
-     */
-    public void sendNow() {
-        duty.post(now -> run(membership.step(MembershipEvent.urgent(), now)));
-    }
-
     /**
      * Takes the registration out, so that peers and the platform know that this entry is gone.
      */
@@ -199,7 +190,6 @@
         }
         if (changed || membership.live().size() != live.size()) {
             live = new ArrayList<>(membership.live());
-            changeListener.run();
         }
     }
 
@@ -243,7 +233,6 @@
         private PeerNetwork network;
         private HeartbeatContent content;
         private EntryMetrics metrics;
-        private Runnable changeListener = () -> {};
 
         private Builder(Member self) {
             this.self = self;
@@ -293,17 +282,6 @@
             return this;
         }
 
-        /**
-         * Sets what runs, on the duty's thread, when an entry comes or goes.
-         *
-         * @param newListener  the listener, not null
-         * @return this builder, not null
-         */
-        public Builder changeListener(Runnable newListener) {
-            this.changeListener = newListener;
-            return this;
-        }
-
         /**
          * Starts the duty.
          *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/Cordon.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/Cordon.java
@@ -1,4 +1,4 @@
-package org.trefoilpost.entry.fleet;
+package org.trefoilpost.entry.peer;
 
 import java.util.Objects;
 import org.trefoilpost.decision.plan.PlanDigest;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/CordonNotice.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/CordonNotice.java
@@ -1,83 +1,34 @@
 package org.trefoilpost.entry.peer;
 
-import org.trefoilpost.decision.plan.PlanDigest;
-import org.trefoilpost.model.WorkerId;
+import java.util.Objects;
 
 /**
  * Tells that a worker is cordoned or uncordoned by a step of a plan.
  */
 public final class CordonNotice implements PeerMessage {
-    private final PlanDigest plan;
-    private final int step;
-    private final int attempt;
-    private final WorkerId worker;
-    private final boolean cordoned;
+    private final Cordon cordon;
 
-    private CordonNotice(PlanDigest plan, int step, int attempt, WorkerId worker, boolean cordoned) {
-        this.plan = plan;
-        this.step = step;
-        this.attempt = attempt;
-        this.worker = worker;
-        this.cordoned = cordoned;
+    private CordonNotice(Cordon cordon) {
+        this.cordon = cordon;
     }
 
     /**
      * Obtains a message.
      *
-     * @param plan  the digest of the plan, not null
-     * @param step  the number of the step
-     * @param attempt  the attempt of the step
-     * @param worker  the worker, not null
-     * @param cordoned  the truth whether the worker is cordoned
+     * @param cordon  the cordon, not null
      * @return the message, not null
      */
-    public static CordonNotice of(PlanDigest plan, int step, int attempt, WorkerId worker, boolean cordoned) {
-        return new CordonNotice(plan, step, attempt, worker, cordoned);
+    public static CordonNotice of(Cordon cordon) {
+        return new CordonNotice(Objects.requireNonNull(cordon, "cordon"));
     }
 
     /**
-     * Returns the digest of the plan.
+     * Returns the cordon.
      *
-     * @return the digest of the plan, not null
+     * @return the cordon, not null
      */
-    public PlanDigest plan() {
-        return plan;
-    }
-
-    /**
-     * Returns the number of the step.
-     *
-     * @return the number of the step
-     */
-    public int step() {
-        return step;
-    }
-
-    /**
-     * Returns the attempt of the step.
-     *
-     * @return the attempt of the step
-     */
-    public int attempt() {
-        return attempt;
-    }
-
-    /**
-     * Returns the worker.
-     *
-     * @return the worker, not null
-     */
-    public WorkerId worker() {
-        return worker;
-    }
-
-    /**
-     * Returns the truth whether the worker is cordoned.
-     *
-     * @return the truth whether the worker is cordoned
-     */
-    public boolean cordoned() {
-        return cordoned;
+    public Cordon cordon() {
+        return cordon;
     }
 
     /**
@@ -87,6 +38,6 @@
      */
     @Override
     public String toString() {
-        return "CordonNotice(" + plan + ", " + step + ", " + attempt + ", " + worker + ", " + cordoned + ")";
+        return "CordonNotice(" + cordon + ")";
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/DrainQuery.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/DrainQuery.java
@@ -1,38 +1,28 @@
 package org.trefoilpost.entry.peer;
 
-import org.trefoilpost.decision.plan.PlanDigest;
-import org.trefoilpost.model.WorkerId;
+import java.util.Objects;
 
 /**
- * Asks how many requests a peer has in flight on a cordoned worker.
+ * Tells of a cordon, and asks how many requests a peer has in flight on the cordoned worker.
  */
 public final class DrainQuery implements PeerCall {
     private final long callId;
-    private final PlanDigest plan;
-    private final int step;
-    private final int attempt;
-    private final WorkerId worker;
+    private final Cordon cordon;
 
-    private DrainQuery(long callId, PlanDigest plan, int step, int attempt, WorkerId worker) {
+    private DrainQuery(long callId, Cordon cordon) {
         this.callId = callId;
-        this.plan = plan;
-        this.step = step;
-        this.attempt = attempt;
-        this.worker = worker;
+        this.cordon = cordon;
     }
 
     /**
      * Obtains a message.
      *
      * @param callId  the number of the call
-     * @param plan  the digest of the plan, not null
-     * @param step  the number of the step
-     * @param attempt  the attempt of the step, whose cordon the query carries
-     * @param worker  the worker, not null
+     * @param cordon  the cordon, not null
      * @return the message, not null
      */
-    public static DrainQuery of(long callId, PlanDigest plan, int step, int attempt, WorkerId worker) {
-        return new DrainQuery(callId, plan, step, attempt, worker);
+    public static DrainQuery of(long callId, Cordon cordon) {
+        return new DrainQuery(callId, Objects.requireNonNull(cordon, "cordon"));
     }
 
     @Override
@@ -41,39 +31,12 @@
     }
 
     /**
-     * Returns the digest of the plan.
+     * Returns the cordon.
      *
-     * @return the digest of the plan, not null
+     * @return the cordon, not null
      */
-    public PlanDigest plan() {
-        return plan;
-    }
-
-    /**
-     * Returns the number of the step.
-     *
-     * @return the number of the step
-     */
-    public int step() {
-        return step;
-    }
-
-    /**
-     * Returns the attempt of the step, whose cordon the query carries.
-     *
-     * @return the attempt
-     */
-    public int attempt() {
-        return attempt;
-    }
-
-    /**
-     * Returns the worker.
-     *
-     * @return the worker, not null
-     */
-    public WorkerId worker() {
-        return worker;
+    public Cordon cordon() {
+        return cordon;
     }
 
     /**
@@ -83,6 +46,6 @@
      */
     @Override
     public String toString() {
-        return "DrainQuery(" + callId + ", " + plan + ", " + step + ", " + attempt + ", " + worker + ")";
+        return "DrainQuery(" + callId + ", " + cordon + ")";
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
@@ -116,30 +116,28 @@
             packer.packString(leaving.worker().text()).packLong(leaving.incarnation());
         } else if (message instanceof HandOverNotice notice) {
             PackedHandOvers.pack(packer, notice.handOver());
-        } else if (message instanceof CordonNotice cordon) {
-            packCordon(packer, cordon);
+        } else if (message instanceof CordonNotice notice) {
+            packCordon(packer, notice.cordon());
         } else {
             packCallOrReply(packer, message);
         }
     }
 
-    private static void packCordon(MessageBufferPacker packer, CordonNotice cordon) throws IOException {
+    private static void packCordon(MessageBufferPacker packer, Cordon cordon) throws IOException {
         packer.packString(cordon.plan().text()).packInt(cordon.step()).packInt(cordon.attempt());
-        packer.packString(cordon.worker().text()).packBoolean(cordon.cordoned());
+        packer.packString(cordon.worker().text()).packBoolean(cordon.isCordoned());
     }
 
     private static void packCallOrReply(MessageBufferPacker packer, PeerMessage message) throws IOException {
         if (message instanceof DrainQuery query) {
-            packer.packLong(query.callId()).packString(query.plan().text());
-            packer.packInt(query.step())
-                    .packInt(query.attempt())
-                    .packString(query.worker().text());
+            packer.packLong(query.callId());
+            packCordon(packer, query.cordon());
         } else if (message instanceof DrainAnswer answer) {
             packer.packLong(answer.callId()).packInt(answer.acknowledged()).packInt(answer.inFlight());
         } else if (message instanceof UncordonCall call) {
-            packer.packLong(call.callId()).packString(call.plan().text());
-            packer.packInt(call.step()).packInt(call.attempt());
-            packer.packString(call.worker().text()).packLong(call.stoppedIncarnation());
+            packer.packLong(call.callId());
+            packCordon(packer, call.cordon());
+            packer.packLong(call.stoppedIncarnation());
         } else if (message instanceof UncordonAnswer answer) {
             packer.packLong(answer.callId()).packBoolean(answer.inService());
         } else if (message instanceof ForwardRequest forward) {
@@ -158,45 +156,26 @@
             case HEARTBEAT -> HeartbeatFrame.of(PackedValues.unpackBytes(unpacker), unpacker.unpackString());
             case CONFIGURATION_PUSH -> ConfigurationPush.of(PackedUpdates.unpack(unpacker));
             case CONFIGURATION_WANTED -> ConfigurationWanted.of(unpacker.unpackLong());
-            case CORDON -> unpackCordon(unpacker);
+            case CORDON -> CordonNotice.of(unpackCordon(unpacker));
             case LEAVING -> LeavingNotice.of(WorkerId.of(unpacker.unpackString()), unpacker.unpackLong());
-            case DRAIN_QUERY -> unpackDrainQuery(unpacker);
+            case DRAIN_QUERY -> DrainQuery.of(unpacker.unpackLong(), unpackCordon(unpacker));
             case DRAIN_ANSWER -> DrainAnswer.of(unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackInt());
             case FORWARD_REQUEST ->
                 ForwardRequest.of(unpacker.unpackLong(), unpacker.unpackLong(), PackedRequests.unpack(unpacker));
             case FORWARD_OUTCOME -> ForwardOutcome.of(unpacker.unpackLong(), PackedRequests.unpackOutcome(unpacker));
             case HAND_OVER -> HandOverNotice.of(PackedHandOvers.unpack(unpacker));
-            case UNCORDON_CALL -> unpackUncordonCall(unpacker);
+            case UNCORDON_CALL -> UncordonCall.of(unpacker.unpackLong(), unpackCordon(unpacker), unpacker.unpackLong());
             case UNCORDON_ANSWER -> UncordonAnswer.of(unpacker.unpackLong(), unpacker.unpackBoolean());
             default -> throw new MalformedFrameException("no message has the kind " + kind, null);
         };
     }
 
-    private static PeerMessage unpackCordon(MessageUnpacker unpacker) throws IOException {
-        return CordonNotice.of(
+    private static Cordon unpackCordon(MessageUnpacker unpacker) throws IOException {
+        return Cordon.of(
                 PlanDigest.parse(unpacker.unpackString()),
                 unpacker.unpackInt(),
                 unpacker.unpackInt(),
                 WorkerId.of(unpacker.unpackString()),
                 unpacker.unpackBoolean());
     }
-
-    private static PeerMessage unpackDrainQuery(MessageUnpacker unpacker) throws IOException {
-        return DrainQuery.of(
-                unpacker.unpackLong(),
-                PlanDigest.parse(unpacker.unpackString()),
-                unpacker.unpackInt(),
-                unpacker.unpackInt(),
-                WorkerId.of(unpacker.unpackString()));
-    }
-
-    private static PeerMessage unpackUncordonCall(MessageUnpacker unpacker) throws IOException {
-        return UncordonCall.of(
-                unpacker.unpackLong(),
-                PlanDigest.parse(unpacker.unpackString()),
-                unpacker.unpackInt(),
-                unpacker.unpackInt(),
-                WorkerId.of(unpacker.unpackString()),
-                unpacker.unpackLong());
-    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/UncordonCall.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/UncordonCall.java
@@ -1,27 +1,18 @@
 package org.trefoilpost.entry.peer;
 
 import java.util.Objects;
-import org.trefoilpost.decision.plan.PlanDigest;
-import org.trefoilpost.model.WorkerId;
 
 /**
- * Tells that a worker is uncordoned, and asks whether the peer gives it work again.
+ * Tells of an uncordon, and asks whether the peer gives the worker work again.
  */
 public final class UncordonCall implements PeerCall {
     private final long callId;
-    private final PlanDigest plan;
-    private final int step;
-    private final int attempt;
-    private final WorkerId worker;
+    private final Cordon cordon;
     private final long stoppedIncarnation;
 
-    private UncordonCall(
-            long callId, PlanDigest plan, int step, int attempt, WorkerId worker, long stoppedIncarnation) {
+    private UncordonCall(long callId, Cordon cordon, long stoppedIncarnation) {
         this.callId = callId;
-        this.plan = plan;
-        this.step = step;
-        this.attempt = attempt;
-        this.worker = worker;
+        this.cordon = cordon;
         this.stoppedIncarnation = stoppedIncarnation;
     }
 
@@ -29,22 +20,12 @@
      * Obtains a message.
      *
      * @param callId  the number of the call
-     * @param plan  the digest of the plan, not null
-     * @param step  the number of the step
-     * @param attempt  the attempt of the step
-     * @param worker  the worker, not null
+     * @param cordon  the uncordon, not null
      * @param stoppedIncarnation  the incarnation that was stopped, 0 if none was
      * @return the message, not null
      */
-    public static UncordonCall of(
-            long callId, PlanDigest plan, int step, int attempt, WorkerId worker, long stoppedIncarnation) {
-        return new UncordonCall(
-                callId,
-                Objects.requireNonNull(plan, "plan"),
-                step,
-                attempt,
-                Objects.requireNonNull(worker, "worker"),
-                stoppedIncarnation);
+    public static UncordonCall of(long callId, Cordon cordon, long stoppedIncarnation) {
+        return new UncordonCall(callId, Objects.requireNonNull(cordon, "cordon"), stoppedIncarnation);
     }
 
     @Override
@@ -53,45 +34,18 @@
     }
 
     /**
-     * Returns the digest of the plan.
+     * Returns the uncordon.
      *
-     * @return the digest, not null
+     * @return the uncordon, not null
      */
-    public PlanDigest plan() {
-        return plan;
+    public Cordon cordon() {
+        return cordon;
     }
 
     /**
-     * Returns the number of the step.
+     * Returns the incarnation that was stopped, 0 if none was.
      *
-     * @return the number
-     */
-    public int step() {
-        return step;
-    }
-
-    /**
-     * Returns the attempt of the step.
-     *
-     * @return the attempt
-     */
-    public int attempt() {
-        return attempt;
-    }
-
-    /**
-     * Returns the worker.
-     *
-     * @return the worker, not null
-     */
-    public WorkerId worker() {
-        return worker;
-    }
-
-    /**
-     * Returns the incarnation that was stopped.
-     *
-     * @return the incarnation, 0 if none was
+     * @return the incarnation that was stopped
      */
     public long stoppedIncarnation() {
         return stoppedIncarnation;
@@ -104,7 +58,6 @@
      */
     @Override
     public String toString() {
-        return "UncordonCall(" + callId + ", " + plan + ", " + step + ", " + attempt + ", " + worker + ", "
-                + stoppedIncarnation + ")";
+        return "UncordonCall(" + callId + ", " + cordon + ", " + stoppedIncarnation + ")";
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
@@ -52,9 +52,11 @@
         await(() -> client.connected().contains(ONE));
         client.send(ONE, ConfigurationWanted.of(4));
         assertEquals("ConfigurationWanted(4)", take().toString());
-        DrainAnswer answer = (DrainAnswer)
-                client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 1, 1, WorkerId.of("w")), 10_000)
-                        .get(WAIT_SECONDS, TimeUnit.SECONDS);
+        DrainAnswer answer = (DrainAnswer) client.call(
+                        ONE,
+                        id -> DrainQuery.of(id, Cordon.of(PlanDigest.of("p"), 1, 1, WorkerId.of("w"), true)),
+                        10_000)
+                .get(WAIT_SECONDS, TimeUnit.SECONDS);
         assertEquals(6, answer.inFlight());
     }
 
@@ -84,7 +86,10 @@
     void knowsThatACallWithoutALinkWasNotSent() {
         ExecutionException e = assertThrows(
                 ExecutionException.class,
-                () -> client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 1, 1, WorkerId.of("w")), 1_000)
+                () -> client.call(
+                                ONE,
+                                id -> DrainQuery.of(id, Cordon.of(PlanDigest.of("p"), 1, 1, WorkerId.of("w"), true)),
+                                1_000)
                         .get(WAIT_SECONDS, TimeUnit.SECONDS));
         assertFalse(((PeerCallException) e.getCause()).sent());
     }
@@ -93,7 +98,8 @@
     void failsAnOpenCallWhenThePeerGoes() throws Exception {
         client.connect(ONE, server.endpoint());
         await(() -> client.connected().contains(ONE));
-        var call = client.call(ONE, id -> DrainQuery.of(id, PlanDigest.of("p"), 99, 1, WorkerId.of("w")), 60_000);
+        var call = client.call(
+                ONE, id -> DrainQuery.of(id, Cordon.of(PlanDigest.of("p"), 99, 1, WorkerId.of("w"), true)), 60_000);
         take();
         server.close();
         ExecutionException e = assertThrows(ExecutionException.class, () -> call.get(WAIT_SECONDS, TimeUnit.SECONDS));
@@ -102,7 +108,7 @@
 
     private void received(EntryId from, PeerMessage message, Consumer<PeerReply> reply) {
         received.add(message);
-        if (message instanceof DrainQuery query && query.step() != 99) {
+        if (message instanceof DrainQuery query && query.cordon().step() != 99) {
             reply.accept(DrainAnswer.of(query.callId(), 1, 6));
         }
     }
