Let a release end what an earlier drain holds of a worker

Cause: a drained plan kept its workers cordoned for good, and LedgerSweep took a drained rack's stops out of the ledger, so a release found nothing to do and the demonstration's last step was refused.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/CordonBook.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/CordonBook.java
@@ -1,10 +1,12 @@
 package org.trefoilpost.entry.fleet;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
 import org.trefoilpost.decision.plan.PlanDigest;
 import org.trefoilpost.decision.routing.LeavingRegister;
 import org.trefoilpost.decision.wave.CordonRegister;
+import org.trefoilpost.decision.wave.OutOfService;
 import org.trefoilpost.decision.wave.WaveState;
 import org.trefoilpost.entry.peer.Cordon;
 import org.trefoilpost.model.WorkerId;
@@ -37,15 +39,26 @@
     }
 
     /**
-     * Takes in the cordons that a plan's state records.
+     * Takes in the cordons that a plan's state records, and ends those that a later release ended.
      *
      * @param state  the state, not null
+     * @param plans  the states of all confirmed plans, not null
      */
-    void apply(WaveState state) {
+    void apply(WaveState state, Collection<WaveState> plans) {
         register.load(state);
+        OutOfService outOfService = OutOfService.of(plans);
+        plans.forEach(plan -> endReleased(plan, outOfService));
         tell();
     }
 
+    private void endReleased(WaveState plan, OutOfService outOfService) {
+        plan.plan()
+                .steps()
+                .filter(step -> outOfService.isReleased(plan, step.worker()))
+                .forEach(step -> register.uncordon(
+                        plan.plan().digest(), step.number(), plan.state(step).attempt(), step.worker()));
+    }
+
     /**
      * Returns the newest attempt of a step whose cordon is in force here.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetDuty.java
@@ -197,7 +197,7 @@
     @Override
     public void planSaved(Versioned<WaveState> saved, List<FleetEvent> happened) {
         state.documents().put(saved);
-        cordons.apply(saved.document());
+        cordons.apply(saved.document(), state.plans());
         events.record(happened);
     }
 
@@ -315,7 +315,7 @@
             state.documents().remove(key);
         }
         if (key.startsWith(FleetKeys.PLANS) && value.isPresent()) {
-            state.documents().plan(key).ifPresent(plan -> cordons.apply(plan.document()));
+            state.documents().plan(key).ifPresent(plan -> cordons.apply(plan.document(), state.plans()));
         } else if (key.startsWith(FleetKeys.INVENTORY)) {
             membersChanged = true;
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/FleetState.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.entry.fleet;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,8 @@
 import org.trefoilpost.decision.inventory.WorkerHealth;
 import org.trefoilpost.decision.ledger.BudgetFigures;
 import org.trefoilpost.decision.planner.FleetSnapshot;
+import org.trefoilpost.decision.wave.OutOfService;
+import org.trefoilpost.decision.wave.WaveState;
 import org.trefoilpost.model.PoolName;
 import org.trefoilpost.model.WorkerId;
 import org.trefoilpost.model.capacity.AvailabilityBudget;
@@ -84,15 +87,30 @@
         return inventory;
     }
 
+    /**
+     * Returns the states of the confirmed plans.
+     *
+     * @return the states, not null
+     */
+    Collection<WaveState> plans() {
+        return FleetDocuments.plain(documents.plans()).values();
+    }
+
+    /**
+     * Returns the workers that confirmed plans keep out of service.
+     *
+     * @return the workers, not null
+     */
+    OutOfService outOfService() {
+        return OutOfService.of(plans());
+    }
+
     private InventoryView newInventory() {
-        Set<WorkerId> outOfService = new HashSet<>(ejected);
-        documents
-                .plans()
-                .values()
-                .forEach(plan -> outOfService.addAll(plan.document().unavailableWorkers()));
+        Set<WorkerId> unusable = new HashSet<>(ejected);
+        unusable.addAll(outOfService().workers());
         Map<WorkerId, WorkerHealth> health = new HashMap<>();
         listed.forEach((id, worker) -> health.put(
-                id, WorkerHealth.of(worker.state(), worker.state() != WorkerState.GONE, !outOfService.contains(id))));
+                id, WorkerHealth.of(worker.state(), worker.state() != WorkerState.GONE, !unusable.contains(id))));
         return InventoryView.of(FleetDocuments.plain(documents.inventories()).values(), health);
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/LedgerSweep.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/fleet/LedgerSweep.java
@@ -4,7 +4,6 @@
 import org.trefoilpost.decision.ledger.BudgetLedger;
 import org.trefoilpost.decision.ledger.BudgetLedgerCodec;
 import org.trefoilpost.decision.ledger.PlannedStop;
-import org.trefoilpost.decision.plan.PlanStep;
 import org.trefoilpost.decision.wave.WaveState;
 import org.trefoilpost.entry.platform.KeyValueStore;
 
@@ -59,7 +58,6 @@
         if (plan == null || !plan.document().ended()) {
             return false;
         }
-        Optional<PlanStep> step = plan.document().plan().step(stop.step());
-        return step.map(found -> !plan.document().state(found).keepsBudget()).orElse(true);
+        return !state.outOfService().holds(plan.document(), stop.worker());
     }
 }
--- a/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/LeavingSteps.java
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/LeavingSteps.java
@@ -40,6 +40,8 @@
     private final List<HttpResponse<String>> confirmations = new ArrayList<>();
     private final Set<String> phases = new LinkedHashSet<>();
     private String digest = "";
+    private List<String> released = List.of();
+    private long releasedMillis;
 
     @Given("{int} callers of an entry that does not carry out the plan send requests that may be repeated")
     public void callersBesideTheExecutor(int count) {
@@ -58,6 +60,42 @@
         start("{'kind':'drain','rack':'" + world.fleet().pool() + "-r" + rack + "'}");
     }
 
+    @When("an operator releases the workers of rack {int} one after the other")
+    public void release(int rack) {
+        String pool = world.fleet().pool();
+        releasedMillis = System.currentTimeMillis();
+        released = new ArrayList<>();
+        world.operator(1).get("/v1/pools/" + pool).path("workers").forEach(worker -> {
+            if (worker.path("rack").asText().equals(pool + "-r" + rack)) {
+                released.add(worker.path("id").asText());
+            }
+        });
+        for (String worker : released) {
+            start("{'kind':'release','worker':'" + worker + "'}");
+            planEnds();
+        }
+    }
+
+    @Then("every released worker starts requests again")
+    public void releasedServe() {
+        Waits.until(
+                () -> "all of " + released + " start requests again",
+                () -> logs().events("request-start").stream()
+                        .filter(event -> event.timeMillis() > releasedMillis)
+                        .map(RunEvent::worker)
+                        .collect(Collectors.toSet())
+                        .containsAll(released));
+    }
+
+    @Then("the pool has {int} usable workers and no planned stop")
+    public void poolIsWhole(int workers) {
+        Waits.until("the pool is whole", () -> {
+            JsonNode pool = world.anyOperator().get("/v1/pools/" + world.fleet().pool());
+            return pool.path("usable").asInt() == workers
+                    && pool.path("planned").asInt() == 0;
+        });
+    }
+
     @When("an operator runs a wave over the pool")
     public void wave() {
         start("{'kind':'wave','pool':'" + world.fleet().pool() + "'}");
--- a/trefoilpost-verify/src/test/resources/features/leaving.feature
+++ b/trefoilpost-verify/src/test/resources/features/leaving.feature
@@ -11,6 +11,16 @@
     And no worker started a request later than 3 s after its cordon
     And at most 4 workers were down at the same time
 
+  Scenario: A drained rack is held until it is released, and then serves again
+    Given 3 entries and 8 workers in pool pricing with floor 4
+    And 6 callers send requests that may be repeated
+    When an operator drains rack 1
+    Then the plan ends with every step done
+    And 12 seconds pass
+    When an operator releases the workers of rack 1 one after the other
+    Then every released worker starts requests again
+    And the pool has 8 usable workers and no planned stop
+
   Scenario: A wave over the pool keeps the floor
     Given 3 entries and 8 workers in pool pricing with floor 6
     And 6 callers send requests that may be repeated
