--- a/trefoilpost-bench/src/main/java/org/trefoilpost/bench/job/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Benchmarks of the placement of jobs.
- */
-package org.trefoilpost.bench.job;
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Demand.java
@@ -0,0 +1,73 @@
+package org.trefoilpost.decision.job;
+
+/**
+ * An amount of a worker's resources.
+ *
+ * @param cpuMillis  the processor share in thousandths of a core
+ * @param memoryMb  the memory in MB
+ * @param accelerators  the number of accelerators
+ */
+public record Demand(long cpuMillis, long memoryMb, long accelerators) {
+    /** No resources. */
+    public static final Demand NONE = new Demand(0, 0, 0);
+
+    private static final long ACCELERATOR_CPU_MILLIS = 8_000;
+
+    /**
+     * Returns the sum of this amount and another.
+     *
+     * @param other  the other amount, not null
+     * @return the sum, not null
+     */
+    public Demand plus(Demand other) {
+        return new Demand(cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, accelerators + other.accelerators);
+    }
+
+    /**
+     * Returns this amount less another.
+     *
+     * @param other  the other amount, not null
+     * @return the difference, which may be negative, not null
+     */
+    public Demand minus(Demand other) {
+        return new Demand(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
+    }
+
+    /**
+     * Returns this amount several times.
+     *
+     * @param count  the number of times, not negative
+     * @return the product, not null
+     */
+    public Demand times(long count) {
+        return new Demand(cpuMillis * count, memoryMb * count, accelerators * count);
+    }
+
+    /**
+     * Returns whether this amount is contained in another.
+     *
+     * @param room  the other amount, not null
+     * @return true if no component exceeds the other's
+     */
+    public boolean fitsIn(Demand room) {
+        return cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+    }
+
+    /**
+     * Returns this amount without its processor share.
+     *
+     * @return the amount, not null
+     */
+    public Demand withoutCpu() {
+        return new Demand(0, memoryMb, accelerators);
+    }
+
+    /**
+     * Returns the processor share with each accelerator counted as eight cores.
+     *
+     * @return the share in thousandths of a core
+     */
+    public long weightedCpuMillis() {
+        return cpuMillis + accelerators * ACCELERATOR_CPU_MILLIS;
+    }
+}
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocument.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocument.java
@@ -1,73 +1,150 @@
 package org.trefoilpost.decision.job;
 
-import java.util.Collections;
-import java.util.Map;
-import java.util.Optional;
-import java.util.SortedMap;
-import java.util.TreeMap;
-import org.trefoilpost.model.JobId;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 
 /**
- * The jobs of one shard, as the key-value service keeps them.
+ * Encodes the state of a job for the store: what was handed in, how far each task is, and where runs were started.
  */
-public final class JobDocument {
-    /** The format that this code writes. */
-    public static final int FORMAT = 1;
-    /** A shard without jobs. */
-    public static final JobDocument EMPTY = new JobDocument(new TreeMap<>());
+final class JobDocument {
+    private static final int FORMAT = 1;
 
-    private final SortedMap<JobId, Job> jobs;
-
-    private JobDocument(SortedMap<JobId, Job> jobs) {
-        this.jobs = Collections.unmodifiableSortedMap(jobs);
-    }
+    private JobDocument() {}
 
     /**
-     * Obtains a document.
-     *
-     * @param jobs  the jobs by their names, not null
-     * @return the document, not null
+     * Encodes a job.
      */
-    public static JobDocument of(Map<JobId, Job> jobs) {
-        return new JobDocument(new TreeMap<>(jobs));
+    static byte[] encode(JobState job) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(FORMAT);
+            packer.packString(job.phase.name());
+            packer.packLong(job.acceptedWallMillis).packLong(job.endedWallMillis);
+            packer.packInt(job.nextOccurrence).packInt(job.endedOccurrences);
+            if (job.phase.ended()) {
+                packer.packString(job.spec.id()).packString(job.spec.queue());
+            } else {
+                JobSpecCodec.pack(packer, job.spec);
+                packOccurrences(packer, job);
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("a buffer in memory cannot fail", e);
+        }
     }
 
     /**
-     * Returns the jobs.
+     * Decodes a job and the runs that were noted.
      *
-     * @return the jobs by their names, not null
+     * @throws IllegalArgumentException if the bytes are no job of a known format
      */
-    public SortedMap<JobId, Job> jobs() {
-        return jobs;
+    static Loaded decode(byte[] bytes, Moment now) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            int format = unpacker.unpackInt();
+            if (format != FORMAT) {
+                throw new IllegalArgumentException("the format " + format + " is not known");
+            }
+            return unpack(unpacker, now);
+        } catch (IOException | MessagePackException e) {
+            throw new IllegalArgumentException("the bytes are no job: " + e.getMessage(), e);
+        }
     }
 
-    /**
-     * Returns a job.
-     *
-     * @param job  the name of the job, not null
-     * @return the job, not null, empty if it is not known
-     */
-    public Optional<Job> job(JobId job) {
-        return Optional.ofNullable(jobs.get(job));
+    private static Loaded unpack(MessageUnpacker unpacker, Moment now) throws IOException {
+        JobPhase phase = JobPhase.valueOf(unpacker.unpackString());
+        long acceptedWall = unpacker.unpackLong();
+        long endedWall = unpacker.unpackLong();
+        int next = unpacker.unpackInt();
+        int ended = unpacker.unpackInt();
+        JobSpec spec = phase.ended()
+                ? new JobSpec(unpacker.unpackString(), unpacker.unpackString(), "", List.of(), JobSpec.Schedule.ONCE)
+                : JobSpecCodec.unpack(unpacker);
+        JobState job = new JobState(spec, null, now);
+        job.phase = phase;
+        job.acceptedWallMillis = acceptedWall;
+        job.acceptedMillis = now.steadyMillis() - Math.max(0, now.wallMillis() - acceptedWall);
+        job.endedWallMillis = endedWall;
+        job.nextOccurrence = next;
+        job.endedOccurrences = ended;
+        job.stored = true;
+        job.storedPhase = phase;
+        job.loaded = true;
+        List<NotedRun> runs = new ArrayList<>();
+        if (!phase.ended()) {
+            unpackOccurrences(unpacker, job, runs, now);
+        }
+        return new Loaded(job, runs);
+    }
+
+    private static void packOccurrences(MessageBufferPacker packer, JobState job) throws IOException {
+        packer.packArrayHeader(job.occurrences.size());
+        for (OccurrenceState occurrence : job.open()) {
+            packer.packInt(occurrence.number);
+            for (StepState step : occurrence.steps) {
+                packer.packInt(step.gangFailures);
+                for (TaskState task : step.tasks) {
+                    packTask(packer, task);
+                }
+            }
+        }
     }
 
-    @Override
-    public boolean equals(Object object) {
-        return object instanceof JobDocument other && other.jobs.equals(jobs);
+    private static void packTask(MessageBufferPacker packer, TaskState task) throws IOException {
+        packer.packBoolean(task.done);
+        if (task.done) {
+            return;
+        }
+        packer.packInt(task.failures).packInt(task.lastRun).packString(task.checkpoint);
+        packer.packArrayHeader(task.runs.size());
+        for (Run run : task.runs) {
+            packer.packInt(run.number).packString(run.worker.id);
+            packer.packString(run.worker.report.address());
+        }
     }
 
-    @Override
-    public int hashCode() {
-        return jobs.hashCode();
+    private static void unpackOccurrences(MessageUnpacker unpacker, JobState job, List<NotedRun> runs, Moment now)
+            throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            OccurrenceState occurrence = new OccurrenceState(job, unpacker.unpackInt());
+            job.occurrences.put(occurrence.number, occurrence);
+            for (StepState step : occurrence.steps) {
+                step.gangFailures = unpacker.unpackInt();
+                for (TaskState task : step.tasks) {
+                    unpackTask(unpacker, task, runs);
+                    step.done += task.done ? 1 : 0;
+                }
+            }
+            occurrence.advance(now.steadyMillis());
+        }
+    }
+
+    private static void unpackTask(MessageUnpacker unpacker, TaskState task, List<NotedRun> runs) throws IOException {
+        task.done = unpacker.unpackBoolean();
+        if (task.done) {
+            return;
+        }
+        task.failures = unpacker.unpackInt();
+        task.lastRun = unpacker.unpackInt();
+        task.checkpoint = unpacker.unpackString();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            unpacker.unpackInt();
+            runs.add(new NotedRun(unpacker.unpackString(), unpacker.unpackString()));
+        }
     }
 
     /**
-     * Returns the number of jobs.
-     *
-     * @return the text, not null
+     * A worker on which a run was noted.
      */
-    @Override
-    public String toString() {
-        return jobs.size() + " jobs";
-    }
+    record NotedRun(String worker, String address) {}
+
+    /**
+     * A decoded job and the workers on which its runs were noted.
+     */
+    record Loaded(JobState job, List<NotedRun> runs) {}
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobPhase.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobPhase.java
@@ -1,31 +1,26 @@
 package org.trefoilpost.decision.job;
 
-import java.util.Locale;
-
 /**
- * Where a job stands.
+ * How far a job is.
  */
 public enum JobPhase {
-    /** The job waits for a worker. */
-    WAITING,
-    /** A worker has, or may have, the job's task under a lease. */
-    LEASED,
-    /** The task is to save its progress and to end; the job resumes elsewhere. */
-    CHECKPOINTING,
-    /** The job is cancelled, and its task may still run. */
-    STOPPING,
-    /** The job has finished. */
-    DONE,
-    /** The job failed on several workers and is not tried again. */
+    /** No task has started. */
+    QUEUED,
+    /** A task has started. */
+    RUNNING,
+    /** All tasks have ended well. */
+    COMPLETED,
+    /** A task has failed as often as its queue allows. */
     FAILED,
-    /** The job is cancelled, and nothing of it runs. */
+    /** The caller has cancelled the job. */
     CANCELLED;
+
     /**
-     * Returns the code in documents and answers.
+     * Returns whether a job in this phase starts no more tasks.
      *
-     * @return the code, not null
+     * @return true if it does not
      */
-    public String code() {
-        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    public boolean ended() {
+        return this == COMPLETED || this == FAILED || this == CANCELLED;
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -1,273 +1,109 @@
 package org.trefoilpost.decision.job;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import org.trefoilpost.model.JobId;
-import org.trefoilpost.model.PoolName;
-import org.trefoilpost.model.TeamName;
-import org.trefoilpost.model.request.RequestClass;
-import org.trefoilpost.model.worker.Resources;
 
 /**
- * What a caller submits: a job with its declared size and run time, which are hints.
+ * What a caller handed in as a job.
+ *
+ * @param id  the caller's identifier of the job, not null
+ * @param queue  the name of the queue, not null
+ * @param text  the text that workers are given with each task, not null
+ * @param steps  the steps, not null
+ * @param schedule  when the steps run, not null
  */
-public final class JobSpec {
-    private final JobId id;
-    private final PoolName pool;
-    private final TeamName team;
-    private final RequestClass requestClass;
-    private final String kind;
-    private final Resources resources;
-    private final long runMillis;
-    private final Optional<Long> deadlineMillis;
-    private final boolean checkpointable;
+public record JobSpec(String id, String queue, String text, List<StepSpec> steps, Schedule schedule) {
+    /** The most bytes that the text of a job may have. */
+    public static final int MAX_TEXT_BYTES = 4_000;
 
-    private JobSpec(Builder builder) {
-        this.id = Objects.requireNonNull(builder.id, "id");
-        this.pool = Objects.requireNonNull(builder.pool, "pool");
-        this.team = Objects.requireNonNull(builder.team, "team");
-        this.requestClass = Objects.requireNonNull(builder.requestClass, "requestClass");
-        this.kind = Objects.requireNonNull(builder.kind, "kind");
-        this.resources = Objects.requireNonNull(builder.resources, "resources");
-        this.runMillis = builder.runMillis;
-        this.deadlineMillis = Objects.requireNonNull(builder.deadlineMillis, "deadlineMillis");
-        this.checkpointable = builder.checkpointable;
-    }
-
-    /**
-     * Returns a builder of a normal job that declares no resources.
-     *
-     * @param id  the name of the job, not null
-     * @return the builder, not null
-     */
-    public static Builder builder(JobId id) {
-        return new Builder(id);
-    }
-
-    /**
-     * Returns the name of the job.
-     *
-     * @return the name of the job, not null
-     */
-    public JobId id() {
-        return id;
-    }
-
-    /**
-     * Returns the pool whose workers run it.
-     *
-     * @return the pool whose workers run it, not null
-     */
-    public PoolName pool() {
-        return pool;
-    }
-
-    /**
-     * Returns the team it belongs to.
-     *
-     * @return the team it belongs to, not null
-     */
-    public TeamName team() {
-        return team;
-    }
-
-    /**
-     * Returns how urgent it is.
-     *
-     * @return how urgent it is, not null
-     */
-    public RequestClass requestClass() {
-        return requestClass;
-    }
-
-    /**
-     * Returns its kind, which learned corrections are kept by.
-     *
-     * @return its kind, which learned corrections are kept by, not null
-     */
-    public String kind() {
-        return kind;
-    }
-
-    /**
-     * Returns the declared resources.
-     *
-     * @return the declared resources, not null
-     */
-    public Resources resources() {
-        return resources;
-    }
+    /** The most tasks that an occurrence of a job may have. */
+    public static final int MAX_TASKS = 10_000;
 
     /**
-     * Returns the declared run time, in milliseconds.
-     *
-     * @return the declared run time, in milliseconds
+     * Constructs a job.
      */
-    public long runMillis() {
-        return runMillis;
+    public JobSpec {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(queue, "queue");
+        Objects.requireNonNull(text, "text");
+        Objects.requireNonNull(schedule, "schedule");
+        steps = List.copyOf(steps);
     }
 
     /**
-     * Returns the deadline, in milliseconds since 1970.
+     * Finds what makes this job impossible to carry out.
      *
-     * @return the deadline, in milliseconds since 1970, not null
+     * @return the first fault, empty if there is none, not null
      */
-    public Optional<Long> deadlineMillis() {
-        return deadlineMillis;
+    public Optional<String> fault() {
+        if (steps.isEmpty()) {
+            return Optional.of("a job needs a step");
+        }
+        if (text.getBytes(java.nio.charset.StandardCharsets.UTF_8).length > MAX_TEXT_BYTES) {
+            return Optional.of("the text has more than " + MAX_TEXT_BYTES + " bytes");
+        }
+        int tasks = 0;
+        for (int i = 0; i < steps.size(); i++) {
+            StepSpec step = steps.get(i);
+            if (step.count() < 1 || (tasks += step.count()) > MAX_TASKS) {
+                return Optional.of("step " + i + " has a wrong number of tasks");
+            }
+            for (int earlier : step.after()) {
+                if (earlier < 0 || earlier >= i) {
+                    return Optional.of("step " + i + " waits for step " + earlier + ", which is not an earlier one");
+                }
+            }
+        }
+        return Optional.empty();
     }
 
     /**
-     * Returns whether its progress can be saved.
+     * Returns whether a step of this job runs until the job is cancelled.
      *
-     * @return true if its progress can be saved
+     * @return true if a step does
      */
-    public boolean isCheckpointable() {
-        return checkpointable;
-    }
-
-    @Override
-    public boolean equals(Object object) {
-        return object instanceof JobSpec other
-                && other.id.equals(id)
-                && other.pool.equals(pool)
-                && other.team.equals(team)
-                && other.requestClass.equals(requestClass)
-                && other.kind.equals(kind)
-                && other.resources.equals(resources)
-                && other.runMillis == runMillis
-                && other.deadlineMillis.equals(deadlineMillis)
-                && other.checkpointable == checkpointable;
-    }
-
-    @Override
-    public int hashCode() {
-        return Objects.hash(id, pool, team, requestClass, kind, resources, runMillis, deadlineMillis, checkpointable);
+    public boolean longRunning() {
+        return steps.stream().anyMatch(StepSpec::longRunning);
     }
 
     /**
-     * Returns the name, the class and the resources.
+     * When the steps of a job run.
      *
-     * @return the text, not null
-     */
-    @Override
-    public String toString() {
-        return id + " (" + requestClass.code() + "): " + resources;
-    }
-
-    /**
-     * Builder of jobs.
+     * @param firstMillis  the time of the first occurrence in milliseconds since 1970
+     * @param intervalMillis  the time between occurrences in milliseconds
+     * @param occurrences  the number of occurrences, 0 for a job that runs once and at once
      */
-    public static final class Builder {
-        private final JobId id;
-        private PoolName pool;
-        private TeamName team;
-        private RequestClass requestClass = RequestClass.NORMAL;
-        private String kind = "";
-        private Resources resources = Resources.NONE;
-        private long runMillis;
-        private Optional<Long> deadlineMillis = Optional.empty();
-        private boolean checkpointable;
-
-        private Builder(JobId id) {
-            this.id = id;
-        }
-
-        /**
-         * Sets the pool whose workers run it.
-         *
-         * @param newPool  the pool whose workers run it, not null
-         * @return this builder, not null
-         */
-        public Builder pool(PoolName newPool) {
-            this.pool = newPool;
-            return this;
-        }
-
-        /**
-         * Sets the team it belongs to.
-         *
-         * @param newTeam  the team it belongs to, not null
-         * @return this builder, not null
-         */
-        public Builder team(TeamName newTeam) {
-            this.team = newTeam;
-            return this;
-        }
-
-        /**
-         * Sets how urgent it is.
-         *
-         * @param newRequestClass  how urgent it is, not null
-         * @return this builder, not null
-         */
-        public Builder requestClass(RequestClass newRequestClass) {
-            this.requestClass = newRequestClass;
-            return this;
-        }
-
-        /**
-         * Sets its kind, which learned corrections are kept by.
-         *
-         * @param newKind  its kind, which learned corrections are kept by, not null
-         * @return this builder, not null
-         */
-        public Builder kind(String newKind) {
-            this.kind = newKind;
-            return this;
-        }
-
-        /**
-         * Sets the declared resources.
-         *
-         * @param newResources  the declared resources, not null
-         * @return this builder, not null
-         */
-        public Builder resources(Resources newResources) {
-            this.resources = newResources;
-            return this;
-        }
-
-        /**
-         * Sets the declared run time, in milliseconds.
-         *
-         * @param newRunMillis  the declared run time, in milliseconds
-         * @return this builder, not null
-         */
-        public Builder runMillis(long newRunMillis) {
-            this.runMillis = newRunMillis;
-            return this;
-        }
+    public record Schedule(long firstMillis, long intervalMillis, int occurrences) {
+        /** The schedule of a job that runs once and at once. */
+        public static final Schedule ONCE = new Schedule(0, 0, 0);
 
         /**
-         * Sets the deadline, in milliseconds since 1970.
+         * Returns whether occurrences wait for a time of day.
          *
-         * @param newDeadlineMillis  the deadline, in milliseconds since 1970, not null
-         * @return this builder, not null
+         * @return true if they do
          */
-        public Builder deadlineMillis(Optional<Long> newDeadlineMillis) {
-            this.deadlineMillis = newDeadlineMillis;
-            return this;
+        public boolean timed() {
+            return occurrences > 0;
         }
 
         /**
-         * Sets whether its progress can be saved.
+         * Returns how many times the steps run.
          *
-         * @param newCheckpointable  whether its progress can be saved
-         * @return this builder, not null
+         * @return the number, positive
          */
-        public Builder checkpointable(boolean newCheckpointable) {
-            this.checkpointable = newCheckpointable;
-            return this;
+        public int count() {
+            return Math.max(1, occurrences);
         }
 
         /**
-         * Builds the job.
+         * Returns when an occurrence is due.
          *
-         * @return the job, not null
-         * @throws NullPointerException if the pool or the team is missing
+         * @param occurrence  the number of the occurrence, from 0
+         * @return the time in milliseconds since 1970
          */
-        public JobSpec build() {
-            return new JobSpec(this);
+        public long dueMillis(int occurrence) {
+            return firstMillis + occurrence * intervalMillis;
         }
     }
 }
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -0,0 +1,82 @@
+package org.trefoilpost.decision.job;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A job of the pool.
+ */
+final class JobState {
+    final JobSpec spec;
+    final Map<Integer, OccurrenceState> occurrences = new TreeMap<>();
+    QueueRule queue;
+    JobPhase phase = JobPhase.QUEUED;
+    long acceptedMillis;
+    long acceptedWallMillis;
+    long endedWallMillis;
+    int nextOccurrence;
+    int endedOccurrences;
+    boolean stored;
+    JobPhase storedPhase = JobPhase.QUEUED;
+    boolean dirty;
+    long dirtyMillis;
+    boolean urgent;
+    boolean loaded;
+
+    JobState(JobSpec spec, QueueRule queue, Moment now) {
+        this.spec = spec;
+        this.queue = queue;
+        this.acceptedMillis = now.steadyMillis();
+        this.acceptedWallMillis = now.wallMillis();
+    }
+
+    Collection<OccurrenceState> open() {
+        return occurrences.values();
+    }
+
+    /**
+     * Opens the occurrences that are due.
+     */
+    void openDue(Moment now) {
+        while (!phase.ended() && nextOccurrence < spec.schedule().count() && isDue(nextOccurrence, now)) {
+            OccurrenceState occurrence = new OccurrenceState(this, nextOccurrence);
+            occurrences.put(nextOccurrence, occurrence);
+            occurrence.advance(now.steadyMillis());
+            nextOccurrence++;
+        }
+    }
+
+    private boolean isDue(int number, Moment now) {
+        return !spec.schedule().timed() || spec.schedule().dueMillis(number) <= now.wallMillis();
+    }
+
+    /**
+     * Closes an occurrence whose tasks have all ended well.
+     */
+    void close(OccurrenceState occurrence) {
+        occurrences.remove(occurrence.number);
+        endedOccurrences++;
+    }
+
+    boolean allEnded() {
+        return endedOccurrences >= spec.schedule().count();
+    }
+
+    void touch(long nowMillis, boolean atOnce) {
+        if (!dirty) {
+            dirtyMillis = nowMillis;
+        }
+        dirty = true;
+        urgent |= atOnce;
+    }
+
+    TaskState task(TaskId id) {
+        OccurrenceState occurrence = occurrences.get(id.occurrence());
+        if (occurrence == null || id.step() < 0 || id.step() >= occurrence.steps.length) {
+            return null;
+        }
+        TaskState[] tasks = occurrence.steps[id.step()].tasks;
+        return id.index() >= 0 && id.index() < tasks.length ? tasks[id.index()] : null;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -0,0 +1,63 @@
+package org.trefoilpost.decision.job;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What the parts of a pool's scheduler share.
+ */
+final class PoolState {
+    final String pool;
+    final PoolBounds bounds;
+    final PoolActions actions;
+    final Map<String, JobState> jobs = new LinkedHashMap<>();
+    final Map<String, JobState> openJobs = new LinkedHashMap<>();
+    final Map<String, WorkerSlot> slots = new LinkedHashMap<>();
+    final Set<WorkerSlot> unresolved = new HashSet<>();
+    Map<String, QueueRule> queues = Map.of();
+    long registrySettledMillis = Long.MIN_VALUE;
+    boolean active;
+    boolean placementDue;
+
+    PoolState(String pool, PoolBounds bounds, PoolActions actions) {
+        this.pool = pool;
+        this.bounds = bounds;
+        this.actions = actions;
+    }
+
+    void add(JobState job) {
+        jobs.put(job.spec.id(), job);
+        if (!job.phase.ended()) {
+            openJobs.put(job.spec.id(), job);
+        }
+        placementDue = true;
+    }
+
+    /**
+     * Ends a job: it starts nothing more, and its runs are to be stopped.
+     */
+    void end(JobState job, JobPhase phase, Moment now) {
+        job.phase = phase;
+        job.endedWallMillis = now.wallMillis();
+        openJobs.remove(job.spec.id());
+        job.touch(now.steadyMillis(), true);
+    }
+
+    TaskState task(String name) {
+        return TaskId.parse(name)
+                .map(id -> {
+                    JobState job = jobs.get(id.job());
+                    return job == null ? null : job.task(id);
+                })
+                .orElse(null);
+    }
+
+    /**
+     * Returns whether tasks that an earlier owner may have started could still run somewhere out of sight.
+     */
+    boolean earlierRunsPossible(long nowMillis) {
+        return !unresolved.isEmpty() || nowMillis < registrySettledMillis;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -0,0 +1,51 @@
+package org.trefoilpost.decision.job;
+
+/**
+ * One run of a task on a worker, as far as it is known. A run holds its room until its end is certain.
+ */
+final class Run {
+    final TaskState task;
+    final int number;
+    final WorkerSlot worker;
+    RunPhase phase;
+    long startedMillis;
+    long confirmedMillis;
+    long stopSentMillis = Long.MIN_VALUE / 2;
+    boolean stopInFlight;
+    boolean stopAnswered;
+    long stopAnsweredMillis;
+    String checkpoint = "";
+    int percent;
+    long progressMillis;
+    int pace = WorkerSlot.FULL_PACE;
+    long load;
+    boolean wanted = true;
+
+    Run(TaskState task, int number, WorkerSlot worker, RunPhase phase, long nowMillis) {
+        this.task = task;
+        this.number = number;
+        this.worker = worker;
+        this.phase = phase;
+        this.startedMillis = nowMillis;
+        this.confirmedMillis = nowMillis;
+        this.progressMillis = nowMillis;
+    }
+
+    /**
+     * Returns whether the run counts towards its task's work, rather than being on its way out.
+     */
+    boolean isActive() {
+        return phase == RunPhase.STARTING || phase == RunPhase.RUNNING;
+    }
+
+    /**
+     * Returns whether the task is known to be fully at work.
+     */
+    boolean isAtWork() {
+        return phase == RunPhase.RUNNING && percent >= WorkerSlot.FULL_PACE;
+    }
+
+    Demand reserved() {
+        return task.step.spec.reservedDemand();
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TaskState.java
@@ -0,0 +1,35 @@
+package org.trefoilpost.decision.job;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What is known of a task.
+ */
+final class TaskState {
+    final TaskId id;
+    final StepState step;
+    final List<Run> runs = new ArrayList<>(1);
+    boolean done;
+    int failures;
+    int lastRun;
+    String checkpoint = "";
+    long blockedUntilMillis = Long.MIN_VALUE;
+    long awaySinceMillis = Long.MIN_VALUE;
+
+    TaskState(TaskId id, StepState step) {
+        this.id = id;
+        this.step = step;
+    }
+
+    /**
+     * Returns whether a new run may be started at a time.
+     */
+    boolean startable(long nowMillis) {
+        return !done && runs.isEmpty() && nowMillis >= blockedUntilMillis;
+    }
+
+    boolean isAtWork() {
+        return runs.stream().anyMatch(Run::isAtWork);
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerHealth.java
@@ -0,0 +1,114 @@
+package org.trefoilpost.decision.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Recognises workers that fail, stall or slow down what they run, and learns how long the tasks of a queue take.
+ */
+final class WorkerHealth {
+    private static final double FAILURE_BLAME = 1;
+    private static final double SUCCESS_DECAY = 0.5;
+    private static final double BLAME_LIMIT = 0.9;
+    private static final long BASE_PAUSE_MILLIS = 3_000;
+    private static final long MAX_PAUSE_MILLIS = 12_000;
+    private static final long STALL_MILLIS = 2_500;
+    private static final double LEARNING_RATE = 0.1;
+    private static final long DEFAULT_RUN_MILLIS = 1_000;
+    private static final double MIN_OPEN_SHARE = 0.5;
+
+    private final PoolState state;
+    private final Map<String, Double> ratios = new HashMap<>();
+    private final Map<String, Double> durations = new HashMap<>();
+
+    WorkerHealth(PoolState state) {
+        this.state = state;
+    }
+
+    /**
+     * Takes in the end of a run.
+     */
+    void ended(Run run, RunEnd how, long nowMillis) {
+        if (run.task.step.spec.longRunning()) {
+            return;
+        }
+        if (how == RunEnd.FAILED) {
+            blame(run.worker, "failed-run", nowMillis);
+        } else if (how == RunEnd.DONE) {
+            run.worker.blame *= SUCCESS_DECAY;
+            learn(run, nowMillis - run.confirmedMillis);
+        }
+    }
+
+    private void learn(Run run, long tookMillis) {
+        StepSpec step = run.task.step.spec;
+        String queue = run.task.step.occurrence.job.spec.queue();
+        durations.merge(queue, (double) tookMillis, WorkerHealth::blend);
+        if (step.estimateMillis() > 0 && run.number == 1) {
+            double ratio = Math.min(8, (double) tookMillis / step.estimateMillis());
+            ratios.merge(queue, ratio, WorkerHealth::blend);
+        }
+    }
+
+    private static double blend(double old, double sample) {
+        return old + LEARNING_RATE * (sample - old);
+    }
+
+    /**
+     * Returns how long a task of a step is expected to take.
+     */
+    long expectedMillis(JobState job, StepSpec step) {
+        double mean = durations.getOrDefault(job.spec.queue(), (double) DEFAULT_RUN_MILLIS);
+        if (step.estimateMillis() <= 0) {
+            return (long) mean;
+        }
+        double declared = step.estimateMillis() * ratios.getOrDefault(job.spec.queue(), 1.0);
+        return (long) Math.sqrt(declared * mean);
+    }
+
+    /**
+     * Gives a worker no new work for a while, unless too few workers would be left.
+     */
+    void blame(WorkerSlot slot, String reason, long nowMillis) {
+        slot.blame += FAILURE_BLAME;
+        if (slot.blame < BLAME_LIMIT || openShareWithout(slot, nowMillis) < MIN_OPEN_SHARE) {
+            return;
+        }
+        long pause = Math.min(MAX_PAUSE_MILLIS, (long) (BASE_PAUSE_MILLIS * slot.blame));
+        slot.suspectUntilMillis = Math.max(slot.suspectUntilMillis, nowMillis + pause);
+        state.actions.decided(Decision.failure("worker-suspected")
+                .with("worker", slot.id)
+                .with("reason", reason)
+                .with("blame", slot.blame)
+                .with("pauseMillis", pause));
+    }
+
+    private double openShareWithout(WorkerSlot left, long nowMillis) {
+        int listed = 0;
+        int open = 0;
+        for (WorkerSlot slot : state.slots.values()) {
+            if (slot.listed && !slot.report.draining()) {
+                listed++;
+                open += slot != left && nowMillis >= slot.suspectUntilMillis ? 1 : 0;
+            }
+        }
+        return listed == 0 ? 0 : (double) open / listed;
+    }
+
+    /**
+     * Finds runs whose progress stands still.
+     */
+    List<Run> stalled(WorkerSlot slot, long nowMillis) {
+        List<Run> stalled = new ArrayList<>();
+        for (Run run : slot.runs.values()) {
+            boolean ordinary = !run.task.step.spec.longRunning() && !run.task.step.spec.fills();
+            boolean silent = nowMillis - run.progressMillis > STALL_MILLIS;
+            if (ordinary && run.phase == RunPhase.RUNNING && silent && slot.lastAnswerMillis > run.progressMillis) {
+                stalled.add(run);
+            }
+        }
+        return stalled;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerOrder.java
@@ -0,0 +1,78 @@
+package org.trefoilpost.decision.job;
+
+import java.util.Optional;
+
+/**
+ * An order to a worker.
+ */
+public sealed interface WorkerOrder {
+    /**
+     * Returns the life of the worker that the order is meant for.
+     *
+     * @return the worker's identifier, not null
+     */
+    String worker();
+
+    /**
+     * Returns the worker's address.
+     *
+     * @return the address as {@code host:port}, not null
+     */
+    String address();
+
+    /**
+     * Starts a run of a task.
+     *
+     * @param worker  the worker's identifier, not null
+     * @param address  the worker's address, not null
+     * @param task  the task, not null
+     * @param run  the number of the run
+     * @param text  the job's text, not null
+     * @param leaseUntilMillis  the end of the worker's lease on its own clock
+     * @param checkpoint  the progress to go on from, empty to start anew, not null
+     * @param ticket  the permission to run the step there, empty if none is needed, not null
+     */
+    record Start(
+            String worker,
+            String address,
+            TaskId task,
+            int run,
+            String text,
+            long leaseUntilMillis,
+            Optional<String> checkpoint,
+            Optional<String> ticket)
+            implements WorkerOrder {}
+
+    /**
+     * Stops a run, or keeps one that has not begun from beginning.
+     *
+     * @param worker  the worker's identifier, not null
+     * @param address  the worker's address, not null
+     * @param task  the task's name, not null
+     * @param run  the number of the run
+     */
+    record Stop(String worker, String address, String task, int run) implements WorkerOrder {}
+
+    /**
+     * Renews the worker's lease, acknowledges ends, and asks what runs and what has ended.
+     *
+     * @param worker  the worker's identifier, not null
+     * @param address  the worker's address, not null
+     * @param leaseUntilMillis  the end of the lease on the worker's clock, empty to leave it, not null
+     * @param lastEnd  the number of the last end that is stored
+     * @param waitMillis  how long the worker may wait for an end before it answers, in milliseconds
+     */
+    record Hold(String worker, String address, Optional<Long> leaseUntilMillis, long lastEnd, long waitMillis)
+            implements WorkerOrder {}
+
+    /**
+     * Limits how fast a run may work.
+     *
+     * @param worker  the worker's identifier, not null
+     * @param address  the worker's address, not null
+     * @param task  the task, not null
+     * @param run  the number of the run
+     * @param percent  the share of full speed, 0 to 100
+     */
+    record Pace(String worker, String address, TaskId task, int run, int percent) implements WorkerOrder {}
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
@@ -0,0 +1,128 @@
+package org.trefoilpost.decision.job;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What is known of a worker: its room, its clock, its lease, and the runs on it.
+ */
+final class WorkerSlot {
+    /** The pace of a task that is not held back, in percent. */
+    static final int FULL_PACE = 100;
+
+    /** The share of true time that a worker's clock surely advances, with a margin on the 2 % that clocks may lag. */
+    private static final double SLOWEST_CLOCK = 0.975;
+
+    /** Time in milliseconds that a worker may take to end its runs after its lease ran out. */
+    private static final long LAPSE_MARGIN_MILLIS = 250;
+
+    final String id;
+    final Map<String, Run> runs = new HashMap<>();
+    WorkerReport report;
+    Demand used = Demand.NONE;
+    boolean listed = true;
+    boolean fenced;
+    boolean gone;
+    boolean evacuating;
+    boolean holdInFlight;
+    boolean holdUrgent;
+    long drainingSinceMillis = Long.MAX_VALUE;
+    long nextHoldMillis;
+    long holdSentMillis;
+    long lastAnswerMillis = Long.MIN_VALUE / 2;
+    long suspectUntilMillis = Long.MIN_VALUE;
+    int missedCalls;
+    int startsInFlight;
+    long processedEnd;
+    long storedEnd;
+    long ackSentEnd;
+    long ackedEnd;
+    double blame;
+    double slowness = 1;
+    private long clockMillis;
+    private long clockSeenMillis = Long.MIN_VALUE;
+    private long leaseUntilMillis = Long.MIN_VALUE;
+
+    WorkerSlot(WorkerReport report) {
+        this.id = report.id();
+        this.report = report;
+    }
+
+    /**
+     * Takes in what the worker's own clock showed.
+     */
+    void sawClock(long workerMillis, long nowMillis) {
+        clockMillis = workerMillis;
+        clockSeenMillis = nowMillis;
+        lastAnswerMillis = nowMillis;
+    }
+
+    boolean clockKnown() {
+        return clockSeenMillis != Long.MIN_VALUE;
+    }
+
+    /**
+     * Returns the end of a lease on the worker's clock, and records until when the lease may hold.
+     */
+    long grant(long nowMillis, long leaseMillis) {
+        if (!clockKnown()) {
+            return 0;
+        }
+        long remaining = nowMillis - clockSeenMillis + leaseMillis;
+        assumeLeaseUntil(clockSeenMillis + (long) (remaining / SLOWEST_CLOCK) + LAPSE_MARGIN_MILLIS);
+        return clockMillis + remaining;
+    }
+
+    /**
+     * Records that the worker's runs may go on until a time.
+     */
+    void assumeLeaseUntil(long millis) {
+        leaseUntilMillis = Math.max(leaseUntilMillis, millis);
+    }
+
+    /**
+     * Returns when every lease that was ever granted to the worker has surely run out.
+     */
+    long lapsedByMillis() {
+        return leaseUntilMillis;
+    }
+
+    Demand free() {
+        return report.capacity().minus(used);
+    }
+
+    void add(Run run) {
+        runs.put(run.task.id.text() + '#' + run.number, run);
+        run.task.runs.add(run);
+        used = used.plus(run.reserved());
+    }
+
+    void remove(Run run) {
+        if (runs.remove(run.task.id.text() + '#' + run.number) != null) {
+            run.task.runs.remove(run);
+            used = used.minus(run.reserved());
+        }
+    }
+
+    Run run(TaskId task, int number) {
+        return runs.get(task.text() + '#' + number);
+    }
+
+    boolean reachable(long nowMillis) {
+        return fenced && !gone && missedCalls == 0 && nowMillis >= suspectUntilMillis;
+    }
+
+    boolean acceptsWork(long nowMillis) {
+        return reachable(nowMillis) && listed && !evacuating && !report.draining();
+    }
+
+    int tasksOf(StepState step) {
+        int count = 0;
+        for (Run run : runs.values()) {
+            if (run.task.step == step) {
+                count++;
+            }
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetActions.java
@@ -0,0 +1,62 @@
+package org.trefoilpost.decision.job.fleet;
+
+import java.util.Set;
+import org.trefoilpost.decision.job.Decision;
+
+/**
+ * Carries out what a {@link FleetPlan} decides. No method waits; results come back as events.
+ */
+public interface FleetActions {
+    /**
+     * Asks for the list of machines.
+     */
+    void listMachines();
+
+    /**
+     * Sets which workers of a pool are to be emptied, and asks for the pool's load.
+     *
+     * @param pool  the pool, not null
+     * @param workers  the workers, not null
+     */
+    void evacuate(String pool, Set<String> workers);
+
+    /**
+     * Begins the upkeep of a machine.
+     *
+     * @param machine  the machine, not null
+     * @param wave  the wave that asks for it
+     */
+    void beginUpkeep(String machine, long wave);
+
+    /**
+     * Moves a machine to another pool.
+     *
+     * @param machine  the machine, not null
+     * @param pool  the pool, not null
+     */
+    void move(String machine, String pool);
+
+    /**
+     * Stores how far a wave is.
+     *
+     * @param wave  the wave
+     * @param state  the state, not null
+     * @param revision  the revision of the stored state, 0 if there is none
+     * @param completed  true if the wave has ended
+     */
+    void store(long wave, String state, long revision, boolean completed);
+
+    /**
+     * Is told that another entry gives orders.
+     *
+     * @param machine  the machine whose order was refused, not null
+     */
+    void fenced(String machine);
+
+    /**
+     * Is told of a decision for the log.
+     *
+     * @param decision  the decision, not null
+     */
+    void decided(Decision decision);
+}
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveRun.java
@@ -0,0 +1,95 @@
+package org.trefoilpost.decision.job.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * How far a wave of upkeep is. Orders are stored before they are given, so that another entry knows of each machine that
+ * may be down.
+ */
+final class WaveRun {
+    private static final String SEPARATOR = ";";
+    /** Time in milliseconds that a machine takes to be emptied and maintained, as it is planned for. */
+    private static final long MACHINE_MILLIS = 6_000;
+    /** Time in milliseconds that a wave is to end before its deadline. */
+    private static final long RESERVE_MILLIS = 4_000;
+
+    final long number;
+    final Set<String> done = new TreeSet<>();
+    final Set<String> ordered = new TreeSet<>();
+    final Set<String> storedOrders = new TreeSet<>();
+    List<String> machines = List.of();
+    int atOnce = 1;
+    long deadlineMillis = Long.MAX_VALUE;
+    long revision;
+    boolean storing;
+    boolean dirty;
+    boolean known;
+    boolean completedStored;
+
+    WaveRun(long number) {
+        this.number = number;
+    }
+
+    boolean completed() {
+        return known && done.containsAll(machines);
+    }
+
+    boolean open() {
+        return known && !completedStored;
+    }
+
+    /**
+     * Returns the machines that are neither maintained nor ordered to be.
+     */
+    List<String> waiting() {
+        List<String> waiting = new ArrayList<>(machines);
+        waiting.removeAll(done);
+        waiting.removeAll(ordered);
+        return waiting;
+    }
+
+    /**
+     * Returns how many machines have to be away at the same time for the wave to end in time, at most as many as may be.
+     */
+    int atOnceNow(long nowMillis) {
+        long left = Math.max(1, deadlineMillis - nowMillis - RESERVE_MILLIS);
+        long needed = (waiting().size() * MACHINE_MILLIS + left - 1) / left;
+        return (int) Math.max(1, Math.min(atOnce, needed));
+    }
+
+    String state() {
+        return String.join(",", done) + SEPARATOR + String.join(",", ordered) + SEPARATOR + completed();
+    }
+
+    void load(String state, long storedRevision) {
+        revision = storedRevision;
+        String[] parts = state.split(SEPARATOR, -1);
+        addAll(done, parts[0]);
+        if (parts.length > 2) {
+            addAll(ordered, parts[1]);
+            storedOrders.addAll(ordered);
+            completedStored = Boolean.parseBoolean(parts[2]);
+        }
+    }
+
+    void stored(String state, long newRevision) {
+        storing = false;
+        revision = newRevision;
+        WaveRun copy = new WaveRun(number);
+        copy.load(state, newRevision);
+        storedOrders.clear();
+        storedOrders.addAll(copy.ordered);
+        completedStored = copy.completedStored;
+    }
+
+    private static void addAll(Set<String> set, String names) {
+        for (String name : names.split(",")) {
+            if (!name.isEmpty()) {
+                set.add(name);
+            }
+        }
+    }
+}
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/package-info.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Places jobs on workers and keeps them in shards, as pure decision code.
+ * Decisions on the jobs of one pool: admission, placement, renewal, ends, take-over and maintenance.
  */
 package org.trefoilpost.decision.job;
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
@@ -0,0 +1,99 @@
+package org.trefoilpost.entry.job;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.trefoilpost.decision.job.Decision;
+
+/**
+ * The counters and histograms of the job service.
+ */
+public final class JobMetrics {
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(5),
+        Duration.ofMillis(25),
+        Duration.ofMillis(100),
+        Duration.ofMillis(500),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(10)
+    };
+
+    private final PrometheusMeterRegistry registry;
+    private final Map<String, Counter> counters = new ConcurrentHashMap<>();
+    private final Map<String, Timer> timers = new ConcurrentHashMap<>();
+    private final Map<String, AtomicLong> gauges = new ConcurrentHashMap<>();
+
+    /**
+     * Constructs metrics in a registry.
+     *
+     * @param registry  the registry, not null
+     */
+    public JobMetrics(PrometheusMeterRegistry registry) {
+        this.registry = registry;
+    }
+
+    /**
+     * Counts an occurrence.
+     *
+     * @param name  the counter's name, not null
+     * @param reason  the value of the {@code reason} tag, not null
+     */
+    public void count(String name, String reason) {
+        counters.computeIfAbsent(name + '/' + reason, key -> registry.counter(name, "reason", reason))
+                .increment();
+    }
+
+    /**
+     * Records how long something took.
+     *
+     * @param name  the histogram's name, not null
+     * @param kind  the value of the {@code kind} tag, not null
+     * @param millis  the time in milliseconds
+     */
+    public void record(String name, String kind, long millis) {
+        timers.computeIfAbsent(
+                        name + '/' + kind,
+                        key -> Timer.builder(name)
+                                .tag("kind", kind)
+                                .serviceLevelObjectives(BUCKETS)
+                                .register(registry))
+                .record(Math.max(0, millis), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Sets a figure.
+     *
+     * @param name  the figure's name, not null
+     * @param kind  the value of the {@code kind} tag, not null
+     * @param value  the value
+     */
+    public void set(String name, String kind, long value) {
+        gauges.computeIfAbsent(
+                        name + '/' + kind,
+                        key -> registry.gauge(
+                                name,
+                                java.util.List.of(io.micrometer.core.instrument.Tag.of("kind", kind)),
+                                new AtomicLong()))
+                .set(value);
+    }
+
+    /**
+     * Returns all metrics as text.
+     *
+     * @return the text in Prometheus' format, not null
+     */
+    public String text() {
+        return registry.scrape();
+    }
+
+    void decided(Decision decision) {
+        Object reason =
+                decision.inputs().getOrDefault("reason", decision.inputs().getOrDefault("how", "none"));
+        count("trefoilpost.jobs.decisions." + decision.name(), reason.toString());
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -0,0 +1,179 @@
+package org.trefoilpost.entry.job;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.trefoilpost.decision.job.PoolLoad;
+import org.trefoilpost.entry.peer.PeerCallException;
+import org.trefoilpost.entry.peer.PoolAnswer;
+
+/**
+ * Asks the owner of a pool, here or at another entry, and asks again while the pool changes hands.
+ */
+final class OwnerCalls {
+    private static final long RETRY_MILLIS = 60;
+    /** Longest time in milliseconds that a request which reached no owner is kept. */
+    private static final long NO_OWNER_WAIT_MILLIS = 500;
+
+    private static final long CALL_TIMEOUT_MILLIS = 1_500;
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final JobContext context;
+    private final LiveEntries live;
+    private final PoolLinks links;
+    private final Function<String, Optional<PoolRunner>> local;
+
+    OwnerCalls(JobContext context, LiveEntries live, PoolLinks links, Function<String, Optional<PoolRunner>> local) {
+        this.context = context;
+        this.live = live;
+        this.links = links;
+        this.local = local;
+    }
+
+    /**
+     * Asks for as long as the caller has patience.
+     */
+    void ask(String pool, JobRequest request, long patienceMillis, CompletableFuture<JobReply> reply) {
+        long nowMillis = context.now().steadyMillis();
+        attempt(new Inquiry(pool, request, reply, nowMillis, nowMillis + patienceMillis));
+    }
+
+    private void attempt(Inquiry inquiry) {
+        Optional<PoolRunner> runner = local.apply(inquiry.pool);
+        Optional<LiveEntries.Owner> owner = live.owner(inquiry.pool);
+        if (runner.isPresent()) {
+            inquiry.sent = true;
+            context.onDuty(serve(runner.get(), inquiry.request), (answer, failure) -> {
+                if (failure != null || answer.reason().equals("owner-changed")) {
+                    again(inquiry);
+                } else {
+                    conclude(inquiry, answer);
+                }
+            });
+        } else if (owner.isPresent()) {
+            forward(inquiry, owner.get().peer());
+        } else {
+            again(inquiry);
+        }
+    }
+
+    private void forward(Inquiry inquiry, LiveEntries.Peer peer) {
+        long left = inquiry.endMillis - context.now().steadyMillis();
+        byte[] request = inquiry.request.encode();
+        context.onDuty(
+                links.call(peer, inquiry.pool, request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, left))),
+                (answer, failure) -> {
+                    if (failure == null && answer.owner()) {
+                        JobReply reply = JobReplyCodec.decode(answer.reply());
+                        if (reply.reason().equals("owner-changed")) {
+                            inquiry.sent = true;
+                            again(inquiry);
+                        } else {
+                            conclude(inquiry, reply);
+                        }
+                        return;
+                    }
+                    inquiry.sent |= failure instanceof PeerCallException call && call.sent();
+                    again(inquiry);
+                });
+    }
+
+    private void conclude(Inquiry inquiry, JobReply reply) {
+        boolean unclear = inquiry.unclear && reply.status() == JobReplyStatus.UNAVAILABLE;
+        inquiry.reply.complete(unclear ? JobReply.of(JobReplyStatus.UNCERTAIN, reply.reason()) : reply);
+    }
+
+    private void again(Inquiry inquiry) {
+        long nowMillis = context.now().steadyMillis();
+        inquiry.unclear |= inquiry.sent;
+        long end = inquiry.sent
+                ? inquiry.endMillis
+                : Math.min(inquiry.endMillis, inquiry.beganMillis + NO_OWNER_WAIT_MILLIS);
+        if (nowMillis + RETRY_MILLIS < end) {
+            context.later(RETRY_MILLIS, () -> attempt(inquiry));
+        } else if (inquiry.sent) {
+            inquiry.reply.complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"));
+        } else {
+            inquiry.reply.complete(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", RETRY_AFTER_MILLIS));
+        }
+    }
+
+    /**
+     * Carries out a request at the owner.
+     */
+    static CompletableFuture<JobReply> serve(PoolRunner runner, JobRequest request) {
+        if (request instanceof JobRequest.Submit submit) {
+            return runner.submit(submit.spec());
+        } else if (request instanceof JobRequest.Cancel cancel) {
+            return runner.cancel(cancel.job());
+        } else if (request instanceof JobRequest.Phase phase) {
+            return CompletableFuture.completedFuture(runner.phase(phase.job()));
+        } else if (request instanceof JobRequest.Waiting waiting) {
+            return CompletableFuture.completedFuture(runner.waiting(waiting.queue()));
+        }
+        return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.MALFORMED, "unknown-request"));
+    }
+
+    /**
+     * Answers a call of another entry.
+     */
+    void answer(String pool, byte[] bytes, BiConsumer<Boolean, byte[]> answer) {
+        Optional<PoolRunner> runner = local.apply(pool);
+        Optional<JobRequest> request = JobRequest.decode(bytes);
+        if (runner.isEmpty() || request.isEmpty()) {
+            answer.accept(false, new byte[0]);
+        } else if (request.get() instanceof JobRequest.Evacuate evacuate) {
+            answer.accept(true, JobReplyCodec.encode(runner.get().evacuate(evacuate.workers())));
+        } else {
+            serve(runner.get(), request.get()).thenAccept(reply -> answer.accept(true, JobReplyCodec.encode(reply)));
+        }
+    }
+
+    /**
+     * Sets which workers of a pool are to be emptied, and asks for its load.
+     */
+    CompletableFuture<PoolLoad> evacuate(String pool, Set<String> workers) {
+        Optional<PoolRunner> runner = local.apply(pool);
+        if (runner.isPresent()) {
+            return CompletableFuture.completedFuture(runner.get().evacuate(workers));
+        }
+        Optional<LiveEntries.Owner> owner = live.owner(pool);
+        if (owner.isEmpty()) {
+            return CompletableFuture.failedFuture(new PeerCallException("pool " + pool + " has no owner", false));
+        }
+        byte[] request = new JobRequest.Evacuate(workers).encode();
+        return links.call(owner.get().peer(), pool, request, CALL_TIMEOUT_MILLIS)
+                .thenApply(OwnerCalls::load);
+    }
+
+    private static PoolLoad load(PoolAnswer answer) {
+        if (!answer.owner()) {
+            throw new PeerCallException("the entry does not own the pool", false);
+        }
+        return JobReplyCodec.decodeLoad(answer.reply());
+    }
+
+    /**
+     * A request on its way.
+     */
+    private static final class Inquiry {
+        private final String pool;
+        private final JobRequest request;
+        private final CompletableFuture<JobReply> reply;
+        private final long beganMillis;
+        private final long endMillis;
+        private boolean sent;
+        private boolean unclear;
+
+        private Inquiry(
+                String pool, JobRequest request, CompletableFuture<JobReply> reply, long beganMillis, long endMillis) {
+            this.pool = pool;
+            this.request = request;
+            this.reply = reply;
+            this.beganMillis = beganMillis;
+            this.endMillis = endMillis;
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolLinks.java
@@ -0,0 +1,98 @@
+package org.trefoilpost.entry.job;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.entry.peer.PeerNetwork;
+import org.trefoilpost.entry.peer.PeerReply;
+import org.trefoilpost.entry.peer.PoolAnswer;
+import org.trefoilpost.entry.peer.PoolCall;
+import org.trefoilpost.model.Endpoint;
+import org.trefoilpost.model.EntryId;
+
+/**
+ * The connections to the entries that own pools. A connection that stays silent is made anew.
+ */
+final class PoolLinks {
+    private static final long PING_MILLIS = 700;
+    private static final long PING_TIMEOUT_MILLIS = 900;
+    private static final byte[] NOTHING = {};
+
+    private final JobContext context;
+    private final PeerNetwork network;
+    private final Map<String, LiveEntries.Peer> linked = new HashMap<>();
+    private long lastPingMillis;
+
+    PoolLinks(JobContext context, PeerNetwork network) {
+        this.context = context;
+        this.network = network;
+    }
+
+    /**
+     * Keeps connections to the owners of pools, and to no others.
+     */
+    void tick(LiveEntries live, String self, long nowMillis) {
+        Set<String> wanted = new HashSet<>();
+        for (LiveEntries.Owner owner : live.owners().values()) {
+            if (!owner.peer().name().equals(self)) {
+                wanted.add(owner.peer().name());
+                link(owner.peer());
+            }
+        }
+        for (String name : Set.copyOf(linked.keySet())) {
+            if (!wanted.contains(name)) {
+                linked.remove(name);
+                network.disconnect(EntryId.of(name));
+            }
+        }
+        if (nowMillis - lastPingMillis >= PING_MILLIS) {
+            lastPingMillis = nowMillis;
+            linked.values().forEach(this::ping);
+        }
+    }
+
+    private void link(LiveEntries.Peer peer) {
+        LiveEntries.Peer present = linked.put(peer.name(), peer);
+        if (present != null && !present.equals(peer)) {
+            network.disconnect(EntryId.of(peer.name()));
+        }
+        if (present == null || !present.equals(peer)) {
+            network.connect(EntryId.of(peer.name()), Endpoint.parse(peer.address()));
+        }
+    }
+
+    private void ping(LiveEntries.Peer peer) {
+        EntryId entry = EntryId.of(peer.name());
+        if (!network.connected().contains(entry)) {
+            return;
+        }
+        context.onDuty(
+                network.call(entry, id -> PoolCall.of(id, "", NOTHING), PING_TIMEOUT_MILLIS), (reply, failure) -> {
+                    if (failure != null && peer.equals(linked.get(peer.name()))) {
+                        context.decided(Decision.failure("dependency-lost")
+                                .with("dependency", "entry " + peer.name())
+                                .with("failure", String.valueOf(failure.getMessage())));
+                        linked.remove(peer.name());
+                        network.disconnect(entry);
+                    }
+                });
+    }
+
+    /**
+     * Calls the owner of a pool.
+     */
+    CompletableFuture<PoolAnswer> call(LiveEntries.Peer peer, String pool, byte[] request, long timeoutMillis) {
+        return network.call(EntryId.of(peer.name()), id -> PoolCall.of(id, pool, request), timeoutMillis)
+                .thenApply(PoolLinks::answer);
+    }
+
+    private static PoolAnswer answer(PeerReply reply) {
+        if (reply instanceof PoolAnswer answer) {
+            return answer;
+        }
+        throw new IllegalStateException("a call to a pool's owner was answered with " + reply);
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -0,0 +1,304 @@
+package org.trefoilpost.entry.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.job.AdviceRequest;
+import org.trefoilpost.decision.job.CallResult;
+import org.trefoilpost.decision.job.Commit;
+import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.JobPhase;
+import org.trefoilpost.decision.job.JobSpec;
+import org.trefoilpost.decision.job.Moment;
+import org.trefoilpost.decision.job.PoolActions;
+import org.trefoilpost.decision.job.PoolLoad;
+import org.trefoilpost.decision.job.PoolScheduler;
+import org.trefoilpost.decision.job.QueueRule;
+import org.trefoilpost.decision.job.SubmitAnswer;
+import org.trefoilpost.decision.job.WorkerOrder;
+import org.trefoilpost.decision.job.WorkerReport;
+
+/**
+ * Runs the scheduler of a pool that this entry owns: carries its decisions out and brings it the results.
+ */
+final class PoolRunner implements PoolActions {
+    private static final long STORE_SILENCE_MILLIS = 800;
+    private static final long CHECK_OWNER_MILLIS = 1_000;
+    private static final long REGISTRY_RETURN_MILLIS = 2_300;
+
+    private final String pool;
+    private final long token;
+    private final JobContext context;
+    private final Runnable onDeposed;
+    private final PoolScheduler scheduler;
+    private final PoolStore store;
+    private final Map<String, List<CompletableFuture<JobReply>>> waiting = new HashMap<>();
+    private long confirmedMillis;
+    private long lastCheckMillis;
+    private boolean checkInFlight;
+    private boolean open;
+    private boolean closed;
+    private Set<String> evacuating = Set.of();
+
+    PoolRunner(String pool, long token, JobContext context, Runnable onDeposed) {
+        this.pool = pool;
+        this.token = token;
+        this.context = context;
+        this.onDeposed = onDeposed;
+        this.scheduler = new PoolScheduler(pool, context.settings().bounds(), this);
+        this.store = new PoolStore(pool, token, context);
+        this.confirmedMillis = context.now().steadyMillis();
+        this.lastCheckMillis = confirmedMillis;
+    }
+
+    String pool() {
+        return pool;
+    }
+
+    long token() {
+        return token;
+    }
+
+    boolean open() {
+        return open && !closed;
+    }
+
+    /**
+     * Reads the stored jobs and opens the scheduler with them.
+     */
+    void start(Map<String, QueueRule> queues, WorkerRegistry registry) {
+        scheduler.configure(queues);
+        registry.refresh(() -> load(registry));
+    }
+
+    private void load(WorkerRegistry registry) {
+        store.load(
+                documents -> {
+                    if (!closed) {
+                        Moment now = context.now();
+                        long settles = registry.reconnectedMillis() + REGISTRY_RETURN_MILLIS;
+                        scheduler.open(documents, registry.ofPool(pool), settles, now);
+                        scheduler.evacuate(evacuating);
+                        open = true;
+                        tick();
+                    }
+                },
+                () -> closed,
+                this::depose);
+    }
+
+    void configure(Map<String, QueueRule> queues) {
+        scheduler.configure(queues);
+    }
+
+    void registry(Collection<WorkerReport> workers) {
+        if (open()) {
+            scheduler.registry(workers, context.now());
+            tick();
+        }
+    }
+
+    /**
+     * Stops without another word: another entry owns the pool, or will.
+     */
+    void close() {
+        closed = true;
+        waiting.values()
+                .forEach(replies -> replies.forEach(
+                        reply -> reply.complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-changed"))));
+        waiting.clear();
+    }
+
+    /**
+     * Forgets how recently the ownership was confirmed, because the process stood still for an unknown time.
+     */
+    void distrust() {
+        confirmedMillis = Long.MIN_VALUE / 2;
+        lastCheckMillis = Long.MIN_VALUE / 2;
+    }
+
+    void tick() {
+        if (!open()) {
+            return;
+        }
+        Moment now = context.now();
+        boolean allowed = now.steadyMillis() - confirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
+        scheduler.tick(allowed, now);
+        checkOwner(now.steadyMillis());
+    }
+
+    private void checkOwner(long nowMillis) {
+        if (checkInFlight || nowMillis - Math.max(lastCheckMillis, confirmedMillis) < CHECK_OWNER_MILLIS) {
+            return;
+        }
+        checkInFlight = true;
+        lastCheckMillis = nowMillis;
+        context.onDuty(context.store().read(LiveEntries.ownerKey(pool)), (item, failure) -> {
+            checkInFlight = false;
+            if (failure == null && item.map(StorePort.Item::revision).orElse(0L) == token) {
+                confirmedMillis = Math.max(confirmedMillis, nowMillis);
+            } else if (failure == null && !closed) {
+                depose("store");
+            }
+        });
+    }
+
+    private void depose(String how) {
+        if (!closed) {
+            context.decided(Decision.failure("pool-lost")
+                    .with("pool", pool)
+                    .with("token", token)
+                    .with("reason", how));
+            close();
+            onDeposed.run();
+        }
+    }
+
+    CompletableFuture<JobReply> submit(JobSpec spec) {
+        Moment now = context.now();
+        boolean reachable = store.pendingMillis(now.steadyMillis()) < STORE_SILENCE_MILLIS;
+        SubmitAnswer answer = scheduler.submit(spec, reachable, now);
+        context.decided((answer.kind() == SubmitAnswer.Kind.REFUSED
+                        ? Decision.failure("job-refused")
+                        : Decision.of("job-submitted"))
+                .with("job", spec.id())
+                .with("queue", spec.queue())
+                .with("pool", pool)
+                .with("token", token)
+                .with("outcome", answer.kind().name())
+                .with("reason", answer.reason())
+                .with("retryAfterMillis", answer.retryAfterMillis()));
+        return switch (answer.kind()) {
+            case STORED -> CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.DONE, answer.reason()));
+            case PENDING -> whenStored(spec.id());
+            case REFUSED -> CompletableFuture.completedFuture(refusal(answer));
+        };
+    }
+
+    private static JobReply refusal(SubmitAnswer answer) {
+        JobReplyStatus status =
+                answer.reason().equals("overload") || answer.reason().equals("fits-no-worker")
+                        ? JobReplyStatus.REJECTED
+                        : JobReplyStatus.UNAVAILABLE;
+        return JobReply.refusal(status, answer.reason(), answer.retryAfterMillis());
+    }
+
+    CompletableFuture<JobReply> cancel(String job) {
+        Optional<JobPhase> phase = scheduler.cancel(job, context.now());
+        if (phase.isEmpty()) {
+            return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.NO_JOB, "unknown-job"));
+        }
+        context.decided(Decision.of("job-cancelled")
+                .with("job", job)
+                .with("pool", pool)
+                .with("phase", phase.get().name()));
+        return scheduler.isStored(job)
+                ? CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.DONE, "cancelled"))
+                : whenStored(job);
+    }
+
+    JobReply phase(String job) {
+        return scheduler
+                .phase(job)
+                .map(JobReply::ofPhase)
+                .orElseGet(() -> JobReply.of(JobReplyStatus.NO_JOB, "unknown-job"));
+    }
+
+    JobReply waiting(String queue) {
+        return JobReply.ofWaiting(scheduler.waiting(queue));
+    }
+
+    private CompletableFuture<JobReply> whenStored(String job) {
+        CompletableFuture<JobReply> reply = new CompletableFuture<>();
+        waiting.computeIfAbsent(job, id -> new ArrayList<>()).add(reply);
+        tick();
+        return reply;
+    }
+
+    /**
+     * Sets which workers are to be emptied, and returns the load.
+     */
+    PoolLoad evacuate(Set<String> workers) {
+        evacuating = new HashSet<>(workers);
+        scheduler.evacuate(evacuating);
+        return scheduler.load(context.now());
+    }
+
+    void lifeEnded(String worker, String reason) {
+        if (open()) {
+            scheduler.lifeEnded(worker, reason, context.now());
+        }
+    }
+
+    @Override
+    public void send(WorkerOrder order) {
+        long sentMillis = context.now().steadyMillis();
+        context.onDuty(context.ports().workers().send(order, token), (answer, failure) -> {
+            if (closed) {
+                return;
+            }
+            String kind = order.getClass().getSimpleName();
+            Moment now = context.now();
+            if (failure != null) {
+                scheduler.answered(order, CallResult.NO_ANSWER, now);
+            } else if (answer.status().isPresent()) {
+                scheduler.held(order.worker(), answer.status().get(), now);
+            } else {
+                scheduler.answered(order, answer.result(), now);
+            }
+            context.metrics().record("trefoilpost.jobs.order.time", kind, now.steadyMillis() - sentMillis);
+            tick();
+        });
+    }
+
+    @Override
+    public void advise(AdviceRequest request) {
+        context.onDuty(context.ports().advice().ask(request), (advice, failure) -> {
+            if (closed) {
+                return;
+            }
+            if (failure == null) {
+                scheduler.advised(request, advice.tickets(), advice.validMillis(), context.now());
+            } else {
+                scheduler.advised(request, Map.of(), 0, context.now());
+            }
+            tick();
+        });
+    }
+
+    @Override
+    public void commit(Commit commit) {
+        long sentMillis = context.now().steadyMillis();
+        store.commit(commit, sentMillis, this::committed, () -> closed, this::depose);
+    }
+
+    private void committed(Commit commit, long confirmed) {
+        confirmedMillis = Math.max(confirmedMillis, confirmed);
+        scheduler.committed(commit.number(), context.now());
+        tick();
+    }
+
+    @Override
+    public void stored(String job, JobPhase phase) {
+        List<CompletableFuture<JobReply>> replies = waiting.remove(job);
+        if (replies != null) {
+            replies.forEach(reply -> reply.complete(JobReply.of(JobReplyStatus.DONE, "stored")));
+        }
+    }
+
+    @Override
+    public void deposed(String worker) {
+        context.run(() -> depose("worker " + worker));
+    }
+
+    @Override
+    public void decided(Decision decision) {
+        context.decided(decision);
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -0,0 +1,99 @@
+package org.trefoilpost.entry.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.WorkerReport;
+
+/**
+ * The workers that the platform's registry lists.
+ */
+final class WorkerRegistry implements StoreMirror.Listener {
+    private final JobContext context;
+    private final StoreMirror mirror;
+    private final Runnable onChange;
+    private final Map<String, WorkerReport> reports = new HashMap<>();
+
+    WorkerRegistry(JobContext context, LongSupplier pauseMillis, Runnable onChange) {
+        this.context = context;
+        this.onChange = onChange;
+        this.mirror = new StoreMirror(context.ports().formats().workerPrefix(), context, pauseMillis, this);
+    }
+
+    void start() {
+        mirror.start();
+    }
+
+    /**
+     * Reads all entries again, and then runs something.
+     */
+    void refresh(Runnable done) {
+        mirror.refresh(done);
+    }
+
+    boolean loaded() {
+        return mirror.loaded();
+    }
+
+    long reconnectedMillis() {
+        return mirror.reconnectedMillis();
+    }
+
+    Collection<WorkerReport> ofPool(String pool) {
+        List<WorkerReport> workers = new ArrayList<>();
+        for (WorkerReport report : reports.values()) {
+            if (report.pool().equals(pool)) {
+                workers.add(report);
+            }
+        }
+        return workers;
+    }
+
+    Optional<WorkerReport> worker(String id) {
+        return Optional.ofNullable(reports.get(id));
+    }
+
+    @Override
+    public void replaced() {
+        reports.clear();
+        mirror.items().values().forEach(this::put);
+    }
+
+    @Override
+    public void changed(String key, Optional<StorePort.Item> item) {
+        if (item.isPresent()) {
+            put(item.get());
+        } else {
+            WorkerReport gone = reports.remove(
+                    key.substring(context.ports().formats().workerPrefix().length()));
+            if (gone != null) {
+                context.ports().workers().forget(gone.address());
+            }
+        }
+    }
+
+    @Override
+    public void settled() {
+        onChange.run();
+    }
+
+    private void put(StorePort.Item item) {
+        Optional<WorkerReport> report = context.ports().formats().worker(item);
+        String id =
+                item.key().substring(context.ports().formats().workerPrefix().length());
+        if (report.isPresent()) {
+            reports.put(id, report.get());
+        } else {
+            reports.remove(id);
+            context.decided(Decision.failure("registry-entry-unreadable")
+                    .with("worker", id)
+                    .with("revision", item.revision())
+                    .with("bytes", item.value().length));
+        }
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/log/EventLog.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/log/EventLog.java
@@ -69,9 +69,25 @@
         logger.error(line("error", event));
     }
 
+    /**
+     * Logs an ordinary event that happened a while ago.
+     *
+     * @param event  the event, not null
+     * @param happened  when it happened, not null
+     */
+    public void info(LogEvent event, Instant happened) {
+        if (logger.isInfoEnabled()) {
+            logger.info(line("info", event, happened));
+        }
+    }
+
     private String line(String level, LogEvent event) {
+        return line(level, event, Instant.now());
+    }
+
+    private String line(String level, LogEvent event, Instant happened) {
         Map<String, Object> line = new LinkedHashMap<>();
-        line.put("time", Instant.now().toString());
+        line.put("time", happened.toString());
         line.put("level", level);
         line.put("event", event.name());
         line.putAll(event.fields());
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCall.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCall.java
@@ -3,7 +3,7 @@
 /**
  * A message that wants a reply.
  */
-public sealed interface PeerCall extends PeerMessage permits DrainQuery, ForwardRequest, UncordonCall {
+public sealed interface PeerCall extends PeerMessage permits DrainQuery, ForwardRequest, PoolCall, UncordonCall {
     /**
      * Returns the number of the call.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerCodec.java
@@ -30,6 +30,8 @@
     private static final int HAND_OVER = 12;
     private static final int UNCORDON_CALL = 13;
     private static final int UNCORDON_ANSWER = 14;
+    private static final int POOL_CALL = 15;
+    private static final int POOL_ANSWER = 16;
 
     private PeerCodec() {}
 
@@ -95,6 +97,10 @@
             return UNCORDON_CALL;
         } else if (message instanceof UncordonAnswer) {
             return UNCORDON_ANSWER;
+        } else if (message instanceof PoolCall) {
+            return POOL_CALL;
+        } else if (message instanceof PoolAnswer) {
+            return POOL_ANSWER;
         }
         return FORWARD_OUTCOME;
     }
@@ -140,6 +146,12 @@
             packer.packLong(call.stoppedIncarnation());
         } else if (message instanceof UncordonAnswer answer) {
             packer.packLong(answer.callId()).packBoolean(answer.inService());
+        } else if (message instanceof PoolCall call) {
+            packer.packLong(call.callId()).packString(call.pool());
+            PackedValues.packBytes(packer, call.request());
+        } else if (message instanceof PoolAnswer answer) {
+            packer.packLong(answer.callId()).packBoolean(answer.owner());
+            PackedValues.packBytes(packer, answer.reply());
         } else if (message instanceof ForwardRequest forward) {
             packer.packLong(forward.callId()).packLong(forward.remainingMillis());
             PackedRequests.pack(packer, forward.request());
@@ -166,6 +178,10 @@
             case HAND_OVER -> HandOverNotice.of(PackedHandOvers.unpack(unpacker));
             case UNCORDON_CALL -> UncordonCall.of(unpacker.unpackLong(), unpackCordon(unpacker), unpacker.unpackLong());
             case UNCORDON_ANSWER -> UncordonAnswer.of(unpacker.unpackLong(), unpacker.unpackBoolean());
+            case POOL_CALL ->
+                PoolCall.of(unpacker.unpackLong(), unpacker.unpackString(), PackedValues.unpackBytes(unpacker));
+            case POOL_ANSWER ->
+                PoolAnswer.of(unpacker.unpackLong(), unpacker.unpackBoolean(), PackedValues.unpackBytes(unpacker));
             default -> throw new MalformedFrameException("no message has the kind " + kind, null);
         };
     }
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PoolAnswer.java
@@ -0,0 +1,61 @@
+package org.trefoilpost.entry.peer;
+
+/**
+ * Answers a {@link PoolCall}.
+ */
+public final class PoolAnswer implements PeerReply {
+    private final long callId;
+    private final boolean owner;
+    private final byte[] reply;
+
+    private PoolAnswer(long callId, boolean owner, byte[] reply) {
+        this.callId = callId;
+        this.owner = owner;
+        this.reply = reply;
+    }
+
+    /**
+     * Obtains a message.
+     *
+     * @param callId  the number of the call
+     * @param owner  true if the answering entry owns the pool
+     * @param reply  the encoded reply, empty unless the entry owns the pool, not null
+     * @return the message, not null
+     */
+    public static PoolAnswer of(long callId, boolean owner, byte[] reply) {
+        return new PoolAnswer(callId, owner, reply.clone());
+    }
+
+    @Override
+    public long callId() {
+        return callId;
+    }
+
+    /**
+     * Returns whether the answering entry owns the pool.
+     *
+     * @return false if it did nothing because it does not
+     */
+    public boolean owner() {
+        return owner;
+    }
+
+    /**
+     * Returns the encoded reply.
+     *
+     * @return a copy of the bytes, not null
+     */
+    public byte[] reply() {
+        return reply.clone();
+    }
+
+    /**
+     * Returns the kind of the message with its values.
+     *
+     * @return the text, not null
+     */
+    @Override
+    public String toString() {
+        return "PoolAnswer(" + callId + ", " + owner + ", " + reply.length + " bytes)";
+    }
+}
