Move machines to the pools that are short, and take a pool over without waiting for what is known

Cause: demand turns from pool to pool at several times a pool's capacity; a fifth to a third of the requests were refused while other pools and the spare machines stood idle. Change: FleetPlan is split into upkeep and moves over one view; pools tell how many machines their work would fill; packing instead of spreading; a task may start once its own run was seen, whatever other workers do not answer; workers that are on no machine any more have ended; a worker is kept free for tasks that last and do not fit.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Evacuations.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Evacuations.java
@@ -62,7 +62,7 @@
         if (spec.fills() || slot.report.draining() || !run.isAtWork()) {
             return true;
         }
-        return run.task.step.away() < Math.max(1, spec.mayMiss()) && roomElsewhere(run, slot, nowMillis);
+        return run.task.step.away(nowMillis) < Math.max(1, spec.mayMiss()) && roomElsewhere(run, slot, nowMillis);
     }
 
     private boolean roomElsewhere(Run run, WorkerSlot left, long nowMillis) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocument.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocument.java
@@ -72,7 +72,6 @@
         job.endedOccurrences = ended;
         job.stored = true;
         job.storedPhase = phase;
-        job.loaded = true;
         List<NotedRun> runs = new ArrayList<>();
         if (!phase.ended()) {
             unpackOccurrences(unpacker, job, runs, now);
@@ -128,6 +127,7 @@
         if (task.done) {
             return;
         }
+        task.mayRunUnseen = true;
         task.failures = unpacker.unpackInt();
         task.lastRun = unpacker.unpackInt();
         task.checkpoint = unpacker.unpackString();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -22,7 +22,6 @@
     boolean dirty;
     long dirtyMillis;
     boolean urgent;
-    boolean loaded;
 
     JobState(JobSpec spec, QueueRule queue, Moment now) {
         this.spec = spec;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OfferedWork.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OfferedWork.java
@@ -4,43 +4,43 @@
 import java.util.Deque;
 
 /**
- * Adds up the work that was handed in over the last while.
+ * Adds up what jobs asked for that were refused over the last while.
  */
 final class OfferedWork {
     private final long windowMillis;
     private final Deque<Offer> offers = new ArrayDeque<>();
-    private long sum;
+    private Demand sum = Demand.NONE;
 
     OfferedWork(long windowMillis) {
         this.windowMillis = windowMillis;
     }
 
     /**
-     * Adds the ordinary tasks of a job.
+     * Adds the tasks of a job that could start at once.
      */
-    void add(JobState job, WorkerHealth health, long nowMillis) {
-        long work = 0;
-        for (StepSpec step : job.spec.steps()) {
-            if (!step.longRunning() && !step.fills()) {
-                work += step.count() * step.demand().cpuMillis() * health.expectedMillis(job, step);
+    void add(JobSpec job, long nowMillis) {
+        Demand demand = Demand.NONE;
+        for (StepSpec step : job.steps()) {
+            if (step.after().isEmpty()) {
+                demand = demand.plus(step.reservedDemand().times(step.count()));
             }
         }
-        offers.add(new Offer(nowMillis, work));
-        sum += work;
+        offers.add(new Offer(nowMillis, demand));
+        sum = sum.plus(demand);
     }
 
     /**
-     * Returns the work handed in over the last while, in thousandths of a core times milliseconds.
+     * Returns what was refused over the last while.
      */
-    long work(long nowMillis) {
+    Demand sum(long nowMillis) {
         while (!offers.isEmpty() && nowMillis - offers.peek().millis() > windowMillis) {
-            sum -= offers.poll().work();
+            sum = sum.minus(offers.poll().demand());
         }
         return sum;
     }
 
     /**
-     * Work that was handed in at a time.
+     * What a job asked for at a time.
      */
-    private record Offer(long millis, long work) {}
+    private record Offer(long millis, Demand demand) {}
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Chooses which tasks start next, and where.
@@ -15,11 +17,20 @@
 final class Placer {
     private static final int MAX_STARTS_IN_FLIGHT = 8;
     private static final long ROUND_MILLIS = 100;
+    /** Time in milliseconds after which a step that does not fit gets a worker of its own. */
+    private static final long STARVING_MILLIS = 700;
+
+    private static final long EXPLAIN_MILLIS = 1_000;
+    /** The most workers that are kept free for steps that do not fit. */
+    private static final int MAX_RESERVED = 2;
+    /** What another task of the same step on a worker counts against it, in shares of a worker. */
+    private static final double LASTING_SPREAD = 0.3;
 
     private final PoolState state;
     private final Orders orders;
     private final Objectives objectives;
     private final AdviceDesk advice;
+    private final Set<WorkerSlot> reserved = new HashSet<>();
     private long lastMillis;
 
     Placer(PoolState state, Orders orders, Objectives objectives, AdviceDesk advice) {
@@ -46,6 +57,7 @@
                 .thenComparingInt(candidate -> candidate.step.occurrence.job.queue.priority())
                 .thenComparingLong(Candidate::latestStartMillis));
         List<Demand> unplaced = new ArrayList<>();
+        reserved.clear();
         for (Candidate candidate : candidates) {
             placeStep(candidate.step, unplaced, now);
         }
@@ -88,7 +100,7 @@
     }
 
     private boolean startable(TaskState task, long nowMillis) {
-        boolean settled = !task.step.occurrence.job.loaded || !state.earlierRunsPossible(nowMillis);
+        boolean settled = !task.mayRunUnseen || !state.earlierRunsPossible(nowMillis);
         return settled && task.startable(nowMillis);
     }
 
@@ -110,6 +122,7 @@
             if (startable(task, now.steadyMillis())) {
                 WorkerSlot slot = best(step, need, perWorker, now);
                 if (slot == null) {
+                    reserveIfStarving(step, need, now);
                     if (plain && step.tickets.isEmpty()) {
                         unplaced.add(need);
                     }
@@ -136,6 +149,59 @@
         return best;
     }
 
+    /**
+     * Keeps a worker free for a task that lasts, or that has waited for a while, so that smaller ones do not always take
+     * the room first.
+     */
+    private void reserveIfStarving(StepState step, Demand need, Moment now) {
+        boolean starving = step.spec.longRunning() || now.steadyMillis() - step.readyMillis > STARVING_MILLIS;
+        if (!starving || step.spec.fills() || reserved.size() >= MAX_RESERVED) {
+            return;
+        }
+        WorkerSlot best = null;
+        for (WorkerSlot slot : state.slots.values()) {
+            boolean suits = slot.acceptsWork(now.steadyMillis())
+                    && !reserved.contains(slot)
+                    && hasLabel(step, slot)
+                    && belowLimit(step, slot)
+                    && need.fitsIn(slot.report.capacity());
+            if (suits && (best == null || slot.free().memoryMb() > best.free().memoryMb())) {
+                best = slot;
+            }
+        }
+        if (best != null) {
+            reserved.add(best);
+        }
+        explainWaiting(step, need, best, now);
+    }
+
+    private void explainWaiting(StepState step, Demand need, WorkerSlot kept, Moment now) {
+        if (now.steadyMillis() - step.explainedMillis < EXPLAIN_MILLIS) {
+            return;
+        }
+        step.explainedMillis = now.steadyMillis();
+        int open = 0;
+        int below = 0;
+        int room = 0;
+        for (WorkerSlot slot : state.slots.values()) {
+            open += slot.acceptsWork(now.steadyMillis()) ? 1 : 0;
+            below += slot.acceptsWork(now.steadyMillis()) && belowLimit(step, slot) ? 1 : 0;
+            room += slot.acceptsWork(now.steadyMillis()) && need.fitsIn(slot.free()) ? 1 : 0;
+        }
+        state.actions.decided(Decision.of("step-waiting")
+                .with("job", step.occurrence.job.spec.id())
+                .with("step", step.name())
+                .with("workers", state.slots.size())
+                .with("open", open)
+                .with("belowLimit", below)
+                .with("withRoom", room)
+                .with("kept", kept == null ? "" : kept.id));
+    }
+
+    private static boolean hasLabel(StepState step, WorkerSlot slot) {
+        return step.spec.requiredLabel().isEmpty() || slot.report.labels().contains(step.spec.requiredLabel());
+    }
+
     private static boolean belowLimit(StepState step, WorkerSlot slot) {
         return step.spec.maxPerWorker() == 0 || slot.tasksOf(step) < step.spec.maxPerWorker();
     }
@@ -143,7 +209,8 @@
     private boolean mayRun(StepState step, Demand need, WorkerSlot slot, Moment now) {
         return slot.acceptsWork(now.steadyMillis())
                 && slot.clockKnown()
-                && (step.spec.requiredLabel().isEmpty() || slot.report.labels().contains(step.spec.requiredLabel()))
+                && !reserved.contains(slot)
+                && hasLabel(step, slot)
                 && need.fitsIn(slot.free())
                 && advice.allows(step, slot, now);
     }
@@ -153,11 +220,12 @@
         Demand capacity = slot.report.capacity();
         double cpuLeft = (double) free.cpuMillis() / Math.max(1, capacity.cpuMillis());
         double memoryLeft = (double) free.memoryMb() / Math.max(1, capacity.memoryMb());
-        double score = Math.min(cpuLeft, memoryLeft) - 2 * (slot.slowness - 1) - slot.blame;
+        // Full workers first, so that others become empty and can be given to other pools.
+        double score = -Math.min(cpuLeft, memoryLeft) - 2 * (slot.slowness - 1) - slot.blame;
         if (!step.spec.preferredRack().isEmpty() && !step.spec.preferredRack().equals(slot.report.rack())) {
             score -= 1;
         }
-        return step.spec.longRunning() ? score - placed : score;
+        return step.spec.longRunning() ? score - LASTING_SPREAD * placed : score;
     }
 
     private void placeGang(StepState step, Moment now) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -20,9 +19,12 @@
     /** How long an owner that lost the store may go on giving orders, in milliseconds. */
     public static final long ORDERS_WITHOUT_STORE_MILLIS = 9_000;
 
+    /** Unanswered calls in a row from which a worker counts as silent. */
+    private static final int CALLS_UNTIL_SILENT = 2;
+
     private static final long CLOSED_RETRY_MILLIS = 1_000;
     private static final long NEVER_RETRY_MILLIS = 60_000;
-    private static final long OFFERED_WINDOW_MILLIS = 1_000;
+    private static final long REFUSED_WINDOW_MILLIS = 800;
 
     private final PoolState state;
     private final Orders orders;
@@ -36,7 +38,8 @@
     private final Pacer pacer;
     private final WorkerHealth health;
     private final TakeOver takeOver;
-    private final OfferedWork offered = new OfferedWork(OFFERED_WINDOW_MILLIS);
+    private final OfferedWork refused = new OfferedWork(REFUSED_WINDOW_MILLIS);
+    private final PoolNeed need;
     private long lastPacedMillis;
 
     /**
@@ -60,6 +63,7 @@
         this.evacuations = new Evacuations(state, orders);
         this.pacer = new Pacer(state, orders);
         this.takeOver = new TakeOver(state);
+        this.need = new PoolNeed(state, refused);
     }
 
     /**
@@ -143,9 +147,9 @@
             return SubmitAnswer.refused(NEVER_RETRY_MILLIS, "fits-no-worker");
         }
         JobState job = new JobState(spec, queue, now);
-        offered.add(job, health, now.steadyMillis());
         OptionalLong wait = admission.retryAfterMillis(job, now);
         if (wait.isPresent()) {
+            refused.add(spec, now.steadyMillis());
             return SubmitAnswer.refused(wait.getAsLong(), "overload");
         }
         job.openDue(now);
@@ -296,6 +300,23 @@
         }
     }
 
+    /**
+     * Returns the workers that are silent while something may run there, so that it is worth finding out whether they
+     * still live.
+     *
+     * @return the workers, not null
+     */
+    public Set<String> silentWorkers() {
+        Set<String> silent = new TreeSet<>();
+        for (WorkerSlot slot : state.slots.values()) {
+            boolean concerned = !slot.runs.isEmpty() || state.unresolved.contains(slot);
+            if (concerned && !slot.gone && slot.missedCalls >= CALLS_UNTIL_SILENT) {
+                silent.add(slot.id);
+            }
+        }
+        return silent;
+    }
+
     /**
      * Sets which workers are to be emptied.
      *
@@ -353,23 +374,6 @@
      * @return the load, not null
      */
     public PoolLoad load(Moment now) {
-        Map<String, PoolLoad.WorkerLoad> workers = new HashMap<>();
-        long lasting = 0;
-        for (WorkerSlot slot : state.slots.values()) {
-            boolean lastingHere = false;
-            for (Run run : slot.runs.values()) {
-                lastingHere |= run.task.step.spec.longRunning();
-                lasting += run.task.step.spec.longRunning() ? run.reserved().cpuMillis() : 0;
-            }
-            workers.put(
-                    slot.id,
-                    new PoolLoad.WorkerLoad(
-                            slot.report.capacity().cpuMillis(),
-                            slot.used.cpuMillis(),
-                            lastingHere,
-                            slot.fenced && Evacuations.isEmpty(slot),
-                            slot.acceptsWork(now.steadyMillis())));
-        }
-        return new PoolLoad(admission.backlog(), offered.work(now.steadyMillis()), lasting, workers);
+        return need.load(now);
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunResults.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunResults.java
@@ -178,6 +178,7 @@
         TaskState owner = task != null ? task : unknownTask(running.task(), now);
         Run run = new Run(owner, running.run(), slot, RunPhase.RUNNING, now.steadyMillis());
         owner.lastRun = Math.max(owner.lastRun, running.run());
+        owner.mayRunUnseen = false;
         slot.add(run);
         if (wanted) {
             JobState job = owner.step.occurrence.job;
@@ -210,6 +211,7 @@
             return;
         }
         task.lastRun = Math.max(task.lastRun, ended.run());
+        task.mayRunUnseen = false;
         if (!ended.checkpoint().isEmpty()) {
             task.checkpoint = ended.checkpoint();
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StepState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StepState.java
@@ -20,6 +20,7 @@
     int gangFailures;
     long adviceAskedMillis = Long.MIN_VALUE / 2;
     boolean adviceInFlight;
+    long explainedMillis = Long.MIN_VALUE / 2;
     int adviceOffset;
 
     StepState(OccurrenceState occurrence, int number, StepSpec spec) {
@@ -39,10 +40,10 @@
     /**
      * Returns how many of the step's tasks are not at work.
      */
-    int away() {
+    int away(long nowMillis) {
         int away = 0;
         for (TaskState task : tasks) {
-            away += task.isAtWork() ? 0 : 1;
+            away += task.isAtWork(nowMillis) ? 0 : 1;
         }
         return away;
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TaskState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TaskState.java
@@ -11,6 +11,9 @@
     final StepState step;
     final List<Run> runs = new ArrayList<>(1);
     boolean done;
+    /** True while a run that an earlier owner started may go on out of sight. */
+    boolean mayRunUnseen;
+
     int failures;
     int lastRun;
     String checkpoint = "";
@@ -29,7 +32,10 @@
         return !done && runs.isEmpty() && nowMillis >= blockedUntilMillis;
     }
 
-    boolean isAtWork() {
-        return runs.stream().anyMatch(Run::isAtWork);
+    /**
+     * Returns whether the task is fully at work, as its worker said lately.
+     */
+    boolean isAtWork(long nowMillis) {
+        return runs.stream().anyMatch(run -> run.isAtWork() && run.worker.answersNow(nowMillis));
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
@@ -10,6 +10,9 @@
     /** The pace of a task that is not held back, in percent. */
     static final int FULL_PACE = 100;
 
+    /** Time in milliseconds for which a worker's answer is taken as its present state. */
+    private static final long FRESH_ANSWER_MILLIS = 1_300;
+
     /** The share of true time that a worker's clock surely advances, with a margin on the 2 % that clocks may lag. */
     private static final double SLOWEST_CLOCK = 0.975;
 
@@ -112,6 +115,13 @@
         return fenced && !gone && missedCalls == 0 && nowMillis >= suspectUntilMillis;
     }
 
+    /**
+     * Returns whether what the worker said last can still be relied on.
+     */
+    boolean answersNow(long nowMillis) {
+        return missedCalls == 0 && nowMillis - lastAnswerMillis <= FRESH_ANSWER_MILLIS;
+    }
+
     boolean acceptsWork(long nowMillis) {
         return reachable(nowMillis) && listed && !evacuating && !report.draining();
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlan.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlan.java
@@ -1,44 +1,28 @@
 package org.trefoilpost.decision.job.fleet;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.TreeSet;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.PoolLoad;
 
 /**
- * Decides which machines are emptied and maintained next.
+ * Decides on machines: which are emptied and maintained next, and which move between pools.
  */
 public final class FleetPlan {
-    private static final long ACTIVE_LIST_MILLIS = 700;
+    private static final long ACTIVE_LIST_MILLIS = 600;
+    private static final long IDLE_LIST_MILLIS = 3_000;
     private static final long ASK_MILLIS = 250;
     private static final long RETRY_MILLIS = 300;
-    /** How many machines more than may be down are emptied in advance. */
-    private static final int AHEAD = 1;
-    /** Time in milliseconds for which the registry may list a worker that has ended. */
-    private static final long RETIRED_MILLIS = 12_000;
 
     private final FleetActions actions;
-    private final double callsPerSecond;
-    private final Map<Long, WaveRun> waves = new TreeMap<>();
-    private final Map<String, MachineView> machines = new TreeMap<>();
-    private final Map<String, PoolAnswer> answers = new HashMap<>();
-    private final Map<String, Long> downSince = new HashMap<>();
-    private final Map<String, Long> retryAt = new HashMap<>();
-    private final Set<String> inFlight = new HashSet<>();
-    private final Map<String, Retired> retired = new HashMap<>();
-    private final Map<String, Set<String>> evacuated = new HashMap<>();
-    private Set<String> pools = Set.of();
-    private long listedMillis = Long.MIN_VALUE / 2;
+    private final FleetView view = new FleetView();
+    private final UpkeepPlanner upkeep;
+    private final MovePlanner moves;
     private long listAskedMillis = Long.MIN_VALUE / 2;
     private long lastAskMillis = Long.MIN_VALUE / 2;
-    private long lastOrderMillis = Long.MIN_VALUE / 2;
 
     /**
      * Constructs a plan without waves.
@@ -47,8 +31,10 @@
      * @param callsPerSecond  the most orders in a second
      */
     public FleetPlan(FleetActions actions, double callsPerSecond) {
+        OrderPace pace = new OrderPace(callsPerSecond);
         this.actions = actions;
-        this.callsPerSecond = Math.max(1, callsPerSecond);
+        this.upkeep = new UpkeepPlanner(actions, view, pace);
+        this.moves = new MovePlanner(actions, view, upkeep, pace);
     }
 
     /**
@@ -58,7 +44,7 @@
      * @param spare  the pools whose machines are off, not null
      */
     public void configure(Set<String> running, Set<String> spare) {
-        pools = Set.copyOf(running);
+        view.configure(running, spare);
     }
 
     /**
@@ -69,7 +55,7 @@
      * @param revision  the state's revision
      */
     public void load(long number, String state, long revision) {
-        waves.computeIfAbsent(number, WaveRun::new).load(state, revision);
+        upkeep.load(number, state, revision);
     }
 
     /**
@@ -82,15 +68,7 @@
      * @param nowMillis  the present time on the steady clock
      */
     public void wave(long number, List<String> wanted, long withinMillis, int atOnce, long nowMillis) {
-        WaveRun wave = waves.computeIfAbsent(number, WaveRun::new);
-        if (!wave.known) {
-            wave.known = true;
-            wave.machines = List.copyOf(wanted);
-            wave.atOnce = Math.max(1, atOnce);
-            wave.deadlineMillis = nowMillis + withinMillis;
-            wave.dirty = !wave.completedStored;
-            wave.ordered.forEach(machine -> downSince.put(machine, nowMillis));
-        }
+        upkeep.add(number, wanted, withinMillis, atOnce, nowMillis);
     }
 
     /**
@@ -101,27 +79,9 @@
      * @param now  the present time, not null
      */
     public void machines(List<MachineView> views, long askedMillis, Moment now) {
-        machines.clear();
-        views.forEach(view -> machines.put(view.name(), view));
-        listedMillis = now.steadyMillis();
-        for (WaveRun wave : waves.values()) {
-            settle(wave, askedMillis);
-        }
-    }
-
-    private void settle(WaveRun wave, long askedMillis) {
-        for (String machine : wave.machines) {
-            MachineView view = machines.get(machine);
-            if (view == null && wave.done.add(machine)) {
-                wave.ordered.remove(machine);
-                wave.dirty = true;
-            }
-            Long since = downSince.get(machine);
-            boolean back = view == null || view.up() && wave.done.contains(machine);
-            if (since != null && back && askedMillis > since && !inFlight.contains(machine)) {
-                downSince.remove(machine);
-            }
-        }
+        view.list(views, now.steadyMillis());
+        upkeep.listed(askedMillis);
+        moves.listed(askedMillis);
     }
 
     /**
@@ -142,7 +102,7 @@
      * @param now  the present time, not null
      */
     public void load(String pool, Set<String> workers, PoolLoad load, Moment now) {
-        answers.put(pool, new PoolAnswer(Set.copyOf(workers), load));
+        view.load(pool, workers, load, now.steadyMillis());
     }
 
     /**
@@ -153,40 +113,15 @@
      * @param now  the present time, not null
      */
     public void ordered(String machine, OrderOutcome outcome, Moment now) {
-        inFlight.remove(machine);
+        view.inFlight().remove(machine);
         actions.decided(Decision.of("machine-ordered").with("machine", machine).with("outcome", outcome.name()));
-        WaveRun wave = waveOf(machine);
         if (outcome == OrderOutcome.FENCED) {
             actions.fenced(machine);
-        } else if (wave == null) {
-            return;
-        } else if (outcome == OrderOutcome.DONE || outcome == OrderOutcome.REJECTED) {
-            wave.ordered.remove(machine);
-            wave.done.add(machine);
-            wave.dirty = true;
-            downSince.put(machine, now.steadyMillis());
-            retire(machine, now.steadyMillis());
-        } else {
-            retryAt.put(machine, now.steadyMillis() + RETRY_MILLIS);
+        } else if (!upkeep.ordered(machine, outcome, now.steadyMillis())) {
+            moves.ordered(machine, outcome, now.steadyMillis());
         }
     }
 
-    private void retire(String machine, long nowMillis) {
-        MachineView view = machines.get(machine);
-        if (view != null && !view.worker().isEmpty()) {
-            retired.put(view.worker(), new Retired(view.pool(), nowMillis));
-        }
-    }
-
-    private WaveRun waveOf(String machine) {
-        for (WaveRun wave : waves.values()) {
-            if (wave.ordered.contains(machine)) {
-                return wave;
-            }
-        }
-        return null;
-    }
-
     /**
      * Takes in that the state of a wave is stored.
      *
@@ -196,7 +131,7 @@
      * @param now  the present time, not null
      */
     public void stored(long number, String state, long revision, Moment now) {
-        waves.get(number).stored(state, revision);
+        upkeep.stored(number, state, revision);
         tick(now);
     }
 
@@ -206,9 +141,7 @@
      * @param number  the wave
      */
     public void storeAgain(long number) {
-        WaveRun wave = waves.get(number);
-        wave.storing = false;
-        wave.dirty = true;
+        upkeep.storeAgain(number);
     }
 
     /**
@@ -217,158 +150,22 @@
      * @param now  the present time, not null
      */
     public void tick(Moment now) {
-        boolean active = waves.values().stream().anyMatch(WaveRun::open);
-        if (active) {
-            list(now.steadyMillis());
-            for (WaveRun wave : waves.values()) {
-                if (wave.open()) {
-                    advance(wave, now);
-                }
-            }
-        }
-        ask(now.steadyMillis());
-    }
-
-    private void list(long nowMillis) {
-        if (nowMillis - listAskedMillis >= ACTIVE_LIST_MILLIS) {
+        long nowMillis = now.steadyMillis();
+        long pause = upkeep.active() || moves.active() ? ACTIVE_LIST_MILLIS : IDLE_LIST_MILLIS;
+        if (nowMillis - listAskedMillis >= pause) {
             listAskedMillis = nowMillis;
             actions.listMachines();
         }
-    }
-
-    private void advance(WaveRun wave, Moment now) {
-        long nowMillis = now.steadyMillis();
-        if (listedMillis > Long.MIN_VALUE / 2) {
-            plan(wave, nowMillis);
+        if (view.listed()) {
+            List<MachineView> keepFree = new ArrayList<>(upkeep.tick(nowMillis));
+            keepFree.addAll(moves.tick(nowMillis));
+            view.keepFree(keepFree, nowMillis);
         }
-        for (String machine : wave.storedOrders) {
-            boolean due = wave.ordered.contains(machine)
-                    && !inFlight.contains(machine)
-                    && nowMillis >= retryAt.getOrDefault(machine, Long.MIN_VALUE);
-            if (due && nowMillis - lastOrderMillis >= 1_000 / callsPerSecond) {
-                lastOrderMillis = nowMillis;
-                inFlight.add(machine);
-                actions.beginUpkeep(machine, wave.number);
+        if (nowMillis - lastAskMillis >= ASK_MILLIS) {
+            lastAskMillis = nowMillis;
+            for (String pool : new TreeSet<>(view.runningPools())) {
+                actions.evacuate(pool, Set.copyOf(view.keptFree(pool)));
             }
         }
-        if (wave.dirty && !wave.storing) {
-            wave.dirty = false;
-            wave.storing = true;
-            actions.store(wave.number, wave.state(), wave.revision, wave.completed());
-        }
     }
-
-    private void plan(WaveRun wave, long nowMillis) {
-        int down = 0;
-        for (String machine : wave.machines) {
-            MachineView view = machines.get(machine);
-            boolean away = downSince.containsKey(machine) || view != null && view.inUpkeep();
-            down += wave.ordered.contains(machine) || away ? 1 : 0;
-        }
-        int atOnce = wave.atOnceNow(nowMillis);
-        List<MachineView> next = candidates(wave);
-        int empty = 0;
-        Map<String, Set<String>> emptying = new HashMap<>();
-        for (MachineView machine : next) {
-            if (isEmpty(machine) && down < atOnce) {
-                down++;
-                wave.ordered.add(machine.name());
-                wave.dirty = true;
-                downSince.put(machine.name(), nowMillis);
-                keepOut(emptying, machine);
-            } else if (empty + down < atOnce + AHEAD) {
-                empty++;
-                keepOut(emptying, machine);
-            }
-        }
-        for (String machine : wave.ordered) {
-            MachineView view = machines.get(machine);
-            if (view != null) {
-                keepOut(emptying, view);
-            }
-        }
-        retired.values().removeIf(worker -> nowMillis - worker.sinceMillis() > RETIRED_MILLIS);
-        retired.forEach((worker, gone) -> {
-            if (pools.contains(gone.pool())) {
-                emptying.computeIfAbsent(gone.pool(), pool -> new HashSet<>()).add(worker);
-            }
-        });
-        evacuated.keySet().forEach(pool -> emptying.putIfAbsent(pool, Set.of()));
-        evacuated.clear();
-        evacuated.putAll(emptying);
-    }
-
-    private void keepOut(Map<String, Set<String>> emptying, MachineView machine) {
-        if (pools.contains(machine.pool()) && !machine.worker().isEmpty()) {
-            emptying.computeIfAbsent(machine.pool(), pool -> new HashSet<>()).add(machine.worker());
-        }
-    }
-
-    /**
-     * Returns the machines that can be maintained next: those already being emptied first, then those with the least to
-     * do.
-     */
-    private List<MachineView> candidates(WaveRun wave) {
-        List<MachineView> candidates = new ArrayList<>();
-        for (String name : wave.waiting()) {
-            MachineView view = machines.get(name);
-            if (view != null && view.up()) {
-                candidates.add(view);
-            }
-        }
-        candidates.sort(Comparator.comparing((MachineView view) -> !isEmpty(view))
-                .thenComparing(view -> !isBeingEmptied(view))
-                .thenComparingLong(this::used)
-                .thenComparing(MachineView::name));
-        return candidates;
-    }
-
-    private boolean isBeingEmptied(MachineView view) {
-        return evacuated.getOrDefault(view.pool(), Set.of()).contains(view.worker());
-    }
-
-    private long used(MachineView view) {
-        PoolAnswer answer = answers.get(view.pool());
-        PoolLoad.WorkerLoad load =
-                answer == null ? null : answer.load().workers().get(view.worker());
-        return load == null ? 0 : load.usedMillis() + (load.lasting() ? view.cpuMillis() : 0);
-    }
-
-    private boolean isEmpty(MachineView view) {
-        if (!pools.contains(view.pool())) {
-            return true;
-        }
-        PoolAnswer answer = answers.get(view.pool());
-        if (answer == null || !answer.evacuated().contains(view.worker())) {
-            return false;
-        }
-        PoolLoad.WorkerLoad load = answer.load().workers().get(view.worker());
-        return load != null && load.empty();
-    }
-
-    private void ask(long nowMillis) {
-        if (nowMillis - lastAskMillis < ASK_MILLIS) {
-            return;
-        }
-        lastAskMillis = nowMillis;
-        for (Map.Entry<String, Set<String>> entry : evacuated.entrySet()) {
-            PoolAnswer answer = answers.get(entry.getKey());
-            boolean settled = entry.getValue().isEmpty()
-                    && answer != null
-                    && answer.evacuated().isEmpty();
-            if (!settled) {
-                actions.evacuate(entry.getKey(), Set.copyOf(entry.getValue()));
-            }
-        }
-    }
-
-    /**
-     * A worker whose life was ended by an order; the registry may list it for a while.
-     */
-    private record Retired(String pool, long sinceMillis) {}
-
-    /**
-     * A pool's load, and which workers it was emptying then.
-     */
-    private record PoolAnswer(Set<String> evacuated, PoolLoad load) {}
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReplyCodec.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReplyCodec.java
@@ -49,12 +49,12 @@
 
     static byte[] encode(PoolLoad load) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packLong(load.backlog()).packLong(load.offered()).packLong(load.lasting());
+            packer.packDouble(load.neededMachines());
             packer.packMapHeader(load.workers().size());
             for (Map.Entry<String, PoolLoad.WorkerLoad> entry : load.workers().entrySet()) {
                 PoolLoad.WorkerLoad worker = entry.getValue();
                 packer.packString(entry.getKey());
-                packer.packLong(worker.cpuMillis()).packLong(worker.usedMillis());
+                packer.packLong(worker.usedMillis());
                 packer.packBoolean(worker.lasting()).packBoolean(worker.empty()).packBoolean(worker.open());
             }
             return packer.toByteArray();
@@ -70,22 +70,19 @@
      */
     static PoolLoad decodeLoad(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            long backlog = unpacker.unpackLong();
-            long offered = unpacker.unpackLong();
-            long lasting = unpacker.unpackLong();
+            double needed = unpacker.unpackDouble();
             int count = unpacker.unpackMapHeader();
             Map<String, PoolLoad.WorkerLoad> workers = new HashMap<>();
             for (int i = 0; i < count; i++) {
                 workers.put(
                         unpacker.unpackString(),
                         new PoolLoad.WorkerLoad(
-                                unpacker.unpackLong(),
                                 unpacker.unpackLong(),
                                 unpacker.unpackBoolean(),
                                 unpacker.unpackBoolean(),
                                 unpacker.unpackBoolean()));
             }
-            return new PoolLoad(backlog, offered, lasting, workers);
+            return new PoolLoad(needed, workers);
         } catch (IOException | MessagePackException e) {
             throw new IllegalArgumentException("the bytes are no load", e);
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -30,6 +30,7 @@
 final class PoolRunner implements PoolActions {
     private static final long STORE_SILENCE_MILLIS = 800;
     private static final long CHECK_OWNER_MILLIS = 1_000;
+    private static final long LIST_MILLIS = 700;
     private static final long REGISTRY_RETURN_MILLIS = 2_300;
 
     private final String pool;
@@ -42,6 +43,8 @@
     private long confirmedMillis;
     private long lastCheckMillis;
     private boolean checkInFlight;
+    private boolean listing;
+    private long lastListMillis;
     private boolean open;
     private boolean closed;
     private Set<String> evacuating = Set.of();
@@ -131,6 +134,32 @@
         boolean allowed = now.steadyMillis() - confirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
         scheduler.tick(allowed, now);
         checkOwner(now.steadyMillis());
+        checkSilent(now.steadyMillis());
+    }
+
+    /**
+     * Asks the platform whether silent workers still live.
+     */
+    private void checkSilent(long nowMillis) {
+        if (listing || nowMillis - lastListMillis < LIST_MILLIS) {
+            return;
+        }
+        Set<String> silent = scheduler.silentWorkers();
+        if (silent.isEmpty()) {
+            return;
+        }
+        listing = true;
+        lastListMillis = nowMillis;
+        context.onDuty(context.ports().machines().list(), (machines, failure) -> {
+            listing = false;
+            if (failure == null && !closed) {
+                Set<String> living = new HashSet<>();
+                machines.forEach(machine -> living.add(machine.worker()));
+                silent.stream()
+                        .filter(worker -> !living.contains(worker))
+                        .forEach(worker -> lifeEnded(worker, "not-on-any-machine"));
+            }
+        });
     }
 
     private void checkOwner(long nowMillis) {
