--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -20,6 +20,8 @@
     int pace = WorkerSlot.FULL_PACE;
     long load;
     boolean wanted = true;
+    /** True for a run of a job that is not known any more, whose size is therefore not known either. */
+    boolean ofUnknownSize;
 
     Run(TaskState task, int number, WorkerSlot worker, RunPhase phase, long nowMillis) {
         this.task = task;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunResults.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunResults.java
@@ -177,6 +177,7 @@
                 && task.runs.stream().noneMatch(Run::isActive);
         TaskState owner = task != null ? task : unknownTask(running.task(), now);
         Run run = new Run(owner, running.run(), slot, RunPhase.RUNNING, now.steadyMillis());
+        run.ofUnknownSize = task == null;
         owner.lastRun = Math.max(owner.lastRun, running.run());
         owner.mayRunUnseen = false;
         slot.add(run);
@@ -211,7 +212,6 @@
             return;
         }
         task.lastRun = Math.max(task.lastRun, ended.run());
-        task.mayRunUnseen = false;
         if (!ended.checkpoint().isEmpty()) {
             task.checkpoint = ended.checkpoint();
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
@@ -123,7 +123,11 @@
     }
 
     boolean acceptsWork(long nowMillis) {
-        return reachable(nowMillis) && listed && !evacuating && !report.draining();
+        return reachable(nowMillis) && listed && !evacuating && !report.draining() && sizesKnown();
+    }
+
+    private boolean sizesKnown() {
+        return runs.values().stream().noneMatch(run -> run.ofUnknownSize);
     }
 
     int tasksOf(StepState step) {
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
@@ -0,0 +1,217 @@
+package org.trefoilpost.decision.job.emulator;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.trefoilpost.decision.job.AdviceRequest;
+import org.trefoilpost.decision.job.CallResult;
+import org.trefoilpost.decision.job.Commit;
+import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.JobPhase;
+import org.trefoilpost.decision.job.Moment;
+import org.trefoilpost.decision.job.PoolActions;
+import org.trefoilpost.decision.job.PoolScheduler;
+import org.trefoilpost.decision.job.QueueRule;
+import org.trefoilpost.decision.job.WorkerOrder;
+
+/**
+ * An owner of the pool: the scheduler, and calls that take time, get lost or come late.
+ */
+final class EmulatedOwner implements PoolActions {
+    private static final long TICK_MILLIS = 20;
+    private static final long CHECK_MILLIS = 1_000;
+    private static final long CALL_TIMEOUT_MILLIS = 700;
+
+    private final EmulatedPlatform platform;
+    private final VirtualTime time;
+    private final Random random;
+    private final long token;
+    private final PoolScheduler scheduler;
+    private final Map<String, Long> pendingSince = new HashMap<>();
+    private boolean stopped;
+    private long confirmedMillis;
+
+    EmulatedOwner(EmulatedPlatform platform, Map<String, QueueRule> queues, long token) {
+        this.platform = platform;
+        this.time = platform.time();
+        this.random = platform.random();
+        this.token = token;
+        this.scheduler = new PoolScheduler("pool", EmulatedPlatform.BOUNDS, this);
+        this.confirmedMillis = time.now();
+        scheduler.configure(queues);
+        Moment now = time.moment();
+        scheduler.open(platform.store().documents(), platform.listedWorkers(), now.steadyMillis(), now);
+        tick();
+        checkOwnership();
+    }
+
+    PoolScheduler scheduler() {
+        return scheduler;
+    }
+
+    boolean stopped() {
+        return stopped;
+    }
+
+    void kill() {
+        stopped = true;
+    }
+
+    void registryChanged() {
+        if (!stopped) {
+            scheduler.registry(platform.listedWorkers(), time.moment());
+        }
+    }
+
+    private void checkOwnership() {
+        if (stopped) {
+            return;
+        }
+        if (!platform.storeDown()) {
+            if (platform.store().token() == token) {
+                confirmedMillis = time.now();
+            } else {
+                stopped = true;
+            }
+        }
+        time.after(CHECK_MILLIS, this::checkOwnership);
+    }
+
+    private void tick() {
+        if (!stopped) {
+            boolean allowed = time.now() - confirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
+            scheduler.tick(allowed, time.moment());
+            time.after(TICK_MILLIS, this::tick);
+        }
+    }
+
+    boolean storeAnswers() {
+        return pendingSince.values().stream().allMatch(since -> time.now() - since < 800);
+    }
+
+    @Override
+    public void send(WorkerOrder order) {
+        EmulatedWorker worker = platform.worker(order.worker());
+        boolean lost = worker == null || !worker.reachable() || random.nextInt(1_000) < platform.lostPerThousand();
+        long delay = 1 + random.nextInt(4);
+        if (!lost) {
+            time.after(delay, () -> carryOut(worker, order));
+            return;
+        }
+        time.after(CALL_TIMEOUT_MILLIS, () -> answer(order, CallResult.NO_ANSWER));
+        if (worker != null && random.nextBoolean()) {
+            long late = 2_000 + random.nextInt(10_000);
+            time.after(late, () -> carryOutSilently(worker, order));
+        }
+    }
+
+    private void carryOutSilently(EmulatedWorker worker, WorkerOrder order) {
+        if (worker.alive()) {
+            platform.checks().lateOrder(true);
+            result(worker, order);
+            platform.checks().lateOrder(false);
+        }
+    }
+
+    private void carryOut(EmulatedWorker worker, WorkerOrder order) {
+        if (!worker.reachable()) {
+            time.after(CALL_TIMEOUT_MILLIS, () -> answer(order, CallResult.NO_ANSWER));
+            return;
+        }
+        CallResult result = result(worker, order);
+        if (result == CallResult.OK && order instanceof WorkerOrder.Hold hold) {
+            waitForNews(worker, hold, time.now() + hold.waitMillis());
+        } else {
+            time.after(1 + random.nextInt(4), () -> answer(order, result));
+        }
+    }
+
+    private void waitForNews(EmulatedWorker worker, WorkerOrder.Hold hold, long untilMillis) {
+        if (!worker.reachable()) {
+            time.after(CALL_TIMEOUT_MILLIS, () -> answer(hold, CallResult.NO_ANSWER));
+        } else if (worker.hasNews(hold.lastEnd()) || time.now() >= untilMillis) {
+            var status = worker.status();
+            time.after(1 + random.nextInt(4), () -> {
+                if (!stopped) {
+                    scheduler.held(hold.worker(), status, time.moment());
+                }
+            });
+        } else {
+            time.after(10, () -> waitForNews(worker, hold, untilMillis));
+        }
+    }
+
+    private CallResult result(EmulatedWorker worker, WorkerOrder order) {
+        if (order instanceof WorkerOrder.Start start) {
+            return worker.start(start, token, platform.context(start));
+        } else if (order instanceof WorkerOrder.Stop stop) {
+            return worker.stop(stop, token);
+        } else if (order instanceof WorkerOrder.Hold hold) {
+            return worker.hold(hold, token);
+        }
+        return CallResult.OK;
+    }
+
+    private void answer(WorkerOrder order, CallResult result) {
+        if (!stopped) {
+            scheduler.answered(order, result, time.moment());
+        }
+    }
+
+    @Override
+    public void advise(AdviceRequest request) {
+        throw new IllegalStateException("no queue needs advice here");
+    }
+
+    @Override
+    public void commit(Commit commit) {
+        String mark = token + ":" + commit.number();
+        pendingSince.put(mark, time.now());
+        tryCommit(commit, platform.store().lastMark(), mark);
+    }
+
+    private void tryCommit(Commit commit, String expected, String mark) {
+        if (stopped) {
+            return;
+        }
+        long sent = time.now();
+        time.after(2 + random.nextInt(5), () -> {
+            if (platform.storeDown()) {
+                retry(commit, expected, mark);
+                return;
+            }
+            boolean answerLost = random.nextInt(1_000) < platform.lostPerThousand();
+            EmulatedStore.Outcome outcome = platform.store().commit(token, expected, mark, commit);
+            if (answerLost) {
+                retry(commit, expected, mark);
+            } else if (outcome == EmulatedStore.Outcome.DONE) {
+                pendingSince.remove(mark);
+                confirmedMillis = Math.max(confirmedMillis, sent);
+                if (!stopped) {
+                    scheduler.committed(commit.number(), time.moment());
+                }
+            } else {
+                stopped = true;
+            }
+        });
+    }
+
+    private void retry(Commit commit, String expected, String mark) {
+        time.after(120, () -> tryCommit(commit, expected, mark));
+    }
+
+    @Override
+    public void stored(String job, JobPhase phase) {
+        platform.stored(job, phase);
+    }
+
+    @Override
+    public void deposed(String worker) {
+        stopped = true;
+    }
+
+    @Override
+    public void decided(Decision decision) {
+        platform.decided(decision);
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -0,0 +1,203 @@
+package org.trefoilpost.decision.job.emulator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.Demand;
+import org.trefoilpost.decision.job.JobPhase;
+import org.trefoilpost.decision.job.JobSpec;
+import org.trefoilpost.decision.job.PoolBounds;
+import org.trefoilpost.decision.job.QueueRule;
+import org.trefoilpost.decision.job.StepSpec;
+import org.trefoilpost.decision.job.SubmitAnswer;
+import org.trefoilpost.decision.job.WorkerOrder;
+import org.trefoilpost.decision.job.WorkerReport;
+
+/**
+ * A pool on the emulated platform, its callers, and the faults that are done to it.
+ */
+final class EmulatedPlatform {
+    static final PoolBounds BOUNDS = new PoolBounds(5_000, 200, 120_000, 4_500, 2_000, 4_000, 1.5);
+
+    private static final String QUEUE = "queue";
+    private static final int ATTEMPTS = 3;
+
+    private final VirtualTime time = new VirtualTime();
+    private final Checks checks = new Checks(time);
+    private final EmulatedStore store = new EmulatedStore();
+    private final Map<String, EmulatedWorker> workers = new TreeMap<>();
+    private final Map<String, Long> listedUntil = new HashMap<>();
+    private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
+    private final List<String> trace = new ArrayList<>();
+    private final Map<String, Integer> decisions = new TreeMap<>();
+    private final List<EmulatedOwner> owners = new ArrayList<>();
+    private final Random random;
+    private boolean storeDown;
+    private int lostPerThousand;
+    private int lastJob;
+    private int lastWorker;
+
+    EmulatedPlatform(long seed, int workerCount) {
+        this.random = new Random(seed);
+        for (int i = 0; i < workerCount; i++) {
+            addWorker();
+        }
+        newOwner();
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    Random random() {
+        return random;
+    }
+
+    EmulatedStore store() {
+        return store;
+    }
+
+    Checks checks() {
+        return checks;
+    }
+
+    boolean storeDown() {
+        return storeDown;
+    }
+
+    void storeDown(boolean value) {
+        storeDown = value;
+    }
+
+    int lostPerThousand() {
+        return lostPerThousand;
+    }
+
+    void lostPerThousand(int value) {
+        lostPerThousand = value;
+    }
+
+    EmulatedWorker worker(String id) {
+        return workers.get(id);
+    }
+
+    List<EmulatedWorker> livingWorkers() {
+        return workers.values().stream().filter(EmulatedWorker::alive).toList();
+    }
+
+    List<WorkerReport> listedWorkers() {
+        List<WorkerReport> listed = new ArrayList<>();
+        workers.forEach((id, worker) -> {
+            if (worker.alive() || time.now() < listedUntil.getOrDefault(id, 0L)) {
+                listed.add(worker.report());
+            }
+        });
+        return listed;
+    }
+
+    void addWorker() {
+        String id = "w" + (++lastWorker);
+        workers.put(id, new EmulatedWorker(time, checks, random, id, new Demand(16_000, 32_768, 0)));
+        owners.forEach(EmulatedOwner::registryChanged);
+    }
+
+    void crash(EmulatedWorker worker) {
+        worker.crash();
+        listedUntil.put(worker.report().id(), time.now() + 4_500);
+        time.after(4_500, () -> owners.forEach(EmulatedOwner::registryChanged));
+    }
+
+    EmulatedOwner owner() {
+        return owners.get(owners.size() - 1);
+    }
+
+    void newOwner() {
+        owners.add(new EmulatedOwner(this, queues(), store.claim()));
+    }
+
+    private static Map<String, QueueRule> queues() {
+        return Map.of(QUEUE, new QueueRule(QUEUE, "h", "/q/", "pool", 0, ATTEMPTS, 2.0, 1_000, Optional.empty()));
+    }
+
+    EmulatedWorker.StartContext context(WorkerOrder.Start order) {
+        JobSpec job = jobs.get(order.task().job());
+        StepSpec step = job.steps().get(order.task().step());
+        long work = Math.max(50, (long) (step.estimateMillis() * (0.5 + random.nextDouble())));
+        return new EmulatedWorker.StartContext(step.reservedDemand(), work, step.longRunning());
+    }
+
+    /**
+     * Hands in a job of a random shape.
+     */
+    String submit(boolean lasting) {
+        String id = String.format("%016x", ++lastJob);
+        int steps = lasting ? 1 : 1 + random.nextInt(3);
+        List<StepSpec> specs = new ArrayList<>();
+        for (int i = 0; i < steps; i++) {
+            specs.add(StepSpec.builder()
+                    .tasks(1 + random.nextInt(5), new Demand(500 + random.nextInt(4_000), 256, 0))
+                    .estimateMillis(300 + random.nextInt(1_200))
+                    .after(i == 0 ? List.of() : List.of(i - 1))
+                    .placement("", "", random.nextInt(4) == 0 ? 2 : 0)
+                    .longRunning(lasting)
+                    .service("", 0, lasting ? 1 : 0)
+                    .build());
+        }
+        JobSpec spec = new JobSpec(id, QUEUE, "text of " + id, specs, JobSpec.Schedule.ONCE);
+        jobs.put(id, spec);
+        checks.sent(spec, ATTEMPTS);
+        if (owner().stopped()) {
+            return id;
+        }
+        SubmitAnswer answer = owner().scheduler().submit(spec, owner().storeAnswers(), time.moment());
+        if (answer.kind() == SubmitAnswer.Kind.REFUSED) {
+            checks.refused(id);
+        }
+        return id;
+    }
+
+    void cancel(String job) {
+        if (!owner().stopped()) {
+            owner().scheduler().cancel(job, time.moment());
+        }
+    }
+
+    void stored(String job, JobPhase phase) {
+        checks.accepted(job);
+        if (phase == JobPhase.CANCELLED) {
+            checks.cancelled(job);
+        } else if (phase == JobPhase.COMPLETED) {
+            checks.shownCompleted(job);
+        }
+    }
+
+    void decided(Decision decision) {
+        decisions.merge(decision.name(), 1, Integer::sum);
+        trace.add(time.now() + " " + decision.name() + " " + decision.inputs());
+    }
+
+    /**
+     * Returns the decisions that mention one of some words, a line each.
+     */
+    String trace(Set<String> words) {
+        return trace.stream()
+                .filter(line -> words.stream().anyMatch(line::contains))
+                .collect(Collectors.joining("\n"));
+    }
+
+    int decisions(String name) {
+        return decisions.getOrDefault(name, 0);
+    }
+
+    Map<String, JobSpec> jobs() {
+        return jobs;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/VirtualTime.java
@@ -0,0 +1,45 @@
+package org.trefoilpost.decision.job.emulator;
+
+import java.util.PriorityQueue;
+import org.trefoilpost.decision.job.Moment;
+
+/**
+ * Runs events in the order of their times, without waiting.
+ */
+final class VirtualTime {
+    private static final long WALL_OFFSET_MILLIS = 1_700_000_000_000L;
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long nowMillis = 1_000_000;
+    private long sequence;
+
+    long now() {
+        return nowMillis;
+    }
+
+    Moment moment() {
+        return new Moment(nowMillis, nowMillis + WALL_OFFSET_MILLIS);
+    }
+
+    void after(long millis, Runnable action) {
+        events.add(new Event(nowMillis + Math.max(0, millis), sequence++, action));
+    }
+
+    void runFor(long millis) {
+        long end = nowMillis + millis;
+        while (!events.isEmpty() && events.peek().millis <= end) {
+            Event event = events.poll();
+            nowMillis = event.millis;
+            event.action.run();
+        }
+        nowMillis = end;
+    }
+
+    private record Event(long millis, long sequence, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(millis, other.millis);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+}
