--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolDays.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolDays.java
@@ -140,9 +140,7 @@
         time.runFor(SETTLE_MILLIS);
         checkAllEnded();
         return new Result(
-                explained(platform.checks().faults()),
-                platform.checks().starts(),
-                platform.decisions("run-stopping"));
+                explained(platform.checks().faults()), platform.checks().starts(), platform.decisions("run-stopping"));
     }
 
     private String explained(List<String> faults) {
