Forecast each pool's need for the time that a machine takes to move

Cause: a turn of demand begins within a second, a machine takes about 2.3 s from the decision until its first task; the pools had shed their machines before the traffic and again between turns, so the first two seconds of each turn were late or refused. Ruled out: more frequent answers alone (the load was taken in 12 times a smoothing step, so smoothing did nothing); that entries are short of processor time (0.04 of a core). Change: the need is followed per answer and extended by its growth over the time of a move; pools are asked every 120 ms; idle machines stay 2.5 s; admission counts arriving machines by half, and no longer the work of jobs that are late already; waves aim to end 5 s before their time.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
@@ -11,6 +11,9 @@
     /** Share of a pool's processor time that placements reach while tasks wait. */
     private static final double USABLE_SHARE = 0.9;
 
+    /** How far a machine counts that is on its way to the pool. */
+    private static final double ARRIVING_SHARE = 0.5;
+
     private final PoolState state;
     private final WorkerHealth health;
     private final Objectives objectives;
@@ -48,7 +51,7 @@
             return OptionalLong.empty();
         }
         long capacity = Math.max(1, (long) (capacityMillis() * USABLE_SHARE));
-        long workMillis = (backlog() + work(job)) / capacity;
+        long workMillis = (backlog(now) + work(job)) / capacity;
         long objective = (long) (job.queue.stretch() * objectives.chainMillis(job, 0)) + job.queue.targetMillis();
         if (workMillis <= objective) {
             return OptionalLong.empty();
@@ -59,9 +62,11 @@
     /**
      * Returns the processor share of the pool that ordinary tasks can use, in thousandths of a core.
      */
-    long capacityMillis() {
+    private long capacityMillis() {
         long capacity = 0;
+        long largest = 0;
         for (WorkerSlot slot : state.slots.values()) {
+            largest = Math.max(largest, slot.report.capacity().cpuMillis());
             if (slot.listed && !slot.gone && !slot.evacuating && !slot.report.draining()) {
                 capacity += slot.report.capacity().cpuMillis();
             }
@@ -69,18 +74,20 @@
                 capacity -= run.task.step.spec.longRunning() ? run.reserved().cpuMillis() : 0;
             }
         }
+        capacity += (long) (state.arrivingMachines * largest * ARRIVING_SHARE);
         return Math.max(0, capacity);
     }
 
     /**
-     * Returns the work of ordinary tasks that has not been done, in thousandths of a core times milliseconds.
+     * Returns the work of ordinary tasks that can still be done in time, in thousandths of a core times milliseconds.
      */
-    long backlog() {
+    private long backlog(Moment now) {
         long work = 0;
         for (JobState job : state.openJobs.values()) {
             for (OccurrenceState occurrence : job.open()) {
                 for (StepState step : occurrence.steps) {
-                    if (!step.spec.longRunning() && !step.spec.fills()) {
+                    boolean late = objectives.latestStartMillis(step, now) < now.steadyMillis();
+                    if (!late && !step.spec.longRunning() && !step.spec.fills()) {
                         work += remaining(job, step);
                     }
                 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -318,13 +318,14 @@
     }
 
     /**
-     * Sets which workers are to be emptied.
+     * Takes in what the owner of the machines decided.
      *
-     * @param workers  the workers, not null
+     * @param instructions  what was decided, not null
      */
-    public void evacuate(Set<String> workers) {
+    public void instruct(PoolInstructions instructions) {
+        state.arrivingMachines = instructions.arriving();
         for (WorkerSlot slot : state.slots.values()) {
-            boolean wanted = workers.contains(slot.id);
+            boolean wanted = instructions.keptFree().contains(slot.id);
             state.placementDue |= slot.evacuating && !wanted;
             slot.evacuating = wanted;
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -18,6 +18,7 @@
     final Set<WorkerSlot> unresolved = new HashSet<>();
     Map<String, QueueRule> queues = Map.of();
     long registrySettledMillis = Long.MIN_VALUE;
+    int arrivingMachines;
     boolean active;
     boolean placementDue;
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetActions.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetActions.java
@@ -1,7 +1,7 @@
 package org.trefoilpost.decision.job.fleet;
 
-import java.util.Set;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.PoolInstructions;
 
 /**
  * Carries out what a {@link FleetPlan} decides. No method waits; results come back as events.
@@ -13,12 +13,12 @@
     void listMachines();
 
     /**
-     * Sets which workers of a pool are to be emptied, and asks for the pool's load.
+     * Tells the owner of a pool what was decided, and asks for the pool's load.
      *
      * @param pool  the pool, not null
-     * @param workers  the workers, not null
+     * @param instructions  what was decided, not null
      */
-    void evacuate(String pool, Set<String> workers);
+    void instruct(String pool, PoolInstructions instructions);
 
     /**
      * Begins the upkeep of a machine.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlan.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlan.java
@@ -6,6 +6,7 @@
 import java.util.TreeSet;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
+import org.trefoilpost.decision.job.PoolInstructions;
 import org.trefoilpost.decision.job.PoolLoad;
 
 /**
@@ -14,7 +15,7 @@
 public final class FleetPlan {
     private static final long ACTIVE_LIST_MILLIS = 600;
     private static final long IDLE_LIST_MILLIS = 3_000;
-    private static final long ASK_MILLIS = 250;
+    private static final long ASK_MILLIS = 120;
     private static final long RETRY_MILLIS = 300;
 
     private final FleetActions actions;
@@ -164,7 +165,7 @@
         if (nowMillis - lastAskMillis >= ASK_MILLIS) {
             lastAskMillis = nowMillis;
             for (String pool : new TreeSet<>(view.runningPools())) {
-                actions.evacuate(pool, Set.copyOf(view.keptFree(pool)));
+                actions.instruct(pool, new PoolInstructions(view.keptFree(pool), moves.arriving(pool)));
             }
         }
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MovePlanner.java
@@ -16,19 +16,17 @@
  */
 final class MovePlanner {
     /** Machines that a pool keeps beyond what its work needs. */
-    private static final double RESERVE = 1.0;
+    private static final double RESERVE = 1.5;
     /** Surplus in machines from which a pool gives some up. */
     private static final double SURPLUS = 1.0;
     /** Time in milliseconds for which a surplus has to last before machines go back to a spare pool. */
-    private static final long IDLE_MILLIS = 1_500;
+    private static final long IDLE_MILLIS = 2_500;
     /** Time in milliseconds for which an order without an answer may still be carried out. */
     private static final long LATE_ORDER_MILLIS = 13_000;
 
     private static final long RETRY_MILLIS = 400;
     /** How fast an earlier peak of a pool's need is forgotten, in machines a second. */
     private static final double PEAK_DECAY_PER_SECOND = 12.0;
-    /** The weight of the newest need against the earlier ones. */
-    private static final double SMOOTHING = 0.6;
 
     private static final int MIN_MACHINES = 2;
 
@@ -42,6 +40,7 @@
     private final Map<String, Long> surplusSince = new HashMap<>();
     private final Map<String, String> leaving = new TreeMap<>();
     private final Map<String, Double> smoothed = new HashMap<>();
+    private final Map<String, NeedTrend> trends = new HashMap<>();
     private final Map<String, Double> peaks = new HashMap<>();
     private long observedMillis;
 
@@ -96,6 +95,24 @@
                         && view.machine(entry.getKey()).map(MachineView::up).orElse(true));
     }
 
+    /**
+     * Returns how many machines are on their way to a pool.
+     */
+    int arriving(String pool) {
+        int count = 0;
+        for (String machine : arriving.keySet()) {
+            count += view.machine(machine)
+                            .filter(known -> known.pool().equals(pool))
+                            .isPresent()
+                    ? 1
+                    : 0;
+        }
+        for (Map.Entry<String, String> entry : leaving.entrySet()) {
+            count += entry.getValue().equals(pool) ? 1 : 0;
+        }
+        return count;
+    }
+
     boolean active() {
         return !arriving.isEmpty() || !leaving.isEmpty();
     }
@@ -129,13 +146,22 @@
         observedMillis = nowMillis;
         for (String pool : view.runningPools()) {
             view.load(pool, nowMillis).ifPresent(load -> {
-                double need = load.neededMachines();
-                smoothed.merge(pool, need, (old, now) -> old + (now - old) * SMOOTHING);
+                double need = forecast(pool, load);
+                smoothed.put(pool, need);
                 peaks.merge(pool, need, (old, now) -> Math.max(now, old - decay));
             });
         }
     }
 
+    /**
+     * Returns a pool's need by the time at which a machine that leaves another pool now could be there.
+     */
+    private double forecast(String pool, PoolLoad load) {
+        NeedTrend trend = trends.computeIfAbsent(pool, name -> new NeedTrend());
+        trend.add(load);
+        return trend.expected();
+    }
+
     /**
      * Returns the balance measured by how high each pool's need was of late, which decides on giving machines up.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveRun.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveRun.java
@@ -12,9 +12,9 @@
 final class WaveRun {
     private static final String SEPARATOR = ";";
     /** Time in milliseconds that a machine takes to be emptied and maintained, as it is planned for. */
-    private static final long MACHINE_MILLIS = 6_000;
+    private static final long MACHINE_MILLIS = 8_000;
     /** Time in milliseconds that a wave is to end before its deadline. */
-    private static final long RESERVE_MILLIS = 4_000;
+    private static final long RESERVE_MILLIS = 5_000;
 
     final long number;
     final Set<String> done = new TreeSet<>();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
+import org.trefoilpost.decision.job.PoolInstructions;
 import org.trefoilpost.decision.job.fleet.FleetActions;
 import org.trefoilpost.decision.job.fleet.FleetPlan;
 import org.trefoilpost.decision.job.fleet.MachineView;
@@ -149,15 +150,15 @@
     }
 
     @Override
-    public void evacuate(String pool, Set<String> workers) {
+    public void instruct(String pool, PoolInstructions instructions) {
         if (!asking.add(pool)) {
             return;
         }
         long current = token;
-        context.onDuty(calls.evacuate(pool, workers), (load, failure) -> {
+        context.onDuty(calls.instruct(pool, instructions), (load, failure) -> {
             asking.remove(pool);
             if (token == current && plan != null && failure == null) {
-                plan.load(pool, workers, load, context.now());
+                plan.load(pool, instructions.keptFree(), load, context.now());
             }
         });
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequest.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequest.java
@@ -10,6 +10,7 @@
 import org.msgpack.core.MessageUnpacker;
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.JobSpecCodec;
+import org.trefoilpost.decision.job.PoolInstructions;
 
 /**
  * What an entry asks of the owner of a pool.
@@ -39,9 +40,11 @@
             packer.packInt(Phase.KIND).packString(phase.job());
         } else if (this instanceof Waiting waiting) {
             packer.packInt(Waiting.KIND).packString(waiting.queue());
-        } else if (this instanceof Evacuate evacuate) {
-            packer.packInt(Evacuate.KIND).packArrayHeader(evacuate.workers().size());
-            for (String worker : evacuate.workers()) {
+        } else if (this instanceof Instruct instruct) {
+            PoolInstructions instructions = instruct.instructions();
+            packer.packInt(Instruct.KIND).packInt(instructions.arriving());
+            packer.packArrayHeader(instructions.keptFree().size());
+            for (String worker : instructions.keptFree()) {
                 packer.packString(worker);
             }
         }
@@ -61,13 +64,14 @@
                 case Cancel.KIND -> Optional.of(new Cancel(unpacker.unpackString()));
                 case Phase.KIND -> Optional.of(new Phase(unpacker.unpackString()));
                 case Waiting.KIND -> Optional.of(new Waiting(unpacker.unpackString()));
-                case Evacuate.KIND -> {
+                case Instruct.KIND -> {
+                    int arriving = unpacker.unpackInt();
                     int count = unpacker.unpackArrayHeader();
                     Set<String> workers = new TreeSet<>();
                     for (int i = 0; i < count; i++) {
                         workers.add(unpacker.unpackString());
                     }
-                    yield Optional.of(new Evacuate(workers));
+                    yield Optional.of(new Instruct(new PoolInstructions(workers, arriving)));
                 }
                 default -> Optional.empty();
             };
@@ -113,11 +117,11 @@
     }
 
     /**
-     * Sets which workers of the pool are to be emptied, and asks for the pool's load.
+     * Passes on what the owner of the machines decided, and asks for the pool's load.
      *
-     * @param workers  the workers, not null
+     * @param instructions  what was decided, not null
      */
-    record Evacuate(Set<String> workers) implements JobRequest {
+    record Instruct(PoolInstructions instructions) implements JobRequest {
         static final int KIND = 5;
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -1,10 +1,10 @@
 package org.trefoilpost.entry.job;
 
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import org.trefoilpost.decision.job.PoolInstructions;
 import org.trefoilpost.decision.job.PoolLoad;
 import org.trefoilpost.entry.peer.PeerCallException;
 import org.trefoilpost.entry.peer.PoolAnswer;
@@ -124,26 +124,26 @@
         Optional<JobRequest> request = JobRequest.decode(bytes);
         if (runner.isEmpty() || request.isEmpty()) {
             answer.accept(false, new byte[0]);
-        } else if (request.get() instanceof JobRequest.Evacuate evacuate) {
-            answer.accept(true, JobReplyCodec.encode(runner.get().evacuate(evacuate.workers())));
+        } else if (request.get() instanceof JobRequest.Instruct instruct) {
+            answer.accept(true, JobReplyCodec.encode(runner.get().instruct(instruct.instructions())));
         } else {
             serve(runner.get(), request.get()).thenAccept(reply -> answer.accept(true, JobReplyCodec.encode(reply)));
         }
     }
 
     /**
-     * Sets which workers of a pool are to be emptied, and asks for its load.
+     * Passes on what the owner of the machines decided, and asks for the load.
      */
-    CompletableFuture<PoolLoad> evacuate(String pool, Set<String> workers) {
+    CompletableFuture<PoolLoad> instruct(String pool, PoolInstructions instructions) {
         Optional<PoolRunner> runner = local.apply(pool);
         if (runner.isPresent()) {
-            return CompletableFuture.completedFuture(runner.get().evacuate(workers));
+            return CompletableFuture.completedFuture(runner.get().instruct(instructions));
         }
         Optional<LiveEntries.Owner> owner = live.owner(pool);
         if (owner.isEmpty()) {
             return CompletableFuture.failedFuture(new PeerCallException("pool " + pool + " has no owner", false));
         }
-        byte[] request = new JobRequest.Evacuate(workers).encode();
+        byte[] request = new JobRequest.Instruct(instructions).encode();
         return links.call(owner.get().peer(), pool, request, CALL_TIMEOUT_MILLIS)
                 .thenApply(OwnerCalls::load);
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -17,6 +17,7 @@
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.PoolActions;
+import org.trefoilpost.decision.job.PoolInstructions;
 import org.trefoilpost.decision.job.PoolLoad;
 import org.trefoilpost.decision.job.PoolScheduler;
 import org.trefoilpost.decision.job.QueueRule;
@@ -47,7 +48,7 @@
     private long lastListMillis;
     private boolean open;
     private boolean closed;
-    private Set<String> evacuating = Set.of();
+    private PoolInstructions instructions = PoolInstructions.NONE;
 
     PoolRunner(String pool, long token, JobContext context, Runnable onDeposed) {
         this.pool = pool;
@@ -87,7 +88,7 @@
                         Moment now = context.now();
                         long settles = registry.reconnectedMillis() + REGISTRY_RETURN_MILLIS;
                         scheduler.open(documents, registry.ofPool(pool), settles, now);
-                        scheduler.evacuate(evacuating);
+                        scheduler.instruct(instructions);
                         open = true;
                         tick();
                     }
@@ -251,11 +252,11 @@
     }
 
     /**
-     * Sets which workers are to be emptied, and returns the load.
+     * Takes in what the owner of the machines decided, and returns the load.
      */
-    PoolLoad evacuate(Set<String> workers) {
-        evacuating = new HashSet<>(workers);
-        scheduler.evacuate(evacuating);
+    PoolLoad instruct(PoolInstructions given) {
+        instructions = given;
+        scheduler.instruct(given);
         return scheduler.load(context.now());
     }
 
