Let a stop wait while another task of the step is away, whatever is known of the one to be stopped

Ruled out: two stops in one round (the first counts as away in the second's look); stale percents of a crashed worker (mended before). Change: a task that lasts is stopped only while fewer others than may be are away.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Evacuations.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Evacuations.java
@@ -59,10 +59,12 @@
                     : slot.drainingSinceMillis + state.bounds.leaveMillis() - SAVE_BEFORE_LEAVING_MILLIS;
             return spec.checkpointing() && nowMillis >= leaving;
         }
-        if (spec.fills() || slot.report.draining() || !run.isAtWork()) {
+        if (slot.report.draining() || spec.fills() && spec.mayMiss() == 0) {
             return true;
         }
-        return run.task.step.away(nowMillis) < Math.max(1, spec.mayMiss()) && roomElsewhere(run, slot, nowMillis);
+        // A task that was not at work when its worker last answered may be by now, so it counts as if it were.
+        int othersAway = run.task.step.awayBesides(run.task, nowMillis);
+        return othersAway < Math.max(1, spec.mayMiss()) && roomElsewhere(run, slot, nowMillis);
     }
 
     private boolean roomElsewhere(Run run, WorkerSlot left, long nowMillis) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StepState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StepState.java
@@ -38,12 +38,12 @@
     }
 
     /**
-     * Returns how many of the step's tasks are not at work.
+     * Returns how many of the step's tasks are not at work, one task left out.
      */
-    int away(long nowMillis) {
+    int awayBesides(TaskState left, long nowMillis) {
         int away = 0;
         for (TaskState task : tasks) {
-            away += task.isAtWork(nowMillis) ? 0 : 1;
+            away += task == left || task.isAtWork(nowMillis) ? 0 : 1;
         }
         return away;
     }
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/EvacuationsTest.java
@@ -0,0 +1,84 @@
+package org.trefoilpost.decision.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class EvacuationsTest {
+    private static final Moment NOW = new Moment(1_000_000, 2_000_000);
+    private static final Demand SIZE = new Demand(32_000, 131_072, 0);
+    private static final QueueRule QUEUE = new QueueRule("q", "h", "/q/", "pool", 0, 3, 2, 1_000, Optional.empty());
+
+    private final List<WorkerOrder> sent = new ArrayList<>();
+    private final PoolState state = new PoolState(
+            "pool", new PoolBounds(5_000, 200, 120_000, 4_500, 2_000, 4_000, 1.5), new RecordedActions(sent));
+    private final Evacuations evacuations = new Evacuations(state, new Orders(state));
+    private StepState step;
+
+    @BeforeEach
+    void threeTasksThatLastOnThreeWorkersAndOneFreeWorker() {
+        StepSpec spec = StepSpec.builder()
+                .tasks(3, new Demand(2_000, 1_024, 0))
+                .longRunning(true)
+                .service("", 0, 1)
+                .build();
+        JobSpec job = new JobSpec("0123456789abcdef", "q", "text", List.of(spec), JobSpec.Schedule.ONCE);
+        JobState known = new JobState(job, QUEUE, NOW);
+        known.openDue(NOW);
+        state.add(known);
+        step = known.occurrences.get(0).steps[0];
+        for (int i = 0; i < 4; i++) {
+            WorkerSlot slot = worker("w" + i);
+            if (i < 3) {
+                Run run = new Run(step.tasks[i], 1, slot, RunPhase.RUNNING, NOW.steadyMillis());
+                run.percent = 100;
+                slot.add(run);
+            }
+        }
+    }
+
+    @Test
+    void aTaskIsStoppedWhileAllOthersAreAtWork() {
+        state.slots.get("w0").evacuating = true;
+        evacuations.tick(NOW);
+        assertEquals(1, sent.size());
+    }
+
+    @Test
+    void noSecondTaskIsStoppedWhileOneIsAway() {
+        state.slots.get("w0").evacuating = true;
+        state.slots.get("w1").evacuating = true;
+        evacuations.tick(NOW);
+        assertEquals(1, sent.size());
+    }
+
+    @Test
+    void aTaskThatWasNotAtWorkWhenLastSeenMayBeByNow() {
+        Run starting = step.tasks[0].runs.get(0);
+        starting.percent = 40;
+        step.tasks[1].runs.get(0).percent = 40;
+        starting.worker.evacuating = true;
+        evacuations.tick(NOW);
+        assertEquals(0, sent.size());
+    }
+
+    @Test
+    void aTaskOnASilentWorkerCountsAsAway() {
+        state.slots.get("w1").missedCalls = 1;
+        state.slots.get("w0").evacuating = true;
+        evacuations.tick(NOW);
+        assertEquals(0, sent.size());
+    }
+
+    private WorkerSlot worker(String id) {
+        WorkerSlot slot = new WorkerSlot(new WorkerReport(id, "", "pool", id + ":80", "dc", List.of("r"), SIZE, false));
+        slot.fenced = true;
+        slot.sawClock(0, NOW.steadyMillis());
+        state.slots.put(id, slot);
+        return slot;
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RecordedActions.java
@@ -0,0 +1,34 @@
+package org.trefoilpost.decision.job;
+
+import java.util.List;
+
+/**
+ * Collects orders instead of sending them.
+ */
+final class RecordedActions implements PoolActions {
+    private final List<WorkerOrder> sent;
+
+    RecordedActions(List<WorkerOrder> sent) {
+        this.sent = sent;
+    }
+
+    @Override
+    public void send(WorkerOrder order) {
+        sent.add(order);
+    }
+
+    @Override
+    public void advise(AdviceRequest request) {}
+
+    @Override
+    public void commit(Commit commit) {}
+
+    @Override
+    public void stored(String job, JobPhase phase) {}
+
+    @Override
+    public void deposed(String worker) {}
+
+    @Override
+    public void decided(Decision decision) {}
+}
