--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/NeedTrend.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/NeedTrend.java
@@ -13,7 +13,7 @@
     /** How many answers ahead the need is expected: as many as come while a machine moves. */
     private static final double ANSWERS_AHEAD = 10;
     /** The most machines that growth adds to the need. */
-    private static final double MOST_AHEAD = 5;
+    static final double MOST_AHEAD = 5;
 
     private PoolLoad last;
     private double need;
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
@@ -0,0 +1,148 @@
+package org.trefoilpost.decision.job.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.Moment;
+import org.trefoilpost.decision.job.PoolInstructions;
+import org.trefoilpost.decision.job.PoolLoad;
+
+/**
+ * Machines in virtual time that a {@link FleetPlan} orders about; a move and an upkeep take a while.
+ */
+final class EmulatedFleet implements FleetActions {
+    static final long MOVE_MILLIS = 1_500;
+    static final long UPKEEP_MILLIS = 2_000;
+
+    private static final long SIZE = 32_000;
+
+    final Map<String, MachineView> machines = new TreeMap<>();
+    final Map<String, Double> needs = new HashMap<>();
+    final List<String> orders = new ArrayList<>();
+    final Map<Long, String> storedWaves = new HashMap<>();
+    final FleetPlan plan = new FleetPlan(this, 64);
+    OrderOutcome nextOutcome = OrderOutcome.DONE;
+    boolean busyWorkers;
+    boolean storeDown;
+    int mostDown;
+    int moves;
+    private final Map<String, Long> backAt = new HashMap<>();
+    private long nowMillis = 100_000;
+    private int lives;
+
+    void add(String pool, int count) {
+        for (int i = 0; i < count; i++) {
+            String name = "m" + machines.size();
+            machines.put(name, new MachineView(name, pool, true, false, newLife(), SIZE));
+        }
+    }
+
+    private String newLife() {
+        return "w" + (++lives);
+    }
+
+    long now() {
+        return nowMillis;
+    }
+
+    int up(String pool) {
+        int up = 0;
+        for (MachineView machine : machines.values()) {
+            up += machine.pool().equals(pool) && machine.up() ? 1 : 0;
+        }
+        return up;
+    }
+
+    void runFor(long millis) {
+        for (long end = nowMillis + millis; nowMillis < end; nowMillis += 20) {
+            step();
+        }
+    }
+
+    void step() {
+        backAt.entrySet().removeIf(entry -> {
+            boolean back = nowMillis >= entry.getValue();
+            if (back) {
+                machines.computeIfPresent(
+                        entry.getKey(), (name, old) -> new MachineView(name, old.pool(), true, false, newLife(), SIZE));
+            }
+            return back;
+        });
+        plan.tick(moment());
+    }
+
+    private Moment moment() {
+        return new Moment(nowMillis, nowMillis);
+    }
+
+    @Override
+    public void listMachines() {
+        plan.machines(List.copyOf(machines.values()), nowMillis, moment());
+    }
+
+    @Override
+    public void instruct(String pool, PoolInstructions instructions) {
+        Map<String, PoolLoad.WorkerLoad> workers = new HashMap<>();
+        for (MachineView machine : machines.values()) {
+            if (machine.pool().equals(pool) && machine.up()) {
+                boolean kept = instructions.keptFree().contains(machine.worker());
+                workers.put(machine.worker(), new PoolLoad.WorkerLoad(0, false, kept && !busyWorkers, !kept));
+            }
+        }
+        PoolLoad load = new PoolLoad(needs.getOrDefault(pool, 0.0), workers);
+        plan.load(pool, instructions.keptFree(), load, moment());
+    }
+
+    @Override
+    public void beginUpkeep(String machine, long wave) {
+        orders.add("upkeep " + machine);
+        finish(machine, UPKEEP_MILLIS, machines.get(machine).pool(), true);
+    }
+
+    @Override
+    public void move(String machine, String pool) {
+        orders.add("move " + machine + " " + pool);
+        moves++;
+        finish(machine, MOVE_MILLIS, pool, false);
+    }
+
+    private void finish(String machine, long millis, String pool, boolean upkeep) {
+        if (nextOutcome == OrderOutcome.DONE) {
+            machines.put(machine, new MachineView(machine, pool, false, upkeep, "", SIZE));
+            backAt.put(machine, nowMillis + millis);
+            int down = 0;
+            for (MachineView view : machines.values()) {
+                down += view.inUpkeep() ? 1 : 0;
+            }
+            mostDown = Math.max(mostDown, down);
+        }
+        plan.ordered(machine, nextOutcome, moment());
+    }
+
+    @Override
+    public void store(long wave, String state, long revision, boolean completed) {
+        if (storeDown) {
+            return;
+        }
+        storedWaves.put(wave, state);
+        plan.stored(wave, state, revision + 1, moment());
+    }
+
+    @Override
+    public void fenced(String machine) {
+        orders.add("fenced " + machine);
+    }
+
+    @Override
+    public void decided(Decision decision) {
+        // Decisions are not looked at here.
+    }
+
+    void configure(Set<String> pools) {
+        plan.configure(pools, Set.of("spare"));
+    }
+}
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlanTest.java
@@ -0,0 +1,115 @@
+package org.trefoilpost.decision.job.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class FleetPlanTest {
+    private final EmulatedFleet fleet = new EmulatedFleet();
+
+    @Test
+    void aPoolThatIsShortGetsSpareMachines() {
+        fleet.add("a", 3);
+        fleet.add("spare", 4);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 5.0);
+        fleet.runFor(4_000);
+        assertTrue(fleet.up("a") >= 5, "machines: " + fleet.up("a"));
+    }
+
+    @Test
+    void idleMachinesGoBackButNotAtOnce() {
+        fleet.add("a", 8);
+        fleet.add("spare", 1);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 1.0);
+        fleet.runFor(2_000);
+        assertEquals(0, fleet.moves);
+        fleet.runFor(10_000);
+        assertTrue(fleet.up("a") <= 4, "machines: " + fleet.up("a"));
+        assertTrue(fleet.up("a") >= 2, "machines: " + fleet.up("a"));
+    }
+
+    @Test
+    void aMachineWithWorkIsNeverMovedOrMaintained() {
+        fleet.add("a", 8);
+        fleet.add("b", 2);
+        fleet.configure(Set.of("a", "b"));
+        fleet.needs.put("b", 6.0);
+        fleet.busyWorkers = true;
+        fleet.plan.wave(1, List.of("m0", "m1"), 20_000, 2, fleet.now());
+        fleet.runFor(10_000);
+        assertEquals(List.of(), fleet.orders);
+    }
+
+    @Test
+    void aWaveKeepsItsCapAndEnds() {
+        fleet.add("a", 12);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 10.0);
+        List<String> wanted = new ArrayList<>(fleet.machines.keySet()).subList(0, 9);
+        fleet.plan.wave(1, wanted, 26_000, 3, fleet.now());
+        fleet.runFor(26_000);
+        assertTrue(fleet.storedWaves.get(1L).endsWith("true"), fleet.storedWaves.toString());
+        assertTrue(fleet.mostDown <= 3, "down at once: " + fleet.mostDown);
+    }
+
+    @Test
+    void noOrderIsGivenBeforeItsIntentIsStored() {
+        fleet.add("a", 4);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 3.0);
+        fleet.storeDown = true;
+        fleet.plan.wave(1, List.of("m0"), 20_000, 1, fleet.now());
+        fleet.runFor(5_000);
+        assertEquals(List.of(), fleet.orders);
+    }
+
+    @Test
+    void anotherEntryGoesOnWithWhatWasOrdered() {
+        fleet.add("a", 4);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 3.0);
+        fleet.plan.load(1, "m0;m1;false", 7);
+        fleet.plan.wave(1, List.of("m0", "m1"), 20_000, 1, fleet.now());
+        fleet.runFor(6_000);
+        assertEquals(List.of("upkeep m1"), fleet.orders);
+        assertTrue(fleet.storedWaves.get(1L).endsWith("true"), fleet.storedWaves.toString());
+    }
+
+    @Test
+    void aMoveWithoutAnAnswerIsRepeatedAndNeverReplacedByAnother() {
+        fleet.add("a", 2);
+        fleet.add("b", 2);
+        fleet.add("spare", 1);
+        fleet.configure(Set.of("a", "b"));
+        fleet.needs.put("a", 4.0);
+        fleet.nextOutcome = OrderOutcome.UNKNOWN;
+        fleet.step();
+        fleet.runFor(400);
+        fleet.needs.put("a", 0.0);
+        fleet.needs.put("b", 4.0);
+        fleet.nextOutcome = OrderOutcome.DONE;
+        fleet.runFor(3_000);
+        List<String> targets = fleet.orders.stream()
+                .filter(order -> order.startsWith("move m4"))
+                .distinct()
+                .toList();
+        assertEquals(List.of("move m4 a"), targets);
+    }
+
+    @Test
+    void anOwnerWithALowerTokenStops() {
+        fleet.add("a", 2);
+        fleet.add("spare", 2);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 4.0);
+        fleet.nextOutcome = OrderOutcome.FENCED;
+        fleet.runFor(400);
+        assertTrue(fleet.orders.stream().anyMatch(order -> order.startsWith("fenced")), fleet.orders.toString());
+    }
+}
