--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Orders.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Orders.java
@@ -42,7 +42,7 @@
                 .with("run", number)
                 .with("worker", slot.id)
                 .with("freeCpu", slot.free().cpuMillis())
-                .with("reportAge", nowMillis - slot.lastAnswerMillis));
+                .with("reportAge", slot.answerAge(nowMillis)));
         if (job.phase == JobPhase.QUEUED) {
             job.phase = JobPhase.RUNNING;
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -117,7 +117,7 @@
                 state.actions.decided(Decision.of("worker-unlisted")
                         .with("worker", slot.id)
                         .with("runs", slot.runs.size())
-                        .with("answerAge", now.steadyMillis() - slot.lastAnswerMillis));
+                        .with("answerAge", slot.answerAge(now.steadyMillis())));
             }
         }
         state.placementDue = true;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -44,6 +44,11 @@
         job.endedWallMillis = now.wallMillis();
         openJobs.remove(job.spec.id());
         job.touch(now.steadyMillis(), true);
+        actions.decided(Decision.of("job-ended")
+                .with("job", job.spec.id())
+                .with("pool", pool)
+                .with("phase", phase.name())
+                .with("age", now.steadyMillis() - job.acceptedMillis));
     }
 
     TaskState task(String name) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunResults.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunResults.java
@@ -329,7 +329,7 @@
                 .with("worker", slot.id)
                 .with("reason", reason)
                 .with("runs", slot.runs.size())
-                .with("answerAge", now.steadyMillis() - slot.lastAnswerMillis));
+                .with("answerAge", slot.answerAge(now.steadyMillis())));
         for (Run run : new ArrayList<>(slot.runs.values())) {
             slot.remove(run);
             absences.remove(run);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
@@ -122,6 +122,13 @@
         return missedCalls == 0 && nowMillis - lastAnswerMillis <= FRESH_ANSWER_MILLIS;
     }
 
+    /**
+     * Returns how long ago the worker answered, in milliseconds, -1 if it never did.
+     */
+    long answerAge(long nowMillis) {
+        return lastAnswerMillis < 0 ? -1 : nowMillis - lastAnswerMillis;
+    }
+
     boolean acceptsWork(long nowMillis) {
         return reachable(nowMillis) && listed && !evacuating && !report.draining() && sizesKnown();
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
@@ -17,7 +17,7 @@
     private static final String NODES = PREFIX + "entry/";
     private static final String OWNERS = PREFIX + "pool/";
     private static final String SEPARATOR = "\n";
-    private static final int PARTS = 3;
+    private static final int PARTS = 4;
 
     private final Map<String, Peer> nodes = new TreeMap<>();
     private final Map<String, Owner> owners = new HashMap<>();
@@ -32,7 +32,7 @@
     }
 
     static byte[] value(Peer peer) {
-        return String.join(SEPARATOR, peer.name(), peer.address(), peer.incarnation())
+        return String.join(SEPARATOR, peer.name(), peer.address(), peer.incarnation(), Long.toString(peer.cpuMillis()))
                 .getBytes(StandardCharsets.UTF_8);
     }
 
@@ -68,7 +68,7 @@
         if (parts.length != PARTS) {
             return;
         }
-        Peer peer = new Peer(parts[0], parts[1], parts[2]);
+        Peer peer = new Peer(parts[0], parts[1], parts[2], cpuMillis(parts[3]));
         if (item.key().startsWith(NODES)) {
             nodes.put(item.key().substring(NODES.length()), peer);
         } else if (item.key().startsWith(OWNERS)) {
@@ -78,6 +78,15 @@
         }
     }
 
+    private static long cpuMillis(String text) {
+        try {
+            return Math.max(1, Long.parseLong(text));
+        } catch (NumberFormatException e) {
+            // An entry of another version; it counts as the smallest.
+            return 1;
+        }
+    }
+
     Collection<Peer> nodes() {
         return nodes.values();
     }
@@ -113,8 +122,9 @@
      * @param name  the entry's name
      * @param address  the entry's address for other entries
      * @param incarnation  tells the lives of the entry's process apart
+     * @param cpuMillis  the entry's processor share in thousandths of a core
      */
-    record Peer(String name, String address, String incarnation) {}
+    record Peer(String name, String address, String incarnation, long cpuMillis) {}
 
     /**
      * The owner of a pool.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/NodeSettings.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/NodeSettings.java
@@ -10,6 +10,7 @@
  * @param peerAddress  the address for other entries as {@code host:port}, not null
  * @param bounds  the times that bound decisions, not null
  * @param machineCallsPerSecond  the most orders about machines in a second, of all entries together
+ * @param cpuMillis  the entry's processor share in thousandths of a core
  * @param graceMillis  the time between the request to stop and the end, in milliseconds
  */
 public record NodeSettings(
@@ -18,4 +19,5 @@
         String peerAddress,
         PoolBounds bounds,
         double machineCallsPerSecond,
+        long cpuMillis,
         long graceMillis) {}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/Ownership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/Ownership.java
@@ -1,7 +1,5 @@
 package org.trefoilpost.entry.job;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -38,7 +36,10 @@
         this.live = live;
         this.listener = listener;
         this.self = new LiveEntries.Peer(
-                context.settings().name(), context.settings().peerAddress(), incarnation);
+                context.settings().name(),
+                context.settings().peerAddress(),
+                incarnation,
+                context.settings().cpuMillis());
     }
 
     LiveEntries.Peer self() {
@@ -59,7 +60,8 @@
             renew(nowMillis);
         }
         if (registered && !leaving && nowMillis - registeredMillis >= FIRST_CLAIM_MILLIS) {
-            pools.forEach(pool -> claimIfDue(pool, nowMillis));
+            Map<String, List<String>> ranking = OwnerRanking.of(pools, live);
+            pools.forEach(pool -> claimIfDue(pool, ranking, nowMillis));
         }
     }
 
@@ -136,29 +138,18 @@
         listener.allLost();
     }
 
-    private void claimIfDue(String pool, long nowMillis) {
+    private void claimIfDue(String pool, Map<String, List<String>> ranking, long nowMillis) {
         Optional<LiveEntries.Owner> owner = live.owner(pool);
         if (owner.isPresent() || claiming.contains(pool)) {
             return;
         }
         long since = live.absentSinceMillis(pool, nowMillis);
-        if (nowMillis - since >= rank(pool) * RANK_DELAY_MILLIS) {
+        int rank = ranking.getOrDefault(pool, List.of()).indexOf(self.name());
+        if (rank >= 0 && nowMillis - since >= rank * RANK_DELAY_MILLIS) {
             claim(pool);
         }
     }
 
-    private int rank(String pool) {
-        List<LiveEntries.Peer> ranked = new ArrayList<>(live.nodes());
-        ranked.sort(Comparator.comparingLong((LiveEntries.Peer peer) -> live.ownedBy(peer.name()))
-                .thenComparingInt(peer -> (pool + '|' + peer.name()).hashCode()));
-        for (int i = 0; i < ranked.size(); i++) {
-            if (ranked.get(i).name().equals(self.name())) {
-                return i;
-            }
-        }
-        return ranked.size();
-    }
-
     private void claim(String pool) {
         claiming.add(pool);
         long current = lease;
--- /dev/null
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/log/LogWalk.java
@@ -0,0 +1,99 @@
+package org.trefoilpost.entry.log;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Picks out of the entries' logs what concerns one request or job: its own lines, those of the workers that ran it, and
+ * those of its pool's owners.
+ */
+public final class LogWalk {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Set<String> RELATED = Set.of("worker", "pool");
+
+    private final List<JsonNode> lines;
+
+    private LogWalk(List<JsonNode> lines) {
+        this.lines = lines;
+    }
+
+    /**
+     * Reads log lines; what is no event is left out.
+     *
+     * @param text  the lines, in any order, not null
+     * @return the walk, not null
+     */
+    public static LogWalk of(Iterable<String> text) {
+        List<JsonNode> lines = new ArrayList<>();
+        for (String line : text) {
+            int begin = line.indexOf('{');
+            JsonNode node = begin < 0 ? null : parse(line.substring(begin));
+            if (node != null && node.hasNonNull("event")) {
+                lines.add(node);
+            }
+        }
+        lines.sort(Comparator.comparing(node -> node.path("time").asText()));
+        return new LogWalk(Collections.unmodifiableList(lines));
+    }
+
+    private static JsonNode parse(String line) {
+        try {
+            return MAPPER.readTree(line);
+        } catch (IOException e) {
+            // Lines of other programs may stand between ours; they are no events.
+            return null;
+        }
+    }
+
+    /**
+     * Returns what concerns a request or job, in the order of time.
+     *
+     * @param id  the identifier that the caller gave, not null
+     * @return a text a line, not null
+     */
+    public List<String> explain(String id) {
+        Set<String> related = new HashSet<>();
+        for (JsonNode line : lines) {
+            if (line.path("job").asText().equals(id)) {
+                RELATED.forEach(field -> related.add(line.path(field).asText()));
+            }
+        }
+        related.remove("");
+        List<String> walk = new ArrayList<>();
+        for (JsonNode line : lines) {
+            boolean own = line.path("job").asText().equals(id)
+                    || line.path("request").asText().contains(id);
+            if (own || !line.has("job") && isRelated(line, related)) {
+                walk.add(render(line));
+            }
+        }
+        return walk;
+    }
+
+    private static boolean isRelated(JsonNode line, Set<String> related) {
+        return RELATED.stream()
+                .anyMatch(field -> related.contains(line.path(field).asText()));
+    }
+
+    private static String render(JsonNode line) {
+        StringBuilder text = new StringBuilder();
+        text.append(line.path("time").asText())
+                .append(' ')
+                .append(line.path("event").asText());
+        for (Iterator<String> names = line.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!Set.of("time", "level", "event").contains(name)) {
+                text.append(' ').append(name).append('=').append(line.path(name).asText());
+            }
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/log/LogWalkTest.java
@@ -0,0 +1,36 @@
+package org.trefoilpost.entry.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LogWalkTest {
+    private static final List<String> LINES = List.of(
+            "{\"time\":\"3\",\"event\":\"worker-lost\",\"worker\":\"w1\",\"reason\":\"lease-lapsed\"}",
+            "another program's line",
+            "entry-1 {\"time\":\"1\",\"event\":\"job-submitted\",\"job\":\"j1\",\"pool\":\"p\"}",
+            "{\"time\":\"2\",\"event\":\"task-placed\",\"job\":\"j1\",\"task\":\"j1.0.0.0\",\"worker\":\"w1\"}",
+            "{\"time\":\"2\",\"event\":\"task-placed\",\"job\":\"j2\",\"task\":\"j2.0.0.0\",\"worker\":\"w1\"}",
+            "{\"time\":\"4\",\"event\":\"pool-claimed\",\"pool\":\"other\",\"token\":7}",
+            "{\"time\":\"5\",\"event\":\"pool-claimed\",\"pool\":\"p\",\"token\":8}",
+            "{\"time\":\"6\",\"event\":\"request-refused\",\"reason\":\"unknown-queue\",\"request\":\"GET /q/j1\"}",
+            "{not JSON");
+
+    @Test
+    void aJobsOwnLinesAndThoseOfItsWorkersAndItsPoolAreInOrder() {
+        assertEquals(
+                List.of(
+                        "1 job-submitted job=j1 pool=p",
+                        "2 task-placed job=j1 task=j1.0.0.0 worker=w1",
+                        "3 worker-lost worker=w1 reason=lease-lapsed",
+                        "5 pool-claimed pool=p token=8",
+                        "6 request-refused reason=unknown-queue request=GET /q/j1"),
+                LogWalk.of(LINES).explain("j1"));
+    }
+
+    @Test
+    void nothingIsSaidOfAnUnknownJob() {
+        assertEquals(List.of(), LogWalk.of(LINES).explain("j3"));
+    }
+}
