--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobBook.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobBook.java
@@ -12,7 +12,7 @@
  */
 final class JobBook {
     private static final long MIN_GAP_MILLIS = 25;
-    private static final long LAZY_MILLIS = 80;
+    private static final long LAZY_MILLIS = 150;
     private static final long SWEEP_MILLIS = 5_000;
     private static final int MAX_REMOVED = 10;
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -30,7 +30,6 @@
     /** How long an owner of a pool lets changes of the registry gather, in milliseconds. */
     private static final long REGISTRY_PAUSE_MILLIS = 350;
 
-    private static final long REGISTRY_EXPECTING_PAUSE_MILLIS = 120;
     private static final long REGISTRY_IDLE_PAUSE_MILLIS = 4_000;
     /** Difference in milliseconds between two clocks' advance from which the process counts as having stood still. */
     private static final long STANDSTILL_MILLIS = 300;
@@ -178,11 +177,7 @@
     }
 
     private long registryPauseMillis() {
-        if (runners.isEmpty()) {
-            return REGISTRY_IDLE_PAUSE_MILLIS;
-        }
-        boolean expecting = runners.values().stream().anyMatch(PoolRunner::expectsMachines);
-        return expecting ? REGISTRY_EXPECTING_PAUSE_MILLIS : REGISTRY_PAUSE_MILLIS;
+        return runners.isEmpty() ? REGISTRY_IDLE_PAUSE_MILLIS : REGISTRY_PAUSE_MILLIS;
     }
 
     private void registryChanged() {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -260,13 +260,6 @@
         return scheduler.load(context.now());
     }
 
-    /**
-     * Returns whether machines are on their way to the pool.
-     */
-    boolean expectsMachines() {
-        return instructions.arriving() > 0;
-    }
-
     void lifeEnded(String worker, String reason) {
         if (open()) {
             scheduler.lifeEnded(worker, reason, context.now());
