Try to recognise slow workers by their runs' progress, and drop bounds that nothing uses

Cause: workers that turn slow hold their runs for several times the expected time. Change: a worker whose middle run takes three times the expected time gets no work for a while, and what would end sooner elsewhere is started anew; bounds and settings that no decision reads are gone.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -221,7 +221,7 @@
         double cpuLeft = (double) free.cpuMillis() / Math.max(1, capacity.cpuMillis());
         double memoryLeft = (double) free.memoryMb() / Math.max(1, capacity.memoryMb());
         // Full workers first, so that others become empty and can be given to other pools.
-        double score = -Math.min(cpuLeft, memoryLeft) - 2 * (slot.slowness - 1) - slot.blame;
+        double score = -Math.min(cpuLeft, memoryLeft) - slot.blame;
         if (!step.spec.preferredRack().isEmpty() && !step.spec.preferredRack().equals(slot.report.rack())) {
             score -= 1;
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -365,6 +366,10 @@
                 orders.stop(run, "no-progress", now);
                 health.blame(slot, "no-progress", now.steadyMillis());
             }
+            List<Run> slow = health.tooSlow(slot, now.steadyMillis());
+            if (!slow.isEmpty() && health.blame(slot, "slow", now.steadyMillis())) {
+                slow.forEach(run -> orders.stop(run, "slow-worker", now));
+            }
         }
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
@@ -41,7 +41,6 @@
     long ackSentEnd;
     long ackedEnd;
     double blame;
-    double slowness = 1;
     private int runsOfUnknownSize;
     private long clockMillis;
     private long clockSeenMillis = Long.MIN_VALUE;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/EvacuationsTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/EvacuationsTest.java
@@ -14,8 +14,8 @@
     private static final QueueRule QUEUE = new QueueRule("q", "h", "/q/", "pool", 0, 3, 2, 1_000, Optional.empty());
 
     private final List<WorkerOrder> sent = new ArrayList<>();
-    private final PoolState state = new PoolState(
-            "pool", new PoolBounds(5_000, 200, 120_000, 4_500, 2_000, 4_000, 1.5), new RecordedActions(sent));
+    private final PoolState state =
+            new PoolState("pool", new PoolBounds(5_000, 120_000, 2_000), new RecordedActions(sent));
     private final Evacuations evacuations = new Evacuations(state, new Orders(state));
     private StepState step;
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -25,7 +25,7 @@
  * A pool on the emulated platform, its callers, and the faults that are done to it.
  */
 final class EmulatedPlatform {
-    static final PoolBounds BOUNDS = new PoolBounds(5_000, 200, 120_000, 4_500, 2_000, 4_000, 1.5);
+    static final PoolBounds BOUNDS = new PoolBounds(5_000, 120_000, 2_000);
 
     private static final String QUEUE = "queue";
     private static final int ATTEMPTS = 3;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -103,7 +103,7 @@
         if (clock() >= order.leaseUntilMillis()) {
             return CallResult.LEASE_PASSED;
         }
-        LiveRun run = new LiveRun(order.task(), order.run(), context.demand());
+        LiveRun run = new LiveRun(order.task(), order.run(), context.demand(), time.now(), context.workMillis());
         runs.put(name, run);
         checks.started(id, order, capacity, used());
         if (!context.lasting()) {
@@ -170,13 +170,16 @@
 
     WorkerStatus status() {
         List<WorkerStatus.Running> running = new ArrayList<>();
-        long second = time.now() / 1_000;
         runs.values()
-                .forEach(run -> running.add(new WorkerStatus.Running(
-                        run.task.text(), run.number, "", run.demand.cpuMillis() == 0 ? 100 : (int) (second % 100), 0)));
+                .forEach(
+                        run -> running.add(new WorkerStatus.Running(run.task.text(), run.number, "", percent(run), 0)));
         return new WorkerStatus(clock(), running, ended);
     }
 
+    private int percent(LiveRun run) {
+        return (int) Math.min(99, (time.now() - run.startedMillis) * 100 / run.workMillis);
+    }
+
     int runningCount() {
         return runs.size();
     }
@@ -189,5 +192,5 @@
     /**
      * A run under way.
      */
-    private record LiveRun(TaskId task, int number, Demand demand) {}
+    private record LiveRun(TaskId task, int number, Demand demand, long startedMillis, long workMillis) {}
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/NodeSettings.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/NodeSettings.java
@@ -6,18 +6,10 @@
  * What an entry is told of itself at its start.
  *
  * @param name  the entry's name, not null
- * @param dataCentre  the entry's data centre, not null
  * @param peerAddress  the address for other entries as {@code host:port}, not null
  * @param bounds  the times that bound decisions, not null
  * @param machineCallsPerSecond  the most orders about machines in a second, of all entries together
  * @param cpuMillis  the entry's processor share in thousandths of a core
- * @param graceMillis  the time between the request to stop and the end, in milliseconds
  */
 public record NodeSettings(
-        String name,
-        String dataCentre,
-        String peerAddress,
-        PoolBounds bounds,
-        double machineCallsPerSecond,
-        long cpuMillis,
-        long graceMillis) {}
+        String name, String peerAddress, PoolBounds bounds, double machineCallsPerSecond, long cpuMillis) {}
