Take the recognition of slow workers out again

Change: WorkerHealth as before; WorkerHealthTest for stalled runs, the floor of open workers and the learned durations.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -366,10 +365,6 @@
                 orders.stop(run, "no-progress", now);
                 health.blame(slot, "no-progress", now.steadyMillis());
             }
-            List<Run> slow = health.tooSlow(slot, now.steadyMillis());
-            if (!slow.isEmpty() && health.blame(slot, "slow", now.steadyMillis())) {
-                slow.forEach(run -> orders.stop(run, "slow-worker", now));
-            }
         }
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerHealth.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerHealth.java
@@ -15,16 +15,6 @@
     private static final long BASE_PAUSE_MILLIS = 3_000;
     private static final long MAX_PAUSE_MILLIS = 12_000;
     private static final long STALL_MILLIS = 2_500;
-    /** Time in milliseconds after which a run's progress tells how long it will take. */
-    private static final long MIN_SEEN_MILLIS = 500;
-
-    private static final int MIN_RUNS_SEEN = 3;
-    private static final int FULL_PERCENT = 100;
-    /** How many times as long as expected a worker's middle run takes, for the worker to be slow. */
-    private static final double SLOW_RATIO = 3;
-    /** How many times the expected duration a run must still take for a new start to be worth it. */
-    private static final double WORTH_RESTARTING = 1.5;
-
     private static final double LEARNING_RATE = 0.1;
     private static final long DEFAULT_RUN_MILLIS = 1_000;
     private static final double MIN_OPEN_SHARE = 0.5;
@@ -80,13 +70,11 @@
 
     /**
      * Gives a worker no new work for a while, unless too few workers would be left.
-     *
-     * @return true if it gets none
      */
-    boolean blame(WorkerSlot slot, String reason, long nowMillis) {
+    void blame(WorkerSlot slot, String reason, long nowMillis) {
         slot.blame += FAILURE_BLAME;
         if (slot.blame < BLAME_LIMIT || openShareWithout(slot, nowMillis) < MIN_OPEN_SHARE) {
-            return false;
+            return;
         }
         long pause = Math.min(MAX_PAUSE_MILLIS, (long) (BASE_PAUSE_MILLIS * slot.blame));
         slot.suspectUntilMillis = Math.max(slot.suspectUntilMillis, nowMillis + pause);
@@ -95,7 +83,6 @@
                 .with("reason", reason)
                 .with("blame", slot.blame)
                 .with("pauseMillis", pause));
-        return true;
     }
 
     private double openShareWithout(WorkerSlot left, long nowMillis) {
@@ -110,30 +97,6 @@
         return listed == 0 ? 0 : (double) open / listed;
     }
 
-    /**
-     * Finds runs that would end much sooner elsewhere, on a worker whose runs all go several times as slowly as expected.
-     */
-    List<Run> tooSlow(WorkerSlot slot, long nowMillis) {
-        List<Double> ratios = new ArrayList<>();
-        List<Run> slow = new ArrayList<>();
-        for (Run run : slot.runs.values()) {
-            StepSpec step = run.task.step.spec;
-            long seenMillis = run.progressMillis - run.confirmedMillis;
-            boolean ordinary = !step.longRunning() && !step.fills() && !run.ofUnknownSize;
-            if (ordinary && run.phase == RunPhase.RUNNING && seenMillis >= MIN_SEEN_MILLIS && run.percent > 0) {
-                long expected = expectedMillis(run.task.step.occurrence.job, step);
-                double total = seenMillis * (double) FULL_PERCENT / run.percent;
-                ratios.add(total / Math.max(1, expected));
-                if (total - (nowMillis - run.confirmedMillis) > WORTH_RESTARTING * expected) {
-                    slow.add(run);
-                }
-            }
-        }
-        ratios.sort(null);
-        boolean evident = ratios.size() >= MIN_RUNS_SEEN && ratios.get(ratios.size() / 2) >= SLOW_RATIO;
-        return evident ? slow : List.of();
-    }
-
     /**
      * Finds runs whose progress stands still.
      */
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerHealthTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerHealthTest.java
@@ -11,7 +11,6 @@
 
 class WorkerHealthTest {
     private static final Moment NOW = new Moment(1_000_000, 2_000_000);
-    private static final long LATER = NOW.steadyMillis() + 700;
     private static final QueueRule QUEUE = new QueueRule("q", "h", "/q/", "pool", 0, 3, 2, 1_000, Optional.empty());
 
     private final PoolState state =
@@ -19,15 +18,13 @@
     private final WorkerHealth health = new WorkerHealth(state);
 
     @Test
-    void aWorkerWhoseRunsAllCrawlIsSlow() {
-        WorkerSlot slot = workerWithRunsAt(10, 12, 11, 9);
-        assertEquals(4, health.tooSlow(slot, LATER).size());
-    }
-
-    @Test
-    void oneLongTaskAmongOthersIsNoEvidence() {
-        assertEquals(List.of(), health.tooSlow(workerWithRunsAt(10, 70, 65, 80), LATER));
-        assertEquals(List.of(), health.tooSlow(workerWithRunsAt(10, 9), LATER));
+    void aRunWithoutProgressIsStalledOnlyIfItsWorkerAnswers() {
+        WorkerSlot slot = worker("w");
+        Run run = run(slot);
+        long later = NOW.steadyMillis() + 3_000;
+        assertEquals(List.of(), health.stalled(slot, later));
+        slot.sawClock(0, later);
+        assertEquals(List.of(run), health.stalled(slot, later));
     }
 
     @Test
@@ -36,27 +33,40 @@
         for (int i = 0; i < 4; i++) {
             slots.add(worker("w" + i));
         }
-        assertTrue(health.blame(slots.get(0), "slow", NOW.steadyMillis()));
-        assertTrue(health.blame(slots.get(1), "slow", NOW.steadyMillis()));
-        assertFalse(health.blame(slots.get(2), "slow", NOW.steadyMillis()));
+        for (WorkerSlot slot : slots) {
+            health.blame(slot, "failed-run", NOW.steadyMillis());
+        }
+        long open = slots.stream()
+                .filter(slot -> NOW.steadyMillis() >= slot.suspectUntilMillis)
+                .count();
+        assertEquals(2, open);
     }
 
-    private WorkerSlot workerWithRunsAt(int... percents) {
+    @Test
+    void whatTasksTakeIsLearnedByQueue() {
         WorkerSlot slot = worker("w");
+        Run run = run(slot);
+        JobState job = run.task.step.occurrence.job;
+        long before = health.expectedMillis(job, run.task.step.spec);
+        for (int i = 0; i < 20; i++) {
+            health.ended(run, RunEnd.DONE, NOW.steadyMillis() + 4_000);
+        }
+        long after = health.expectedMillis(job, run.task.step.spec);
+        assertTrue(after > 2 * before, before + " became " + after);
+        assertFalse(after > 4_000, "more than was ever seen: " + after);
+    }
+
+    private Run run(WorkerSlot slot) {
         StepSpec spec = StepSpec.builder()
-                .tasks(percents.length, new Demand(1_000, 100, 0))
+                .tasks(1, new Demand(1_000, 100, 0))
                 .estimateMillis(1_000)
                 .build();
         JobState job = new JobState(
                 new JobSpec("0123456789abcdef", "q", "", List.of(spec), JobSpec.Schedule.ONCE), QUEUE, NOW);
         job.openDue(NOW);
-        for (int i = 0; i < percents.length; i++) {
-            Run run = new Run(job.occurrences.get(0).steps[0].tasks[i], 1, slot, RunPhase.RUNNING, NOW.steadyMillis());
-            run.percent = percents[i];
-            run.progressMillis = LATER;
-            slot.add(run);
-        }
-        return slot;
+        Run run = new Run(job.occurrences.get(0).steps[0].tasks[0], 1, slot, RunPhase.RUNNING, NOW.steadyMillis());
+        slot.add(run);
+        return run;
     }
 
     private WorkerSlot worker(String id) {
