Keep the rule of a job's queue with the job

Cause: a job whose queue the configuration has dropped was read without a rule at a take-over; the first failure of one of its tasks would have ended in an exception, and its tasks were never placed again. Found by reading the code. Ruled out: that callers see it (their requests for a dropped queue get 404); the job's work still holds its workers. Change: the document carries the rule; the configuration's rule goes before it. JobDocumentTest, also for cut and foreign bytes.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocument.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocument.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -29,6 +30,7 @@
                 packer.packString(job.spec.id()).packString(job.spec.queue());
             } else {
                 JobSpecCodec.pack(packer, job.spec);
+                packRule(packer, job.queue);
                 packOccurrences(packer, job);
             }
             return packer.toByteArray();
@@ -63,7 +65,8 @@
         JobSpec spec = phase.ended()
                 ? new JobSpec(unpacker.unpackString(), unpacker.unpackString(), "", List.of(), JobSpec.Schedule.ONCE)
                 : JobSpecCodec.unpack(unpacker);
-        JobState job = new JobState(spec, null, now);
+        QueueRule rule = phase.ended() ? null : unpackRule(unpacker, spec.queue());
+        JobState job = new JobState(spec, rule, now);
         job.phase = phase;
         job.acceptedWallMillis = acceptedWall;
         job.acceptedMillis = now.steadyMillis() - Math.max(0, now.wallMillis() - acceptedWall);
@@ -79,6 +82,22 @@
         return new Loaded(job, runs);
     }
 
+    private static void packRule(MessageBufferPacker packer, QueueRule rule) throws IOException {
+        packer.packString(rule.pool()).packInt(rule.priority()).packInt(rule.attempts());
+        packer.packDouble(rule.stretch()).packLong(rule.targetMillis());
+    }
+
+    /**
+     * Reads the rule that held when the job was stored; it is used where the configuration has dropped the queue.
+     */
+    private static QueueRule unpackRule(MessageUnpacker unpacker, String queue) throws IOException {
+        String pool = unpacker.unpackString();
+        int priority = unpacker.unpackInt();
+        int attempts = unpacker.unpackInt();
+        double stretch = unpacker.unpackDouble();
+        return new QueueRule(queue, "", "", pool, priority, attempts, stretch, unpacker.unpackLong(), Optional.empty());
+    }
+
     private static void packOccurrences(MessageBufferPacker packer, JobState job) throws IOException {
         packer.packArrayHeader(job.occurrences.size());
         for (OccurrenceState occurrence : job.open()) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TakeOver.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TakeOver.java
@@ -54,7 +54,8 @@
     private void load(String id, byte[] bytes, Moment now) {
         try {
             JobDocument.Loaded loaded = JobDocument.decode(bytes, now);
-            loaded.job().queue = state.queues.get(loaded.job().spec.queue());
+            QueueRule present = state.queues.get(loaded.job().spec.queue());
+            loaded.job().queue = present != null ? present : loaded.job().queue;
             state.add(loaded.job());
             noted.addAll(loaded.runs());
         } catch (IllegalArgumentException e) {
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentTest.java
@@ -0,0 +1,92 @@
+package org.trefoilpost.decision.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class JobDocumentTest {
+    private static final Moment NOW = new Moment(1_000_000, 2_000_000);
+    private static final QueueRule QUEUE = new QueueRule("q", "h", "/q/", "pool", 1, 4, 2.5, 1_000, Optional.empty());
+
+    @Test
+    void progressAndPlacesSurvive() {
+        JobState job = job();
+        StepState step = job.occurrences.get(0).steps[0];
+        step.tasks[0].done = true;
+        step.done = 1;
+        step.tasks[1].failures = 2;
+        step.tasks[1].lastRun = 3;
+        step.tasks[1].checkpoint = "saved";
+        WorkerSlot slot = new WorkerSlot(
+                new WorkerReport("w", "", "pool", "w:80", "dc", List.of(), new Demand(9_000, 900, 0), false));
+        slot.add(new Run(step.tasks[1], 3, slot, RunPhase.RUNNING, NOW.steadyMillis()));
+        JobDocument.Loaded loaded = JobDocument.decode(JobDocument.encode(job), NOW.plus(5_000));
+        StepState read = loaded.job().occurrences.get(0).steps[0];
+        assertTrue(read.tasks[0].done);
+        assertEquals(1, read.done);
+        assertEquals(2, read.tasks[1].failures);
+        assertEquals(3, read.tasks[1].lastRun);
+        assertEquals("saved", read.tasks[1].checkpoint);
+        assertTrue(read.tasks[1].mayRunUnseen);
+        assertEquals(NOW.steadyMillis(), loaded.job().acceptedMillis);
+        assertEquals(List.of(new JobDocument.NotedRun("w", "w:80")), loaded.runs());
+    }
+
+    @Test
+    void theRuleOfADroppedQueueIsKept() {
+        PoolState state =
+                new PoolState("pool", new PoolBounds(5_000, 120_000, 2_000), new RecordedActions(new ArrayList<>()));
+        new TakeOver(state).read(Map.of("0123456789abcdef", JobDocument.encode(job())), NOW);
+        QueueRule rule = state.jobs.get("0123456789abcdef").queue;
+        assertNotNull(rule);
+        assertEquals(4, rule.attempts());
+        assertEquals(2.5, rule.stretch());
+    }
+
+    @Test
+    void anEndedJobIsShort() {
+        JobState job = job();
+        job.phase = JobPhase.COMPLETED;
+        JobDocument.Loaded loaded = JobDocument.decode(JobDocument.encode(job), NOW);
+        assertEquals(JobPhase.COMPLETED, loaded.job().phase);
+        assertTrue(JobDocument.encode(job).length < 100);
+    }
+
+    @Test
+    void whatIsNoDocumentIsRejected() {
+        byte[] whole = JobDocument.encode(job());
+        for (int length = 0; length < whole.length; length++) {
+            byte[] part = Arrays.copyOf(whole, length);
+            assertThrows(IllegalArgumentException.class, () -> JobDocument.decode(part, NOW));
+        }
+        byte[] newer = whole.clone();
+        newer[0] = 99;
+        assertThrows(IllegalArgumentException.class, () -> JobDocument.decode(newer, NOW));
+    }
+
+    @Test
+    void anUnreadableDocumentDoesNotKeepTheOthersOut() {
+        PoolState state =
+                new PoolState("pool", new PoolBounds(5_000, 120_000, 2_000), new RecordedActions(new ArrayList<>()));
+        new TakeOver(state).read(Map.of("broken", new byte[] {7}, "0123456789abcdef", JobDocument.encode(job())), NOW);
+        assertFalse(state.jobs.containsKey("broken"));
+        assertEquals(1, state.openJobs.size());
+    }
+
+    private static JobState job() {
+        StepSpec spec = StepSpec.builder().tasks(2, new Demand(1_000, 100, 0)).build();
+        JobState job = new JobState(
+                new JobSpec("0123456789abcdef", "q", "text", List.of(spec), JobSpec.Schedule.ONCE), QUEUE, NOW);
+        job.openDue(NOW);
+        return job;
+    }
+}
