Never say that a request has not run after a call that brought no reply

Cause: found by reading: a call to an owner that got no reply may sit in a connection and arrive later, at an owner that still holds its claim; a rejection of the repeated call was passed on as not run. Only "unavailable" was told as uncertain, also after a take-over, where the fence makes a refusal true. Ruled out: a call to an earlier owner (its change would fail on the claim). Change: after a call without a reply, both kinds of refusal are told as uncertain; after a take-over they are told as they are. A log event is renamed.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Orders.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Orders.java
@@ -55,7 +55,7 @@
      */
     void stop(Run run, String reason, Moment now) {
         if (run.phase == RunPhase.RUNNING || run.phase == RunPhase.STARTING) {
-            state.actions.decided(Decision.of("run-stopping")
+            state.actions.decided(Decision.of("stop-decided")
                     .with("job", run.task.id.job())
                     .with("task", run.task.id.text())
                     .with("run", run.number)
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolDays.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolDays.java
@@ -140,7 +140,7 @@
         time.runFor(SETTLE_MILLIS);
         checkAllEnded();
         return new Result(
-                explained(platform.checks().faults()), platform.checks().starts(), platform.decisions("run-stopping"));
+                explained(platform.checks().faults()), platform.checks().starts(), platform.decisions("stop-decided"));
     }
 
     private String explained(List<String> faults) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -75,19 +75,28 @@
                         }
                         return;
                     }
-                    inquiry.sent |= failure instanceof PeerCallException call && call.sent();
+                    boolean lost = failure instanceof PeerCallException call && call.sent();
+                    inquiry.sent |= lost;
+                    inquiry.lost |= lost;
                     again(inquiry);
                 });
     }
 
     private void conclude(Inquiry inquiry, JobReply reply) {
-        boolean unclear = inquiry.unclear && reply.status() == JobReplyStatus.UNAVAILABLE;
-        inquiry.reply.complete(unclear ? JobReply.of(JobReplyStatus.UNCERTAIN, reply.reason()) : reply);
+        inquiry.reply.complete(truthful(reply, inquiry.lost));
+    }
+
+    /**
+     * Returns what can be told of a reply. After a call that brought no reply, which may still arrive at an owner that
+     * holds its claim, a refusal does not prove that the request is not carried out.
+     */
+    static JobReply truthful(JobReply reply, boolean callLost) {
+        boolean refused = reply.status() == JobReplyStatus.UNAVAILABLE || reply.status() == JobReplyStatus.REJECTED;
+        return refused && callLost ? JobReply.of(JobReplyStatus.UNCERTAIN, reply.reason()) : reply;
     }
 
     private void again(Inquiry inquiry) {
         long nowMillis = context.now().steadyMillis();
-        inquiry.unclear |= inquiry.sent;
         long end = inquiry.sent
                 ? inquiry.endMillis
                 : Math.min(inquiry.endMillis, inquiry.beganMillis + NO_OWNER_WAIT_MILLIS);
@@ -165,7 +174,7 @@
         private final long beganMillis;
         private final long endMillis;
         private boolean sent;
-        private boolean unclear;
+        private boolean lost;
 
         private Inquiry(
                 String pool, JobRequest request, CompletableFuture<JobReply> reply, long beganMillis, long endMillis) {
