Ask one place for a step's label and limit, and drop what nothing calls

Cause: read as a newcomer, the change asked in Placer and in Evacuations alike whether a worker has a step's label and is below its limit; three methods had no caller. Ruled out: a change of behaviour: the same conditions, moved to StepSpec.allows and WorkerSlot.belowLimit. Admission and AdviceDesk still spell the label's rule out, and the constant of the slowest clock stands in WorkerSlot and TakeOver: left for next time. Change: those two methods; LiveEntries.isAlive, ownedBy and Demand.weightedCpuMillis are gone.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Demand.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Demand.java
@@ -11,8 +11,6 @@
     /** No resources. */
     public static final Demand NONE = new Demand(0, 0, 0);
 
-    private static final long ACCELERATOR_CPU_MILLIS = 8_000;
-
     /**
      * Returns the sum of this amount and another.
      *
@@ -61,13 +59,4 @@
     public Demand withoutCpu() {
         return new Demand(0, memoryMb, accelerators);
     }
-
-    /**
-     * Returns the processor share with each accelerator counted as eight cores.
-     *
-     * @return the share in thousandths of a core
-     */
-    public long weightedCpuMillis() {
-        return cpuMillis + accelerators * ACCELERATOR_CPU_MILLIS;
-    }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Evacuations.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Evacuations.java
@@ -70,9 +70,8 @@
     private boolean roomElsewhere(Run run, WorkerSlot left, long nowMillis) {
         StepState step = run.task.step;
         for (WorkerSlot slot : state.slots.values()) {
-            boolean suits =
-                    step.spec.requiredLabel().isEmpty() || slot.report.labels().contains(step.spec.requiredLabel());
-            boolean below = step.spec.maxPerWorker() == 0 || slot.tasksOf(step) < step.spec.maxPerWorker();
+            boolean suits = step.spec.allows(slot.report.labels());
+            boolean below = slot.belowLimit(step);
             if (slot != left
                     && slot.acceptsWork(nowMillis)
                     && suits
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -138,7 +138,7 @@
         WorkerSlot best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (WorkerSlot slot : state.slots.values()) {
-            if (mayRun(step, need, slot, now) && slot.startsInFlight < MAX_STARTS_IN_FLIGHT && belowLimit(step, slot)) {
+            if (mayRun(step, need, slot, now) && slot.startsInFlight < MAX_STARTS_IN_FLIGHT && slot.belowLimit(step)) {
                 double score = score(step, need, slot, perWorker.getOrDefault(slot, 0));
                 if (score > bestScore) {
                     best = slot;
@@ -162,8 +162,8 @@
         for (WorkerSlot slot : state.slots.values()) {
             boolean suits = slot.acceptsWork(now.steadyMillis())
                     && !reserved.contains(slot)
-                    && hasLabel(step, slot)
-                    && belowLimit(step, slot)
+                    && step.spec.allows(slot.report.labels())
+                    && slot.belowLimit(step)
                     && need.fitsIn(slot.report.capacity());
             if (suits && (best == null || slot.free().memoryMb() > best.free().memoryMb())) {
                 best = slot;
@@ -185,7 +185,7 @@
         int room = 0;
         for (WorkerSlot slot : state.slots.values()) {
             open += slot.acceptsWork(now.steadyMillis()) ? 1 : 0;
-            below += slot.acceptsWork(now.steadyMillis()) && belowLimit(step, slot) ? 1 : 0;
+            below += slot.acceptsWork(now.steadyMillis()) && slot.belowLimit(step) ? 1 : 0;
             room += slot.acceptsWork(now.steadyMillis()) && need.fitsIn(slot.free()) ? 1 : 0;
         }
         state.actions.decided(Decision.of("step-waiting")
@@ -198,19 +198,11 @@
                 .with("kept", kept == null ? "" : kept.id));
     }
 
-    private static boolean hasLabel(StepState step, WorkerSlot slot) {
-        return step.spec.requiredLabel().isEmpty() || slot.report.labels().contains(step.spec.requiredLabel());
-    }
-
-    private static boolean belowLimit(StepState step, WorkerSlot slot) {
-        return step.spec.maxPerWorker() == 0 || slot.tasksOf(step) < step.spec.maxPerWorker();
-    }
-
     private boolean mayRun(StepState step, Demand need, WorkerSlot slot, Moment now) {
         return slot.acceptsWork(now.steadyMillis())
                 && slot.clockKnown()
                 && !reserved.contains(slot)
-                && hasLabel(step, slot)
+                && step.spec.allows(slot.report.labels())
                 && need.fitsIn(slot.free())
                 && advice.allows(step, slot, now);
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StepSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StepSpec.java
@@ -76,6 +76,16 @@
         return values.requiredLabel;
     }
 
+    /**
+     * Returns whether a worker with some labels may run the tasks.
+     *
+     * @param labels  the worker's labels, not null
+     * @return true if no label is required, or the required one is among them
+     */
+    public boolean allows(List<String> labels) {
+        return values.requiredLabel.isEmpty() || labels.contains(values.requiredLabel);
+    }
+
     /**
      * Returns the rack near which the tasks are fast.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
@@ -139,6 +139,13 @@
         return runsOfUnknownSize == 0;
     }
 
+    /**
+     * Returns whether the worker may run one more task of a step.
+     */
+    boolean belowLimit(StepState step) {
+        return step.spec.maxPerWorker() == 0 || tasksOf(step) < step.spec.maxPerWorker();
+    }
+
     int tasksOf(StepState step) {
         int count = 0;
         for (Run run : runs.values()) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
@@ -91,10 +91,6 @@
         return nodes.values();
     }
 
-    boolean isAlive(String node) {
-        return nodes.containsKey(node);
-    }
-
     Optional<Owner> owner(String pool) {
         return Optional.ofNullable(owners.get(pool));
     }
@@ -103,12 +99,6 @@
         return owners;
     }
 
-    long ownedBy(String node) {
-        return owners.values().stream()
-                .filter(owner -> owner.peer().name().equals(node))
-                .count();
-    }
-
     /**
      * Returns since when a pool has had no owner.
      */
