Take a job only if all that is taken can still start in time

Cause: at a turn of demand the owner took jobs until the work of all of them filled the objective, without the time of the new job's own chain of steps, and took a job that came back after a refusal for a new one. Besides, one failed run kept a worker closed for three seconds, and run times were learned as a mean of factors, which is too high.

Ruled out: gaps in the placement (a reserve of 0, 1 or 2 workers gave the same shares in the replay), the usable share of a pool (0.7 to 1.2 tried: below 0.9 refuses more, above ends more late).

Change: Admission asks for each step whether all work that starts before it fits into the time until its latest start; FirstOffers keeps when a refused job was first handed in; a job that is late already is taken when the wait is short; a worker is paused after two failures without a success between, or one run without progress; factors are learned by their logarithm.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
@@ -1,5 +1,8 @@
 package org.trefoilpost.decision.job;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import java.util.OptionalLong;
 
 /**
@@ -14,6 +17,11 @@
     /** How far a machine counts that is on its way to the pool. */
     private static final double ARRIVING_SHARE = 0.5;
 
+    /** Wait in milliseconds up to which a job is taken that comes too late for its objective. */
+    private static final long LATE_WAIT_MILLIS = 1_000;
+    /** The share of its work that a running task has still to do, on average. */
+    private static final double RUNNING_SHARE = 0.5;
+
     private final PoolState state;
     private final WorkerHealth health;
     private final Objectives objectives;
@@ -33,9 +41,8 @@
         }
         for (StepSpec step : spec.steps()) {
             boolean fits = state.slots.values().stream()
-                    .anyMatch(slot -> step.reservedDemand().fitsIn(slot.report.capacity())
-                            && (step.requiredLabel().isEmpty()
-                                    || slot.report.labels().contains(step.requiredLabel())));
+                    .anyMatch(slot ->
+                            step.reservedDemand().fitsIn(slot.report.capacity()) && step.allows(slot.report.labels()));
             if (!fits) {
                 return false;
             }
@@ -50,13 +57,46 @@
         if (job.spec.longRunning() || job.spec.schedule().timed()) {
             return OptionalLong.empty();
         }
-        long capacity = Math.max(1, (long) (capacityMillis() * USABLE_SHARE));
-        long workMillis = (backlog(now) + work(job)) / capacity;
-        long objective = (long) (job.queue.stretch() * objectives.chainMillis(job, 0)) + job.queue.targetMillis();
-        if (workMillis <= objective) {
+        double capacity = Math.max(1, capacityMillis() * USABLE_SHARE);
+        List<Piece> pieces = backlog(now);
+        long shortMillis = objectives.latestStartMillis(job, 0) < now.steadyMillis()
+                ? (long) (work(pieces) / capacity) - LATE_WAIT_MILLIS
+                : (long) shortage(withSteps(job, pieces), capacity, now);
+        if (shortMillis <= 0) {
             return OptionalLong.empty();
         }
-        return OptionalLong.of(Math.min(MAX_RETRY_MILLIS, Math.max(MIN_RETRY_MILLIS, workMillis - objective)));
+        return OptionalLong.of(Math.min(MAX_RETRY_MILLIS, Math.max(MIN_RETRY_MILLIS, shortMillis)));
+    }
+
+    private List<Piece> withSteps(JobState job, List<Piece> pieces) {
+        for (int i = 0; i < job.spec.steps().size(); i++) {
+            StepSpec step = job.spec.steps().get(i);
+            double work = (double) step.count() * step.demand().cpuMillis() * health.expectedMillis(job, step);
+            pieces.add(new Piece(objectives.latestStartMillis(job, i), work, true));
+        }
+        return pieces;
+    }
+
+    private static double work(List<Piece> pieces) {
+        return pieces.stream().mapToDouble(Piece::work).sum();
+    }
+
+    /**
+     * Returns by how many milliseconds the pool misses the latest start of a new piece of work, or of one after it.
+     */
+    private static double shortage(List<Piece> pieces, double capacity, Moment now) {
+        pieces.sort(Comparator.comparingLong(Piece::latestStartMillis));
+        double before = 0;
+        double shortage = 0;
+        boolean affected = false;
+        for (Piece piece : pieces) {
+            before += piece.work;
+            affected |= piece.isNew;
+            if (affected && piece.latestStartMillis != Long.MAX_VALUE) {
+                shortage = Math.max(shortage, before / capacity - (piece.latestStartMillis - now.steadyMillis()));
+            }
+        }
+        return shortage;
     }
 
     /**
@@ -79,39 +119,43 @@
     }
 
     /**
-     * Returns the work of ordinary tasks that can still be done in time, in thousandths of a core times milliseconds.
+     * Returns the work of ordinary tasks that is still to do.
      */
-    private long backlog(Moment now) {
-        long work = 0;
+    private List<Piece> backlog(Moment now) {
+        List<Piece> pieces = new ArrayList<>();
         for (JobState job : state.openJobs.values()) {
             for (OccurrenceState occurrence : job.open()) {
                 for (StepState step : occurrence.steps) {
-                    boolean late = objectives.latestStartMillis(step, now) < now.steadyMillis();
-                    if (!late && !step.spec.longRunning() && !step.spec.fills()) {
-                        work += remaining(job, step);
+                    if (!step.ended() && !step.spec.longRunning() && !step.spec.fills()) {
+                        addOpen(job, step, pieces, now);
                     }
                 }
             }
         }
-        return work;
+        return pieces;
     }
 
-    private long work(JobState job) {
-        long work = 0;
-        for (StepSpec step : job.spec.steps()) {
-            work += step.count() * step.demand().cpuMillis() * health.expectedMillis(job, step);
-        }
-        return work;
-    }
-
-    private long remaining(JobState job, StepState step) {
-        long millis = health.expectedMillis(job, step.spec);
-        double open = 0;
+    /**
+     * Adds what is left of a step: what runs holds its room whether it is in time or not, what waits and is late comes
+     * after all that can be in time.
+     */
+    private void addOpen(JobState job, StepState step, List<Piece> pieces, Moment now) {
+        double taskWork = (double) health.expectedMillis(job, step.spec)
+                * step.spec.demand().cpuMillis();
+        int running = 0;
+        int waiting = 0;
         for (TaskState task : step.tasks) {
-            if (!task.done) {
-                open += task.runs.isEmpty() ? 1 : 0.5;
-            }
+            running += !task.done && !task.runs.isEmpty() ? 1 : 0;
+            waiting += !task.done && task.runs.isEmpty() ? 1 : 0;
         }
-        return (long) (open * millis * step.spec.demand().cpuMillis());
+        pieces.add(new Piece(Long.MIN_VALUE, running * taskWork * RUNNING_SHARE, false));
+        long latest = objectives.latestStartMillis(step, now);
+        boolean late = latest < now.steadyMillis();
+        pieces.add(new Piece(late ? Long.MAX_VALUE : latest, waiting * taskWork, false));
     }
+
+    /**
+     * Work in thousandths of a core times milliseconds, and when it has to start for its job to be in time.
+     */
+    private record Piece(long latestStartMillis, double work, boolean isNew) {}
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocument.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocument.java
@@ -24,7 +24,7 @@
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packInt(FORMAT);
             packer.packString(job.phase.name());
-            packer.packLong(job.acceptedWallMillis).packLong(job.endedWallMillis);
+            packer.packLong(job.offeredWallMillis).packLong(job.endedWallMillis);
             packer.packInt(job.nextOccurrence).packInt(job.endedOccurrences);
             if (job.phase.ended()) {
                 packer.packString(job.spec.id()).packString(job.spec.queue());
@@ -58,7 +58,7 @@
 
     private static Loaded unpack(MessageUnpacker unpacker, Moment now) throws IOException {
         JobPhase phase = JobPhase.valueOf(unpacker.unpackString());
-        long acceptedWall = unpacker.unpackLong();
+        long offeredWall = unpacker.unpackLong();
         long endedWall = unpacker.unpackLong();
         int next = unpacker.unpackInt();
         int ended = unpacker.unpackInt();
@@ -68,8 +68,8 @@
         QueueRule rule = phase.ended() ? null : unpackRule(unpacker, spec.queue());
         JobState job = new JobState(spec, rule, now);
         job.phase = phase;
-        job.acceptedWallMillis = acceptedWall;
-        job.acceptedMillis = now.steadyMillis() - Math.max(0, now.wallMillis() - acceptedWall);
+        job.offeredWallMillis = offeredWall;
+        job.offeredMillis = now.steadyMillis() - Math.max(0, now.wallMillis() - offeredWall);
         job.endedWallMillis = endedWall;
         job.nextOccurrence = next;
         job.endedOccurrences = ended;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -12,8 +12,8 @@
     final Map<Integer, OccurrenceState> occurrences = new TreeMap<>();
     QueueRule queue;
     JobPhase phase = JobPhase.QUEUED;
-    long acceptedMillis;
-    long acceptedWallMillis;
+    long offeredMillis;
+    long offeredWallMillis;
     long endedWallMillis;
     int nextOccurrence;
     int endedOccurrences;
@@ -23,11 +23,11 @@
     long dirtyMillis;
     boolean urgent;
 
-    JobState(JobSpec spec, QueueRule queue, Moment now) {
+    JobState(JobSpec spec, QueueRule queue, Moment offered) {
         this.spec = spec;
         this.queue = queue;
-        this.acceptedMillis = now.steadyMillis();
-        this.acceptedWallMillis = now.wallMillis();
+        this.offeredMillis = offered.steadyMillis();
+        this.offeredWallMillis = offered.wallMillis();
     }
 
     Collection<OccurrenceState> open() {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Objectives.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Objectives.java
@@ -21,8 +21,18 @@
         if (step.spec.longRunning()) {
             return dueMillis + LASTING_START_MILLIS;
         }
-        long objective = (long) (job.queue.stretch() * chainMillis(job, 0)) + job.queue.targetMillis();
-        return dueMillis + objective - chainMillis(job, step.number);
+        return dueMillis + objectiveMillis(job) - chainMillis(job, step.number);
+    }
+
+    /**
+     * Returns the latest time at which a step of a job that was just handed in can start for it to meet its objective.
+     */
+    long latestStartMillis(JobState job, int step) {
+        return job.offeredMillis + objectiveMillis(job) - chainMillis(job, step);
+    }
+
+    private long objectiveMillis(JobState job) {
+        return (long) (job.queue.stretch() * chainMillis(job, 0)) + job.queue.targetMillis();
     }
 
     /**
@@ -38,7 +48,7 @@
     long dueMillis(OccurrenceState occurrence, Moment now) {
         JobState job = occurrence.job;
         if (!job.spec.schedule().timed()) {
-            return job.acceptedMillis;
+            return job.offeredMillis;
         }
         return now.steadyMillis() + job.spec.schedule().dueMillis(occurrence.number) - now.wallMillis();
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -39,6 +39,7 @@
     private final WorkerHealth health;
     private final TakeOver takeOver;
     private final OfferedWork refused = new OfferedWork(REFUSED_WINDOW_MILLIS);
+    private final FirstOffers offers = new FirstOffers();
     private final PoolNeed need;
     private long lastPacedMillis;
 
@@ -146,18 +147,25 @@
         if (!admission.fitsSomewhere(spec)) {
             return SubmitAnswer.refused(NEVER_RETRY_MILLIS, "fits-no-worker");
         }
-        JobState job = new JobState(spec, queue, now);
+        JobState job = new JobState(spec, queue, firstOffer(spec.id(), now));
         OptionalLong wait = admission.retryAfterMillis(job, now);
         if (wait.isPresent()) {
             refused.add(spec, now.steadyMillis());
+            offers.refused(spec.id(), now.steadyMillis());
             return SubmitAnswer.refused(wait.getAsLong(), "overload");
         }
+        offers.taken(spec.id());
         job.openDue(now);
         state.touch(job, now.steadyMillis(), true);
         state.add(job);
         return SubmitAnswer.PENDING;
     }
 
+    private Moment firstOffer(String job, Moment now) {
+        long age = now.steadyMillis() - offers.firstMillis(job, now.steadyMillis());
+        return new Moment(now.steadyMillis() - age, now.wallMillis() - age);
+    }
+
     /**
      * Cancels a job.
      *
@@ -363,7 +371,7 @@
         for (WorkerSlot slot : state.slots.values()) {
             for (Run run : health.stalled(slot, now.steadyMillis())) {
                 orders.stop(run, "no-progress", now);
-                health.blame(slot, "no-progress", now.steadyMillis());
+                health.blameStall(slot, now.steadyMillis());
             }
         }
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -58,7 +58,7 @@
                 .with("job", job.spec.id())
                 .with("pool", pool)
                 .with("phase", phase.name())
-                .with("age", now.steadyMillis() - job.acceptedMillis));
+                .with("age", now.steadyMillis() - job.offeredMillis));
     }
 
     TaskState task(String name) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerHealth.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerHealth.java
@@ -10,8 +10,13 @@
  */
 final class WorkerHealth {
     private static final double FAILURE_BLAME = 1;
+    /** What a run without progress counts: it keeps its room for longer than a failed one. */
+    private static final double STALL_BLAME = 2;
+
     private static final double SUCCESS_DECAY = 0.5;
-    private static final double BLAME_LIMIT = 0.9;
+    /** Blame from which a worker pauses; one failure of a task by its own fault is less. */
+    private static final double BLAME_LIMIT = 1.5;
+
     private static final long BASE_PAUSE_MILLIS = 3_000;
     private static final long MAX_PAUSE_MILLIS = 12_000;
     private static final long STALL_MILLIS = 2_500;
@@ -20,7 +25,7 @@
     private static final double MIN_OPEN_SHARE = 0.5;
 
     private final PoolState state;
-    private final Map<String, Double> ratios = new HashMap<>();
+    private final Map<String, Double> logRatios = new HashMap<>();
     private final Map<String, Double> durations = new HashMap<>();
 
     WorkerHealth(PoolState state) {
@@ -35,7 +40,7 @@
             return;
         }
         if (how == RunEnd.FAILED) {
-            blame(run.worker, "failed-run", nowMillis);
+            blame(run.worker, FAILURE_BLAME, "failed-run", nowMillis);
         } else if (how == RunEnd.DONE) {
             run.worker.blame *= SUCCESS_DECAY;
             learn(run, nowMillis - run.confirmedMillis);
@@ -47,8 +52,9 @@
         String queue = run.task.step.occurrence.job.spec.queue();
         durations.merge(queue, (double) tookMillis, WorkerHealth::blend);
         if (step.estimateMillis() > 0 && run.number == 1) {
-            double ratio = Math.min(8, (double) tookMillis / step.estimateMillis());
-            ratios.merge(queue, ratio, WorkerHealth::blend);
+            // Estimates are off by factors, so a mean of the factors themselves would be too high.
+            double ratio = Math.log(Math.max(1, tookMillis) / (double) step.estimateMillis());
+            logRatios.merge(queue, ratio, WorkerHealth::blend);
         }
     }
 
@@ -64,15 +70,22 @@
         if (step.estimateMillis() <= 0) {
             return (long) mean;
         }
-        double declared = step.estimateMillis() * ratios.getOrDefault(job.spec.queue(), 1.0);
+        double declared = step.estimateMillis() * Math.exp(logRatios.getOrDefault(job.spec.queue(), 0.0));
         return (long) Math.sqrt(declared * mean);
     }
 
     /**
-     * Gives a worker no new work for a while, unless too few workers would be left.
+     * Blames a worker for a run without progress.
+     */
+    void blameStall(WorkerSlot slot, long nowMillis) {
+        blame(slot, STALL_BLAME, "no-progress", nowMillis);
+    }
+
+    /**
+     * Gives a worker no new work for a while if it has failed too often, unless too few workers would be left.
      */
-    void blame(WorkerSlot slot, String reason, long nowMillis) {
-        slot.blame += FAILURE_BLAME;
+    private void blame(WorkerSlot slot, double weight, String reason, long nowMillis) {
+        slot.blame += weight;
         if (slot.blame < BLAME_LIMIT || openShareWithout(slot, nowMillis) < MIN_OPEN_SHARE) {
             return;
         }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/AdmissionTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/AdmissionTest.java
@@ -18,6 +18,11 @@
     private static final QueueRule QUEUE = new QueueRule("q", "h", "/q/", "pool", 0, 3, 1.6, 600, Optional.empty());
     private static final Demand SIZE = new Demand(10_000, 100_000, 0);
 
+    private static final StepSpec SMALL = StepSpec.builder()
+            .tasks(2, new Demand(1_000, 100, 0))
+            .estimateMillis(1_000)
+            .build();
+
     private final PoolScheduler scheduler =
             new PoolScheduler("pool", new PoolBounds(5_000, 120_000, 2_000), new RecordedActions(new ArrayList<>()));
     private int lastJob;
@@ -60,6 +65,24 @@
         assertEquals("fits-no-worker", submit(unknownLabel, true).reason());
     }
 
+    @Test
+    void aJobThatComesBackTooLateForItsObjectiveIsTakenOnceThereIsRoom() {
+        open(1);
+        while (submit(true).kind() != SubmitAnswer.Kind.REFUSED) {
+            assertTrue(lastJob < 100);
+        }
+        String late = name(lastJob);
+        Moment stillFull = new Moment(NOW.steadyMillis() + 4_000, NOW.wallMillis() + 4_000);
+        lastJob--;
+        assertEquals("overload", submit(SMALL, true, stillFull).reason());
+        for (int i = 1; i < lastJob; i++) {
+            scheduler.cancel(name(i), stillFull);
+        }
+        lastJob--;
+        assertEquals(SubmitAnswer.Kind.PENDING, submit(SMALL, true, stillFull).kind());
+        assertEquals(late, name(lastJob));
+    }
+
     @Test
     void nothingIsTakenWhileTheStoreIsSilent() {
         open(1);
@@ -92,17 +115,16 @@
     }
 
     private SubmitAnswer submit(boolean storeReachable) {
-        return submit(
-                StepSpec.builder()
-                        .tasks(2, new Demand(1_000, 100, 0))
-                        .estimateMillis(1_000)
-                        .build(),
-                storeReachable);
+        return submit(SMALL, storeReachable);
     }
 
     private SubmitAnswer submit(StepSpec step, boolean storeReachable) {
+        return submit(step, storeReachable, NOW);
+    }
+
+    private SubmitAnswer submit(StepSpec step, boolean storeReachable, Moment now) {
         JobSpec spec = new JobSpec(name(++lastJob), "q", "", List.of(step), JobSpec.Schedule.ONCE);
-        return scheduler.submit(spec, storeReachable, NOW);
+        return scheduler.submit(spec, storeReachable, now);
     }
 
     private static String name(int number) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentTest.java
@@ -37,7 +37,7 @@
         assertEquals(3, read.tasks[1].lastRun);
         assertEquals("saved", read.tasks[1].checkpoint);
         assertTrue(read.tasks[1].mayRunUnseen);
-        assertEquals(NOW.steadyMillis(), loaded.job().acceptedMillis);
+        assertEquals(NOW.steadyMillis(), loaded.job().offeredMillis);
         assertEquals(List.of(new JobDocument.NotedRun("w", "w:80")), loaded.runs());
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
@@ -128,7 +128,7 @@
     private JobState job(StepSpec spec, long ageMillis) {
         String id = String.format("%016x", ++lastJob);
         JobState job = new JobState(new JobSpec(id, "q", "", List.of(spec), JobSpec.Schedule.ONCE), QUEUE, NOW);
-        job.acceptedMillis -= ageMillis;
+        job.offeredMillis -= ageMillis;
         job.openDue(NOW);
         job.stored = true;
         state.add(job);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerHealthTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerHealthTest.java
@@ -34,7 +34,7 @@
             slots.add(worker("w" + i));
         }
         for (WorkerSlot slot : slots) {
-            health.blame(slot, "failed-run", NOW.steadyMillis());
+            health.blameStall(slot, NOW.steadyMillis());
         }
         long open = slots.stream()
                 .filter(slot -> NOW.steadyMillis() >= slot.suspectUntilMillis)
@@ -42,6 +42,17 @@
         assertEquals(2, open);
     }
 
+    @Test
+    void oneFailureIsNoProofAgainstAWorkerAndTwoInARowAre() {
+        WorkerSlot slot = worker("w");
+        worker("other");
+        Run run = run(slot);
+        health.ended(run, RunEnd.FAILED, NOW.steadyMillis());
+        assertTrue(slot.suspectUntilMillis <= NOW.steadyMillis(), "paused after one failure");
+        health.ended(run, RunEnd.FAILED, NOW.steadyMillis());
+        assertTrue(slot.suspectUntilMillis > NOW.steadyMillis(), "open after two failures");
+    }
+
     @Test
     void whatTasksTakeIsLearnedByQueue() {
         WorkerSlot slot = worker("w");
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Demand;
@@ -18,6 +20,7 @@
 import org.trefoilpost.decision.job.QueueRule;
 import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.SubmitAnswer;
+import org.trefoilpost.decision.job.TaskId;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.WorkerReport;
 
@@ -36,6 +39,8 @@
     private final Map<String, EmulatedWorker> workers = new TreeMap<>();
     private final Map<String, Long> listedUntil = new HashMap<>();
     private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
+    private final Map<String, ToLongFunction<TaskId>> works = new HashMap<>();
+    private final Map<String, Long> completed = new HashMap<>();
     private final List<String> trace = new ArrayList<>();
     private final Map<String, Integer> decisions = new TreeMap<>();
     private final List<EmulatedOwner> owners = new ArrayList<>();
@@ -130,10 +135,34 @@
     EmulatedWorker.StartContext context(WorkerOrder.Start order) {
         JobSpec job = jobs.get(order.task().job());
         StepSpec step = job.steps().get(order.task().step());
-        long work = Math.max(50, (long) (step.estimateMillis() * (0.5 + random.nextDouble())));
+        long work = works.containsKey(job.id())
+                ? works.get(job.id()).applyAsLong(order.task())
+                : Math.max(50, (long) (step.estimateMillis() * (0.5 + random.nextDouble())));
         return new EmulatedWorker.StartContext(step.reservedDemand(), work, step.longRunning());
     }
 
+    /**
+     * Hands in a job whose tasks take given times in milliseconds.
+     */
+    SubmitAnswer hand(JobSpec spec, ToLongFunction<TaskId> work) {
+        works.put(spec.id(), work);
+        jobs.put(spec.id(), spec);
+        checks.sent(spec, ATTEMPTS);
+        SubmitAnswer answer = owner().scheduler().submit(spec, owner().storeAnswers(), time.moment());
+        if (answer.kind() == SubmitAnswer.Kind.REFUSED) {
+            checks.refused(spec.id());
+        }
+        return answer;
+    }
+
+    /**
+     * Returns when callers were first told that a job is completed, empty if they were not.
+     */
+    OptionalLong completedAt(String job) {
+        Long at = completed.get(job);
+        return at == null ? OptionalLong.empty() : OptionalLong.of(at);
+    }
+
     /**
      * Hands in a job of a random shape.
      */
@@ -176,6 +205,7 @@
             checks.cancelled(job);
         } else if (phase == JobPhase.COMPLETED) {
             checks.shownCompleted(job);
+            completed.putIfAbsent(job, time.now());
         }
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -35,6 +35,7 @@
     private boolean alive = true;
     private boolean reachable = true;
     private boolean failing;
+    private int failuresPerThousand = 20;
 
     EmulatedWorker(VirtualTime time, Checks checks, Random random, String id, Demand capacity) {
         this.time = time;
@@ -67,6 +68,10 @@
         failing = value;
     }
 
+    void failuresPerThousand(int value) {
+        failuresPerThousand = value;
+    }
+
     void crash() {
         alive = false;
         runs.values().forEach(run -> checks.ended(id, run.task, run.number, "crashed"));
@@ -112,7 +117,7 @@
         return CallResult.OK;
     }
 
-    private Demand used() {
+    Demand used() {
         Demand used = Demand.NONE;
         for (LiveRun run : runs.values()) {
             used = used.plus(run.demand);
@@ -122,7 +127,7 @@
 
     private void finish(LiveRun run) {
         if (alive && runs.get(run.task.text()) == run) {
-            end(run, failing || random.nextInt(100) < 2 ? RunEnd.FAILED : RunEnd.DONE);
+            end(run, failing || random.nextInt(1_000) < failuresPerThousand ? RunEnd.FAILED : RunEnd.DONE);
         }
     }
 
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TurnReplay.java
@@ -0,0 +1,210 @@
+package org.trefoilpost.decision.job.emulator;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.trefoilpost.decision.job.Demand;
+import org.trefoilpost.decision.job.JobSpec;
+import org.trefoilpost.decision.job.StepSpec;
+import org.trefoilpost.decision.job.SubmitAnswer;
+import org.trefoilpost.decision.job.TaskId;
+
+/**
+ * Replays a queue whose turn has come: for some seconds callers ask for several times what the pool can do, and come
+ * back when told to.
+ */
+public final class TurnReplay {
+    private static final String QUEUE = "queue";
+    private static final int WORKERS = 8;
+    private static final double CORES = 16 * WORKERS;
+    private static final long CALM_MILLIS = 8_000;
+    private static final long TURN_MILLIS = 9_000;
+    private static final long SETTLE_MILLIS = 40_000;
+    private static final int TRIES = 5;
+    private static final double MEAN_TASKS = 6;
+    private static final double MEAN_CORES = 1.8;
+    private static final double MEAN_SECONDS = 0.8;
+    private static final double MEAN_STEPS = 1.6;
+    /** How much declared run times are off, as the deviation of their logarithm. */
+    private static final double ESTIMATE_DEVIATION = 0.6;
+    /** How much the tasks of a step differ. */
+    private static final double UNEVEN = 0.3;
+
+    private static final double STRETCH = 2.0;
+    private static final long TARGET_MILLIS = 1_000;
+
+    private final EmulatedPlatform platform;
+    private final VirtualTime time;
+    private final Random random;
+    private final double peakLoad;
+    private final List<Caller> callers = new ArrayList<>();
+
+    private TurnReplay(long seed, double peakLoad) {
+        this.platform = new EmulatedPlatform(seed, WORKERS);
+        this.time = platform.time();
+        this.random = new Random(seed);
+        this.peakLoad = peakLoad;
+        platform.livingWorkers().forEach(worker -> worker.failuresPerThousand(2));
+    }
+
+    /**
+     * Plays one turn.
+     *
+     * @param seed  the seed
+     * @param peakLoad  what callers ask for at the height of the turn, in shares of what the pool can do
+     * @return what the callers got, not null
+     */
+    public static Result play(long seed, double peakLoad) {
+        return new TurnReplay(seed, peakLoad).play();
+    }
+
+    private Result play() {
+        double jobCoreSeconds = MEAN_STEPS * MEAN_TASKS * MEAN_CORES * MEAN_SECONDS;
+        double jobsPerMilli = CORES / jobCoreSeconds / 1_000;
+        for (long at = 0; at < CALM_MILLIS + TURN_MILLIS; at++) {
+            boolean turn = at >= CALM_MILLIS;
+            double height = Math.sin(Math.PI * (at - CALM_MILLIS) / TURN_MILLIS);
+            if (random.nextDouble() < jobsPerMilli * (turn ? Math.max(0.1, peakLoad * height) : 0.3)) {
+                Caller caller = new Caller(callers.size() + 1);
+                callers.add(caller);
+                time.after(at, caller::begin);
+            }
+        }
+        time.runFor(CALM_MILLIS + TURN_MILLIS + SETTLE_MILLIS);
+        double asked = 0;
+        double inTime = 0;
+        double late = 0;
+        double refused = 0;
+        for (Caller caller : callers) {
+            asked += caller.work;
+            long took = caller.tookMillis();
+            inTime += took <= caller.objectiveMillis ? caller.work : 0;
+            late += took > caller.objectiveMillis && took < Long.MAX_VALUE ? caller.work : 0;
+            refused += caller.refused ? caller.work : 0;
+        }
+        return new Result(
+                withoutWaiting() / asked,
+                inTime / asked,
+                late / asked,
+                refused / asked,
+                String.join("\n", platform.checks().faults()));
+    }
+
+    /**
+     * Returns how much of the work could be done if all of it fitted together without gaps, and nobody waited for longer
+     * than a second.
+     */
+    private double withoutWaiting() {
+        double done = 0;
+        long end = callers.get(callers.size() - 1).begunMillis + SETTLE_MILLIS;
+        PriorityQueue<Caller> open = new PriorityQueue<>(Comparator.comparingLong(Caller::leaveMillis));
+        Iterator<Caller> rest = callers.iterator();
+        Caller next = rest.next();
+        for (long at = next.begunMillis; at < end; at++) {
+            while (next != null && next.begunMillis <= at) {
+                open.add(next);
+                next.open = next.work;
+                next = rest.hasNext() ? rest.next() : null;
+            }
+            double room = CORES * 1_000;
+            while (!open.isEmpty() && room > 0) {
+                Caller first = open.peek();
+                double part = first.leaveMillis() < at ? 0 : Math.min(room, first.open);
+                first.open -= part;
+                room -= part;
+                done += part;
+                if (first.open <= 0 || first.leaveMillis() < at) {
+                    open.remove();
+                }
+            }
+        }
+        return done;
+    }
+
+    private double spread(double mean, double deviation) {
+        return mean * Math.exp(random.nextGaussian() * deviation - deviation * deviation / 2);
+    }
+
+    /**
+     * What the callers got, in shares of the work that they asked for.
+     *
+     * @param withoutWaiting  the share that a perfectly packed pool could do if nobody waited for longer than a second
+     * @param inTime  the share that was completed in time
+     * @param late  the share that was completed late
+     * @param refused  the share that was refused to the last
+     * @param faults  what must not happen and did, a line each, not null
+     */
+    public record Result(double withoutWaiting, double inTime, double late, double refused, String faults) {}
+
+    /**
+     * A caller with one job, who comes back with it when told to.
+     */
+    private final class Caller {
+        private final JobSpec spec;
+        private final long[][] taskMillis;
+        private final long objectiveMillis;
+        private double work;
+        private double open;
+        private long begunMillis;
+        private int tries;
+        private boolean refused;
+
+        Caller(int number) {
+            int steps = 1 + (random.nextDouble() < MEAN_STEPS - 1 ? 1 : 0);
+            taskMillis = new long[steps][];
+            List<StepSpec> specs = new ArrayList<>();
+            long chain = 0;
+            for (int step = 0; step < steps; step++) {
+                int tasks = (int) Math.max(1, Math.min(24, spread(MEAN_TASKS, 0.6)));
+                int cpuMillis = (int) Math.min(5_300, spread(MEAN_CORES * 1_000, 0.45));
+                double meanMillis = Math.min(2_000, spread(MEAN_SECONDS * 1_000, 0.5));
+                taskMillis[step] = new long[tasks];
+                long longest = 0;
+                for (int task = 0; task < tasks; task++) {
+                    taskMillis[step][task] = (long) Math.max(50, spread(meanMillis, UNEVEN));
+                    longest = Math.max(longest, taskMillis[step][task]);
+                    work += taskMillis[step][task] * (double) cpuMillis;
+                }
+                chain += longest;
+                specs.add(StepSpec.builder()
+                        .tasks(tasks, new Demand(cpuMillis, 256, 0))
+                        .estimateMillis((long) Math.max(1, spread(meanMillis, ESTIMATE_DEVIATION)))
+                        .after(step == 0 ? List.of() : List.of(step - 1))
+                        .build());
+            }
+            objectiveMillis = (long) (STRETCH * chain) + TARGET_MILLIS;
+            spec = new JobSpec(String.format("%016x", number), QUEUE, "text", specs, JobSpec.Schedule.ONCE);
+        }
+
+        void begin() {
+            begunMillis = time.now();
+            hand();
+        }
+
+        private void hand() {
+            tries++;
+            SubmitAnswer answer = platform.hand(spec, this::millis);
+            refused = answer.kind() == SubmitAnswer.Kind.REFUSED;
+            if (refused && tries < TRIES) {
+                time.after(answer.retryAfterMillis(), this::hand);
+            }
+        }
+
+        private long millis(TaskId task) {
+            return taskMillis[task.step()][task.index()];
+        }
+
+        long leaveMillis() {
+            return begunMillis + 1_000;
+        }
+
+        long tookMillis() {
+            return platform.completedAt(spec.id()).isPresent()
+                    ? platform.completedAt(spec.id()).getAsLong() - begunMillis
+                    : Long.MAX_VALUE;
+        }
+    }
+}
