--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/Checks.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/Checks.java
@@ -17,10 +17,10 @@
 /**
  * Watches what workers and callers see, and collects what must not happen.
  */
-final class Checks {
+public final class Checks {
     private static final long CANCEL_MILLIS = 3_000;
 
-    private final VirtualTime time;
+    private final EmulatorTime time;
     private final Map<String, JobSpec> jobs = new HashMap<>();
     private final Map<String, Integer> attempts = new HashMap<>();
     private final Set<String> accepted = new HashSet<>();
@@ -34,7 +34,12 @@
     private int starts;
     private boolean lateOrder;
 
-    Checks(VirtualTime time) {
+    /**
+     * Constructs checks that have seen nothing.
+     *
+     * @param time  the time, not null
+     */
+    public Checks(EmulatorTime time) {
         this.time = time;
     }
 
@@ -45,20 +50,41 @@
         lateOrder = late;
     }
 
-    void sent(JobSpec spec, int allowedAttempts) {
+    /**
+     * Takes in that a caller hands a job in.
+     *
+     * @param spec  the job, not null
+     * @param allowedAttempts  how many runs of a task may fail
+     */
+    public void sent(JobSpec spec, int allowedAttempts) {
         jobs.put(spec.id(), spec);
         attempts.put(spec.id(), allowedAttempts);
     }
 
-    void accepted(String job) {
+    /**
+     * Takes in that a caller was told that a job is accepted.
+     *
+     * @param job  the job, not null
+     */
+    public void accepted(String job) {
         accepted.add(job);
     }
 
-    void refused(String job) {
+    /**
+     * Takes in that a caller was told that a job never runs.
+     *
+     * @param job  the job, not null
+     */
+    public void refused(String job) {
         refused.add(job);
     }
 
-    void cancelled(String job) {
+    /**
+     * Takes in that a caller was told that a job is cancelled.
+     *
+     * @param job  the job, not null
+     */
+    public void cancelled(String job) {
         cancelled.putIfAbsent(job, time.now());
     }
 
@@ -123,8 +149,10 @@
 
     /**
      * Takes in that a job is shown as completed.
+     *
+     * @param job  the job, not null
      */
-    void shownCompleted(String job) {
+    public void shownCompleted(String job) {
         JobSpec spec = jobs.get(job);
         for (int step = 0; step < spec.steps().size(); step++) {
             for (int i = 0; i < spec.steps().get(step).count(); i++) {
@@ -136,23 +164,49 @@
         }
     }
 
-    void fault(String text) {
+    /**
+     * Notes something that must not happen.
+     *
+     * @param text  what happened, not null
+     */
+    public void fault(String text) {
         faults.add(time.now() + ": " + text);
     }
 
-    List<String> faults() {
+    /**
+     * Returns what must not happen and did.
+     *
+     * @return a line each, not null
+     */
+    public List<String> faults() {
         return faults;
     }
 
-    Set<String> acceptedJobs() {
+    /**
+     * Returns the jobs of which callers were told that they are accepted.
+     *
+     * @return the jobs, not null
+     */
+    public Set<String> acceptedJobs() {
         return accepted;
     }
 
-    boolean isCancelled(String job) {
+    /**
+     * Returns whether a caller was told that a job is cancelled.
+     *
+     * @param job  the job, not null
+     * @return true if it is cancelled
+     */
+    public boolean isCancelled(String job) {
         return cancelled.containsKey(job);
     }
 
-    int starts() {
+    /**
+     * Returns how many runs began.
+     *
+     * @return the number, not negative
+     */
+    public int starts() {
         return starts;
     }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -110,10 +110,15 @@
 
     void addWorker() {
         String id = "w" + (++lastWorker);
-        workers.put(id, new EmulatedWorker(time, checks, random, id, new Demand(16_000, 32_768, 0)));
+        workers.put(id, new EmulatedWorker(time, checks, random, report(id)));
         owners.forEach(EmulatedOwner::registryChanged);
     }
 
+    private static WorkerReport report(String id) {
+        Demand capacity = new Demand(16_000, 32_768, 0);
+        return new WorkerReport(id, "m-" + id, "pool", id + ":80", "dc", List.of("a", "r1"), capacity, false);
+    }
+
     void crash(EmulatedWorker worker) {
         worker.crash();
         listedUntil.put(worker.report().id(), time.now() + 4_500);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -16,14 +16,14 @@
 /**
  * A worker that starts whatever it is told to, under a lease on its own clock and a fence.
  */
-final class EmulatedWorker {
+public final class EmulatedWorker {
     private static final long STOP_MILLIS = 100;
 
-    private final VirtualTime time;
+    private final EmulatorTime time;
     private final Checks checks;
     private final Random random;
     private final String id;
-    private final Demand capacity;
+    private final WorkerReport report;
     private final double clockRate;
     private final long clockOffset;
     private final Map<String, LiveRun> runs = new HashMap<>();
@@ -37,22 +37,35 @@
     private boolean failing;
     private int failuresPerThousand = 20;
 
-    EmulatedWorker(VirtualTime time, Checks checks, Random random, String id, Demand capacity) {
+    /**
+     * Constructs a worker without runs.
+     *
+     * @param time  the time, not null
+     * @param checks  what watches the runs, not null
+     * @param random  what failures and the clock are drawn from, not null
+     * @param report  what the worker reports about itself, not null
+     */
+    public EmulatedWorker(EmulatorTime time, Checks checks, Random random, WorkerReport report) {
         this.time = time;
         this.checks = checks;
         this.random = random;
-        this.id = id;
-        this.capacity = capacity;
+        this.id = report.id();
+        this.report = report;
         this.clockRate = 0.98 + random.nextDouble() * 0.02;
         this.clockOffset = random.nextInt(1_000_000);
         lookAtLease();
     }
 
     WorkerReport report() {
-        return new WorkerReport(id, "m-" + id, "pool", id + ":80", "dc", List.of("a", "r1"), capacity, false);
+        return report;
     }
 
-    boolean alive() {
+    /**
+     * Returns whether the worker lives.
+     *
+     * @return false after a crash
+     */
+    public boolean alive() {
         return alive;
     }
 
@@ -72,13 +85,21 @@
         failuresPerThousand = value;
     }
 
-    void crash() {
+    /**
+     * Ends the worker and all that runs there.
+     */
+    public void crash() {
         alive = false;
         runs.values().forEach(run -> checks.ended(id, run.task, run.number, "crashed"));
         runs.clear();
     }
 
-    private long clock() {
+    /**
+     * Returns the worker's own clock, which may be slow.
+     *
+     * @return the time in milliseconds
+     */
+    public long clock() {
         return (long) (time.now() * clockRate) + clockOffset;
     }
 
@@ -91,7 +112,15 @@
         }
     }
 
-    CallResult start(WorkerOrder.Start order, long token, StartContext context) {
+    /**
+     * Carries out an order to start.
+     *
+     * @param order  the order, not null
+     * @param token  the sender's fencing token
+     * @param context  what the task takes, not null
+     * @return the outcome, not null
+     */
+    public CallResult start(WorkerOrder.Start order, long token, StartContext context) {
         if (token < fence) {
             return CallResult.FENCED;
         }
@@ -110,7 +139,7 @@
         }
         LiveRun run = new LiveRun(order.task(), order.run(), context.demand(), time.now(), context.workMillis());
         runs.put(name, run);
-        checks.started(id, order, capacity, used());
+        checks.started(id, order, report.capacity(), used());
         if (!context.lasting()) {
             time.after(context.workMillis(), () -> finish(run));
         }
@@ -140,7 +169,14 @@
         checks.ended(id, run.task, run.number, how.name());
     }
 
-    CallResult stop(WorkerOrder.Stop order, long token) {
+    /**
+     * Carries out an order to stop.
+     *
+     * @param order  the order, not null
+     * @param token  the sender's fencing token
+     * @return the outcome, not null
+     */
+    public CallResult stop(WorkerOrder.Stop order, long token) {
         if (token < fence) {
             return CallResult.FENCED;
         }
@@ -153,7 +189,14 @@
         return CallResult.OK;
     }
 
-    CallResult hold(WorkerOrder.Hold order, long token) {
+    /**
+     * Carries out an order to hold what runs.
+     *
+     * @param order  the order, not null
+     * @param token  the sender's fencing token
+     * @return the outcome, not null
+     */
+    public CallResult hold(WorkerOrder.Hold order, long token) {
         if (token < fence) {
             return CallResult.FENCED;
         }
@@ -169,11 +212,22 @@
         return CallResult.OK;
     }
 
-    boolean hasNews(long lastEnd) {
+    /**
+     * Returns whether a run has ended after another.
+     *
+     * @param lastEnd  the number of the other end
+     * @return true if there is a later end
+     */
+    public boolean hasNews(long lastEnd) {
         return ended.stream().anyMatch(end -> end.number() > lastEnd);
     }
 
-    WorkerStatus status() {
+    /**
+     * Returns what runs and what has ended.
+     *
+     * @return the status, not null
+     */
+    public WorkerStatus status() {
         List<WorkerStatus.Running> running = new ArrayList<>();
         runs.values()
                 .forEach(
@@ -191,8 +245,12 @@
 
     /**
      * What the task of an order takes.
+     *
+     * @param demand  the room it takes, not null
+     * @param workMillis  its time in milliseconds
+     * @param lasting  true if it runs until it is stopped
      */
-    record StartContext(Demand demand, long workMillis, boolean lasting) {}
+    public record StartContext(Demand demand, long workMillis, boolean lasting) {}
 
     /**
      * A run under way.
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/VirtualTime.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/VirtualTime.java
@@ -6,14 +6,15 @@
 /**
  * Runs events in the order of their times, without waiting.
  */
-final class VirtualTime {
+final class VirtualTime implements EmulatorTime {
     private static final long WALL_OFFSET_MILLIS = 1_700_000_000_000L;
 
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long nowMillis = 1_000_000;
     private long sequence;
 
-    long now() {
+    @Override
+    public long now() {
         return nowMillis;
     }
 
@@ -21,8 +22,9 @@
         return new Moment(nowMillis, nowMillis + WALL_OFFSET_MILLIS);
     }
 
-    void after(long millis, Runnable action) {
-        events.add(new Event(nowMillis + Math.max(0, millis), sequence++, action));
+    @Override
+    public void after(long millis, Runnable event) {
+        events.add(new Event(nowMillis + Math.max(0, millis), sequence++, event));
     }
 
     void runFor(long millis) {
