Count machines by when they come, replace those that are emptied, follow a growing need

And growth added at most five machines to a need, where a pool of the grown site gains thirty a second.

Change: Admission lets machines on their way count from 1.5 s on, and MovePlanner reports only those that were ordered; machines that are being emptied for upkeep do not count as present; while pools were short in the last two seconds a wave takes no more empty machines than it must to end in time; NeedTrend adds up to 0.4 of a large need. The log of an order says whether it is a move or an upkeep.

Tests that failed first: a replaced machine (3 machines instead of 4), a wave of 20 spare machines (8 down at once instead of 5).

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
@@ -14,8 +14,8 @@
     /** Share of a pool's processor time that placements reach while tasks wait. */
     private static final double USABLE_SHARE = 0.9;
 
-    /** How far a machine counts that is on its way to the pool. */
-    private static final double ARRIVING_SHARE = 0.5;
+    /** Time in milliseconds after which machines that are on their way run tasks, on average. */
+    private static final long ARRIVAL_MILLIS = 1_500;
 
     /** Wait in milliseconds up to which a job is taken that comes too late for its objective. */
     private static final long LATE_WAIT_MILLIS = 1_000;
@@ -57,11 +57,11 @@
         if (job.spec.longRunning() || job.spec.schedule().timed()) {
             return OptionalLong.empty();
         }
-        double capacity = Math.max(1, capacityMillis() * USABLE_SHARE);
+        Room room = room();
         List<Piece> pieces = backlog(now);
         long shortMillis = objectives.latestStartMillis(job, 0) < now.steadyMillis()
-                ? (long) (work(pieces) / capacity) - LATE_WAIT_MILLIS
-                : (long) shortage(withSteps(job, pieces), capacity, now);
+                ? (long) room.millisFor(work(pieces)) - LATE_WAIT_MILLIS
+                : (long) shortage(withSteps(job, pieces), room, now);
         if (shortMillis <= 0) {
             return OptionalLong.empty();
         }
@@ -84,7 +84,7 @@
     /**
      * Returns by how many milliseconds the pool misses the latest start of a new piece of work, or of one after it.
      */
-    private static double shortage(List<Piece> pieces, double capacity, Moment now) {
+    private static double shortage(List<Piece> pieces, Room room, Moment now) {
         pieces.sort(Comparator.comparingLong(Piece::latestStartMillis));
         double before = 0;
         double shortage = 0;
@@ -93,29 +93,30 @@
             before += piece.work;
             affected |= piece.isNew;
             if (affected && piece.latestStartMillis != Long.MAX_VALUE) {
-                shortage = Math.max(shortage, before / capacity - (piece.latestStartMillis - now.steadyMillis()));
+                long leftMillis = piece.latestStartMillis - now.steadyMillis();
+                shortage = Math.max(shortage, room.millisFor(before) - leftMillis);
             }
         }
         return shortage;
     }
 
     /**
-     * Returns the processor share of the pool that ordinary tasks can use, in thousandths of a core.
+     * Returns the processor share of the pool that ordinary tasks can use.
      */
-    private long capacityMillis() {
-        long capacity = 0;
+    private Room room() {
+        long present = 0;
         long largest = 0;
         for (WorkerSlot slot : state.slots.values()) {
             largest = Math.max(largest, slot.report.capacity().cpuMillis());
             if (slot.listed && !slot.gone && !slot.evacuating && !slot.report.draining()) {
-                capacity += slot.report.capacity().cpuMillis();
+                present += slot.report.capacity().cpuMillis();
             }
             for (Run run : slot.runs.values()) {
-                capacity -= run.task.step.spec.longRunning() ? run.reserved().cpuMillis() : 0;
+                present -= run.task.step.spec.longRunning() ? run.reserved().cpuMillis() : 0;
             }
         }
-        capacity += (long) (state.arrivingMachines * largest * ARRIVING_SHARE);
-        return Math.max(0, capacity);
+        double arriving = (double) state.arrivingMachines * largest;
+        return new Room(Math.max(1, present * USABLE_SHARE), arriving * USABLE_SHARE);
     }
 
     /**
@@ -158,4 +159,14 @@
      * Work in thousandths of a core times milliseconds, and when it has to start for its job to be in time.
      */
     private record Piece(long latestStartMillis, double work, boolean isNew) {}
+
+    /**
+     * Processor shares in thousandths of a core: what there is, and what is on its way.
+     */
+    private record Room(double present, double arriving) {
+        double millisFor(double work) {
+            double alone = work / present;
+            return alone <= ARRIVAL_MILLIS ? alone : (work + arriving * ARRIVAL_MILLIS) / (present + arriving);
+        }
+    }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlan.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlan.java
@@ -115,10 +115,16 @@
      */
     public void ordered(String machine, OrderOutcome outcome, Moment now) {
         view.inFlight().remove(machine);
-        actions.decided(Decision.of("machine-ordered").with("machine", machine).with("outcome", outcome.name()));
+        boolean maintained = upkeep.isOrdered(machine);
+        actions.decided(Decision.of("machine-ordered")
+                .with("machine", machine)
+                .with("order", maintained ? "upkeep" : "move")
+                .with("outcome", outcome.name()));
         if (outcome == OrderOutcome.FENCED) {
             actions.fenced(machine);
-        } else if (!upkeep.ordered(machine, outcome, now.steadyMillis())) {
+        } else if (maintained) {
+            upkeep.ordered(machine, outcome, now.steadyMillis());
+        } else {
             moves.ordered(machine, outcome, now.steadyMillis());
         }
     }
@@ -158,7 +164,7 @@
             actions.listMachines();
         }
         if (view.listed()) {
-            List<MachineView> keepFree = new ArrayList<>(upkeep.tick(nowMillis));
+            List<MachineView> keepFree = new ArrayList<>(upkeep.tick(moves.wereShort(nowMillis), nowMillis));
             keepFree.addAll(moves.tick(nowMillis));
             view.keepFree(keepFree, nowMillis);
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MovePlanner.java
@@ -25,6 +25,8 @@
     private static final long LATE_ORDER_MILLIS = 13_000;
 
     private static final long RETRY_MILLIS = 400;
+    /** Time in milliseconds for which a pool that was short is likely to become so again, as its demand still grows. */
+    private static final long SHORT_MILLIS = 2_000;
     /** How fast an earlier peak of a pool's need is forgotten at least, in machines a second; a large one goes faster. */
     private static final double PEAK_DECAY_PER_SECOND = 12.0;
 
@@ -43,6 +45,7 @@
     private final Map<String, NeedTrend> trends = new HashMap<>();
     private final Map<String, Double> peaks = new HashMap<>();
     private long observedMillis;
+    private long shortMillis = Long.MIN_VALUE / 2;
 
     MovePlanner(FleetActions actions, FleetView view, UpkeepPlanner upkeep, OrderPace pace) {
         this.actions = actions;
@@ -96,7 +99,7 @@
     }
 
     /**
-     * Returns how many machines are on their way to a pool.
+     * Returns how many machines are on their way to a pool; those that have still to be emptied are not.
      */
     int arriving(String pool) {
         int count = 0;
@@ -107,8 +110,8 @@
                     ? 1
                     : 0;
         }
-        for (Map.Entry<String, String> entry : leaving.entrySet()) {
-            count += entry.getValue().equals(pool) ? 1 : 0;
+        for (String target : moving.values()) {
+            count += target.equals(pool) ? 1 : 0;
         }
         return count;
     }
@@ -117,6 +120,13 @@
         return !arriving.isEmpty() || !leaving.isEmpty();
     }
 
+    /**
+     * Returns whether a pool had fewer machines than it needs within the last while.
+     */
+    boolean wereShort(long nowMillis) {
+        return nowMillis - shortMillis < SHORT_MILLIS;
+    }
+
     /**
      * Chooses machines to move.
      *
@@ -129,6 +139,9 @@
         observe(nowMillis);
         Map<String, Double> balance = balance(nowMillis);
         Map<String, Double> lasting = lastingBalance(balance);
+        if (balance.values().stream().anyMatch(value -> value < 0)) {
+            shortMillis = nowMillis;
+        }
         leaving.keySet().removeIf(machine -> !stillWanted(machine, balance));
         List<MachineView> keepFree = new ArrayList<>();
         leaving.keySet().forEach(machine -> view.machine(machine).ifPresent(keepFree::add));
@@ -191,7 +204,8 @@
         int present = 0;
         for (MachineView machine : view.machinesOf(pool)) {
             boolean away = leaving.containsKey(machine.name()) || moving.containsKey(machine.name());
-            boolean usable = machine.up() && !upkeep.concerns(machine) || arriving.containsKey(machine.name());
+            boolean stays = !upkeep.concerns(machine) && !upkeep.isEmptying(machine);
+            boolean usable = machine.up() && stays || arriving.containsKey(machine.name());
             present += usable && !away ? 1 : 0;
         }
         for (String target : moving.values()) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/NeedTrend.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/NeedTrend.java
@@ -12,8 +12,10 @@
     private static final double GROWTH_SMOOTHING = 0.25;
     /** How many answers ahead the need is expected: as many as come while a machine moves. */
     private static final double ANSWERS_AHEAD = 10;
-    /** The most machines that growth adds to the need. */
+    /** The most machines that growth adds to a small need. */
     static final double MOST_AHEAD = 5;
+    /** The most that growth adds to a large need, in shares of it. */
+    private static final double MOST_AHEAD_SHARE = 0.4;
 
     private PoolLoad last;
     private double need;
@@ -33,6 +35,7 @@
     }
 
     double expected() {
-        return need + Math.max(0, Math.min(MOST_AHEAD, growth * ANSWERS_AHEAD));
+        double most = Math.max(MOST_AHEAD, need * MOST_AHEAD_SHARE);
+        return need + Math.max(0, Math.min(most, growth * ANSWERS_AHEAD));
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.trefoilpost.decision.job.PoolLoad;
 
@@ -22,6 +24,7 @@
     private final Map<Long, WaveRun> waves = new TreeMap<>();
     private final Map<String, Long> downSince = new HashMap<>();
     private final Map<String, Long> retryAt = new HashMap<>();
+    private final Set<String> emptying = new HashSet<>();
 
     UpkeepPlanner(FleetActions actions, FleetView view, OrderPace pace) {
         this.actions = actions;
@@ -53,8 +56,14 @@
      * Returns whether a wave has something to do with a machine now, so that it is not to be moved.
      */
     boolean concerns(MachineView machine) {
-        return downSince.containsKey(machine.name())
-                || waves.values().stream().anyMatch(wave -> wave.ordered.contains(machine.name()));
+        return downSince.containsKey(machine.name()) || isOrdered(machine.name());
+    }
+
+    /**
+     * Returns whether a machine is being emptied for its upkeep, so that its pool has to do without it soon.
+     */
+    boolean isEmptying(MachineView machine) {
+        return emptying.contains(machine.name());
     }
 
     /**
@@ -82,16 +91,22 @@
     }
 
     /**
-     * Takes in the outcome of an order, and returns whether it was one of this planner's.
+     * Returns whether the upkeep of a machine has been ordered.
+     */
+    boolean isOrdered(String machine) {
+        return waves.values().stream().anyMatch(wave -> wave.ordered.contains(machine));
+    }
+
+    /**
+     * Takes in the outcome of an order for upkeep.
      */
-    boolean ordered(String machine, OrderOutcome outcome, long nowMillis) {
+    void ordered(String machine, OrderOutcome outcome, long nowMillis) {
         for (WaveRun wave : waves.values()) {
             if (wave.ordered.contains(machine)) {
                 conclude(wave, machine, outcome, nowMillis);
-                return true;
+                return;
             }
         }
-        return false;
     }
 
     private void conclude(WaveRun wave, String machine, OrderOutcome outcome, long nowMillis) {
@@ -119,13 +134,16 @@
     /**
      * Chooses machines, gives orders whose intent is stored, and stores what has changed.
      *
+     * @param wanted  true if pools wait for machines, so that no more than necessary are to be away
+     * @param nowMillis  the present time on the steady clock
      * @return the machines that are to be kept free of work
      */
-    List<MachineView> tick(long nowMillis) {
+    List<MachineView> tick(boolean wanted, long nowMillis) {
         List<MachineView> keepFree = new ArrayList<>();
+        emptying.clear();
         for (WaveRun wave : waves.values()) {
             if (wave.open()) {
-                choose(wave, keepFree, nowMillis);
+                choose(wave, wanted, keepFree, nowMillis);
                 order(wave, nowMillis);
                 store(wave);
             }
@@ -133,19 +151,22 @@
         return keepFree;
     }
 
-    private void choose(WaveRun wave, List<MachineView> keepFree, long nowMillis) {
+    private void choose(WaveRun wave, boolean wanted, List<MachineView> keepFree, long nowMillis) {
         int down = down(wave);
-        int atOnce = wave.atOnceNow(nowMillis);
-        int emptying = 0;
-        for (MachineView machine : candidates(wave)) {
+        List<MachineView> candidates = candidates(wave);
+        int empty = wanted ? (int) candidates.stream().filter(view::isEmpty).count() : 0;
+        int atOnce = wave.atOnceNow(empty, nowMillis);
+        int chosen = 0;
+        for (MachineView machine : candidates) {
             if (view.isEmpty(machine) && down < atOnce && !view.inFlight().contains(machine.name())) {
                 down++;
                 wave.ordered.add(machine.name());
                 wave.dirty = true;
                 downSince.put(machine.name(), nowMillis);
                 keepFree.add(machine);
-            } else if (emptying + down < atOnce + AHEAD) {
-                emptying++;
+            } else if (chosen + down < atOnce + AHEAD) {
+                chosen++;
+                emptying.add(machine.name());
                 keepFree.add(machine);
             }
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveRun.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveRun.java
@@ -13,6 +13,8 @@
     private static final String SEPARATOR = ";";
     /** Time in milliseconds that a machine takes to be emptied and maintained, as it is planned for. */
     private static final long MACHINE_MILLIS = 8_000;
+    /** Time in milliseconds that the upkeep of an empty machine takes, as it is planned for. */
+    private static final long EMPTY_MACHINE_MILLIS = 3_000;
     /** Time in milliseconds that a wave is to end before its deadline. */
     private static final long RESERVE_MILLIS = 5_000;
 
@@ -53,11 +55,14 @@
 
     /**
      * Returns how many machines have to be away at the same time for the wave to end in time, at most as many as may be.
+     *
+     * @param empty  how many of the waiting machines are known to be ready at once
+     * @param nowMillis  the present time on the steady clock
      */
-    int atOnceNow(long nowMillis) {
+    int atOnceNow(int empty, long nowMillis) {
         long left = Math.max(1, deadlineMillis - nowMillis - RESERVE_MILLIS);
-        long needed = (waiting().size() * MACHINE_MILLIS + left - 1) / left;
-        return (int) Math.max(1, Math.min(atOnce, needed));
+        long work = (waiting().size() - empty) * MACHINE_MILLIS + empty * EMPTY_MACHINE_MILLIS;
+        return (int) Math.max(1, Math.min(atOnce, (work + left - 1) / left));
     }
 
     String state() {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlanTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlanTest.java
@@ -58,6 +58,35 @@
         assertTrue(fleet.mostDown <= 3, "down at once: " + fleet.mostDown);
     }
 
+    @Test
+    void aMachineThatIsEmptiedForItsUpkeepIsReplaced() {
+        fleet.add("a", 3);
+        fleet.add("spare", 2);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 3.0);
+        fleet.busyWorkers = true;
+        fleet.plan.wave(1, List.of("m0"), 20_000, 1, fleet.now());
+        fleet.runFor(6_000);
+        assertEquals(4, fleet.up("a"), "m0 cannot be emptied while the pool needs all it has");
+    }
+
+    @Test
+    void spareMachinesThatPoolsWaitForAreMaintainedNoFasterThanNecessary() {
+        fleet.add("a", 2);
+        fleet.add("spare", 20);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 8.0);
+        fleet.runFor(300);
+        List<String> spare = new ArrayList<>(fleet.machines.keySet());
+        spare.removeAll(List.of("m0", "m1"));
+        fleet.plan.wave(1, spare, 26_000, 20, fleet.now());
+        fleet.runFor(1_000);
+        // Of 20, six are at work in the pool and take 8 s each, the others 3 s, and there are 21 s.
+        assertTrue(fleet.mostDown <= 5, "down at once: " + fleet.mostDown);
+        fleet.runFor(25_000);
+        assertTrue(fleet.storedWaves.get(1L).endsWith("true"), fleet.storedWaves.toString());
+    }
+
     @Test
     void noOrderIsGivenBeforeItsIntentIsStored() {
         fleet.add("a", 4);
