--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -92,6 +92,7 @@
             QueueRule rule = queues.get(job.spec.queue());
             job.queue = rule != null ? rule : job.queue;
         }
+        admission.changed();
         state.placementDue = true;
     }
 
@@ -155,6 +156,7 @@
             return SubmitAnswer.refused(wait.getAsLong(), "overload");
         }
         offers.taken(spec.id());
+        admission.taken(job);
         job.openDue(now);
         state.touch(job, now.steadyMillis(), true);
         state.add(job);
@@ -181,6 +183,7 @@
         if (!job.phase.ended()) {
             state.end(job, JobPhase.CANCELLED, now);
             results.stopAll(job, "job-cancelled", now);
+            admission.changed();
         }
         return Optional.of(job.phase);
     }
@@ -332,6 +335,7 @@
      */
     public void instruct(PoolInstructions instructions) {
         state.arrivingMachines = instructions.arriving();
+        admission.changed();
         for (WorkerSlot slot : state.slots.values()) {
             boolean wanted = instructions.keptFree().contains(slot.id);
             state.placementDue |= slot.evacuating && !wanted;
