--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
@@ -14,7 +14,7 @@
     /** Time in milliseconds after which what was looked through is too old. */
     private static final long VALID_MILLIS = 20;
     /** Share of a pool's processor time that placements reach while tasks wait. */
-    private static final double USABLE_SHARE = 0.75;
+    private static final double USABLE_SHARE = 0.8;
     /** Time in milliseconds after which machines that are on their way run tasks, on average. */
     private static final long ARRIVAL_MILLIS = 1_500;
     /** The share of its work that a running task has still to do, on average. */
