--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolDays.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolDays.java
@@ -114,6 +114,7 @@
      */
     public static Result failingWhileOwnersChange(long seed) {
         return new PoolDays(seed).play(day -> {
+            day.every(700, day::cancelOne);
             day.every(2_500, day::failOne);
             day.every(2_000, day.platform::newOwner);
         });
