--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
@@ -46,7 +46,7 @@
         if (job.spec.longRunning() || job.spec.schedule().timed()) {
             return OptionalLong.empty();
         }
-        long shortMillis = objectives.latestStartMillis(job, 0) < now.steadyMillis()
+        long shortMillis = objectives.latestStartsMillis(job)[0] < now.steadyMillis()
                 ? (long) backlog.waitMillis(now) - LATE_WAIT_MILLIS
                 : (long) backlog.shortageMillis(job, now);
         if (shortMillis <= 0 || backlog.startsAtOnce(job, now)) {
@@ -56,7 +56,7 @@
     }
 
     /**
-     * Takes in that jobs were cancelled, or that workers came, went or are on their way.
+     * Takes in that a job was cancelled, that the queues changed, or how many machines are on their way.
      */
     void changed() {
         backlog.forget();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceDesk.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceDesk.java
@@ -80,8 +80,7 @@
 
     private void ask(StepState step, long nowMillis) {
         List<WorkerSlot> slots = new ArrayList<>(state.slots.values());
-        slots.removeIf(slot -> !slot.acceptsWork(nowMillis)
-                || !step.spec.requiredLabel().isEmpty() && !slot.report.labels().contains(step.spec.requiredLabel()));
+        slots.removeIf(slot -> !slot.suits(step.spec, nowMillis));
         slots.sort(Comparator.comparingLong((WorkerSlot slot) -> slot.free().cpuMillis())
                 .reversed());
         if (slots.isEmpty()) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
@@ -92,7 +92,7 @@
     private long tasksThatFit(StepSpec step, Moment now) {
         long fit = 0;
         for (WorkerSlot slot : state.slots.values()) {
-            if (slot.acceptsWork(now.steadyMillis()) && step.allows(slot.report.labels())) {
+            if (slot.suits(step, now.steadyMillis())) {
                 fit += step.reservedDemand().timesIn(slot.free());
             }
         }
@@ -139,10 +139,11 @@
     }
 
     private List<Piece> pieces(JobState job) {
+        long[] latest = objectives.latestStartsMillis(job);
         List<Piece> steps = new ArrayList<>();
         for (int i = 0; i < job.spec.steps().size(); i++) {
             StepSpec step = job.spec.steps().get(i);
-            steps.add(new Piece(objectives.latestStartMillis(job, i), step.count() * taskWork(job, step)));
+            steps.add(new Piece(latest[i], step.count() * taskWork(job, step)));
         }
         steps.sort(BY_START);
         return steps;
@@ -161,11 +162,7 @@
         waiting = 0;
         for (JobState job : state.openJobs.values()) {
             for (OccurrenceState occurrence : job.open()) {
-                for (StepState step : occurrence.steps) {
-                    if (!step.ended() && !step.spec.longRunning() && !step.spec.fills()) {
-                        addOpen(job, step, now);
-                    }
-                }
+                addOpen(occurrence, now);
             }
         }
         pieces.sort(BY_START);
@@ -173,24 +170,33 @@
         room = room();
     }
 
+    private void addOpen(OccurrenceState occurrence, Moment now) {
+        long[] latest = objectives.latestStartsMillis(occurrence, now);
+        for (StepState step : occurrence.steps) {
+            if (!step.ended() && !step.spec.longRunning() && !step.spec.fills()) {
+                addOpen(step, latest[step.number], now);
+            }
+        }
+    }
+
     /**
      * Adds what is left of a step: what runs holds its room whether it is in time or not, what waits and is late comes
      * after all that can be in time.
      */
-    private void addOpen(JobState job, StepState step, Moment now) {
+    private void addOpen(StepState step, long latestStartMillis, Moment now) {
         int running = 0;
         int open = 0;
         for (TaskState task : step.tasks) {
             running += !task.done && !task.runs.isEmpty() ? 1 : 0;
             open += !task.done && task.runs.isEmpty() ? 1 : 0;
         }
-        double taskWork = taskWork(job, step.spec);
+        double taskWork = taskWork(step.occurrence.job, step.spec);
         if (running > 0) {
             pieces.add(new Piece(Long.MIN_VALUE, running * taskWork * RUNNING_SHARE));
         }
         if (open > 0) {
-            long latest = objectives.latestStartMillis(step, now);
-            pieces.add(new Piece(latest < now.steadyMillis() ? Long.MAX_VALUE : latest, open * taskWork));
+            boolean late = latestStartMillis < now.steadyMillis();
+            pieces.add(new Piece(late ? Long.MAX_VALUE : latestStartMillis, open * taskWork));
             waiting += step.readyMillis == StepState.NOT_READY ? 0 : open * taskWork;
         }
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Evacuations.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Evacuations.java
@@ -70,12 +70,9 @@
     private boolean roomElsewhere(Run run, WorkerSlot left, long nowMillis) {
         StepState step = run.task.step;
         for (WorkerSlot slot : state.slots.values()) {
-            boolean suits = step.spec.allows(slot.report.labels());
-            boolean below = slot.belowLimit(step);
             if (slot != left
-                    && slot.acceptsWork(nowMillis)
-                    && suits
-                    && below
+                    && slot.suits(step.spec, nowMillis)
+                    && slot.belowLimit(step)
                     && step.spec.reservedDemand().fitsIn(slot.free())) {
                 return true;
             }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobBook.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobBook.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Writes changed jobs to the store, several at a time, and lets workers forget ends only when these are stored.
@@ -86,16 +87,10 @@
     }
 
     private static boolean hasRuns(JobState job) {
-        for (OccurrenceState occurrence : job.open()) {
-            for (StepState step : occurrence.steps) {
-                for (TaskState task : step.tasks) {
-                    if (!task.runs.isEmpty()) {
-                        return true;
-                    }
-                }
-            }
-        }
-        return false;
+        return job.open().stream()
+                .flatMap(occurrence -> Stream.of(occurrence.steps))
+                .flatMap(step -> Stream.of(step.tasks))
+                .anyMatch(task -> !task.runs.isEmpty());
     }
 
     private void send(List<JobState> dirty, List<String> expired, long nowMillis) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.decision.job;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -40,7 +41,7 @@
         if (steps.isEmpty()) {
             return Optional.of("a job needs a step");
         }
-        if (text.getBytes(java.nio.charset.StandardCharsets.UTF_8).length > MAX_TEXT_BYTES) {
+        if (text.getBytes(StandardCharsets.UTF_8).length > MAX_TEXT_BYTES) {
             return Optional.of("the text has more than " + MAX_TEXT_BYTES + " bytes");
         }
         int tasks = 0;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Objectives.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Objectives.java
@@ -16,23 +16,32 @@
      * Returns the latest time at which a step can start for its job to meet its objective.
      */
     long latestStartMillis(StepState step, Moment now) {
-        JobState job = step.occurrence.job;
-        long dueMillis = dueMillis(step.occurrence, now);
-        if (step.spec.longRunning()) {
-            return dueMillis + LASTING_START_MILLIS;
-        }
-        return dueMillis + objectiveMillis(job) - chainMillis(job, step.number);
+        return step.spec.longRunning()
+                ? dueMillis(step.occurrence, now) + LASTING_START_MILLIS
+                : latestStartsMillis(step.occurrence, now)[step.number];
+    }
+
+    /**
+     * Returns the latest times at which the steps of an occurrence that do not last can start.
+     */
+    long[] latestStartsMillis(OccurrenceState occurrence, Moment now) {
+        return latestStartsMillis(occurrence.job, dueMillis(occurrence, now));
     }
 
     /**
-     * Returns the latest time at which a step of a job that was just handed in can start for it to meet its objective.
+     * Returns the latest times at which the steps of a job without a schedule can start.
      */
-    long latestStartMillis(JobState job, int step) {
-        return job.offeredMillis + objectiveMillis(job) - chainMillis(job, step);
+    long[] latestStartsMillis(JobState job) {
+        return latestStartsMillis(job, job.offeredMillis);
     }
 
-    private long objectiveMillis(JobState job) {
-        return (long) (job.queue.stretch() * chainMillis(job, 0)) + job.queue.targetMillis();
+    private long[] latestStartsMillis(JobState job, long dueMillis) {
+        long[] latest = chainsMillis(job);
+        long end = dueMillis + (long) (job.queue.stretch() * latest[0]) + job.queue.targetMillis();
+        for (int i = 0; i < latest.length; i++) {
+            latest[i] = end - latest[i];
+        }
+        return latest;
     }
 
     /**
@@ -54,21 +63,20 @@
     }
 
     /**
-     * Returns the time of the longest chain of steps from a step to the end.
-     *
-     * @param from  the step's number, 0 for the whole job
+     * Returns the times of the longest chains of steps from each step to the end; the first is that of the whole job.
      */
-    long chainMillis(JobState job, int from) {
+    private long[] chainsMillis(JobState job) {
         int steps = job.spec.steps().size();
         long[] rest = new long[steps];
         long longest = 0;
-        for (int i = steps - 1; i >= from; i--) {
+        for (int i = steps - 1; i >= 0; i--) {
             rest[i] += health.expectedMillis(job, job.spec.steps().get(i));
             longest = Math.max(longest, rest[i]);
             for (int earlier : job.spec.steps().get(i).after()) {
                 rest[earlier] = Math.max(rest[earlier], rest[i]);
             }
         }
-        return from == 0 ? longest : rest[from];
+        rest[0] = longest;
+        return rest;
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -160,9 +160,8 @@
         }
         WorkerSlot best = null;
         for (WorkerSlot slot : state.slots.values()) {
-            boolean suits = slot.acceptsWork(now.steadyMillis())
+            boolean suits = slot.suits(step.spec, now.steadyMillis())
                     && !reserved.contains(slot)
-                    && step.spec.allows(slot.report.labels())
                     && slot.belowLimit(step)
                     && need.fitsIn(slot.report.capacity());
             if (suits && (best == null || slot.free().memoryMb() > best.free().memoryMb())) {
@@ -199,10 +198,9 @@
     }
 
     private boolean mayRun(StepState step, Demand need, WorkerSlot slot, Moment now) {
-        return slot.acceptsWork(now.steadyMillis())
+        return slot.suits(step.spec, now.steadyMillis())
                 && slot.clockKnown()
                 && !reserved.contains(slot)
-                && step.spec.allows(slot.report.labels())
                 && need.fitsIn(slot.free())
                 && advice.allows(step, slot, now);
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -254,7 +254,8 @@
         } else if (order instanceof WorkerOrder.Hold) {
             results.holdFailed(slot, result, now);
         } else if (order instanceof WorkerOrder.Pace pace && result != CallResult.OK) {
-            Optional.ofNullable(slot.run(pace.task(), pace.run())).ifPresent(run -> run.pace = WorkerSlot.FULL_PACE);
+            Optional.ofNullable(slot.run(pace.task().text(), pace.run()))
+                    .ifPresent(run -> run.pace = WorkerSlot.FULL_PACE);
         }
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunResults.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunResults.java
@@ -34,7 +34,7 @@
     void started(WorkerSlot slot, TaskId task, int number, CallResult result, Moment now) {
         slot.startsInFlight = Math.max(0, slot.startsInFlight - 1);
         state.placementDue = true;
-        Run run = slot.run(task, number);
+        Run run = slot.run(task.text(), number);
         if (run == null || run.phase != RunPhase.STARTING) {
             return;
         }
@@ -86,7 +86,7 @@
      * Takes in the outcome of a stop.
      */
     void stopped(WorkerSlot slot, String task, int number, CallResult result, Moment now) {
-        Run run = slot.runs.get(task + '#' + number);
+        Run run = slot.run(task, number);
         if (result == CallResult.OTHER_LIFE) {
             lifeEnded(slot, "other-life", now);
         } else if (run != null) {
@@ -143,7 +143,7 @@
     }
 
     private Run listed(WorkerSlot slot, WorkerStatus.Running running, Moment now) {
-        Run run = slot.runs.get(running.task() + '#' + running.run());
+        Run run = slot.run(running.task(), running.run());
         if (run == null) {
             run = adopt(slot, running, now);
         }
@@ -202,7 +202,7 @@
     }
 
     private void ended(WorkerSlot slot, WorkerStatus.Ended ended, Moment now) {
-        Run run = slot.runs.get(ended.task() + '#' + ended.run());
+        Run run = slot.run(ended.task(), ended.run());
         TaskState task = run != null ? run.task : state.task(ended.task());
         if (run != null) {
             health.ended(run, ended.how(), now.steadyMillis());
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TakeOver.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TakeOver.java
@@ -9,7 +9,6 @@
  */
 final class TakeOver {
     private static final long FENCE_WAIT_MILLIS = 900;
-    private static final double SLOWEST_CLOCK = 0.975;
     private static final long LAPSE_MARGIN_MILLIS = 300;
 
     private final PoolState state;
@@ -74,7 +73,7 @@
     }
 
     private long latestForeignLease(Moment now) {
-        long lease = (long) (state.bounds.leaseMillis() / SLOWEST_CLOCK) + LAPSE_MARGIN_MILLIS;
+        long lease = (long) (state.bounds.leaseMillis() / WorkerSlot.SLOWEST_CLOCK) + LAPSE_MARGIN_MILLIS;
         return now.steadyMillis() + PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS + lease;
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerSlot.java
@@ -14,7 +14,7 @@
     private static final long FRESH_ANSWER_MILLIS = 1_300;
 
     /** The share of true time that a worker's clock surely advances, with a margin on the 2 % that clocks may lag. */
-    private static final double SLOWEST_CLOCK = 0.975;
+    static final double SLOWEST_CLOCK = 0.975;
 
     /** Time in milliseconds that a worker may take to end its runs after its lease ran out. */
     private static final long LAPSE_MARGIN_MILLIS = 250;
@@ -95,22 +95,29 @@
     }
 
     void add(Run run) {
-        runs.put(run.task.id.text() + '#' + run.number, run);
+        runs.put(key(run.task.id.text(), run.number), run);
         run.task.runs.add(run);
         used = used.plus(run.reserved());
         runsOfUnknownSize += run.ofUnknownSize ? 1 : 0;
     }
 
     void remove(Run run) {
-        if (runs.remove(run.task.id.text() + '#' + run.number) != null) {
+        if (runs.remove(key(run.task.id.text(), run.number)) != null) {
             run.task.runs.remove(run);
             used = used.minus(run.reserved());
             runsOfUnknownSize -= run.ofUnknownSize ? 1 : 0;
         }
     }
 
-    Run run(TaskId task, int number) {
-        return runs.get(task.text() + '#' + number);
+    /**
+     * Returns a run, null if it is not known here.
+     */
+    Run run(String task, int number) {
+        return runs.get(key(task, number));
+    }
+
+    private static String key(String task, int number) {
+        return task + '#' + number;
     }
 
     boolean reachable(long nowMillis) {
@@ -135,6 +142,13 @@
         return reachable(nowMillis) && listed && !evacuating && !report.draining() && sizesKnown();
     }
 
+    /**
+     * Returns whether the worker takes work, and is of a kind that a step may run on.
+     */
+    boolean suits(StepSpec step, long nowMillis) {
+        return acceptsWork(nowMillis) && step.allows(report.labels());
+    }
+
     private boolean sizesKnown() {
         return runsOfUnknownSize == 0;
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MovePlanner.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.decision.job.fleet;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -110,10 +111,7 @@
                     ? 1
                     : 0;
         }
-        for (String target : moving.values()) {
-            count += target.equals(pool) ? 1 : 0;
-        }
-        return count;
+        return count + Collections.frequency(moving.values(), pool);
     }
 
     boolean active() {
@@ -201,16 +199,13 @@
     }
 
     private double present(String pool) {
-        int present = 0;
+        int present = Collections.frequency(moving.values(), pool);
         for (MachineView machine : view.machinesOf(pool)) {
             boolean away = leaving.containsKey(machine.name()) || moving.containsKey(machine.name());
             boolean stays = !upkeep.concerns(machine) && !upkeep.isEmptying(machine);
             boolean usable = machine.up() && stays || arriving.containsKey(machine.name());
             present += usable && !away ? 1 : 0;
         }
-        for (String target : moving.values()) {
-            present += target.equals(pool) ? 1 : 0;
-        }
         for (Map.Entry<String, String> entry : leaving.entrySet()) {
             boolean counted = moving.containsKey(entry.getKey());
             present += !counted && entry.getValue().equals(pool) ? 1 : 0;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -239,10 +239,6 @@
         return (int) Math.min(99, (time.now() - run.startedMillis) * 100 / run.workMillis);
     }
 
-    int runningCount() {
-        return runs.size();
-    }
-
     /**
      * What the task of an order takes.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.trefoilpost.decision.job.Decision;
 
 /**
@@ -26,7 +25,6 @@
     private final PrometheusMeterRegistry registry;
     private final Map<String, Counter> counters = new ConcurrentHashMap<>();
     private final Map<String, Timer> timers = new ConcurrentHashMap<>();
-    private final Map<String, AtomicLong> gauges = new ConcurrentHashMap<>();
 
     /**
      * Constructs metrics in a registry.
@@ -65,23 +63,6 @@
                 .record(Math.max(0, millis), TimeUnit.MILLISECONDS);
     }
 
-    /**
-     * Sets a figure.
-     *
-     * @param name  the figure's name, not null
-     * @param kind  the value of the {@code kind} tag, not null
-     * @param value  the value
-     */
-    public void set(String name, String kind, long value) {
-        gauges.computeIfAbsent(
-                        name + '/' + kind,
-                        key -> registry.gauge(
-                                name,
-                                java.util.List.of(io.micrometer.core.instrument.Tag.of("kind", kind)),
-                                new AtomicLong()))
-                .set(value);
-    }
-
     /**
      * Returns all metrics as text.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/Ownership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/Ownership.java
@@ -46,10 +46,6 @@
         return self;
     }
 
-    boolean registered() {
-        return registered;
-    }
-
     /**
      * Does what is due.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -54,10 +54,6 @@
         return workers;
     }
 
-    Optional<WorkerReport> worker(String id) {
-        return Optional.ofNullable(reports.get(id));
-    }
-
     @Override
     public void replaced() {
         reports.clear();
