--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlanner.java
@@ -23,6 +23,7 @@
 
     private final FleetActions actions;
     private final FleetView view = new FleetView();
+    private final OrderRateLimiter rateLimiter;
     private final UpkeepPlanner upkeepPlanner;
     private final MachineMovePlanner movePlanner;
     private long listRequestedMillis = Long.MIN_VALUE / 2;
@@ -35,8 +36,8 @@
      * @param callsPerSecond  the maximum rate of orders that the platform accepts, in orders per second
      */
     public FleetPlanner(FleetActions actions, double callsPerSecond) {
-        OrderRateLimiter rateLimiter = new OrderRateLimiter(callsPerSecond);
         this.actions = actions;
+        this.rateLimiter = new OrderRateLimiter(callsPerSecond);
         this.upkeepPlanner = new UpkeepPlanner(actions, view, rateLimiter);
         this.movePlanner = new MachineMovePlanner(actions, view, upkeepPlanner, rateLimiter);
     }
@@ -67,12 +68,13 @@
      *
      * @param number  the number of the wave
      * @param machines  the names of the machines to maintain, not null
-     * @param withinMillis  the time from now in which all of them are to be maintained, in milliseconds
+     * @param deadline  the time before which all of them are to be maintained, as far as this entry knows; an earlier
+     *     one that is stored with the progress of the wave is kept; not null
      * @param atOnce  the maximum number of machines that may be down at the same time; values below 1 count as 1
-     * @param nowMillis  the current time on the steady clock, in milliseconds
+     * @param now  the current time, not null
      */
-    public void addWave(long number, List<String> machines, long withinMillis, int atOnce, long nowMillis) {
-        upkeepPlanner.addWave(number, machines, withinMillis, atOnce, nowMillis);
+    public void addWave(long number, List<String> machines, Moment deadline, int atOnce, Moment now) {
+        upkeepPlanner.addWave(number, machines, deadline, atOnce, now);
     }
 
     /**
@@ -142,7 +144,7 @@
      */
     public void waveStored(long number, String state, long revision, Moment now) {
         upkeepPlanner.waveStored(number, state, revision);
-        tick(now);
+        decide(now);
     }
 
     /**
@@ -154,16 +156,40 @@
         upkeepPlanner.waveStoreFailed(number);
     }
 
+    /**
+     * Handles that an earlier change of this owner, to which the store had not answered, has taken effect, so that the
+     * progress of the wave is stored again on top of it.
+     *
+     * @param number  the number of the wave
+     * @param revision  the revision of the stored progress
+     */
+    public void waveRevisionChanged(long number, long revision) {
+        upkeepPlanner.waveRevisionChanged(number, revision);
+    }
+
+    /**
+     * Returns whether orders may become due soon.
+     *
+     * @return true if a wave or a move is in progress
+     */
+    public boolean isActive() {
+        return upkeepPlanner.isActive() || movePlanner.isActive();
+    }
+
     /**
      * Makes all decisions that are due.
      *
+     * @param ordersAllowed  false if orders must wait, as the ownership is not confirmed
      * @param now  the current time, not null
      */
-    public void tick(Moment now) {
+    public void tick(boolean ordersAllowed, Moment now) {
+        rateLimiter.allow(ordersAllowed);
+        decide(now);
+    }
+
+    private void decide(Moment now) {
         long nowMillis = now.steadyMillis();
-        long intervalMillis = upkeepPlanner.isActive() || movePlanner.isActive()
-                ? ACTIVE_LIST_INTERVAL_MILLIS
-                : IDLE_LIST_INTERVAL_MILLIS;
+        long intervalMillis = isActive() ? ACTIVE_LIST_INTERVAL_MILLIS : IDLE_LIST_INTERVAL_MILLIS;
         if (nowMillis - listRequestedMillis >= intervalMillis) {
             listRequestedMillis = nowMillis;
             actions.listMachines();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
@@ -40,6 +40,10 @@
     private final OrderRateLimiter rateLimiter;
     /** The target pools of the moves that are ordered but not answered, by machine. */
     private final Map<String, String> orderedMoves = new HashMap<>();
+    /** The times until which an unanswered move may still be carried out, by machine. */
+    private final Map<String, Long> unansweredUntilMillis = new HashMap<>();
+    /** The times from which unanswered moves are sent again, by machine. */
+    private final Map<String, Long> retryAtMillis = new HashMap<>();
     /** The times at which the moves of machines that are not yet up were done, by machine. */
     private final Map<String, Long> arrivingSinceMillis = new HashMap<>();
 
@@ -66,34 +70,54 @@
      * Handles the outcome of a move; does nothing if this planner has not ordered one for the machine.
      */
     void orderAnswered(String machine, OrderOutcome outcome, long nowMillis) {
-        String pool = orderedMoves.remove(machine);
+        String pool = orderedMoves.get(machine);
         if (pool == null) {
             return;
         }
+        if (outcome == OrderOutcome.UNKNOWN) {
+            unansweredUntilMillis.put(machine, nowMillis + MAX_ORDER_DELAY_MILLIS);
+        }
         if (outcome == OrderOutcome.DONE) {
-            decidedMoves.remove(machine);
+            forgetOrder(machine);
             view.machine(machine).ifPresent(known -> {
                 view.retire(known, nowMillis);
                 view.updateMachine(new MachineView(machine, pool, false, false, "", known.cpuMillis()));
             });
             arrivingSinceMillis.put(machine, nowMillis);
-        } else if (outcome == OrderOutcome.UNKNOWN) {
-            // The order may be carried out late, so the machine must not be moved to another pool until then.
-            blockedUntilMillis.put(machine, nowMillis + MAX_ORDER_DELAY_MILLIS);
-            orderedMoves.put(machine, pool);
-            retry(machine, pool, nowMillis);
+        } else if (isUnanswered(machine, nowMillis) && outcome != OrderOutcome.REJECTED) {
+            // The order may be carried out late, so it is sent again, and the machine is not moved elsewhere until
+            // then.
+            retryAtMillis.put(machine, nowMillis + RETRY_MILLIS);
         } else {
-            decidedMoves.remove(machine);
+            forgetOrder(machine);
             blockedUntilMillis.put(machine, nowMillis + RETRY_MILLIS);
         }
     }
 
-    private void retry(String machine, String pool, long nowMillis) {
-        if (rateLimiter.tryAcquire(nowMillis)) {
-            view.machinesWithOrderInFlight().add(machine);
-            actions.move(machine, pool);
-        } else {
-            orderedMoves.remove(machine);
+    private boolean isUnanswered(String machine, long nowMillis) {
+        return nowMillis < unansweredUntilMillis.getOrDefault(machine, Long.MIN_VALUE);
+    }
+
+    private void forgetOrder(String machine) {
+        decidedMoves.remove(machine);
+        orderedMoves.remove(machine);
+        unansweredUntilMillis.remove(machine);
+        retryAtMillis.remove(machine);
+    }
+
+    /**
+     * Sends the moves again that were not answered, and forgets those that can no longer be carried out.
+     */
+    private void retryUnanswered(long nowMillis) {
+        for (Map.Entry<String, Long> retry : Map.copyOf(retryAtMillis).entrySet()) {
+            String machine = retry.getKey();
+            if (!isUnanswered(machine, nowMillis)) {
+                forgetOrder(machine);
+            } else if (nowMillis >= retry.getValue() && rateLimiter.tryAcquire(nowMillis)) {
+                retryAtMillis.remove(machine);
+                view.machinesWithOrderInFlight().add(machine);
+                actions.move(machine, orderedMoves.get(machine));
+            }
         }
     }
 
@@ -153,6 +177,7 @@
         decidedMoves.keySet().forEach(machine -> view.machine(machine).ifPresent(evacuating::add));
         coverShortages(balance, peakBalance, evacuating, nowMillis);
         returnSurplus(peakBalance, evacuating, nowMillis);
+        retryUnanswered(nowMillis);
         orderMoves(nowMillis);
         return evacuating;
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/OrderRateLimiter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/OrderRateLimiter.java
@@ -2,7 +2,7 @@
 
 /**
  * Limits the rate of orders for machines to a share of what the platform accepts, as a token bucket that holds one
- * second's orders.
+ * second's orders, and holds back all orders while none are allowed.
  */
 final class OrderRateLimiter {
     /** The share of the accepted rate that orders may use. */
@@ -13,12 +13,20 @@
     private final double ordersPerSecond;
     private double availableOrders;
     private long lastRefillMillis = Long.MIN_VALUE / 2;
+    private boolean allowed = true;
 
     OrderRateLimiter(double acceptedPerSecond) {
         this.ordersPerSecond = Math.max(1, acceptedPerSecond * USED_RATE_SHARE);
         this.availableOrders = this.ordersPerSecond;
     }
 
+    /**
+     * Sets whether orders are allowed at all.
+     */
+    void allow(boolean ordersAllowed) {
+        allowed = ordersAllowed;
+    }
+
     /**
      * Returns whether an order may be sent now, and counts it if so.
      */
@@ -26,7 +34,7 @@
         double refill = (double) (nowMillis - lastRefillMillis) * ordersPerSecond / MILLIS_PER_SECOND;
         availableOrders = Math.min(ordersPerSecond, availableOrders + refill);
         lastRefillMillis = nowMillis;
-        if (availableOrders < 1) {
+        if (!allowed || availableOrders < 1) {
             return false;
         }
         availableOrders--;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.PoolDemand;
 
 /**
@@ -36,15 +37,11 @@
         waves.computeIfAbsent(number, WaveProgress::new).loadState(state, revision);
     }
 
-    void addWave(long number, List<String> machines, long withinMillis, int atOnce, long nowMillis) {
+    void addWave(long number, List<String> machines, Moment deadline, int atOnce, Moment now) {
         WaveProgress wave = waves.computeIfAbsent(number, WaveProgress::new);
         if (!wave.requested) {
-            wave.requested = true;
-            wave.machines = List.copyOf(machines);
-            wave.atOnce = Math.max(1, atOnce);
-            wave.deadlineMillis = nowMillis + withinMillis;
-            wave.dirty = !wave.completedStored;
-            wave.orderedMachines.forEach(machine -> downSinceMillis.put(machine, nowMillis));
+            wave.request(machines, deadline, atOnce, now);
+            wave.orderedMachines.forEach(machine -> downSinceMillis.put(machine, now.steadyMillis()));
         }
     }
 
@@ -128,6 +125,11 @@
         waves.get(number).stateStored(state, revision);
     }
 
+    void waveRevisionChanged(long number, long revision) {
+        waves.get(number).revision = revision;
+        waveStoreFailed(number);
+    }
+
     void waveStoreFailed(long number) {
         WaveProgress wave = waves.get(number);
         wave.storing = false;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveProgress.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveProgress.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import org.trefoilpost.decision.job.Moment;
 
 /**
  * The progress of a wave of upkeep. Orders are stored before they are sent, so that an entry that takes over knows of each
@@ -24,17 +25,34 @@
     final Set<String> storedOrders = new TreeSet<>();
     List<String> machines = List.of();
     int atOnce = 1;
-    long deadlineMillis = Long.MAX_VALUE;
     long revision;
     boolean storing;
     boolean dirty;
     boolean requested;
     boolean completedStored;
+    /** The deadline on the wall clock, which is stored, 0 while it is not known. */
+    private long deadlineWallMillis;
+
+    private long deadlineMillis = Long.MAX_VALUE;
 
     WaveProgress(long number) {
         this.number = number;
     }
 
+    /**
+     * Begins or continues the wave. The stored deadline goes before a later one, as an entry that takes over may have
+     * learned of the wave long after it was requested.
+     */
+    void request(List<String> requestedMachines, Moment deadline, int maxAtOnce, Moment now) {
+        requested = true;
+        machines = List.copyOf(requestedMachines);
+        atOnce = Math.max(1, maxAtOnce);
+        deadlineWallMillis =
+                deadlineWallMillis == 0 ? deadline.wallMillis() : Math.min(deadlineWallMillis, deadline.wallMillis());
+        deadlineMillis = now.steadyMillis() + deadlineWallMillis - now.wallMillis();
+        dirty = !completedStored;
+    }
+
     boolean isCompleted() {
         return requested && doneMachines.containsAll(machines);
     }
@@ -67,13 +85,16 @@
     }
 
     /**
-     * Returns the stored format: the machines that are done, those with an order, and whether the wave is completed.
+     * Returns the stored format: the machines that are done, those with an order, the deadline, and whether the wave is
+     * completed.
      */
     String encodeState() {
         return String.join(",", doneMachines)
                 + SEPARATOR
                 + String.join(",", orderedMachines)
                 + SEPARATOR
+                + deadlineWallMillis
+                + SEPARATOR
                 + isCompleted();
     }
 
@@ -84,7 +105,10 @@
         if (parts.length > 2) {
             addAll(orderedMachines, parts[1]);
             storedOrders.addAll(orderedMachines);
-            completedStored = Boolean.parseBoolean(parts[2]);
+            completedStored = Boolean.parseBoolean(parts[parts.length - 1]);
+        }
+        if (parts.length > 3) {
+            deadlineWallMillis = Long.parseLong(parts[2]);
         }
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
@@ -28,8 +28,10 @@
     OrderOutcome nextOutcome = OrderOutcome.DONE;
     boolean busyWorkers;
     boolean storeDown;
+    boolean ordersAllowed = true;
     int maxDown;
     int moves;
+    long firstStoreRevision = -1;
     private final Map<String, Long> backAtMillis = new HashMap<>();
     private long nowMillis = 100_000;
     private int lastWorker;
@@ -41,6 +43,10 @@
         }
     }
 
+    void addWave(long number, List<String> names, long withinMillis, int atOnce) {
+        planner.addWave(number, names, moment().plus(withinMillis), atOnce, moment());
+    }
+
     private String newWorkerId() {
         return "w" + (++lastWorker);
     }
@@ -74,7 +80,7 @@
             }
             return back;
         });
-        planner.tick(moment());
+        planner.tick(ordersAllowed, moment());
     }
 
     private Moment moment() {
@@ -132,6 +138,7 @@
         if (storeDown) {
             return;
         }
+        firstStoreRevision = firstStoreRevision < 0 ? revision : firstStoreRevision;
         storedWaves.put(wave, state);
         planner.waveStored(wave, state, revision + 1, moment());
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
@@ -41,7 +41,7 @@
         fleet.configure(Set.of("a", "b"));
         fleet.needs.put("b", 6.0);
         fleet.busyWorkers = true;
-        fleet.planner.addWave(1, List.of("m0", "m1"), 20_000, 2, fleet.nowMillis());
+        fleet.addWave(1, List.of("m0", "m1"), 20_000, 2);
         fleet.runFor(10_000);
         assertEquals(List.of(), fleet.orders);
     }
@@ -52,7 +52,7 @@
         fleet.configure(Set.of("a"));
         fleet.needs.put("a", 10.0);
         List<String> wanted = new ArrayList<>(fleet.machines.keySet()).subList(0, 9);
-        fleet.planner.addWave(1, wanted, 26_000, 3, fleet.nowMillis());
+        fleet.addWave(1, wanted, 26_000, 3);
         fleet.runFor(26_000);
         assertTrue(fleet.storedWaves.get(1L).endsWith("true"), fleet.storedWaves.toString());
         assertTrue(fleet.maxDown <= 3, "down at once: " + fleet.maxDown);
@@ -65,7 +65,7 @@
         fleet.configure(Set.of("a"));
         fleet.needs.put("a", 3.0);
         fleet.busyWorkers = true;
-        fleet.planner.addWave(1, List.of("m0"), 20_000, 1, fleet.nowMillis());
+        fleet.addWave(1, List.of("m0"), 20_000, 1);
         fleet.runFor(6_000);
         assertEquals(4, fleet.countUp("a"), "m0 cannot be emptied while the pool needs all it has");
     }
@@ -79,7 +79,7 @@
         fleet.runFor(300);
         List<String> spare = new ArrayList<>(fleet.machines.keySet());
         spare.removeAll(List.of("m0", "m1"));
-        fleet.planner.addWave(1, spare, 26_000, 20, fleet.nowMillis());
+        fleet.addWave(1, spare, 26_000, 20);
         fleet.runFor(1_000);
         // 6 of the 20 machines work in the pool and take 8 s each, the others take 3 s each, and 21 s are left.
         assertTrue(fleet.maxDown <= 5, "down at once: " + fleet.maxDown);
@@ -93,7 +93,7 @@
         fleet.configure(Set.of("a"));
         fleet.needs.put("a", 3.0);
         fleet.storeDown = true;
-        fleet.planner.addWave(1, List.of("m0"), 20_000, 1, fleet.nowMillis());
+        fleet.addWave(1, List.of("m0"), 20_000, 1);
         fleet.runFor(5_000);
         assertEquals(List.of(), fleet.orders);
     }
@@ -104,7 +104,7 @@
         fleet.configure(Set.of("a"));
         fleet.needs.put("a", 3.0);
         fleet.planner.load(1, "m0;m1;false", 7);
-        fleet.planner.addWave(1, List.of("m0", "m1"), 20_000, 1, fleet.nowMillis());
+        fleet.addWave(1, List.of("m0", "m1"), 20_000, 1);
         fleet.runFor(6_000);
         assertEquals(List.of("upkeep m1"), fleet.orders);
         assertTrue(fleet.storedWaves.get(1L).endsWith("true"), fleet.storedWaves.toString());
@@ -141,4 +141,86 @@
         fleet.runFor(400);
         assertTrue(fleet.orders.stream().anyMatch(order -> order.startsWith("fenced")), fleet.orders.toString());
     }
+
+    @Test
+    void noOrderIsSentWhileTheOwnershipIsUnconfirmed() {
+        fleet.add("a", 4);
+        fleet.add("spare", 2);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 6.0);
+        fleet.addWave(1, List.of("m0"), 20_000, 1);
+        fleet.ordersAllowed = false;
+        fleet.runFor(3_000);
+        assertEquals(List.of(), fleet.orders);
+        fleet.ordersAllowed = true;
+        fleet.runFor(3_000);
+        assertTrue(fleet.orders.contains("upkeep m0"), fleet.orders.toString());
+    }
+
+    @Test
+    void unansweredMoveKeepsItsTargetWhileOrdersAreNotAllowed() {
+        fleet.add("a", 2);
+        fleet.add("b", 2);
+        fleet.add("spare", 1);
+        fleet.configure(Set.of("a", "b"));
+        fleet.needs.put("a", 4.0);
+        fleet.nextOutcome = OrderOutcome.UNKNOWN;
+        fleet.step();
+        fleet.runFor(100);
+        assertEquals(List.of("move m4 a"), fleet.orders);
+        fleet.ordersAllowed = false;
+        fleet.nextOutcome = OrderOutcome.DONE;
+        fleet.needs.put("a", 0.0);
+        fleet.needs.put("b", 4.0);
+        fleet.runFor(2_000);
+        fleet.ordersAllowed = true;
+        fleet.runFor(1_000);
+        assertEquals(List.of("move m4 a", "move m4 a"), fleet.orders.subList(0, 2));
+    }
+
+    @Test
+    void refusedRetryOfUnansweredMoveDoesNotForgetIt() {
+        fleet.add("a", 2);
+        fleet.add("b", 2);
+        fleet.add("spare", 1);
+        fleet.configure(Set.of("a", "b"));
+        fleet.needs.put("a", 4.0);
+        fleet.nextOutcome = OrderOutcome.UNKNOWN;
+        fleet.step();
+        fleet.nextOutcome = OrderOutcome.REFUSED;
+        fleet.runFor(2_000);
+        fleet.needs.put("a", 0.0);
+        fleet.needs.put("b", 4.0);
+        fleet.nextOutcome = OrderOutcome.DONE;
+        fleet.runFor(1_000);
+        assertTrue(fleet.orders.stream().noneMatch("move m4 b"::equals), fleet.orders.toString());
+    }
+
+    @Test
+    void waveGoesOnAfterItsOwnUnansweredChange() {
+        fleet.add("a", 4);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 3.0);
+        fleet.storeDown = true;
+        fleet.addWave(1, List.of("m0"), 20_000, 1);
+        fleet.runFor(500);
+        fleet.storeDown = false;
+        fleet.planner.waveRevisionChanged(1, 12);
+        fleet.runFor(500);
+        assertEquals(12, fleet.firstStoreRevision);
+        assertEquals(List.of("upkeep m0"), fleet.orders);
+    }
+
+    @Test
+    void newOwnerKeepsTheStoredDeadlineOfAWave() {
+        fleet.add("a", 12);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 0.0);
+        List<String> machines = new ArrayList<>(fleet.machines.keySet());
+        long deadlineWallMillis = fleet.nowMillis() + 9_000;
+        fleet.planner.load(1, ";;" + deadlineWallMillis + ";false", 7);
+        fleet.addWave(1, machines, 60_000, 12);
+        fleet.runFor(8_000);
+        assertTrue(fleet.storedWaves.get(1L).endsWith("true"), fleet.storedWaves.toString());
+    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/HttpClientFactory.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/HttpClientFactory.java
@@ -14,6 +14,7 @@
 import io.servicetalk.transport.api.HostAndPort;
 import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import org.trefoilpost.model.Endpoint;
 
 /**
@@ -37,14 +38,30 @@
      * @return the client, not null
      */
     public static StreamingHttpClient create(Endpoint endpoint) {
+        return builder(endpoint).buildStreaming();
+    }
+
+    /**
+     * Creates a client for one address that resets its connections when it closes them, which discards bytes that are
+     * not delivered yet.
+     *
+     * @param endpoint  the address to connect to, not null
+     * @return the client, not null
+     */
+    public static StreamingHttpClient createWithResetOnClose(Endpoint endpoint) {
+        return builder(endpoint)
+                .socketOption(StandardSocketOptions.SO_LINGER, 0)
+                .buildStreaming();
+    }
+
+    private static SingleAddressHttpClientBuilder<HostAndPort, InetSocketAddress> builder(Endpoint endpoint) {
         SingleAddressHttpClientBuilder<HostAndPort, InetSocketAddress> builder =
                 HttpClients.forResolvedAddress(endpoint.host(), endpoint.port());
         return builder.executionStrategy(HttpExecutionStrategies.offloadNone())
                 .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .loadBalancerFactory(withoutHealthCheck())
-                .appendClientFilter(withoutRetries())
-                .buildStreaming();
+                .appendClientFilter(withoutRetries());
     }
 
     @SuppressWarnings("deprecation")
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -16,13 +17,14 @@
 import org.trefoilpost.decision.job.fleet.FleetPlanner;
 import org.trefoilpost.decision.job.fleet.MachineView;
 import org.trefoilpost.decision.job.fleet.OrderOutcome;
+import org.trefoilpost.decision.job.fleet.OrderWindow;
 
 /**
  * Runs the fleet plan at the one entry that owns the machines: carries out the upkeep and the moves of machines that it
  * decides, and passes the results to it. Used on the service's thread only. Results of calls that an earlier ownership
  * made are ignored.
  */
-final class FleetRunner implements FleetActions {
+final class FleetRunner implements FleetActions, ClaimHolder {
     /** The name under which the machines are claimed like a pool; no pool has a name that contains {@code @}. */
     static final String MACHINES_CLAIM = "@machines";
 
@@ -32,33 +34,104 @@
     private final JobContext context;
     private final OwnerCalls ownerCalls;
     private final Map<Long, UpkeepWave> waves = new TreeMap<>();
+    /** The deadlines of the waves, counted from the time at which this entry learned of them. */
+    private final Map<Long, Moment> deadlines = new HashMap<>();
+
     private final Set<String> poolsWithCallInFlight = new HashSet<>();
     private JobConfiguration configuration;
     private FleetPlanner plan;
     private long token;
+    /** Counts the ownerships of this entry; a renewed claim continues the same ownership. */
+    private long ownership;
+
+    private boolean lapsed;
     private boolean listInFlight;
+    private boolean confirmationInFlight;
     private boolean stateLoaded;
+    private volatile OrderWindow orderWindow = OrderWindow.UNLIMITED;
 
     FleetRunner(JobContext context, OwnerCalls ownerCalls) {
         this.context = context;
         this.ownerCalls = ownerCalls;
     }
 
-    long token() {
+    @Override
+    public String pool() {
+        return MACHINES_CLAIM;
+    }
+
+    @Override
+    public long token() {
         return token;
     }
 
+    @Override
+    public long counterRevision() {
+        return token;
+    }
+
+    @Override
+    public boolean isLapsed() {
+        return lapsed;
+    }
+
+    @Override
+    public void claimLapsed() {
+        if (plan != null && !lapsed) {
+            lapsed = true;
+            orderWindow = orderWindow.withoutConfirmation();
+            context.logDecision(Decision.failure("claim-lapsed")
+                    .with("pool", MACHINES_CLAIM)
+                    .with("token", token));
+        }
+    }
+
+    @Override
+    public void claimRenewed(long newToken, Moment requested) {
+        context.logDecision(Decision.of("claim-renewed")
+                .with("pool", MACHINES_CLAIM)
+                .with("token", newToken)
+                .with("formerToken", token));
+        lapsed = false;
+        token = newToken;
+        orderWindow = orderWindow.withConfirmation(requested);
+    }
+
+    @Override
+    public boolean isOwnCounter(StorePort.Item counter) {
+        return false;
+    }
+
+    @Override
+    public void claimLost(String reason) {
+        loseOwnership(reason);
+    }
+
     void open(long newToken, JobConfiguration currentConfiguration) {
         token = newToken;
+        ownership++;
+        lapsed = false;
         configuration = currentConfiguration;
         plan = new FleetPlanner(this, context.settings().maxMachineCallsPerSecond());
+        orderWindow =
+                context.settings().machineTokensCompared() ? OrderWindow.UNLIMITED : OrderWindow.ofClaim(context.now());
         stateLoaded = false;
         loadState();
     }
 
     void close() {
         token = 0;
+        ownership++;
+        lapsed = false;
         plan = null;
+        orderWindow = orderWindow.withoutConfirmation();
+    }
+
+    /**
+     * Discards the last confirmation of the ownership, because the process was suspended for an unknown time.
+     */
+    void invalidateOwnerConfirmation() {
+        orderWindow = orderWindow.withoutConfirmation();
     }
 
     void configure(JobConfiguration next) {
@@ -70,6 +143,7 @@
 
     void addWave(UpkeepWave wave) {
         if (waves.put(wave.number(), wave) == null) {
+            deadlines.put(wave.number(), context.now().plus(wave.withinMillis()));
             context.logDecision(Decision.of("wave-requested")
                     .with("wave", wave.number())
                     .with("machines", wave.machines().size())
@@ -84,17 +158,17 @@
      */
     void passWavesToPlan() {
         if (plan != null && stateLoaded) {
-            long nowMillis = context.now().steadyMillis();
+            Moment now = context.now();
             waves.values()
                     .forEach(wave -> plan.addWave(
-                            wave.number(), wave.machines(), wave.withinMillis(), wave.maxConcurrent(), nowMillis));
+                            wave.number(), wave.machines(), deadlines.get(wave.number()), wave.maxConcurrent(), now));
         }
     }
 
     private void loadState() {
-        long callToken = token;
+        long callOwnership = ownership;
         context.onServiceThread(context.store().range(WAVE_KEY_PREFIX, ""), (page, failure) -> {
-            if (token != callToken || plan == null) {
+            if (ownership != callOwnership || plan == null) {
                 return;
             }
             if (failure != null) {
@@ -115,8 +189,41 @@
 
     void tick(Moment now) {
         if (plan != null && stateLoaded) {
-            plan.tick(now);
+            plan.tick(!lapsed && orderWindow.includes(now), now);
+            if (plan.isActive() && orderWindow.isConfirmationDue(now)) {
+                confirmOwner(now);
+            }
+        }
+    }
+
+    /**
+     * Reads the claim in the store; orders are allowed for a short time after a read that shows it unchanged.
+     */
+    private void confirmOwner(Moment requested) {
+        if (confirmationInFlight) {
+            return;
         }
+        confirmationInFlight = true;
+        long callOwnership = ownership;
+        context.onServiceThread(context.store().read(LiveEntries.ownerKey(MACHINES_CLAIM)), (item, failure) -> {
+            confirmationInFlight = false;
+            if (ownership != callOwnership || plan == null || failure != null) {
+                return;
+            }
+            if (item.isEmpty()) {
+                claimLapsed();
+            } else if (item.get().revision() == token) {
+                orderWindow = orderWindow.withConfirmation(requested);
+            } else if (!lapsed) {
+                loseOwnership("store");
+            }
+        });
+    }
+
+    private void loseOwnership(String reason) {
+        context.logDecision(
+                Decision.failure("machines-lost").with("token", token).with("reason", reason));
+        close();
     }
 
     @Override
@@ -125,11 +232,11 @@
             return;
         }
         listInFlight = true;
-        long callToken = token;
+        long callOwnership = ownership;
         long requestedMillis = context.now().steadyMillis();
         context.onServiceThread(context.ports().machines().list(), (machines, failure) -> {
             listInFlight = false;
-            if (token == callToken && plan != null) {
+            if (ownership == callOwnership && plan != null) {
                 if (failure == null) {
                     List<MachineView> views = new ArrayList<>();
                     machines.forEach(machine -> views.add(toMachineView(machine)));
@@ -156,10 +263,10 @@
         if (!poolsWithCallInFlight.add(pool)) {
             return;
         }
-        long callToken = token;
+        long callOwnership = ownership;
         context.onServiceThread(ownerCalls.instruct(pool, instructions), (demand, failure) -> {
             poolsWithCallInFlight.remove(pool);
-            if (token == callToken && plan != null && failure == null) {
+            if (ownership == callOwnership && plan != null && failure == null) {
                 plan.load(pool, instructions.evacuating(), demand, context.now());
             }
         });
@@ -167,26 +274,23 @@
 
     @Override
     public void beginUpkeep(String machine, long wave) {
-        reportOutcome(
-                machine,
-                context.ports()
-                        .machines()
-                        .beginUpkeep(machine, wave, context.settings().name(), token));
+        reportOutcome(machine, context.ports().machines().beginUpkeep(machine, wave, orderAuthority()));
     }
 
     @Override
     public void move(String machine, String pool) {
-        reportOutcome(
-                machine,
-                context.ports()
-                        .machines()
-                        .move(machine, pool, context.settings().name(), token));
+        reportOutcome(machine, context.ports().machines().move(machine, pool, orderAuthority()));
+    }
+
+    private MachinePort.Authority orderAuthority() {
+        OrderWindow window = orderWindow;
+        return new MachinePort.Authority(context.settings().name(), token, () -> window.includes(context.now()));
     }
 
     private void reportOutcome(String machine, CompletableFuture<MachinePort.Outcome> call) {
-        long callToken = token;
+        long callOwnership = ownership;
         context.onServiceThread(call, (outcome, failure) -> {
-            if (token == callToken && plan != null) {
+            if (ownership == callOwnership && plan != null) {
                 plan.orderAnswered(
                         machine, failure == null ? toOrderOutcome(outcome) : OrderOutcome.UNKNOWN, context.now());
             }
@@ -213,10 +317,10 @@
         List<StorePort.Put> puts = List.of(
                 new StorePort.Put(WAVE_KEY_PREFIX + wave, state.getBytes(StandardCharsets.UTF_8), 0),
                 new StorePort.Put(formats.waveStatusKey(wave), formats.waveStatus(wave, completed), 0));
-        long callToken = token;
+        long callOwnership = ownership;
         context.onServiceThread(
                 context.store().commit(new StorePort.Change(expected, puts, List.of())), (storedRevision, failure) -> {
-                    if (token != callToken || plan == null) {
+                    if (ownership != callOwnership || plan == null) {
                         return;
                     }
                     if (failure == null) {
@@ -232,30 +336,50 @@
                 .with("wave", wave)
                 .with("failure", String.valueOf(failure.getMessage())));
         if (failure instanceof StoreFailure storeFailure && storeFailure.kind() == StoreFailure.Kind.CONFLICT) {
-            for (StorePort.Item item : storeFailure.currentItems()) {
-                boolean alreadyStored = item.key().equals(WAVE_KEY_PREFIX + wave)
-                        && new String(item.value(), StandardCharsets.UTF_8).equals(state);
-                if (alreadyStored) {
-                    plan.waveStored(wave, state, item.revision(), context.now());
-                    return;
-                }
-            }
-            close();
+            handleConflict(wave, state, storeFailure);
             return;
         }
-        long callToken = token;
+        retryStoring(wave);
+    }
+
+    private void retryStoring(long wave) {
+        long callOwnership = ownership;
         context.schedule(RETRY_DELAY_MILLIS, () -> {
-            if (token == callToken && plan != null) {
+            if (ownership == callOwnership && plan != null) {
                 plan.waveStoreFailed(wave);
             }
         });
     }
 
+    /**
+     * Handles a conflict. While the claim stands, only this owner changes the progress of waves, so a new revision is that
+     * of an earlier change whose answer was lost.
+     */
+    private void handleConflict(long wave, String state, StoreFailure failure) {
+        Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(MACHINES_CLAIM));
+        Optional<StorePort.Item> progress = failure.currentItem(WAVE_KEY_PREFIX + wave);
+        boolean alreadyStored = progress.map(item -> new String(item.value(), StandardCharsets.UTF_8).equals(state))
+                .orElse(false);
+        if (alreadyStored) {
+            plan.waveStored(wave, state, progress.get().revision(), context.now());
+        } else if (owner.isEmpty()) {
+            claimLapsed();
+            retryStoring(wave);
+        } else if (owner.get().revision() == token) {
+            plan.waveRevisionChanged(
+                    wave, progress.map(StorePort.Item::revision).orElse(0L));
+        } else {
+            loseOwnership("conflict");
+        }
+    }
+
     @Override
     public void ownershipLost(String machine) {
-        context.logDecision(
-                Decision.failure("machines-lost").with("machine", machine).with("token", token));
-        context.execute(this::close);
+        context.execute(() -> {
+            if (plan != null) {
+                loseOwnership("machine " + machine);
+            }
+        });
     }
 
     @Override
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -156,10 +156,22 @@
         connections.tick(liveEntries, context.settings().name(), now.steadyMillis());
         new ArrayList<>(runners.values()).forEach(PoolRunner::tick);
         fleetRunner.tick(now);
+        renewLapsedClaims(now);
         router.setReady(!leaving && configuration != null && liveMirror.isLoaded());
         context.schedule(runners.isEmpty() ? IDLE_TICK_MILLIS : OWNER_TICK_MILLIS, this::tick);
     }
 
+    private void renewLapsedClaims(Moment now) {
+        for (PoolRunner runner : new ArrayList<>(runners.values())) {
+            if (runner.isLapsed()) {
+                ownership.renewClaim(runner, now);
+            }
+        }
+        if (fleetRunner.isLapsed()) {
+            ownership.renewClaim(fleetRunner, now);
+        }
+    }
+
     private void checkForProcessPause(Moment now) {
         long wallAdvanceMillis = now.wallMillis() - lastMoment.wallMillis();
         long steadyAdvanceMillis = now.steadyMillis() - lastMoment.steadyMillis();
@@ -168,6 +180,7 @@
                     .with("wallAdvanceMillis", wallAdvanceMillis)
                     .with("steadyAdvanceMillis", steadyAdvanceMillis));
             runners.values().forEach(PoolRunner::invalidateOwnerConfirmation);
+            fleetRunner.invalidateOwnerConfirmation();
         }
         lastMoment = now;
     }
@@ -195,7 +208,8 @@
 
     private void takeOwnership(String pool, long token) {
         PoolRunner current = runners.get(pool);
-        boolean alreadyOwned = current != null && current.token() >= token || fleetRunner.token() == token;
+        boolean alreadyOwned = current != null && (current.token() >= token || current.isLapsed())
+                || pool.equals(FleetRunner.MACHINES_CLAIM) && (fleetRunner.token() >= token || fleetRunner.isLapsed());
         if (leaving || alreadyOwned) {
             return;
         }
@@ -296,23 +310,23 @@
                     takeOwnership(pool, owner.token());
                 }
             });
-            for (PoolRunner runner : new ArrayList<>(runners.values())) {
-                long token = liveEntries
-                        .owner(runner.pool())
-                        .map(LiveEntries.Owner::token)
-                        .orElse(0L);
-                if (token != runner.token() && liveMirror.revision() >= runner.token()) {
-                    dropOwnership(runner.pool());
-                }
+            new ArrayList<>(runners.values()).forEach(this::checkClaim);
+            if (fleetRunner.token() != 0) {
+                checkClaim(fleetRunner);
+            }
+        }
+
+        private void checkClaim(ClaimHolder holder) {
+            if (liveMirror.revision() < holder.token()) {
+                return;
             }
-            long fleetToken = liveEntries
-                    .owner(FleetRunner.MACHINES_CLAIM)
-                    .map(LiveEntries.Owner::token)
-                    .orElse(0L);
-            if (fleetRunner.token() != 0
-                    && fleetToken != fleetRunner.token()
-                    && liveMirror.revision() >= fleetRunner.token()) {
-                fleetRunner.close();
+            Optional<LiveEntries.Owner> owner = liveEntries.owner(holder.pool());
+            if (owner.isEmpty()) {
+                holder.claimLapsed();
+                ownership.checkLease();
+            } else if (owner.get().token() != holder.token()
+                    && !owner.get().peer().equals(ownership.self())) {
+                holder.claimLost("claimed-by-another");
             }
         }
     }
@@ -327,9 +341,14 @@
         }
 
         @Override
-        public void allClaimsLost() {
-            new ArrayList<>(runners.keySet()).forEach(JobService.this::dropOwnership);
-            fleetRunner.close();
+        public void allClaimsLapsed() {
+            new ArrayList<>(runners.values()).forEach(PoolRunner::claimLapsed);
+            fleetRunner.claimLapsed();
+        }
+
+        @Override
+        public void leaseObtained() {
+            renewLapsedClaims(context.now());
         }
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobServiceSettings.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobServiceSettings.java
@@ -9,7 +9,13 @@
  * @param peerAddress  the address at which other entries reach this entry, as {@code host:port}, not null
  * @param timeouts  the timeouts of the pools' schedulers, not null
  * @param maxMachineCallsPerSecond  the maximum rate of calls to the machine service, for all entries together
+ * @param machineTokensCompared  true if the machine service rejects orders with a lower fencing token than an earlier one
  * @param cpuMillis  the entry's processor share in thousandths of a core
  */
 public record JobServiceSettings(
-        String name, String peerAddress, PoolTimeouts timeouts, double maxMachineCallsPerSecond, long cpuMillis) {}
+        String name,
+        String peerAddress,
+        PoolTimeouts timeouts,
+        double maxMachineCallsPerSecond,
+        boolean machineTokensCompared,
+        long cpuMillis) {}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/MachinePort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/MachinePort.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /**
  * The platform's service that manages the machines on which workers run.
@@ -20,22 +21,29 @@
      *
      * @param machine  the name of the machine, not null
      * @param pool  the name of the destination pool, not null
-     * @param holder  the name of the entry that orders the move, not null
-     * @param fencingToken  the holder's fencing token
+     * @param authority  the authority of the entry that orders the move, not null
      * @return the outcome, not null
      */
-    CompletableFuture<Outcome> move(String machine, String pool, String holder, long fencingToken);
+    CompletableFuture<Outcome> move(String machine, String pool, Authority authority);
 
     /**
      * Begins the upkeep of a machine. Everything that runs on it is ended.
      *
      * @param machine  the name of the machine, not null
      * @param wave  the number of the wave that requests the upkeep
-     * @param holder  the name of the entry that orders the upkeep, not null
-     * @param fencingToken  the holder's fencing token
+     * @param authority  the authority of the entry that orders the upkeep, not null
      * @return the outcome, not null
      */
-    CompletableFuture<Outcome> beginUpkeep(String machine, long wave, String holder, long fencingToken);
+    CompletableFuture<Outcome> beginUpkeep(String machine, long wave, Authority authority);
+
+    /**
+     * The authority with which an entry sends an order.
+     *
+     * @param holder  the name of the entry, not null
+     * @param fencingToken  the fencing token of the entry's claim
+     * @param valid  tells whether the order may still be sent; asked on any thread when a connection is ready, not null
+     */
+    record Authority(String holder, long fencingToken, BooleanSupplier valid) {}
 
     /**
      * A machine.
@@ -74,7 +82,7 @@
         BUSY,
         /** The order is not valid for the machine. */
         REJECTED,
-        /** The service refused the call; the order was not carried out. */
+        /** The service refused the call, or the authority was no longer valid; the order was not carried out. */
         REFUSED,
         /** The service did not answer; the order may have been carried out. */
         UNKNOWN
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
@@ -1,11 +1,14 @@
 package org.trefoilpost.entry.job;
 
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.Moment;
 
 /**
  * Registers this entry in the store and claims pools without an owner. All its keys are bound to one lease, which it
@@ -18,14 +21,21 @@
     /** Delay of an entry's claim for each entry that ranks before it, so that the best candidate claims first. */
     private static final long RANK_DELAY_MILLIS = 250;
 
+    /** Time in which the former owner of a pool may renew its claim before any other entry claims the pool. */
+    private static final long FORMER_OWNER_DELAY_MILLIS = 150;
+
     /** Delay between the registration of this entry and its first claim. */
     private static final long FIRST_CLAIM_DELAY_MILLIS = 500;
 
+    private static final String CLAIM_MARKER = "claim:";
+
     private final JobContext context;
     private final LiveEntries liveEntries;
     private final Listener listener;
     private final LiveEntries.Peer self;
     private final Set<String> claimsInFlight = new HashSet<>();
+    private final Map<String, Long> nextRenewalMillis = new HashMap<>();
+    private long lastRenewalNumber;
     private long lease;
     private boolean leaseCallInFlight;
     private boolean registered;
@@ -91,6 +101,7 @@
                 lease = granted;
                 nextLeaseCallMillis = nowMillis + RENEWAL_INTERVAL_MILLIS;
                 register();
+                listener.leaseObtained();
             }
         });
     }
@@ -134,7 +145,7 @@
         lease = 0;
         registered = false;
         nextLeaseCallMillis = 0;
-        listener.allClaimsLost();
+        listener.allClaimsLapsed();
     }
 
     private void claimIfDue(String pool, Map<String, List<String>> ranking, long nowMillis) {
@@ -144,7 +155,8 @@
         }
         long sinceMillis = liveEntries.ownerlessSinceMillis(pool, nowMillis);
         int rank = ranking.getOrDefault(pool, List.of()).indexOf(self.name());
-        if (rank >= 0 && nowMillis - sinceMillis >= rank * RANK_DELAY_MILLIS) {
+        long delayMillis = FORMER_OWNER_DELAY_MILLIS + rank * RANK_DELAY_MILLIS;
+        if (rank >= 0 && nowMillis - sinceMillis >= delayMillis) {
             claim(pool);
         }
     }
@@ -153,25 +165,107 @@
         claimsInFlight.add(pool);
         long callLease = lease;
         String key = LiveEntries.ownerKey(pool);
-        StorePort.Put put = new StorePort.Put(key, LiveEntries.encode(self), callLease);
+        StorePort.Change change =
+                new StorePort.Change(Map.of(key, 0L), claimPuts(pool, CLAIM_MARKER + self.incarnation()), List.of());
+        context.onServiceThread(context.store().commit(change), (revision, failure) -> {
+            claimsInFlight.remove(pool);
+            if (failure == null && lease == callLease) {
+                listener.poolClaimed(pool, revision);
+            } else if (failure instanceof StoreFailure storeFailure
+                    && storeFailure.kind() == StoreFailure.Kind.LEASE_ENDED
+                    && lease == callLease) {
+                handleLeaseEnd();
+            } else if (failure != null) {
+                context.logDecision(Decision.of("claim-failed")
+                        .with("pool", pool)
+                        .with("failure", String.valueOf(failure.getMessage())));
+            }
+        });
+    }
+
+    private List<StorePort.Put> claimPuts(String pool, String marker) {
+        return List.of(
+                new StorePort.Put(LiveEntries.ownerKey(pool), LiveEntries.encode(self), lease),
+                new StorePort.Put(PoolStore.counterKey(pool), marker.getBytes(StandardCharsets.UTF_8), 0));
+    }
+
+    /**
+     * Checks at the next opportunity whether the lease has ended, because a claim has vanished.
+     */
+    void checkLease() {
+        nextLeaseCallMillis = Math.min(nextLeaseCallMillis, context.now().steadyMillis());
+    }
+
+    /**
+     * Renews a claim that has lapsed, if no entry has claimed the pool since. Every claim writes the counter key, so an
+     * unchanged counter key proves that.
+     */
+    void renewClaim(ClaimHolder holder, Moment now) {
+        String pool = holder.pool();
+        boolean due = now.steadyMillis() >= nextRenewalMillis.getOrDefault(pool, Long.MIN_VALUE);
+        if (lease == 0 || leaving || !due || !claimsInFlight.add(pool)) {
+            return;
+        }
+        nextRenewalMillis.put(pool, now.steadyMillis() + RETRY_DELAY_MILLIS);
+        long callLease = lease;
+        lastRenewalNumber++;
+        Map<String, Long> expected =
+                Map.of(LiveEntries.ownerKey(pool), 0L, PoolStore.counterKey(pool), holder.counterRevision());
+        List<StorePort.Put> puts = claimPuts(pool, renewalMarkerPrefix(pool) + lastRenewalNumber);
         context.onServiceThread(
-                context.store().commit(new StorePort.Change(Map.of(key, 0L), List.of(put), List.of())),
-                (revision, failure) -> {
+                context.store().commit(new StorePort.Change(expected, puts, List.of())), (revision, failure) -> {
                     claimsInFlight.remove(pool);
-                    if (failure == null && lease == callLease) {
-                        listener.poolClaimed(pool, revision);
-                    } else if (failure instanceof StoreFailure storeFailure
-                            && storeFailure.kind() == StoreFailure.Kind.LEASE_ENDED
-                            && lease == callLease) {
-                        handleLeaseEnd();
-                    } else if (failure != null) {
-                        context.logDecision(Decision.of("claim-failed")
-                                .with("pool", pool)
-                                .with("failure", String.valueOf(failure.getMessage())));
+                    if (!holder.isLapsed()) {
+                        return;
+                    }
+                    if (failure == null) {
+                        renewalAnswered(holder, revision, callLease, now);
+                    } else if (failure instanceof StoreFailure storeFailure) {
+                        renewalFailed(holder, storeFailure, callLease, now);
                     }
                 });
     }
 
+    private String renewalMarkerPrefix(String pool) {
+        return "renewal:" + self.incarnation() + ':' + pool + ':';
+    }
+
+    private void renewalAnswered(ClaimHolder holder, long revision, long callLease, Moment requested) {
+        // A claim under a lease that has ended meanwhile vanishes with it; the counter key has changed to its revision.
+        holder.claimRenewed(revision, requested);
+        if (lease != callLease) {
+            holder.claimLapsed();
+        }
+    }
+
+    private void renewalFailed(ClaimHolder holder, StoreFailure failure, long callLease, Moment requested) {
+        if (failure.kind() == StoreFailure.Kind.LEASE_ENDED && lease == callLease) {
+            handleLeaseEnd();
+        } else if (failure.kind() == StoreFailure.Kind.CONFLICT) {
+            resolveRenewalConflict(holder, failure, requested);
+        }
+    }
+
+    /**
+     * Handles a conflict: an earlier attempt without an answer has taken effect if the counter key has its marker, and
+     * the holder's own last commit may have changed the counter key. Otherwise another entry has claimed the pool.
+     */
+    private void resolveRenewalConflict(ClaimHolder holder, StoreFailure failure, Moment requested) {
+        Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(holder.pool()));
+        Optional<StorePort.Item> counter = failure.currentItem(PoolStore.counterKey(holder.pool()));
+        boolean renewedEarlier = counter.isPresent()
+                && new String(counter.get().value(), StandardCharsets.UTF_8)
+                        .startsWith(renewalMarkerPrefix(holder.pool()));
+        if (renewedEarlier) {
+            holder.claimRenewed(counter.get().revision(), requested);
+            if (owner.map(StorePort.Item::revision).orElse(0L) != counter.get().revision()) {
+                holder.claimLapsed();
+            }
+        } else if (owner.isPresent() || counter.isEmpty() || !holder.isOwnCounter(counter.get())) {
+            holder.claimLost("claimed-by-another");
+        }
+    }
+
     /**
      * Receives the outcomes of claims.
      */
@@ -186,6 +280,11 @@
         /**
          * Handles that the lease has ended, and with it all claims.
          */
-        void allClaimsLost();
+        void allClaimsLapsed();
+
+        /**
+         * Handles that a lease was obtained, under which claims that have lapsed can be renewed.
+         */
+        void leaseObtained();
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.job.AdviceRequest;
 import org.trefoilpost.decision.job.Commit;
@@ -29,7 +27,7 @@
  * Runs the scheduler of a pool that this entry owns: carries out its decisions and passes the results to it. Used on
  * the service's thread only.
  */
-final class PoolRunner implements PoolActions {
+final class PoolRunner implements PoolActions, ClaimHolder {
     /** A store that has not answered a commit for longer is treated as unreachable. */
     private static final long MAX_PENDING_COMMIT_MILLIS = 800;
 
@@ -38,23 +36,21 @@
     /** Delay after a result, so that further results are handled in the same tick. */
     private static final long RESULT_BATCH_MILLIS = 5;
 
-    private static final long MACHINE_LIST_INTERVAL_MILLIS = 700;
-
     /** Time after the registry is reached again in which live workers have registered again. */
     private static final long REGISTRY_SETTLE_MILLIS = 2_300;
 
     private final String pool;
-    private final long token;
     private final JobContext context;
     private final Runnable onOwnershipLost;
     private final PoolScheduler scheduler;
     private final PoolStore store;
+    private final SilentWorkerCheck silentWorkerCheck;
     private final Map<String, List<CompletableFuture<JobReply>>> repliesAwaitingStore = new HashMap<>();
+    private long token;
+    private boolean lapsed;
     private long ownerConfirmedMillis;
     private long lastOwnerCheckMillis;
     private boolean ownerCheckInFlight;
-    private boolean machineListInFlight;
-    private long lastMachineListMillis;
     private boolean tickScheduled;
     private boolean open;
     private boolean closed;
@@ -67,18 +63,67 @@
         this.onOwnershipLost = onOwnershipLost;
         this.scheduler = new PoolScheduler(pool, context.settings().timeouts(), this);
         this.store = new PoolStore(pool, token, context);
+        this.silentWorkerCheck = new SilentWorkerCheck(context, this::workerEnded);
         this.ownerConfirmedMillis = context.now().steadyMillis();
         this.lastOwnerCheckMillis = ownerConfirmedMillis;
     }
 
-    String pool() {
+    @Override
+    public String pool() {
         return pool;
     }
 
-    long token() {
+    @Override
+    public long token() {
         return token;
     }
 
+    @Override
+    public long counterRevision() {
+        return store.counterRevision();
+    }
+
+    @Override
+    public boolean isLapsed() {
+        return lapsed;
+    }
+
+    @Override
+    public void claimLapsed() {
+        if (!isOpen()) {
+            loseOwnership("lapsed-while-loading");
+        } else if (!lapsed) {
+            lapsed = true;
+            context.logDecision(Decision.failure("claim-lapsed")
+                    .with("pool", pool)
+                    .with("token", token)
+                    .with("confirmedAge", context.now().steadyMillis() - ownerConfirmedMillis));
+        }
+    }
+
+    @Override
+    public void claimRenewed(long newToken, Moment requested) {
+        context.logDecision(Decision.of("claim-renewed")
+                .with("pool", pool)
+                .with("token", newToken)
+                .with("formerToken", token));
+        lapsed = false;
+        token = newToken;
+        ownerConfirmedMillis = Math.max(ownerConfirmedMillis, requested.steadyMillis());
+        store.claimRenewed(newToken);
+        tick();
+    }
+
+    @Override
+    public boolean isOwnCounter(StorePort.Item counter) {
+        return store.isOwnCounter(counter);
+    }
+
+    @Override
+    public void claimLost(String reason) {
+        loseOwnership(reason);
+    }
+
     boolean isOpen() {
         return open && !closed;
     }
@@ -103,8 +148,7 @@
                         tick();
                     }
                 },
-                () -> closed,
-                this::loseOwnership);
+                () -> closed);
     }
 
     void configure(Map<String, QueueConfig> queues) {
@@ -147,33 +191,11 @@
         Moment now = context.now();
         boolean ordersAllowed = now.steadyMillis() - ownerConfirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
         scheduler.tick(ordersAllowed, now);
-        checkOwner(now.steadyMillis());
-        checkSilentWorkers(now.steadyMillis());
-    }
-
-    /**
-     * Lists the machines to find out which silent workers have ended: those that run on no machine.
-     */
-    private void checkSilentWorkers(long nowMillis) {
-        if (machineListInFlight || nowMillis - lastMachineListMillis < MACHINE_LIST_INTERVAL_MILLIS) {
-            return;
+        if (store.awaitsClaim()) {
+            claimLapsed();
         }
-        Set<String> silentWorkers = scheduler.silentWorkers();
-        if (silentWorkers.isEmpty()) {
-            return;
-        }
-        machineListInFlight = true;
-        lastMachineListMillis = nowMillis;
-        context.onServiceThread(context.ports().machines().list(), (machines, failure) -> {
-            machineListInFlight = false;
-            if (failure == null && !closed) {
-                Set<String> workersOnMachines = new HashSet<>();
-                machines.forEach(machine -> workersOnMachines.add(machine.worker()));
-                silentWorkers.stream()
-                        .filter(worker -> !workersOnMachines.contains(worker))
-                        .forEach(worker -> workerEnded(worker, "not-on-any-machine"));
-            }
-        });
+        checkOwner(now.steadyMillis());
+        silentWorkerCheck.run(scheduler.silentWorkers(), now.steadyMillis());
     }
 
     /**
@@ -201,9 +223,14 @@
         lastOwnerCheckMillis = nowMillis;
         context.onServiceThread(context.store().read(LiveEntries.ownerKey(pool)), (item, failure) -> {
             ownerCheckInFlight = false;
-            if (failure == null && item.map(StorePort.Item::revision).orElse(0L) == token) {
+            if (failure != null || closed) {
+                return;
+            }
+            if (item.isEmpty()) {
+                claimLapsed();
+            } else if (item.get().revision() == token) {
                 ownerConfirmedMillis = Math.max(ownerConfirmedMillis, nowMillis);
-            } else if (failure == null && !closed) {
+            } else if (!lapsed) {
                 loseOwnership("store");
             }
         });
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -15,7 +16,7 @@
  * Stores a pool's jobs.
  *
  * <p>Every commit is conditional on the revisions of the owner's key and of the pool's counter key, which each commit
- * writes. So a commit of an earlier owner never takes effect after a take-over, and a commit whose answer was lost can
+ * and each claim writes. So a commit of an earlier owner never takes effect after a take-over, and a commit whose answer was lost can
  * be sent again: it takes effect at most once, and never after a newer one.
  */
 final class PoolStore {
@@ -24,17 +25,27 @@
     private static final long RETRY_DELAY_MILLIS = 120;
 
     private final String pool;
-    private final long token;
+    /** The token of the first claim, which makes the markers of this owner's commits unique. */
+    private final long firstToken;
+
     private final JobContext context;
+    private long token;
     private long counterRevision;
-    private long pendingSinceMillis = Long.MAX_VALUE;
+    private PendingCommit pending;
+    private boolean awaitsClaim;
 
     PoolStore(String pool, long token, JobContext context) {
         this.pool = pool;
+        this.firstToken = token;
         this.token = token;
+        this.counterRevision = token;
         this.context = context;
     }
 
+    static String counterKey(String pool) {
+        return COUNTER_KEY_PREFIX + pool;
+    }
+
     static String jobKey(String pool, String job) {
         return JOB_KEY_PREFIX + pool + '/' + job;
     }
@@ -43,7 +54,41 @@
      * Returns how long the pending commit has waited for its answer, in milliseconds, 0 if none is pending.
      */
     long pendingMillis(long nowMillis) {
-        return pendingSinceMillis == Long.MAX_VALUE ? 0 : nowMillis - pendingSinceMillis;
+        return pending == null ? 0 : nowMillis - pending.sinceMillis;
+    }
+
+    long counterRevision() {
+        return counterRevision;
+    }
+
+    /**
+     * Returns whether a commit has found that the claim has lapsed.
+     */
+    boolean awaitsClaim() {
+        return awaitsClaim;
+    }
+
+    /**
+     * Continues under a new claim, with which no other owner's claim came between.
+     */
+    void claimRenewed(long newToken) {
+        token = newToken;
+        counterRevision = newToken;
+        if (awaitsClaim) {
+            awaitsClaim = false;
+            send(pending);
+        }
+    }
+
+    /**
+     * Returns whether the pending commit has written the counter key, and completes that commit if so.
+     */
+    boolean isOwnCounter(StorePort.Item counter) {
+        if (pending == null || !pending.isMarkedBy(counter)) {
+            return false;
+        }
+        complete(pending, counter.revision(), Long.MIN_VALUE / 2);
+        return true;
     }
 
     /**
@@ -51,18 +96,8 @@
      *
      * @param loaded  receives the documents by job identifier
      */
-    void load(Consumer<Map<String, byte[]>> loaded, BooleanSupplier cancelled, Consumer<String> ownershipLost) {
-        context.onServiceThread(context.store().read(counterKey()), (item, failure) -> {
-            if (cancelled.getAsBoolean()) {
-                return;
-            }
-            if (failure != null) {
-                context.schedule(RETRY_DELAY_MILLIS, () -> load(loaded, cancelled, ownershipLost));
-            } else {
-                counterRevision = item.map(StorePort.Item::revision).orElse(0L);
-                readPage("", new LinkedHashMap<>(), loaded, cancelled);
-            }
-        });
+    void load(Consumer<Map<String, byte[]>> loaded, BooleanSupplier cancelled) {
+        readPage("", new LinkedHashMap<>(), loaded, cancelled);
     }
 
     private void readPage(
@@ -93,23 +128,31 @@
     }
 
     /**
-     * Stores a commit, and retries until its outcome is known or it is cancelled.
+     * Stores a commit, and retries until its outcome is known or it is cancelled. There is at most one commit at a time.
      *
-     * @param sentMillis  the present time on the steady clock, in milliseconds
+     * @param nowMillis  the present time on the steady clock, in milliseconds
      * @param committed  receives the commit and the time for which it confirms the ownership, on the steady clock in
      *     milliseconds, a time far in the past if it confirms none
      * @param ownershipLost  receives the reason if a condition of the commit did not hold
      */
     void commit(
             Commit commit,
-            long sentMillis,
+            long nowMillis,
             BiConsumer<Commit, Long> committed,
             BooleanSupplier cancelled,
             Consumer<String> ownershipLost) {
-        pendingSinceMillis = Math.min(pendingSinceMillis, sentMillis);
-        String marker = token + ":" + commit.number();
-        context.onServiceThread(context.store().commit(toChange(commit, marker)), (revision, failure) -> {
-            if (cancelled.getAsBoolean()) {
+        pending = new PendingCommit(
+                commit, firstToken + ":" + commit.number(), nowMillis, committed, cancelled, ownershipLost);
+        send(pending);
+    }
+
+    private void send(PendingCommit attempt) {
+        if (attempt != pending || attempt.cancelled.getAsBoolean()) {
+            return;
+        }
+        long sentMillis = context.now().steadyMillis();
+        context.onServiceThread(context.store().commit(toChange(attempt)), (revision, failure) -> {
+            if (attempt != pending || attempt.cancelled.getAsBoolean()) {
                 return;
             }
             context.metrics()
@@ -118,63 +161,74 @@
                             "commit",
                             context.now().steadyMillis() - sentMillis);
             if (failure == null) {
-                commitSucceeded(commit, revision, sentMillis, committed);
+                complete(attempt, revision, sentMillis);
             } else if (failure instanceof StoreFailure storeFailure
                     && storeFailure.kind() == StoreFailure.Kind.CONFLICT) {
-                resolveConflict(commit, marker, storeFailure, committed, ownershipLost);
+                resolveConflict(attempt, storeFailure);
             } else {
                 context.logDecision(Decision.failure("commit-unanswered")
                         .with("pool", pool)
-                        .with("number", commit.number())
-                        .with("jobs", commit.puts().size())
+                        .with("number", attempt.commit.number())
+                        .with("jobs", attempt.commit.puts().size())
                         .with("failure", String.valueOf(failure.getMessage())));
-                context.schedule(
-                        RETRY_DELAY_MILLIS,
-                        () -> commit(commit, context.now().steadyMillis(), committed, cancelled, ownershipLost));
+                context.schedule(RETRY_DELAY_MILLIS, () -> send(attempt));
             }
         });
     }
 
-    private void commitSucceeded(Commit commit, long revision, long sentMillis, BiConsumer<Commit, Long> committed) {
+    private void complete(PendingCommit attempt, long revision, long confirmedMillis) {
         counterRevision = revision;
-        pendingSinceMillis = Long.MAX_VALUE;
-        committed.accept(commit, sentMillis);
+        pending = null;
+        awaitsClaim = false;
+        attempt.committed.accept(attempt.commit, confirmedMillis);
     }
 
     /**
      * Handles a conflict. If the counter key holds the commit's own marker, an earlier attempt whose answer was lost
-     * has taken effect; this does not confirm the ownership. Otherwise the ownership is lost.
+     * has taken effect; this does not confirm the ownership. If the counter key is unchanged, the claim has lapsed or
+     * was renewed while the commit was under way, and the commit is sent again under the new claim. Otherwise another
+     * entry has claimed the pool.
      */
-    private void resolveConflict(
-            Commit commit,
-            String marker,
-            StoreFailure failure,
-            BiConsumer<Commit, Long> committed,
-            Consumer<String> ownershipLost) {
-        for (StorePort.Item item : failure.currentItems()) {
-            boolean alreadyStored =
-                    item.key().equals(counterKey()) && new String(item.value(), StandardCharsets.UTF_8).equals(marker);
-            if (alreadyStored) {
-                commitSucceeded(commit, item.revision(), Long.MIN_VALUE / 2, committed);
-                return;
-            }
+    private void resolveConflict(PendingCommit attempt, StoreFailure failure) {
+        Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(pool));
+        Optional<StorePort.Item> counter = failure.currentItem(counterKey(pool));
+        boolean counterUnchanged = counter.map(StorePort.Item::revision).orElse(0L) == counterRevision;
+        if (counter.isPresent() && attempt.isMarkedBy(counter.get())) {
+            complete(attempt, counter.get().revision(), Long.MIN_VALUE / 2);
+        } else if (counterUnchanged && owner.isEmpty()) {
+            awaitsClaim = true;
+        } else if (counterUnchanged && owner.get().revision() == token) {
+            send(attempt);
+        } else {
+            attempt.ownershipLost.accept("conflict");
         }
-        ownershipLost.accept("conflict");
     }
 
-    private StorePort.Change toChange(Commit commit, String marker) {
+    private StorePort.Change toChange(PendingCommit attempt) {
+        Commit commit = attempt.commit;
         Map<String, Long> expected = new LinkedHashMap<>();
         expected.put(LiveEntries.ownerKey(pool), token);
-        expected.put(counterKey(), counterRevision);
+        expected.put(counterKey(pool), counterRevision);
         List<StorePort.Put> puts = new ArrayList<>();
-        puts.add(new StorePort.Put(counterKey(), marker.getBytes(StandardCharsets.UTF_8), 0));
+        puts.add(new StorePort.Put(counterKey(pool), attempt.marker.getBytes(StandardCharsets.UTF_8), 0));
         commit.puts().forEach((job, bytes) -> puts.add(new StorePort.Put(jobKey(pool, job), bytes, 0)));
         List<String> removedKeys =
                 commit.removed().stream().map(job -> jobKey(pool, job)).toList();
         return new StorePort.Change(expected, puts, removedKeys);
     }
 
-    private String counterKey() {
-        return COUNTER_KEY_PREFIX + pool;
+    /**
+     * A commit whose outcome is not known yet.
+     */
+    private record PendingCommit(
+            Commit commit,
+            String marker,
+            long sinceMillis,
+            BiConsumer<Commit, Long> committed,
+            BooleanSupplier cancelled,
+            Consumer<String> ownershipLost) {
+        boolean isMarkedBy(StorePort.Item counter) {
+            return new String(counter.value(), StandardCharsets.UTF_8).equals(marker);
+        }
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreFailure.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreFailure.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Indicates that a call to the store failed.
@@ -43,6 +44,16 @@
         return currentItems;
     }
 
+    /**
+     * Returns the present item under a key of the conditions of a change that conflicted.
+     *
+     * @param key  the key, not null
+     * @return the item, empty if it does not exist, not null
+     */
+    public Optional<StorePort.Item> currentItem(String key) {
+        return currentItems.stream().filter(item -> item.key().equals(key)).findFirst();
+    }
+
     /**
      * The kinds of failure.
      */
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -0,0 +1,237 @@
+package org.trefoilpost.entry.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.Commit;
+import org.trefoilpost.decision.job.Moment;
+import org.trefoilpost.decision.job.PoolTimeouts;
+import org.trefoilpost.entry.runtime.MillisClock;
+import org.trefoilpost.entry.runtime.ServiceThread;
+
+/**
+ * Replays outages of the store in which the lease of an owner ends: the owner goes on with its state if no other entry
+ * has claimed the pool, and only then.
+ */
+class ClaimRenewalTest {
+    private static final String POOL = "pool";
+    private static final String OWNER_KEY = LiveEntries.ownerKey(POOL);
+    private static final String COUNTER_KEY = PoolStore.counterKey(POOL);
+
+    private final MemoryStore store = new MemoryStore();
+    private final MillisClock clock = MillisClock.steady();
+    private final ServiceThread<Runnable> thread = ServiceThread.of("jobs-test", 64, clock);
+    private final DecisionLog log = new DecisionLog();
+    private final List<String> events = new ArrayList<>();
+    private JobContext context;
+    private PoolOwnership ownership;
+    private PoolStore poolStore;
+    private Holder holder;
+
+    @BeforeEach
+    void claim() {
+        JobServiceSettings settings = new JobServiceSettings(
+                "entry-1", "127.0.0.1:1", new PoolTimeouts(5_000, 120_000, 2_000), 1, true, 1_000);
+        JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+        context = new JobContext(settings, new JobPorts(store, null, null, null, null), thread, clock, log, metrics);
+        thread.start((event, nowMillis) -> event.run());
+        ownership = new PoolOwnership(context, new LiveEntries(), "incarnation", new ClaimListener());
+        run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+        store.put(COUNTER_KEY, "claim");
+        holder = new Holder(store.revisionOf(COUNTER_KEY));
+    }
+
+    @AfterEach
+    void stop() {
+        thread.close();
+        log.close();
+    }
+
+    @Test
+    void lapsedClaimIsRenewedInPlace() {
+        lapse();
+        renew();
+        assertEquals(List.of("lapsed", "renewed"), events);
+        assertEquals(store.revisionOf(OWNER_KEY), holder.token);
+        assertEquals(holder.token, poolStore.counterRevision());
+    }
+
+    @Test
+    void claimOfAnotherEntryInBetweenIsNoticedThoughItsKeyIsGone() {
+        lapse();
+        store.put(COUNTER_KEY, "claim of another entry");
+        renew();
+        assertEquals(List.of("lapsed", "lost claimed-by-another"), events);
+        assertEquals(0, store.revisionOf(OWNER_KEY));
+    }
+
+    @Test
+    void renewalWithoutAnAnswerIsFoundByItsMarker() throws InterruptedException {
+        lapse();
+        store.loseNextAnswer();
+        renew();
+        assertEquals(List.of("lapsed"), events);
+        Thread.sleep(250);
+        renew();
+        assertEquals(List.of("lapsed", "renewed"), events);
+        assertEquals(store.revisionOf(OWNER_KEY), holder.token);
+    }
+
+    @Test
+    void commitThatTookEffectBeforeTheLapseIsCompletedOnce() throws InterruptedException {
+        StorePort.Put owner = new StorePort.Put(OWNER_KEY, new byte[0], 1);
+        StorePort.Put counter = new StorePort.Put(COUNTER_KEY, new byte[0], 0);
+        long token = store.commit(new StorePort.Change(Map.of(), List.of(owner, counter), List.of()))
+                .join();
+        holder = new Holder(token);
+        store.loseNextAnswer();
+        commit();
+        lapse();
+        renew();
+        Thread.sleep(250);
+        renew();
+        assertTrue(events.contains("committed 1"), events.toString());
+        assertTrue(events.contains("renewed"), events.toString());
+        assertEquals(1, events.stream().filter("committed 1"::equals).count());
+        assertFalse(events.stream().anyMatch(event -> event.startsWith("lost")), events.toString());
+    }
+
+    @Test
+    void commitWaitsForTheRenewalOfALapsedClaim() {
+        lapse();
+        commit();
+        assertEquals(List.of("lapsed"), events);
+        assertTrue(poolStore.awaitsClaim());
+        renew();
+        assertEquals(List.of("lapsed", "renewed", "committed 1"), events);
+    }
+
+    @Test
+    void commitOfAFormerOwnerIsLost() {
+        lapse();
+        store.put(OWNER_KEY, "another entry");
+        store.put(COUNTER_KEY, "claim of another entry");
+        commit();
+        assertEquals(List.of("lapsed", "lost conflict"), events);
+    }
+
+    private void commit() {
+        Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of());
+        run(() -> poolStore.commit(
+                commit,
+                now().steadyMillis(),
+                (stored, confirmedMillis) -> events.add("committed " + stored.number()),
+                () -> false,
+                reason -> events.add("lost " + reason)));
+    }
+
+    private void lapse() {
+        store.expireAllLeases();
+        run(holder::claimLapsed);
+        run(() -> ownership.checkLease());
+        run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+        run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+    }
+
+    private void renew() {
+        run(() -> ownership.renewClaim(holder, now()));
+    }
+
+    private Moment now() {
+        return context.now();
+    }
+
+    /** Runs a step on the service thread, and waits until the calls that it made are handled. */
+    private void run(Runnable step) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        context.execute(() -> {
+            step.run();
+            context.execute(() -> context.execute(() -> context.execute(() -> done.complete(true))));
+        });
+        done.join();
+    }
+
+    private static final class ClaimListener implements PoolOwnership.Listener {
+        @Override
+        public void poolClaimed(String pool, long token) {
+            // These tests make no first claims.
+        }
+
+        @Override
+        public void allClaimsLapsed() {
+            // The holder is told of the lapse by the test.
+        }
+
+        @Override
+        public void leaseObtained() {
+            // The test renews the claim itself.
+        }
+    }
+
+    /** A holder with a pool's store, which records what happens to its claim. */
+    private final class Holder implements ClaimHolder {
+        private long token;
+        private boolean lapsed;
+
+        Holder(long token) {
+            this.token = token;
+            poolStore = new PoolStore(POOL, token, context);
+        }
+
+        @Override
+        public String pool() {
+            return POOL;
+        }
+
+        @Override
+        public long token() {
+            return token;
+        }
+
+        @Override
+        public long counterRevision() {
+            return poolStore.counterRevision();
+        }
+
+        @Override
+        public boolean isLapsed() {
+            return lapsed;
+        }
+
+        @Override
+        public void claimLapsed() {
+            lapsed = true;
+            events.add("lapsed");
+        }
+
+        @Override
+        public void claimRenewed(long newToken, Moment requested) {
+            token = newToken;
+            lapsed = false;
+            events.add("renewed");
+            poolStore.claimRenewed(newToken);
+        }
+
+        @Override
+        public boolean isOwnCounter(StorePort.Item counter) {
+            return poolStore.isOwnCounter(counter);
+        }
+
+        @Override
+        public void claimLost(String reason) {
+            lapsed = false;
+            events.add("lost " + reason);
+        }
+    }
+}
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
@@ -0,0 +1,125 @@
+package org.trefoilpost.entry.job;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A store in memory that answers at once, and can lose the answer to a change. Used on one thread.
+ */
+final class MemoryStore implements StorePort {
+    private final Map<String, Item> items = new HashMap<>();
+    private final Map<String, Long> leaseOfKey = new HashMap<>();
+    private long revision = 10;
+    private long lastLease;
+    private boolean losesNextAnswer;
+
+    /**
+     * Carries out the next change without answering it.
+     */
+    void loseNextAnswer() {
+        losesNextAnswer = true;
+    }
+
+    /**
+     * Removes all keys that are bound to a lease, as if it had expired.
+     */
+    void expireAllLeases() {
+        revision++;
+        List.copyOf(leaseOfKey.keySet()).forEach(this::remove);
+        lastLease += 100;
+    }
+
+    /**
+     * Writes a key without conditions, as another entry does.
+     */
+    void put(String key, String value) {
+        revision++;
+        items.put(key, new Item(key, value.getBytes(StandardCharsets.UTF_8), revision));
+    }
+
+    void remove(String key) {
+        items.remove(key);
+        leaseOfKey.remove(key);
+    }
+
+    long revisionOf(String key) {
+        return items.containsKey(key) ? items.get(key).revision() : 0;
+    }
+
+    @Override
+    public CompletableFuture<Optional<Item>> read(String key) {
+        return CompletableFuture.completedFuture(Optional.ofNullable(items.get(key)));
+    }
+
+    @Override
+    public CompletableFuture<Page> range(String prefix, String after) {
+        List<Item> found = new ArrayList<>();
+        items.values().stream().filter(item -> item.key().startsWith(prefix)).forEach(found::add);
+        return CompletableFuture.completedFuture(new Page(found, false, revision));
+    }
+
+    @Override
+    public CompletableFuture<Changes> watch(String prefix, long after, long waitMillis) {
+        return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<Long> commit(Change change) {
+        for (Map.Entry<String, Long> condition : change.expected().entrySet()) {
+            if (revisionOf(condition.getKey()) != condition.getValue()) {
+                return CompletableFuture.failedFuture(conflict(change));
+            }
+        }
+        for (Put put : change.puts()) {
+            if (put.lease() != 0 && put.lease() != lastLease) {
+                return failure(StoreFailure.Kind.LEASE_ENDED);
+            }
+        }
+        revision++;
+        for (Put put : change.puts()) {
+            items.put(put.key(), new Item(put.key(), put.value(), revision));
+            if (put.lease() != 0) {
+                leaseOfKey.put(put.key(), put.lease());
+            }
+        }
+        change.removedKeys().forEach(this::remove);
+        if (losesNextAnswer) {
+            losesNextAnswer = false;
+            return failure(StoreFailure.Kind.UNKNOWN);
+        }
+        return CompletableFuture.completedFuture(revision);
+    }
+
+    private StoreFailure conflict(Change change) {
+        List<Item> present = new ArrayList<>();
+        change.expected()
+                .keySet()
+                .forEach(key -> Optional.ofNullable(items.get(key)).ifPresent(present::add));
+        return new StoreFailure(StoreFailure.Kind.CONFLICT, "conflict", present);
+    }
+
+    private static <T> CompletableFuture<T> failure(StoreFailure.Kind kind) {
+        return CompletableFuture.failedFuture(new StoreFailure(kind, kind.name(), List.of()));
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(long timeToLiveMillis) {
+        lastLease++;
+        return CompletableFuture.completedFuture(lastLease);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> renewLease(long lease) {
+        return CompletableFuture.completedFuture(lease == lastLease);
+    }
+
+    @Override
+    public CompletableFuture<Void> endLease(long lease) {
+        return CompletableFuture.completedFuture(null);
+    }
+}
