Take a pool's need from the rate at which work is submitted

What runs and waits grows for as long as a job takes, so the need was known only when the first jobs ended, and a job's slack is shorter than that.

Ruled out: the rate limit of orders (225 a second here, 103 used); the owner (none changed in that pool); returning fewer machines between turns (tried in the simulation: shorter surplus times and other shares of a machine gain less than their moves and machine time cost, and break the bound on moves).

Change: ArrivalRate, from the last ten first submissions, joins the need by Little's law. Jobs that no commit has contained are refused after the store has been silent for 0.8 s instead of being held to their deadline, which is true: they were never sent. EndedOwners ends the lease of an owner whose machine refuses connections.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/FirstSubmissions.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/FirstSubmissions.java
@@ -26,6 +26,13 @@
         return firstSubmittedMillis.getOrDefault(job, nowMillis);
     }
 
+    /**
+     * Returns whether a refusal of a job is recorded.
+     */
+    boolean isRecorded(String job) {
+        return firstSubmittedMillis.containsKey(job);
+    }
+
     /**
      * Records that a job was refused, and removes expired records.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -1,12 +1,17 @@
 package org.trefoilpost.decision.job;
 
 import java.util.ArrayList;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Decides when a hold is sent to each worker, which renews its lease and asks for its status, and releases the runs of
  * workers whose lease has expired.
  */
 final class HoldScheduler {
+    /** Consecutive unanswered calls from which a worker counts as silent. */
+    private static final int CALLS_UNTIL_SILENT = 2;
+
     private static final long RUNNING_POLL_WAIT_MILLIS = 800;
     private static final long UNSETTLED_POLL_WAIT_MILLIS = 100;
     /** Time for which no hold is sent to a worker that has reported ends which are not stored yet. */
@@ -80,4 +85,18 @@
             state.unresolvedWorkers.remove(worker);
         }
     }
+
+    /**
+     * Returns the silent workers that may have runs, for which failure detection is needed.
+     */
+    Set<String> silentWorkers() {
+        Set<String> silent = new TreeSet<>();
+        for (PoolWorker worker : state.workers.values()) {
+            boolean mayHaveRuns = !worker.runs.isEmpty() || state.unresolvedWorkers.contains(worker);
+            if (mayHaveRuns && !worker.ended && worker.missedCalls >= CALLS_UNTIL_SILENT) {
+                silent.add(worker.id);
+            }
+        }
+        return silent;
+    }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
@@ -71,6 +71,17 @@
         state.placementDue = true;
     }
 
+    /**
+     * Removes the jobs that are not stored and that no commit has contained, and returns them.
+     */
+    List<JobState> withdrawUnsent() {
+        List<JobState> unsent = state.dirtyJobs.stream()
+                .filter(job -> !job.stored && !writtenPhases.containsKey(job))
+                .toList();
+        unsent.forEach(state::remove);
+        return unsent;
+    }
+
     private List<String> expiredJobs(Moment now) {
         List<String> expired = new ArrayList<>();
         if (now.steadyMillis() - lastExpiryCheckMillis < EXPIRY_CHECK_INTERVAL_MILLIS) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
@@ -10,12 +10,29 @@
     /** Share of a machine that placements use before further tasks no longer fit. */
     private static final double USABLE_MACHINE_SHARE = 0.85;
 
+    private static final long REFUSED_DEMAND_WINDOW_MILLIS = 800;
+
     private final PoolState state;
-    private final RefusedDemand refusedDemand;
+    private final RefusedDemand refusedDemand = new RefusedDemand(REFUSED_DEMAND_WINDOW_MILLIS);
+    private final ArrivalRate arrivalRate;
 
-    PoolDemandCalculator(PoolState state, RefusedDemand refusedDemand) {
+    PoolDemandCalculator(PoolState state, RunStatistics runStatistics) {
         this.state = state;
-        this.refusedDemand = refusedDemand;
+        this.arrivalRate = new ArrivalRate(runStatistics);
+    }
+
+    /**
+     * Records a job that was submitted for the first time.
+     */
+    void jobSubmitted(JobState job, long nowMillis) {
+        arrivalRate.jobSubmitted(job, nowMillis);
+    }
+
+    /**
+     * Records a job that was refused.
+     */
+    void jobRefused(JobSpec job, long nowMillis) {
+        refusedDemand.add(job, nowMillis);
     }
 
     /**
@@ -24,12 +41,16 @@
     PoolDemand demand(Moment now) {
         Map<String, PoolDemand.WorkerUsage> workers = new HashMap<>();
         ResourceAmount total = waitingDemand(now).plus(refusedDemand.sum(now.steadyMillis()));
+        ResourceAmount longRunning = ResourceAmount.NONE;
         ResourceAmount capacity = ResourceAmount.NONE;
         int listedWorkers = 0;
         for (PoolWorker worker : state.workers.values()) {
             boolean hasLongRunning = false;
             for (Run run : worker.runs.values()) {
-                hasLongRunning |= run.task.step.spec.longRunning();
+                if (run.task.step.spec.longRunning()) {
+                    hasLongRunning = true;
+                    longRunning = longRunning.plus(run.reserved());
+                }
             }
             total = total.plus(worker.usedResources);
             if (worker.listed) {
@@ -44,7 +65,10 @@
                             worker.fenced && WorkerEvacuator.isEmpty(worker),
                             worker.acceptsWork(now.steadyMillis())));
         }
-        return new PoolDemand(Math.max(machines(total, capacity, listedWorkers), machinesForTaskLimits()), workers);
+        ResourceAmount sustained = longRunning.plus(arrivalRate.sustainedUse(now.steadyMillis()));
+        double needed =
+                Math.max(machines(total, capacity, listedWorkers), machines(sustained, capacity, listedWorkers));
+        return new PoolDemand(Math.max(needed, machinesForTaskLimits()), workers);
     }
 
     private static double machines(ResourceAmount total, ResourceAmount capacity, int count) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -19,12 +19,12 @@
     /** How long an owner that cannot reach the store may continue to give orders. */
     public static final long ORDERS_WITHOUT_STORE_MILLIS = 9_000;
 
-    /** Consecutive unanswered calls from which a worker counts as silent. */
-    private static final int CALLS_UNTIL_SILENT = 2;
-
     private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 1_000;
+    /** The refusal of a job while the store does not answer. */
+    public static final SubmitResult STORE_UNAVAILABLE =
+            SubmitResult.refused(UNAVAILABLE_RETRY_AFTER_MILLIS, "store-unavailable");
+
     private static final long UNPLACEABLE_RETRY_AFTER_MILLIS = 60_000;
-    private static final long REFUSED_DEMAND_WINDOW_MILLIS = 800;
 
     private final PoolState state;
     private final OrderSender orderSender;
@@ -38,7 +38,6 @@
     private final BestEffortThrottle throttle;
     private final RunStatistics runStatistics;
     private final PoolTakeover takeover;
-    private final RefusedDemand refusedDemand = new RefusedDemand(REFUSED_DEMAND_WINDOW_MILLIS);
     private final FirstSubmissions firstSubmissions = new FirstSubmissions();
     private final PoolDemandCalculator demandCalculator;
     private long lastThrottleMillis;
@@ -64,7 +63,7 @@
         this.evacuator = new WorkerEvacuator(state, orderSender);
         this.throttle = new BestEffortThrottle(state, orderSender);
         this.takeover = new PoolTakeover(state);
-        this.demandCalculator = new PoolDemandCalculator(state, refusedDemand);
+        this.demandCalculator = new PoolDemandCalculator(state, runStatistics);
     }
 
     /**
@@ -147,15 +146,18 @@
             return SubmitResult.refused(UNAVAILABLE_RETRY_AFTER_MILLIS, "unknown-queue");
         }
         if (!storeReachable) {
-            return SubmitResult.refused(UNAVAILABLE_RETRY_AFTER_MILLIS, "store-unavailable");
+            return STORE_UNAVAILABLE;
         }
         if (!admission.fitsAnyWorker(spec)) {
             return SubmitResult.refused(UNPLACEABLE_RETRY_AFTER_MILLIS, "fits-no-worker");
         }
         JobState job = new JobState(spec, queue, firstSubmission(spec.id(), now));
+        if (!firstSubmissions.isRecorded(spec.id())) {
+            demandCalculator.jobSubmitted(job, now.steadyMillis());
+        }
         OptionalLong retryAfterMillis = admission.retryAfterMillis(job, now);
         if (retryAfterMillis.isPresent()) {
-            refusedDemand.add(spec, now.steadyMillis());
+            demandCalculator.jobRefused(spec, now.steadyMillis());
             firstSubmissions.recordRefusal(spec.id(), now.steadyMillis());
             return SubmitResult.refused(retryAfterMillis.getAsLong(), "overload");
         }
@@ -225,15 +227,23 @@
      * @return the number, not negative
      */
     public int queuedJobs(String queue) {
-        int count = 0;
-        for (JobState job : state.openJobs.values()) {
-            count += job.stored
-                            && job.phase == JobPhase.QUEUED
-                            && job.spec.queue().equals(queue)
-                    ? 1
-                    : 0;
+        return state.countQueuedJobs(queue);
+    }
+
+    /**
+     * Withdraws the jobs that were accepted while the store did not answer and that no commit has contained yet. They
+     * have not run and never will.
+     *
+     * @return the identifiers of the jobs, may be empty, not null
+     */
+    public Set<String> withdrawUnsentJobs() {
+        Set<String> withdrawn = new TreeSet<>();
+        for (JobState job : jobWriter.withdrawUnsent()) {
+            firstSubmissions.recordRefusal(job.spec.id(), job.submittedMillis);
+            withdrawn.add(job.spec.id());
         }
-        return count;
+        admission.invalidateBacklog();
+        return withdrawn;
     }
 
     /**
@@ -322,14 +332,7 @@
      * @return the identifiers of the workers, may be empty, not null
      */
     public Set<String> silentWorkers() {
-        Set<String> silent = new TreeSet<>();
-        for (PoolWorker worker : state.workers.values()) {
-            boolean mayHaveRuns = !worker.runs.isEmpty() || state.unresolvedWorkers.contains(worker);
-            if (mayHaveRuns && !worker.ended && worker.missedCalls >= CALLS_UNTIL_SILENT) {
-                silent.add(worker.id);
-            }
-        }
-        return silent;
+        return holdScheduler.silentWorkers();
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -40,6 +40,30 @@
         placementDue = true;
     }
 
+    /**
+     * Removes a job without a trace; only for one that was never stored.
+     */
+    void remove(JobState job) {
+        jobs.remove(job.spec.id());
+        openJobs.remove(job.spec.id());
+        dirtyJobs.remove(job);
+    }
+
+    /**
+     * Returns the number of stored jobs of a queue of which no task has started.
+     */
+    int countQueuedJobs(String queue) {
+        int count = 0;
+        for (JobState job : openJobs.values()) {
+            count += job.stored
+                            && job.phase == JobPhase.QUEUED
+                            && job.spec.queue().equals(queue)
+                    ? 1
+                    : 0;
+        }
+        return count;
+    }
+
     /**
      * Marks a job as changed, to be stored with the next commit if {@code urgent}, else within a short delay.
      */
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/AdmissionTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/AdmissionTest.java
@@ -121,6 +121,19 @@
         assertEquals(Optional.empty(), scheduler.phase(name(lastJob)));
     }
 
+    @Test
+    void jobThatNoCommitContainsIsWithdrawnWhileTheStoreIsSilent() {
+        open(4);
+        assertEquals(SubmitResult.Kind.PENDING, submit(true).kind());
+        scheduler.tick(true, NOW);
+        assertEquals(SubmitResult.Kind.PENDING, submit(true).kind());
+        scheduler.tick(true, NOW.plus(900));
+        assertEquals(Set.of(name(lastJob)), scheduler.withdrawUnsentJobs());
+        assertEquals(Optional.empty(), scheduler.phase(name(lastJob)));
+        assertEquals(Optional.of(JobPhase.QUEUED), scheduler.phase(name(lastJob - 1)));
+        assertEquals(Set.of(), scheduler.withdrawUnsentJobs());
+    }
+
     @Test
     void resubmittedJobIsStillPending() {
         open(1);
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/DemandTurnSimulation.java
@@ -0,0 +1,273 @@
+package org.trefoilpost.decision.job.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.JobSpec;
+import org.trefoilpost.decision.job.PoolDemand;
+import org.trefoilpost.decision.job.PoolInstructions;
+import org.trefoilpost.decision.job.ResourceAmount;
+import org.trefoilpost.decision.job.StepSpec;
+import org.trefoilpost.decision.job.SubmitResult;
+import org.trefoilpost.decision.job.fleet.FleetActions;
+import org.trefoilpost.decision.job.fleet.FleetPlanner;
+import org.trefoilpost.decision.job.fleet.MachineView;
+import org.trefoilpost.decision.job.fleet.OrderOutcome;
+
+/**
+ * Simulates a pool whose demand rises within an instant from a twentieth of its mean to five times the mean, holds for
+ * some seconds and falls again, while the pool gets machines from a spare pool and returns them. Callers submit their jobs
+ * again after a refusal until their deadline.
+ */
+public final class DemandTurnSimulation implements FleetActions {
+    private static final String QUEUE = "queue";
+    private static final String POOL = "pool";
+    private static final String SPARE = "spare";
+    private static final int MACHINES = 60;
+    private static final int FIRST_MACHINES = 6;
+    private static final long MACHINE_CPU_MILLIS = 16_000;
+    private static final long MOVE_MILLIS = 1_500;
+    /** Time from the start of a worker until the pool's owner knows of it. */
+    private static final long REGISTRATION_MILLIS = 200;
+
+    private static final long CALL_MILLIS = 5;
+    private static final long TICK_MILLIS = 20;
+    private static final long LOW_LOAD_MILLIS = 12_000;
+    private static final long TURN_MILLIS = 8_000;
+    private static final long END_MILLIS = 40_000;
+    private static final long CALLER_DEADLINE_MILLIS = 3_000;
+    private static final double MEAN_TASKS = 6;
+    private static final double MEAN_CORES = 1.8;
+    private static final double MEAN_SECONDS = 0.8;
+    private static final double MEAN_STEPS = 1.6;
+    private static final double ESTIMATE_DEVIATION = 0.2;
+    private static final double TASK_TIME_DEVIATION = 0.3;
+    private static final double OBJECTIVE_FACTOR = 1.6;
+    private static final long OBJECTIVE_ALLOWANCE_MILLIS = 600;
+
+    private final EmulatedPlatform platform;
+    private final VirtualTime time;
+    private final Random random;
+    private final FleetPlanner planner = new FleetPlanner(this, 200);
+    private final Map<String, Machine> machines = new TreeMap<>();
+    private final List<Caller> callers = new ArrayList<>();
+    private final double turnMachines;
+    private double machineSeconds;
+    private int moves;
+
+    private DemandTurnSimulation(long seed, double turnMachines) {
+        this.platform = new EmulatedPlatform(seed, 0, OBJECTIVE_FACTOR, OBJECTIVE_ALLOWANCE_MILLIS);
+        this.time = platform.time();
+        this.random = new Random(seed);
+        this.turnMachines = turnMachines;
+        planner.configure(Set.of(POOL), Set.of(SPARE));
+        for (int i = 0; i < MACHINES; i++) {
+            Machine machine = new Machine(String.format("m%03d", i));
+            machines.put(machine.name, machine);
+            if (i < FIRST_MACHINES) {
+                machine.pool = POOL;
+                machine.worker = platform.addWorker();
+            }
+        }
+    }
+
+    /**
+     * Simulates one turn of demand.
+     *
+     * @param seed  the seed of jobs and faults
+     * @param turnMachines  the demand during the turn, in machines that it would keep fully busy
+     * @return the result, not null
+     */
+    public static Result run(long seed, double turnMachines) {
+        return new DemandTurnSimulation(seed, turnMachines).run();
+    }
+
+    private Result run() {
+        double jobCoreMillis = MEAN_STEPS * MEAN_TASKS * MEAN_CORES * MEAN_SECONDS * 1_000;
+        double turnJobsPerMilli = turnMachines * MACHINE_CPU_MILLIS / 1_000.0 / jobCoreMillis;
+        for (long at = 0; at < END_MILLIS - 10_000; at++) {
+            boolean turn = at >= LOW_LOAD_MILLIS && at < LOW_LOAD_MILLIS + TURN_MILLIS;
+            if (random.nextDouble() < turnJobsPerMilli * (turn ? 1 : 0.01)) {
+                Caller caller = new Caller(callers.size() + 1, turn);
+                callers.add(caller);
+                time.schedule(at, caller::begin);
+            }
+        }
+        tick();
+        time.runFor(END_MILLIS);
+        double submitted = 0;
+        double inTime = 0;
+        double refused = 0;
+        for (Caller caller : callers) {
+            if (caller.inTurn) {
+                submitted += caller.work;
+                inTime += caller.completionMillis() <= caller.objectiveMillis ? caller.work : 0;
+                refused += caller.refused ? caller.work : 0;
+            }
+        }
+        return new Result(
+                inTime / submitted,
+                refused / submitted,
+                machineSeconds,
+                moves,
+                String.join("\n", platform.checks().violations()));
+    }
+
+    private void tick() {
+        for (Machine machine : machines.values()) {
+            machineSeconds += machine.pool.equals(SPARE) ? 0 : TICK_MILLIS / 1_000.0;
+        }
+        planner.tick(true, time.moment());
+        time.schedule(TICK_MILLIS, this::tick);
+    }
+
+    @Override
+    public void listMachines() {
+        List<MachineView> views = new ArrayList<>();
+        for (Machine machine : machines.values()) {
+            views.add(
+                    new MachineView(machine.name, machine.pool, machine.up, false, machine.worker, MACHINE_CPU_MILLIS));
+        }
+        long requestedMillis = time.nowMillis();
+        time.schedule(CALL_MILLIS, () -> planner.machinesListed(views, requestedMillis, time.moment()));
+    }
+
+    @Override
+    public void instruct(String pool, PoolInstructions instructions) {
+        time.schedule(CALL_MILLIS, () -> {
+            platform.owner().scheduler().instruct(instructions);
+            PoolDemand demand = platform.owner().scheduler().demand(time.moment());
+            time.schedule(CALL_MILLIS, () -> planner.load(pool, instructions.evacuating(), demand, time.moment()));
+        });
+    }
+
+    @Override
+    public void move(String machine, String pool) {
+        moves++;
+        Machine moved = machines.get(machine);
+        if (!moved.worker.isEmpty()) {
+            platform.crash(platform.worker(moved.worker));
+        }
+        moved.worker = "";
+        moved.pool = pool;
+        moved.up = false;
+        time.schedule(CALL_MILLIS, () -> planner.orderAnswered(machine, OrderOutcome.DONE, time.moment()));
+        time.schedule(MOVE_MILLIS, () -> {
+            moved.up = true;
+            if (pool.equals(POOL)) {
+                time.schedule(REGISTRATION_MILLIS, () -> moved.worker = platform.addWorker());
+            }
+        });
+    }
+
+    @Override
+    public void beginUpkeep(String machine, long wave) {
+        throw new IllegalStateException("no wave is requested here");
+    }
+
+    @Override
+    public void storeWave(long wave, String state, long revision, boolean completed) {
+        throw new IllegalStateException("no wave is requested here");
+    }
+
+    @Override
+    public void ownershipLost(String machine) {
+        throw new IllegalStateException("no order is fenced here");
+    }
+
+    @Override
+    public void logDecision(Decision decision) {
+        platform.recordDecision(decision);
+    }
+
+    private double logNormal(double mean, double deviation) {
+        return mean * Math.exp(random.nextGaussian() * deviation - deviation * deviation / 2);
+    }
+
+    /**
+     * The outcome of a turn.
+     *
+     * @param inTime  the share of the turn's work that was completed within its time objective
+     * @param refused  the share of the turn's work whose last submission was refused
+     * @param machineSeconds  the time that machines spent in the pool, in seconds
+     * @param moves  the number of moves
+     * @param violations  the violated invariants, a line each, empty if there are none, not null
+     */
+    public record Result(double inTime, double refused, double machineSeconds, int moves, String violations) {}
+
+    private static final class Machine {
+        private final String name;
+        private String pool = SPARE;
+        private String worker = "";
+        private boolean up = true;
+
+        Machine(String name) {
+            this.name = name;
+        }
+    }
+
+    /**
+     * A caller with one job, who submits it again after each refusal until its deadline.
+     */
+    private final class Caller {
+        private final JobSpec spec;
+        private final long[][] taskMillis;
+        private final long objectiveMillis;
+        private final boolean inTurn;
+        private double work;
+        private long submittedMillis;
+        private boolean refused;
+
+        Caller(int number, boolean inTurn) {
+            this.inTurn = inTurn;
+            int steps = 1 + (random.nextDouble() < MEAN_STEPS - 1 ? 1 : 0);
+            taskMillis = new long[steps][];
+            List<StepSpec> specs = new ArrayList<>();
+            long criticalPathMillis = 0;
+            for (int step = 0; step < steps; step++) {
+                int tasks = (int) Math.max(1, Math.min(24, logNormal(MEAN_TASKS, 0.6)));
+                int cpuMillis = (int) Math.min(5_300, logNormal(MEAN_CORES * 1_000, 0.45));
+                double meanMillis = Math.min(2_000, logNormal(MEAN_SECONDS * 1_000, 0.5));
+                taskMillis[step] = new long[tasks];
+                long longest = 0;
+                for (int task = 0; task < tasks; task++) {
+                    taskMillis[step][task] = (long) Math.max(50, logNormal(meanMillis, TASK_TIME_DEVIATION));
+                    longest = Math.max(longest, taskMillis[step][task]);
+                    work += taskMillis[step][task] * (double) cpuMillis;
+                }
+                criticalPathMillis += longest;
+                specs.add(StepSpec.builder()
+                        .tasks(tasks, new ResourceAmount(cpuMillis, 256, 0))
+                        .estimateMillis((long) Math.max(1, logNormal(meanMillis, ESTIMATE_DEVIATION)))
+                        .after(step == 0 ? List.of() : List.of(step - 1))
+                        .build());
+            }
+            objectiveMillis = (long) (OBJECTIVE_FACTOR * criticalPathMillis) + OBJECTIVE_ALLOWANCE_MILLIS;
+            spec = new JobSpec(String.format("%016x", number), QUEUE, "text", specs, JobSpec.Schedule.ONCE);
+        }
+
+        void begin() {
+            submittedMillis = time.nowMillis();
+            submit();
+        }
+
+        private void submit() {
+            SubmitResult answer = platform.submitJob(spec, task -> taskMillis[task.step()][task.index()]);
+            refused = answer.kind() == SubmitResult.Kind.REFUSED;
+            long retryMillis = time.nowMillis() + answer.retryAfterMillis();
+            if (refused && retryMillis < submittedMillis + CALLER_DEADLINE_MILLIS) {
+                time.schedule(answer.retryAfterMillis(), this::submit);
+            }
+        }
+
+        long completionMillis() {
+            return platform.completedMillis(spec.id()).isPresent()
+                    ? platform.completedMillis(spec.id()).getAsLong() - submittedMillis
+                    : Long.MAX_VALUE;
+        }
+    }
+}
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -45,13 +45,31 @@
     private final Map<String, Integer> decisionCounts = new TreeMap<>();
     private final List<EmulatedOwner> owners = new ArrayList<>();
     private final Random random;
+    private final QueueConfig queue;
     private boolean storeDown;
     private int lostPerThousand;
     private int lastJob;
     private int lastWorker;
 
     EmulatedPlatform(long seed, int workerCount) {
+        this(seed, workerCount, 2.0, 1_000);
+    }
+
+    /**
+     * Constructs a platform whose jobs have an objective of the critical path times a factor, plus an allowance.
+     */
+    EmulatedPlatform(long seed, int workerCount, double objectiveFactor, long objectiveAllowanceMillis) {
         this.random = new Random(seed);
+        this.queue = new QueueConfig(
+                QUEUE,
+                "h",
+                "/q/",
+                "pool",
+                0,
+                MAX_ATTEMPTS,
+                objectiveFactor,
+                objectiveAllowanceMillis,
+                Optional.empty());
         for (int i = 0; i < workerCount; i++) {
             addWorker();
         }
@@ -108,10 +126,14 @@
         return listed;
     }
 
-    void addWorker() {
+    /**
+     * Adds a worker and returns its identifier.
+     */
+    String addWorker() {
         String id = "w" + (++lastWorker);
         workers.put(id, new EmulatedWorker(time, checks, random, report(id)));
         owners.forEach(EmulatedOwner::registryChanged);
+        return id;
     }
 
     private static RegisteredWorker report(String id) {
@@ -130,11 +152,7 @@
     }
 
     void startOwner() {
-        owners.add(new EmulatedOwner(this, queues(), store.claim()));
-    }
-
-    private static Map<String, QueueConfig> queues() {
-        return Map.of(QUEUE, new QueueConfig(QUEUE, "h", "/q/", "pool", 0, MAX_ATTEMPTS, 2.0, 1_000, Optional.empty()));
+        owners.add(new EmulatedOwner(this, Map.of(QUEUE, queue), store.claim()));
     }
 
     EmulatedWorker.StartContext startContext(WorkerOrder.Start order) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReply.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReply.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.trefoilpost.decision.job.JobPhase;
+import org.trefoilpost.decision.job.SubmitResult;
 
 /**
  * The answer to a caller's request about a job or a queue.
@@ -48,6 +49,18 @@
         return new JobReply(status, reason, retryAfterMillis, Optional.empty(), NO_COUNT);
     }
 
+    /**
+     * Obtains the refusal of a submitted job.
+     *
+     * @param result  the decision to refuse the job, not null
+     * @return the reply, not null
+     */
+    public static JobReply ofRefusal(SubmitResult result) {
+        boolean rejected = result.reason().equals("overload") || result.reason().equals("fits-no-worker");
+        JobReplyStatus status = rejected ? JobReplyStatus.REJECTED : JobReplyStatus.UNAVAILABLE;
+        return refusal(status, result.reason(), result.retryAfterMillis());
+    }
+
     /**
      * Obtains a reply with the phase of a job.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -50,6 +50,7 @@
     private final FleetRunner fleetRunner;
     private PeerNetwork network;
     private OwnerConnections connections;
+    private EndedOwners endedOwners;
     private JobConfiguration configuration;
     private Moment lastMoment;
     private boolean leaving;
@@ -73,6 +74,7 @@
                 this::messageReceived,
                 peerMetrics);
         this.connections = new OwnerConnections(context, network);
+        this.endedOwners = new EndedOwners(context, peer -> network.isRefused(EntryId.of(peer.name())));
         OwnerCalls ownerCalls = new OwnerCalls(context, liveEntries, connections, this::openRunner);
         this.router = new JobRequestRouter(context, ownerCalls);
         this.fleetRunner = new FleetRunner(context, ownerCalls);
@@ -154,6 +156,7 @@
         checkForProcessPause(now);
         ownership.tick(claimablePools(), now.steadyMillis());
         connections.tick(liveEntries, context.settings().name(), now.steadyMillis());
+        endedOwners.tick(liveEntries, now.steadyMillis());
         new ArrayList<>(runners.values()).forEach(PoolRunner::tick);
         fleetRunner.tick(now);
         renewLapsedClaims(now);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
@@ -73,7 +73,7 @@
             entries.put(item.key().substring(ENTRY_KEY_PREFIX.length()), peer);
         } else if (item.key().startsWith(OWNER_KEY_PREFIX)) {
             String pool = item.key().substring(OWNER_KEY_PREFIX.length());
-            owners.put(pool, new Owner(peer, item.revision()));
+            owners.put(pool, new Owner(peer, item.revision(), item.lease()));
             ownerlessSinceMillis.remove(pool);
         }
     }
@@ -122,6 +122,7 @@
      *
      * @param peer  the entry that owns the pool
      * @param token  the revision of the claim, which serves as the fencing token
+     * @param lease  the lease of the claim
      */
-    record Owner(Peer peer, long token) {}
+    record Owner(Peer peer, long token, long lease) {}
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -168,11 +168,8 @@
      */
     void close() {
         closed = true;
-        repliesAwaitingStore
-                .values()
-                .forEach(replies -> replies.forEach(
-                        reply -> reply.complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-changed"))));
-        repliesAwaitingStore.clear();
+        JobReply uncertain = JobReply.of(JobReplyStatus.UNCERTAIN, "owner-changed");
+        List.copyOf(repliesAwaitingStore.keySet()).forEach(job -> completeReplies(job, uncertain));
     }
 
     /**
@@ -191,6 +188,9 @@
         Moment now = context.now();
         boolean ordersAllowed = now.steadyMillis() - ownerConfirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
         scheduler.tick(ordersAllowed, now);
+        if (!isStoreReachable(now)) {
+            refuseUnsentJobs();
+        }
         if (store.awaitsClaim()) {
             claimLapsed();
         }
@@ -247,10 +247,26 @@
         }
     }
 
+    private boolean isStoreReachable(Moment now) {
+        return store.pendingMillis(now.steadyMillis()) < MAX_PENDING_COMMIT_MILLIS;
+    }
+
+    /**
+     * Refuses the jobs that wait for the store and that it cannot have received, so that their callers need not wait.
+     */
+    private void refuseUnsentJobs() {
+        JobReply refusal = JobReply.ofRefusal(PoolScheduler.STORE_UNAVAILABLE);
+        scheduler.withdrawUnsentJobs().forEach(job -> completeReplies(job, refusal));
+    }
+
+    private void completeReplies(String job, JobReply reply) {
+        repliesAwaitingStore.getOrDefault(job, List.of()).forEach(awaited -> awaited.complete(reply));
+        repliesAwaitingStore.remove(job);
+    }
+
     CompletableFuture<JobReply> submit(JobSpec spec) {
         Moment now = context.now();
-        boolean storeReachable = store.pendingMillis(now.steadyMillis()) < MAX_PENDING_COMMIT_MILLIS;
-        SubmitResult result = scheduler.submit(spec, storeReachable, now);
+        SubmitResult result = scheduler.submit(spec, isStoreReachable(now), now);
         context.logDecision((result.kind() == SubmitResult.Kind.REFUSED
                         ? Decision.failure("job-refused")
                         : Decision.of("job-submitted"))
@@ -264,18 +280,10 @@
         return switch (result.kind()) {
             case STORED -> CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.DONE, result.reason()));
             case PENDING -> whenStored(spec.id());
-            case REFUSED -> CompletableFuture.completedFuture(refusal(result));
+            case REFUSED -> CompletableFuture.completedFuture(JobReply.ofRefusal(result));
         };
     }
 
-    private static JobReply refusal(SubmitResult result) {
-        JobReplyStatus status =
-                result.reason().equals("overload") || result.reason().equals("fits-no-worker")
-                        ? JobReplyStatus.REJECTED
-                        : JobReplyStatus.UNAVAILABLE;
-        return JobReply.refusal(status, result.reason(), result.retryAfterMillis());
-    }
-
     CompletableFuture<JobReply> cancel(String job) {
         Optional<JobPhase> phase = scheduler.cancel(job, context.now());
         if (phase.isEmpty()) {
@@ -376,10 +384,7 @@
 
     @Override
     public void phaseStored(String job, JobPhase phase) {
-        List<CompletableFuture<JobReply>> replies = repliesAwaitingStore.remove(job);
-        if (replies != null) {
-            replies.forEach(reply -> reply.complete(JobReply.of(JobReplyStatus.DONE, "stored")));
-        }
+        completeReplies(job, JobReply.of(JobReplyStatus.DONE, "stored"));
     }
 
     @Override
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StorePort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StorePort.java
@@ -74,8 +74,9 @@
      * @param key  the key, not null
      * @param value  the bytes, not null
      * @param revision  the revision of the item's last change
+     * @param lease  the identifier of the lease that the item is bound to, 0 if none
      */
-    record Item(String key, byte[] value, long revision) {}
+    record Item(String key, byte[] value, long revision, long lease) {}
 
     /**
      * A page of items in the order of their keys.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerLink.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerLink.java
@@ -4,7 +4,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -34,6 +36,7 @@
     private final Map<Long, CompletableFuture<PeerReply>> openCalls = new ConcurrentHashMap<>();
     private final AtomicLong lastCallId = new AtomicLong();
     private volatile Connection connection;
+    private volatile boolean refused;
     private volatile boolean closed;
 
     PeerLink(EntryId self, Endpoint endpoint, PeerSecret secret, EntryMetrics metrics, Bootstrap bootstrap) {
@@ -68,6 +71,19 @@
         return connection != null;
     }
 
+    /**
+     * Returns whether the peer's machine refused the last connection attempt, because no process listens at the address.
+     *
+     * @return true if the last attempt was refused; false if it succeeded or was not answered
+     */
+    boolean isRefused() {
+        return refused;
+    }
+
+    private static boolean isRefusal(Throwable failure) {
+        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+    }
+
     /**
      * Starts to connect, unless this link is closed. A failed attempt is retried.
      */
@@ -78,6 +94,7 @@
         bootstrap
                 .connect(new InetSocketAddress(endpoint.host(), endpoint.port()))
                 .addListener(connecting -> {
+                    refused = isRefusal(connecting.cause());
                     if (!connecting.isSuccess()) {
                         scheduleReconnect();
                     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerNetwork.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerNetwork.java
@@ -92,6 +92,17 @@
         return connected;
     }
 
+    /**
+     * Returns whether a peer's machine refused the last connection attempt, because no process listens at the address.
+     *
+     * @param peer  the peer, not null
+     * @return true if the last attempt was refused; false if it succeeded, was not answered, or none was made
+     */
+    public boolean isRefused(EntryId peer) {
+        PeerLink link = links.get(peer);
+        return link != null && link.isRefused();
+    }
+
     /**
      * Connects to a peer, unless a link to its address exists already. A link to another address is closed.
      *
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -0,0 +1,177 @@
+package org.trefoilpost.entry.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.PoolTimeouts;
+import org.trefoilpost.decision.job.RegisteredWorker;
+import org.trefoilpost.entry.runtime.MillisClock;
+import org.trefoilpost.entry.runtime.ServiceThread;
+
+/**
+ * Plays the owner of the machines against a store that loses answers and that gives the claim to another entry.
+ */
+class FleetRunnerTest {
+    private static final String OWNER_KEY = LiveEntries.ownerKey(FleetRunner.MACHINES_CLAIM);
+    private static final String WAVE_KEY = "trefoilpost/wave/1";
+    private static final String SPARE = "spare";
+
+    private final MemoryStore store = new MemoryStore();
+    private final Machines machines = new Machines();
+    private final MillisClock clock = MillisClock.steady();
+    private final ServiceThread<Runnable> thread = ServiceThread.of("jobs-test", 256, clock);
+    private final DecisionLog log = new DecisionLog();
+    private JobContext context;
+    private FleetRunner runner;
+
+    @BeforeEach
+    void open() {
+        boolean tokensCompared = true;
+        JobServiceSettings settings = new JobServiceSettings(
+                "entry-1", "127.0.0.1:1", new PoolTimeouts(5_000, 120_000, 2_000), 64, tokensCompared, 1_000);
+        JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+        JobPorts ports = new JobPorts(store, null, machines, null, new Formats());
+        context = new JobContext(settings, ports, thread, clock, log, metrics);
+        thread.start((event, nowMillis) -> event.run());
+        runner = new FleetRunner(context, new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty()));
+        store.put(OWNER_KEY, "entry-1");
+        JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1);
+        run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
+    }
+
+    @AfterEach
+    void stop() {
+        thread.close();
+        log.close();
+    }
+
+    @Test
+    void waveIsCarriedOutThoughTheAnswerToItsFirstChangeIsLost() throws InterruptedException {
+        store.loseNextAnswer();
+        request("m1", "m2");
+        tickUntil(() -> store.text(WAVE_KEY).endsWith("true"));
+        assertEquals(List.of("m1", "m2"), machines.maintained);
+        assertTrue(runner.token() != 0, "the owner keeps the machines");
+        assertTrue(store.text(WAVE_KEY).endsWith("true"), store.text(WAVE_KEY));
+    }
+
+    @Test
+    void ownerStopsWhenAnotherEntryHasClaimedTheMachines() throws InterruptedException {
+        request("m1");
+        store.put(OWNER_KEY, "entry-2");
+        tickUntil(() -> runner.token() == 0);
+        assertEquals(0, runner.token());
+        assertEquals(List.of(), machines.maintained);
+    }
+
+    @Test
+    void ownerWhoseClaimHasLapsedKeepsItsStateAndOrdersNothing() throws InterruptedException {
+        request("m1");
+        store.remove(OWNER_KEY);
+        tickUntil(runner::isLapsed);
+        assertTrue(runner.isLapsed());
+        assertEquals(List.of(), machines.maintained);
+        store.put(OWNER_KEY, "entry-1");
+        run(() -> runner.claimRenewed(store.revisionOf(OWNER_KEY), context.now()));
+        tickUntil(() -> !machines.maintained.isEmpty());
+        assertEquals(List.of("m1"), machines.maintained);
+    }
+
+    private void request(String... names) {
+        run(() -> runner.addWave(new UpkeepWave(1, List.of(names), 20_000, 1)));
+    }
+
+    /** Ticks until a condition holds, for at most ten seconds. */
+    private void tickUntil(BooleanSupplier condition) throws InterruptedException {
+        for (int i = 0; i < 500 && !condition.getAsBoolean(); i++) {
+            run(() -> runner.tick(context.now()));
+            Thread.sleep(20);
+        }
+    }
+
+    /** Runs a step on the service thread, and waits until the calls that it made are handled. */
+    private void run(Runnable step) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        context.execute(() -> {
+            step.run();
+            context.execute(() -> context.execute(() -> context.execute(() -> done.complete(true))));
+        });
+        done.join();
+    }
+
+    /** A machine service with two machines in the spare pool that are maintained in an instant. */
+    private static final class Machines implements MachinePort {
+        private final List<String> maintained = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<List<Machine>> list() {
+            List<Machine> listed = new ArrayList<>();
+            for (String name : List.of("m1", "m2")) {
+                listed.add(new Machine(name, SPARE, State.UP, "", 1_000));
+            }
+            return CompletableFuture.completedFuture(listed);
+        }
+
+        @Override
+        public CompletableFuture<Outcome> move(String machine, String pool, Authority authority) {
+            throw new IllegalStateException("no move is needed here");
+        }
+
+        @Override
+        public CompletableFuture<Outcome> beginUpkeep(String machine, long wave, Authority authority) {
+            maintained.add(machine);
+            return CompletableFuture.completedFuture(Outcome.DONE);
+        }
+    }
+
+    /** Formats of which only those of a wave's status are used. */
+    private static final class Formats implements PlatformFormats {
+        @Override
+        public String operatorPrefix() {
+            return "op/";
+        }
+
+        @Override
+        public String workerPrefix() {
+            return "servers/";
+        }
+
+        @Override
+        public Optional<JobConfiguration> configuration(StorePort.Item item) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<UpkeepWave> wave(StorePort.Item item) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<RegisteredWorker> worker(StorePort.Item item) {
+            return Optional.empty();
+        }
+
+        @Override
+        public String waveStatusKey(long wave) {
+            return "status/wave/" + wave;
+        }
+
+        @Override
+        public byte[] waveStatus(long wave, boolean completed) {
+            return Boolean.toString(completed).getBytes(StandardCharsets.UTF_8);
+        }
+    }
+}
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
@@ -14,6 +14,7 @@
 final class MemoryStore implements StorePort {
     private final Map<String, Item> items = new HashMap<>();
     private final Map<String, Long> leaseOfKey = new HashMap<>();
+    private final List<Long> endedLeases = new ArrayList<>();
     private long revision = 10;
     private long lastLease;
     private boolean losesNextAnswer;
@@ -39,7 +40,7 @@
      */
     void put(String key, String value) {
         revision++;
-        items.put(key, new Item(key, value.getBytes(StandardCharsets.UTF_8), revision));
+        items.put(key, new Item(key, value.getBytes(StandardCharsets.UTF_8), revision, 0));
     }
 
     void remove(String key) {
@@ -47,6 +48,14 @@
         leaseOfKey.remove(key);
     }
 
+    List<Long> endedLeases() {
+        return endedLeases;
+    }
+
+    String text(String key) {
+        return items.containsKey(key) ? new String(items.get(key).value(), StandardCharsets.UTF_8) : "";
+    }
+
     long revisionOf(String key) {
         return items.containsKey(key) ? items.get(key).revision() : 0;
     }
@@ -82,7 +91,7 @@
         }
         revision++;
         for (Put put : change.puts()) {
-            items.put(put.key(), new Item(put.key(), put.value(), revision));
+            items.put(put.key(), new Item(put.key(), put.value(), revision, put.lease()));
             if (put.lease() != 0) {
                 leaseOfKey.put(put.key(), put.lease());
             }
@@ -120,6 +129,7 @@
 
     @Override
     public CompletableFuture<Void> endLease(long lease) {
+        endedLeases.add(lease);
         return CompletableFuture.completedFuture(null);
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerRankingTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerRankingTest.java
@@ -35,7 +35,7 @@
         LiveEntries.Peer owner = liveEntries.entries().iterator().next();
         liveEntries.change(
                 LiveEntries.ownerKey("a"),
-                Optional.of(new StorePort.Item(LiveEntries.ownerKey("a"), LiveEntries.encode(owner), 9)),
+                Optional.of(new StorePort.Item(LiveEntries.ownerKey("a"), LiveEntries.encode(owner), 9, 1)),
                 0);
         assertEquals(Set.of("b", "c", "d"), OwnerRanking.of(POOLS, liveEntries).keySet());
     }
@@ -45,7 +45,7 @@
         for (int i = 0; i < large + small; i++) {
             String name = (i < large ? "large-" : "small-") + i;
             LiveEntries.Peer peer = new LiveEntries.Peer(name, "10.0.0.1:1", "x", i < large ? 1_500 : 360);
-            items.add(new StorePort.Item(LiveEntries.entryKey(name), LiveEntries.encode(peer), i + 1));
+            items.add(new StorePort.Item(LiveEntries.entryKey(name), LiveEntries.encode(peer), i + 1, 1));
         }
         LiveEntries liveEntries = new LiveEntries();
         liveEntries.replace(items, 0);
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
@@ -60,6 +60,16 @@
         assertEquals(6, answer.inFlight());
     }
 
+    @Test
+    void tellsAnEndedProcessFromALivingOne() throws Exception {
+        client.connect(ONE, server.endpoint());
+        await(() -> client.connectedPeers().contains(ONE));
+        assertFalse(client.isRefused(ONE));
+        server.close();
+        await(() -> client.isRefused(ONE));
+        assertFalse(client.isRefused(EntryId.of("e-9")), "a peer that is not known");
+    }
+
     @Test
     void rejectsAWrongSecret() throws Exception {
         PeerNetwork intruder = PeerNetwork.start(
