Notice the return of a silent store within a probe, and refuse sooner while it fails

Cause: an outage in which the store gives no answer left calls waiting: a watch for up to 3.5 s, a change and a renewal for 1.2 s each, so an entry went on waiting for answers that could not come after the store was back. And a job handed in while the store refused every change was refused only after 0.8 s.

A change that has failed twice and for 0.25 s makes the store unreachable for new jobs. Entries make their first claims 0.3 s after their registration instead of 0.5 s. The event store-returned is logged.

Tests that failed first: ClaimRenewalTest (return of a silent store, commit sent again, failing store).

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -349,6 +350,14 @@
             fleetRunner.claimLapsed();
         }
 
+        @Override
+        public void storeReturned() {
+            context.logDecision(Decision.of("store-returned"));
+            List.of(operatorMirror, liveMirror).forEach(StoreMirror::watchAgain);
+            registry.watchAgain();
+            runners.values().forEach(PoolRunner::storeReturned);
+        }
+
         @Override
         public void leaseObtained() {
             renewLapsedClaims(context.now());
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
@@ -18,6 +18,10 @@
     private static final long LEASE_TTL_MILLIS = 2_000;
     private static final long RENEWAL_INTERVAL_MILLIS = 600;
     private static final long RETRY_DELAY_MILLIS = 200;
+    /** Interval of calls while earlier ones are unanswered, so that the return of a silent store is noticed soon. */
+    private static final long PROBE_INTERVAL_MILLIS = 300;
+
+    private static final int MAX_LEASE_CALLS_IN_FLIGHT = 5;
     /** Delay of an entry's claim for each entry that ranks before it, so that the best candidate claims first. */
     private static final long RANK_DELAY_MILLIS = 250;
 
@@ -25,7 +29,7 @@
     private static final long FORMER_OWNER_DELAY_MILLIS = 150;
 
     /** Delay between the registration of this entry and its first claim. */
-    private static final long FIRST_CLAIM_DELAY_MILLIS = 500;
+    private static final long FIRST_CLAIM_DELAY_MILLIS = 300;
 
     private static final String CLAIM_MARKER = "claim:";
 
@@ -37,7 +41,8 @@
     private final Map<String, Long> nextRenewalMillis = new HashMap<>();
     private long lastRenewalNumber;
     private long lease;
-    private boolean leaseCallInFlight;
+    private int leaseCallsInFlight;
+    private boolean storeSilent;
     private boolean registered;
     private long nextLeaseCallMillis;
     private long registeredAtMillis;
@@ -62,10 +67,9 @@
      * Obtains or renews the lease if that is due, and claims pools without an owner when this entry's rank allows it.
      */
     void tick(Set<String> pools, long nowMillis) {
-        if (lease == 0) {
-            obtainLease(nowMillis);
-        } else if (nowMillis >= nextLeaseCallMillis) {
-            renewLease(nowMillis);
+        if (!leaving && nowMillis >= nextLeaseCallMillis && leaseCallsInFlight < MAX_LEASE_CALLS_IN_FLIGHT) {
+            storeSilent |= leaseCallsInFlight > 0;
+            callLease(nowMillis);
         }
         if (registered && !leaving && nowMillis - registeredAtMillis >= FIRST_CLAIM_DELAY_MILLIS) {
             Map<String, List<String>> ranking = OwnerRanking.of(pools, liveEntries);
@@ -80,8 +84,6 @@
         leaving = true;
         long endingLease = lease;
         lease = 0;
-        nextLeaseCallMillis = Long.MAX_VALUE;
-        leaseCallInFlight = true;
         if (endingLease == 0) {
             done.run();
         } else {
@@ -89,23 +91,43 @@
         }
     }
 
-    private void obtainLease(long nowMillis) {
-        if (leaseCallInFlight || nowMillis < nextLeaseCallMillis) {
-            return;
+    private void callLease(long nowMillis) {
+        leaseCallsInFlight++;
+        nextLeaseCallMillis = nowMillis + PROBE_INTERVAL_MILLIS;
+        if (lease == 0) {
+            obtainLease();
+        } else {
+            renewLease(nowMillis);
         }
-        leaseCallInFlight = true;
+    }
+
+    private void obtainLease() {
         context.onServiceThread(context.store().grantLease(LEASE_TTL_MILLIS), (granted, failure) -> {
-            leaseCallInFlight = leaving;
-            nextLeaseCallMillis = nowMillis + RETRY_DELAY_MILLIS;
-            if (failure == null && !leaving) {
+            leaseCallAnswered(failure);
+            // Another call may have obtained a lease meanwhile; an unused one expires.
+            if (failure == null && !leaving && lease == 0) {
                 lease = granted;
-                nextLeaseCallMillis = nowMillis + RENEWAL_INTERVAL_MILLIS;
+                nextLeaseCallMillis = context.now().steadyMillis() + RENEWAL_INTERVAL_MILLIS;
                 register();
                 listener.leaseObtained();
             }
         });
     }
 
+    /**
+     * Handles the end of a call about the lease. The first answer after a silence shows that the store has returned, while
+     * other calls may still wait for answers that will not come.
+     */
+    private void leaseCallAnswered(Throwable failure) {
+        leaseCallsInFlight--;
+        if (failure != null) {
+            nextLeaseCallMillis = Math.min(nextLeaseCallMillis, context.now().steadyMillis() + RETRY_DELAY_MILLIS);
+        } else if (storeSilent) {
+            storeSilent = false;
+            listener.storeReturned();
+        }
+    }
+
     private void register() {
         long callLease = lease;
         StorePort.Put put = new StorePort.Put(LiveEntries.entryKey(self.name()), LiveEntries.encode(self), callLease);
@@ -126,16 +148,14 @@
     }
 
     private void renewLease(long nowMillis) {
-        if (leaseCallInFlight) {
-            return;
-        }
-        leaseCallInFlight = true;
         long callLease = lease;
         context.onServiceThread(context.store().renewLease(callLease), (renewed, failure) -> {
-            leaseCallInFlight = leaving;
-            nextLeaseCallMillis = nowMillis + (failure == null ? RENEWAL_INTERVAL_MILLIS : RETRY_DELAY_MILLIS);
-            if (failure == null && !renewed && lease == callLease) {
-                handleLeaseEnd();
+            leaseCallAnswered(failure);
+            if (failure == null && lease == callLease) {
+                nextLeaseCallMillis = Math.max(nextLeaseCallMillis, nowMillis + RENEWAL_INTERVAL_MILLIS);
+                if (!renewed) {
+                    handleLeaseEnd();
+                }
             }
         });
     }
@@ -282,6 +302,11 @@
          */
         void allClaimsLapsed();
 
+        /**
+         * Handles that the store answers again after calls without an answer.
+         */
+        void storeReturned();
+
         /**
          * Handles that a lease was obtained, under which claims that have lapsed can be renewed.
          */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -28,9 +28,6 @@
  * the service's thread only.
  */
 final class PoolRunner implements PoolActions, ClaimHolder {
-    /** A store that has not answered a commit for longer is treated as unreachable. */
-    private static final long MAX_PENDING_COMMIT_MILLIS = 800;
-
     private static final long OWNER_CHECK_INTERVAL_MILLIS = 1_000;
 
     /** Delay after a result, so that further results are handled in the same tick. */
@@ -151,6 +148,13 @@
                 () -> closed);
     }
 
+    /**
+     * Sends the open commit again, as the store has returned after a silence.
+     */
+    void storeReturned() {
+        store.sendAgain();
+    }
+
     void configure(Map<String, QueueConfig> queues) {
         scheduler.configure(queues);
     }
@@ -188,7 +192,7 @@
         Moment now = context.now();
         boolean ordersAllowed = now.steadyMillis() - ownerConfirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
         scheduler.tick(ordersAllowed, now);
-        if (!isStoreReachable(now)) {
+        if (!store.isReachable(now.steadyMillis())) {
             refuseUnsentJobs();
         }
         if (store.awaitsClaim()) {
@@ -247,10 +251,6 @@
         }
     }
 
-    private boolean isStoreReachable(Moment now) {
-        return store.pendingMillis(now.steadyMillis()) < MAX_PENDING_COMMIT_MILLIS;
-    }
-
     /**
      * Refuses the jobs that wait for the store and that it cannot have received, so that their callers need not wait.
      */
@@ -266,7 +266,7 @@
 
     CompletableFuture<JobReply> submit(JobSpec spec) {
         Moment now = context.now();
-        SubmitResult result = scheduler.submit(spec, isStoreReachable(now), now);
+        SubmitResult result = scheduler.submit(spec, store.isReachable(now.steadyMillis()), now);
         context.logDecision((result.kind() == SubmitResult.Kind.REFUSED
                         ? Decision.failure("job-refused")
                         : Decision.of("job-submitted"))
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -23,6 +23,12 @@
     private static final String JOB_KEY_PREFIX = "trefoilpost/job/";
     private static final String COUNTER_KEY_PREFIX = "trefoilpost/count/";
     private static final long RETRY_DELAY_MILLIS = 120;
+    /** A store that has not answered a commit for longer is treated as unreachable. */
+    private static final long MAX_PENDING_MILLIS = 800;
+    /** A store that has refused or broken off all attempts of a commit for longer is treated as unreachable. */
+    private static final long MAX_FAILING_MILLIS = 250;
+
+    private static final int FAILURES_UNTIL_UNREACHABLE = 2;
 
     private final String pool;
     /** The token of the first claim, which makes the markers of this owner's commits unique. */
@@ -33,6 +39,7 @@
     private long counterRevision;
     private PendingCommit pending;
     private boolean awaitsClaim;
+    private int failedAttempts;
 
     PoolStore(String pool, long token, JobContext context) {
         this.pool = pool;
@@ -51,10 +58,15 @@
     }
 
     /**
-     * Returns how long the pending commit has waited for its answer, in milliseconds, 0 if none is pending.
+     * Returns whether the store has left the pending commit unanswered for long, or has failed it repeatedly.
      */
-    long pendingMillis(long nowMillis) {
-        return pending == null ? 0 : nowMillis - pending.sinceMillis;
+    boolean isReachable(long nowMillis) {
+        if (pending == null) {
+            return true;
+        }
+        long waitedMillis = nowMillis - pending.sinceMillis;
+        boolean failing = failedAttempts >= FAILURES_UNTIL_UNREACHABLE && waitedMillis >= MAX_FAILING_MILLIS;
+        return !failing && waitedMillis < MAX_PENDING_MILLIS;
     }
 
     long counterRevision() {
@@ -146,6 +158,15 @@
         send(pending);
     }
 
+    /**
+     * Sends the pending commit once more beside the attempt that is under way; it takes effect at most once.
+     */
+    void sendAgain() {
+        if (pending != null && !awaitsClaim) {
+            send(pending);
+        }
+    }
+
     private void send(PendingCommit attempt) {
         if (attempt != pending || attempt.cancelled.getAsBoolean()) {
             return;
@@ -166,6 +187,7 @@
                     && storeFailure.kind() == StoreFailure.Kind.CONFLICT) {
                 resolveConflict(attempt, storeFailure);
             } else {
+                failedAttempts++;
                 context.logDecision(Decision.failure("commit-unanswered")
                         .with("pool", pool)
                         .with("number", attempt.commit.number())
@@ -180,6 +202,7 @@
         counterRevision = revision;
         pending = null;
         awaitsClaim = false;
+        failedAttempts = 0;
         attempt.committed.accept(attempt.commit, confirmedMillis);
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -27,6 +27,7 @@
     private boolean loaded;
     private boolean readInFlight;
     private boolean watching;
+    private long watchNumber;
     private boolean connected;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
 
@@ -122,11 +123,26 @@
         callbacks.forEach(Runnable::run);
     }
 
+    /**
+     * Sends a new watch call in place of the one that is under way, which may have been sent to a silent store.
+     */
+    void watchAgain() {
+        if (watching) {
+            connected = false;
+            watch();
+        }
+    }
+
     private void watch() {
         watching = true;
+        watchNumber++;
+        long number = watchNumber;
         long fromRevision = revision;
         context.onServiceThread(
                 context.store().watch(prefix, fromRevision, WATCH_TIMEOUT_MILLIS), (changes, failure) -> {
+                    if (number != watchNumber) {
+                        return;
+                    }
                     if (failure == null) {
                         storeAnswered();
                         // A refresh has read the items meanwhile; these changes may be older.
@@ -140,7 +156,7 @@
                             listener.changesApplied();
                         }
                         long delayMillis = changes.changes().isEmpty() ? 0 : watchDelayMillis.getAsLong();
-                        context.schedule(delayMillis, this::watch);
+                        context.schedule(delayMillis, () -> continueWatching(number));
                     } else if (failure instanceof StoreFailure storeFailure
                             && storeFailure.kind() == StoreFailure.Kind.HISTORY_DROPPED) {
                         watching = false;
@@ -150,11 +166,17 @@
                         read("", -1);
                     } else {
                         storeFailed(failure);
-                        context.schedule(RETRY_DELAY_MILLIS, this::watch);
+                        context.schedule(RETRY_DELAY_MILLIS, () -> continueWatching(number));
                     }
                 });
     }
 
+    private void continueWatching(long number) {
+        if (number == watchNumber && watching) {
+            watch();
+        }
+    }
+
     private void apply(String key, Optional<StorePort.Item> item) {
         if (item.isPresent()) {
             items.put(key, item.get());
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -36,6 +36,13 @@
         mirror.refresh(done);
     }
 
+    /**
+     * Watches again at once, as the store has returned after a silence.
+     */
+    void watchAgain() {
+        mirror.watchAgain();
+    }
+
     boolean isLoaded() {
         return mirror.isLoaded();
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -48,8 +48,14 @@
         thread.start((event, nowMillis) -> event.run());
         ownership = new PoolOwnership(context, new LiveEntries(), "incarnation", new ClaimListener());
         run(() -> ownership.tick(Set.of(), now().steadyMillis()));
-        store.put(COUNTER_KEY, "claim");
-        holder = new Holder(store.revisionOf(COUNTER_KEY));
+        long token = store.commit(claimOfThisEntry()).join();
+        holder = new Holder(token);
+    }
+
+    private static StorePort.Change claimOfThisEntry() {
+        StorePort.Put owner = new StorePort.Put(OWNER_KEY, new byte[0], 1);
+        StorePort.Put counter = new StorePort.Put(COUNTER_KEY, new byte[0], 0);
+        return new StorePort.Change(Map.of(), List.of(owner, counter), List.of());
     }
 
     @AfterEach
@@ -90,11 +96,6 @@
 
     @Test
     void commitThatTookEffectBeforeTheLapseIsCompletedOnce() throws InterruptedException {
-        StorePort.Put owner = new StorePort.Put(OWNER_KEY, new byte[0], 1);
-        StorePort.Put counter = new StorePort.Put(COUNTER_KEY, new byte[0], 0);
-        long token = store.commit(new StorePort.Change(Map.of(), List.of(owner, counter), List.of()))
-                .join();
-        holder = new Holder(token);
         store.loseNextAnswer();
         commit();
         lapse();
@@ -126,6 +127,46 @@
         assertEquals(List.of("lapsed", "lost conflict"), events);
     }
 
+    @Test
+    void storeThatFailsCommitsIsUnreachableBeforeOneThatIsSilent() throws InterruptedException {
+        store.refuseCalls(true);
+        commit();
+        assertTrue(poolStore.isReachable(now().steadyMillis()));
+        Thread.sleep(400);
+        assertFalse(poolStore.isReachable(now().steadyMillis()));
+        store.refuseCalls(false);
+        for (int i = 0; i < 100 && !poolStore.isReachable(now().steadyMillis()); i++) {
+            Thread.sleep(20);
+        }
+        assertTrue(poolStore.isReachable(now().steadyMillis()), "the commit is stored after the store's return");
+    }
+
+    @Test
+    void returnOfASilentStoreIsNoticedByTheNextProbe() throws InterruptedException {
+        store.silent(true);
+        for (int i = 0; i < 60; i++) {
+            run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+            Thread.sleep(20);
+        }
+        assertEquals(List.of(), events);
+        store.silent(false);
+        for (int i = 0; i < 60 && events.isEmpty(); i++) {
+            run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+            Thread.sleep(20);
+        }
+        assertEquals(List.of("store returned"), events);
+    }
+
+    @Test
+    void commitToASilentStoreIsSentAgainOnItsReturn() {
+        store.silent(true);
+        commit();
+        store.silent(false);
+        assertEquals(List.of(), events);
+        run(() -> poolStore.sendAgain());
+        assertEquals(List.of("committed 1"), events);
+    }
+
     private void commit() {
         Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of());
         run(() -> poolStore.commit(
@@ -162,7 +203,7 @@
         done.join();
     }
 
-    private static final class ClaimListener implements PoolOwnership.Listener {
+    private final class ClaimListener implements PoolOwnership.Listener {
         @Override
         public void poolClaimed(String pool, long token) {
             // These tests make no first claims.
@@ -173,6 +214,11 @@
             // The holder is told of the lapse by the test.
         }
 
+        @Override
+        public void storeReturned() {
+            events.add("store returned");
+        }
+
         @Override
         public void leaseObtained() {
             // The test renews the claim itself.
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
@@ -18,6 +18,8 @@
     private long revision = 10;
     private long lastLease;
     private boolean losesNextAnswer;
+    private boolean refusing;
+    private boolean silent;
 
     /**
      * Carries out the next change without answering it.
@@ -26,6 +28,20 @@
         losesNextAnswer = true;
     }
 
+    /**
+     * Sets whether all changes are refused.
+     */
+    void refuseCalls(boolean value) {
+        refusing = value;
+    }
+
+    /**
+     * Sets whether changes and renewals get no answer.
+     */
+    void silent(boolean value) {
+        silent = value;
+    }
+
     /**
      * Removes all keys that are bound to a lease, as if it had expired.
      */
@@ -79,6 +95,12 @@
 
     @Override
     public CompletableFuture<Long> commit(Change change) {
+        if (silent) {
+            return new CompletableFuture<>();
+        }
+        if (refusing) {
+            return failure(StoreFailure.Kind.REFUSED);
+        }
         for (Map.Entry<String, Long> condition : change.expected().entrySet()) {
             if (revisionOf(condition.getKey()) != condition.getValue()) {
                 return CompletableFuture.failedFuture(conflict(change));
@@ -124,7 +146,7 @@
 
     @Override
     public CompletableFuture<Boolean> renewLease(long lease) {
-        return CompletableFuture.completedFuture(lease == lastLease);
+        return silent ? new CompletableFuture<>() : CompletableFuture.completedFuture(lease == lastLease);
     }
 
     @Override
