--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -28,6 +28,8 @@
     private static final String OWNER_KEY = LiveEntries.ownerKey(FleetRunner.MACHINES_CLAIM);
     private static final String WAVE_KEY = "trefoilpost/wave/1";
     private static final String SPARE = "spare";
+    /** So short that as many machines as allowed are maintained at once. */
+    private static final long WITHIN_MILLIS = 6_000;
 
     private final MemoryStore store = new MemoryStore();
     private final Machines machines = new Machines();
@@ -61,16 +63,31 @@
     @Test
     void waveIsCarriedOutThoughTheAnswerToItsFirstChangeIsLost() throws InterruptedException {
         store.loseNextAnswer();
-        request("m1", "m2");
+        request(1, "m1", "m2");
+        tickUntil(() -> store.text(WAVE_KEY).endsWith("true"));
+        assertEquals(List.of("m1", "m2"), machines.maintained);
+        assertTrue(runner.token() != 0, "the owner keeps the machines");
+    }
+
+    @Test
+    void waveIsCarriedOutThoughItsProgressChangedAfterAnUnansweredChange() throws InterruptedException {
+        machines.secondState = MachinePort.State.MOVING;
+        store.loseNextAnswerTo("m1");
+        request(2, "m1", "m2");
+        tickUntil(() -> store.text(WAVE_KEY).contains("m1"));
+        store.refuseCalls(true);
+        machines.secondState = MachinePort.State.UP;
+        int calls = machines.listCalls;
+        tickUntil(() -> machines.listCalls >= calls + 2);
+        store.refuseCalls(false);
         tickUntil(() -> store.text(WAVE_KEY).endsWith("true"));
         assertEquals(List.of("m1", "m2"), machines.maintained);
         assertTrue(runner.token() != 0, "the owner keeps the machines");
-        assertTrue(store.text(WAVE_KEY).endsWith("true"), store.text(WAVE_KEY));
     }
 
     @Test
     void ownerStopsWhenAnotherEntryHasClaimedTheMachines() throws InterruptedException {
-        request("m1");
+        request(1, "m1");
         store.put(OWNER_KEY, "entry-2");
         tickUntil(() -> runner.token() == 0);
         assertEquals(0, runner.token());
@@ -79,7 +96,7 @@
 
     @Test
     void ownerWhoseClaimHasLapsedKeepsItsStateAndOrdersNothing() throws InterruptedException {
-        request("m1");
+        request(1, "m1");
         store.remove(OWNER_KEY);
         tickUntil(runner::isLapsed);
         assertTrue(runner.isLapsed());
@@ -90,8 +107,8 @@
         assertEquals(List.of("m1"), machines.maintained);
     }
 
-    private void request(String... names) {
-        run(() -> runner.addWave(new UpkeepWave(1, List.of(names), 20_000, 1)));
+    private void request(int atOnce, String... names) {
+        run(() -> runner.addWave(new UpkeepWave(1, List.of(names), WITHIN_MILLIS, atOnce)));
     }
 
     /** Ticks until a condition holds, for at most ten seconds. */
@@ -115,13 +132,15 @@
     /** A machine service with two machines in the spare pool that are maintained in an instant. */
     private static final class Machines implements MachinePort {
         private final List<String> maintained = new ArrayList<>();
+        private volatile State secondState = State.UP;
+        private volatile int listCalls;
 
         @Override
         public CompletableFuture<List<Machine>> list() {
             List<Machine> listed = new ArrayList<>();
-            for (String name : List.of("m1", "m2")) {
-                listed.add(new Machine(name, SPARE, State.UP, "", 1_000));
-            }
+            listCalls++;
+            listed.add(new Machine("m1", SPARE, State.UP, "", 1_000));
+            listed.add(new Machine("m2", SPARE, secondState, "", 1_000));
             return CompletableFuture.completedFuture(listed);
         }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
@@ -17,7 +17,9 @@
     private final List<Long> endedLeases = new ArrayList<>();
     private long revision = 10;
     private long lastLease;
-    private boolean losesNextAnswer;
+    /** The text in a written value whose change gets no answer, empty if none is to be lost. */
+    private Optional<String> lostAnswerText = Optional.empty();
+
     private boolean refusing;
     private boolean silent;
 
@@ -25,7 +27,14 @@
      * Carries out the next change without answering it.
      */
     void loseNextAnswer() {
-        losesNextAnswer = true;
+        loseNextAnswerTo("");
+    }
+
+    /**
+     * Carries out the next change that writes a value with a text without answering it.
+     */
+    void loseNextAnswerTo(String text) {
+        lostAnswerText = Optional.of(text);
     }
 
     /**
@@ -119,13 +128,20 @@
             }
         }
         change.removedKeys().forEach(this::remove);
-        if (losesNextAnswer) {
-            losesNextAnswer = false;
+        if (isAnswerLost(change)) {
+            lostAnswerText = Optional.empty();
             return failure(StoreFailure.Kind.UNKNOWN);
         }
         return CompletableFuture.completedFuture(revision);
     }
 
+    private boolean isAnswerLost(Change change) {
+        return lostAnswerText.isPresent()
+                && change.puts().stream()
+                        .anyMatch(
+                                put -> new String(put.value(), StandardCharsets.UTF_8).contains(lostAnswerText.get()));
+    }
+
     private StoreFailure conflict(Change change) {
         List<Item> present = new ArrayList<>();
         change.expected()
