Never leave a pool claimed by an entry that does not run it

Cause: found by reading the renewal of claims: while a claim had lapsed and its renewals failed, the same entry could claim the pool afresh; the new claim was ignored as long as the lapsed runner stood, the next renewal then found the changed counter key and gave the runner up, and the store went on naming an entry that ran nothing. The same followed from an owner that lost a pool by mistake.

Ruled out: dropping the lapsed runner at a fresh claim; the runner would lose its open change for nothing.

Change: pools whose claim has lapsed are only renewed; claims that the store shows for this entry are taken at each tick, except with a token that has been lost, which is released by a conditional removal.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.PoolInstructions;
@@ -33,6 +34,7 @@
 
     private final JobContext context;
     private final OwnerCalls ownerCalls;
+    private final LongConsumer onOwnershipLost;
     private final Map<Long, UpkeepWave> waves = new TreeMap<>();
     /** The deadlines of the waves, counted from the time at which this entry learned of them. */
     private final Map<Long, Moment> deadlines = new HashMap<>();
@@ -50,9 +52,15 @@
     private boolean stateLoaded;
     private volatile OrderWindow orderWindow = OrderWindow.UNLIMITED;
 
-    FleetRunner(JobContext context, OwnerCalls ownerCalls) {
+    /**
+     * Constructs a runner without a claim.
+     *
+     * @param onOwnershipLost  receives the token with which the machines were lost
+     */
+    FleetRunner(JobContext context, OwnerCalls ownerCalls, LongConsumer onOwnershipLost) {
         this.context = context;
         this.ownerCalls = ownerCalls;
+        this.onOwnershipLost = onOwnershipLost;
     }
 
     @Override
@@ -223,6 +231,7 @@
     private void loseOwnership(String reason) {
         context.logDecision(
                 Decision.failure("machines-lost").with("token", token).with("reason", reason));
+        onOwnershipLost.accept(token);
         close();
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -47,6 +47,9 @@
     private final StoreMirror liveMirror;
     private final PoolOwnership ownership;
     private final Map<String, PoolRunner> runners = new HashMap<>();
+    /** The highest token with which this entry has lost each pool, which the local copy of the claims may still show. */
+    private final Map<String, Long> lostTokens = new HashMap<>();
+
     private final JobRequestRouter router;
     private final FleetRunner fleetRunner;
     private PeerNetwork network;
@@ -78,7 +81,8 @@
         this.endedOwners = new EndedOwners(context, peer -> network.isRefused(EntryId.of(peer.name())));
         OwnerCalls ownerCalls = new OwnerCalls(context, liveEntries, connections, this::openRunner);
         this.router = new JobRequestRouter(context, ownerCalls);
-        this.fleetRunner = new FleetRunner(context, ownerCalls);
+        this.fleetRunner = new FleetRunner(
+                context, ownerCalls, token -> lostTokens.merge(FleetRunner.MACHINES_CLAIM, token, Math::max));
         this.lastMoment = context.now();
     }
 
@@ -160,20 +164,40 @@
         endedOwners.tick(liveEntries, now.steadyMillis());
         new ArrayList<>(runners.values()).forEach(PoolRunner::tick);
         fleetRunner.tick(now);
+        takeOwnClaims();
         renewLapsedClaims(now);
         router.setReady(!leaving && configuration != null && liveMirror.isLoaded());
         context.schedule(runners.isEmpty() ? IDLE_TICK_MILLIS : OWNER_TICK_MILLIS, this::tick);
     }
 
+    private List<ClaimHolder> claimHolders() {
+        List<ClaimHolder> holders = new ArrayList<>(runners.values());
+        if (fleetRunner.token() != 0) {
+            holders.add(fleetRunner);
+        }
+        return holders;
+    }
+
     private void renewLapsedClaims(Moment now) {
-        for (PoolRunner runner : new ArrayList<>(runners.values())) {
-            if (runner.isLapsed()) {
-                ownership.renewClaim(runner, now);
+        claimHolders().stream().filter(ClaimHolder::isLapsed).forEach(holder -> ownership.renewClaim(holder, now));
+    }
+
+    /**
+     * Takes over the pools that the store says this entry owns and that it does not run: after its start, or after a claim
+     * that took effect without an answer. A claim with which it has lost the pool is released.
+     */
+    private void takeOwnClaims() {
+        long nowMillis = context.now().steadyMillis();
+        liveEntries.owners().forEach((pool, owner) -> {
+            if (!owner.peer().equals(ownership.self()) || configuration == null) {
+                return;
             }
-        }
-        if (fleetRunner.isLapsed()) {
-            ownership.renewClaim(fleetRunner, now);
-        }
+            if (owner.token() > lostTokens.getOrDefault(pool, 0L)) {
+                takeOwnership(pool, owner.token());
+            } else {
+                ownership.release(pool, owner.token(), nowMillis);
+            }
+        });
     }
 
     private void checkForProcessPause(Moment now) {
@@ -194,6 +218,8 @@
         if (configuration != null && registry.isLoaded() && liveMirror.isLoaded() && !leaving) {
             pools.addAll(configuration.pools());
             pools.add(FleetRunner.MACHINES_CLAIM);
+            // A claim that has lapsed is renewed; a new claim in its place would hide what happened in between.
+            claimHolders().stream().filter(ClaimHolder::isLapsed).forEach(holder -> pools.remove(holder.pool()));
         }
         return pools;
     }
@@ -223,11 +249,18 @@
             return;
         }
         dropOwnership(pool);
-        PoolRunner runner = new PoolRunner(pool, token, context, () -> runners.remove(pool));
+        PoolRunner runner = new PoolRunner(pool, token, context, () -> ownershipLost(pool));
         runners.put(pool, runner);
         runner.start(configuration.queues(), registry);
     }
 
+    private void ownershipLost(String pool) {
+        PoolRunner runner = runners.remove(pool);
+        if (runner != null) {
+            lostTokens.merge(pool, runner.token(), Math::max);
+        }
+    }
+
     private void dropOwnership(String pool) {
         PoolRunner runner = runners.remove(pool);
         if (runner != null) {
@@ -309,15 +342,8 @@
 
         @Override
         public void changesApplied() {
-            liveEntries.owners().forEach((pool, owner) -> {
-                if (owner.peer().equals(ownership.self()) && configuration != null) {
-                    takeOwnership(pool, owner.token());
-                }
-            });
-            new ArrayList<>(runners.values()).forEach(this::checkClaim);
-            if (fleetRunner.token() != 0) {
-                checkClaim(fleetRunner);
-            }
+            takeOwnClaims();
+            claimHolders().forEach(this::checkClaim);
         }
 
         private void checkClaim(ClaimHolder holder) {
@@ -346,8 +372,7 @@
 
         @Override
         public void allClaimsLapsed() {
-            new ArrayList<>(runners.values()).forEach(PoolRunner::claimLapsed);
-            fleetRunner.claimLapsed();
+            claimHolders().forEach(ClaimHolder::claimLapsed);
         }
 
         @Override
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
@@ -216,6 +216,26 @@
         nextLeaseCallMillis = Math.min(nextLeaseCallMillis, context.now().steadyMillis());
     }
 
+    /**
+     * Releases a claim that this entry no longer works under, if the store still holds it.
+     */
+    void release(String pool, long token, long nowMillis) {
+        boolean due = nowMillis >= nextRenewalMillis.getOrDefault(pool, Long.MIN_VALUE);
+        if (leaving || !due || !claimsInFlight.add(pool)) {
+            return;
+        }
+        nextRenewalMillis.put(pool, nowMillis + RETRY_DELAY_MILLIS);
+        String key = LiveEntries.ownerKey(pool);
+        StorePort.Change change = new StorePort.Change(Map.of(key, token), List.of(), List.of(key));
+        context.onServiceThread(context.store().commit(change), (revision, failure) -> {
+            claimsInFlight.remove(pool);
+            context.logDecision(Decision.of("claim-released")
+                    .with("pool", pool)
+                    .with("token", token)
+                    .with("outcome", failure == null ? "released" : String.valueOf(failure.getMessage())));
+        });
+    }
+
     /**
      * Renews a claim that has lapsed, if no entry has claimed the pool since. Every claim writes the counter key, so an
      * unchanged counter key proves that.
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -167,6 +167,15 @@
         assertEquals(List.of("committed 1"), events);
     }
 
+    @Test
+    void releasedClaimIsRemovedUnlessAnotherEntryHasClaimedThePool() {
+        run(() -> ownership.release(POOL, holder.token, now().steadyMillis()));
+        assertEquals(0, store.revisionOf(OWNER_KEY));
+        store.put(OWNER_KEY, "another entry");
+        run(() -> ownership.release(POOL, holder.token, now().steadyMillis() + 1_000));
+        assertTrue(store.revisionOf(OWNER_KEY) != 0);
+    }
+
     private void commit() {
         Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of());
         run(() -> poolStore.commit(
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -36,6 +36,7 @@
     private final MillisClock clock = MillisClock.steady();
     private final ServiceThread<Runnable> thread = ServiceThread.of("jobs-test", 256, clock);
     private final DecisionLog log = new DecisionLog();
+    private final List<Long> lost = new ArrayList<>();
     private JobContext context;
     private FleetRunner runner;
 
@@ -48,7 +49,8 @@
         JobPorts ports = new JobPorts(store, null, machines, null, new Formats());
         context = new JobContext(settings, ports, thread, clock, log, metrics);
         thread.start((event, nowMillis) -> event.run());
-        runner = new FleetRunner(context, new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty()));
+        runner = new FleetRunner(
+                context, new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty()), lost::add);
         store.put(OWNER_KEY, "entry-1");
         JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1);
         run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
@@ -89,7 +91,9 @@
     void ownerStopsWhenAnotherEntryHasClaimedTheMachines() throws InterruptedException {
         request(1, "m1");
         store.put(OWNER_KEY, "entry-2");
+        long token = runner.token();
         tickUntil(() -> runner.token() == 0);
+        assertEquals(List.of(token), lost);
         assertEquals(0, runner.token());
         assertEquals(List.of(), machines.maintained);
     }
