Share the drawn jobs and the service of tests

Cause: two simulations drew the same jobs by the same lines, and three tests built the same context.

Change: RandomJob and TestService.

Ruled out: sharing with the platform's stand-in, whose jobs differ.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/DemandPeakSimulation.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/DemandPeakSimulation.java
@@ -6,11 +6,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
-import org.trefoilpost.decision.job.JobSpec;
-import org.trefoilpost.decision.job.ResourceAmount;
-import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.SubmitResult;
-import org.trefoilpost.decision.job.TaskId;
 
 /**
  * Simulates a demand peak of a queue: for some seconds callers submit several times the work that the pool can do, and
@@ -24,15 +20,8 @@
     private static final long PEAK_MILLIS = 9_000;
     private static final long SETTLE_MILLIS = 40_000;
     private static final int MAX_SUBMISSIONS = 5;
-    private static final double MEAN_TASKS = 6;
-    private static final double MEAN_CORES = 1.8;
-    private static final double MEAN_SECONDS = 0.8;
-    private static final double MEAN_STEPS = 1.6;
     /** Error of estimated run times, as the standard deviation of their logarithm. */
     private static final double ESTIMATE_DEVIATION = 0.6;
-    /** Difference of run times within a step, as the standard deviation of their logarithm. */
-    private static final double TASK_TIME_DEVIATION = 0.3;
-
     /** A job's time objective is its critical path multiplied by this factor, plus the allowance. */
     private static final double OBJECTIVE_FACTOR = 2.0;
 
@@ -64,7 +53,7 @@
     }
 
     private Result run() {
-        double jobCoreSeconds = MEAN_STEPS * MEAN_TASKS * MEAN_CORES * MEAN_SECONDS;
+        double jobCoreSeconds = RandomJob.MEAN_CORE_SECONDS;
         double jobsPerMilli = POOL_CORES / jobCoreSeconds / 1_000;
         for (long at = 0; at < LOW_LOAD_MILLIS + PEAK_MILLIS; at++) {
             boolean peak = at >= LOW_LOAD_MILLIS;
@@ -81,11 +70,13 @@
         double late = 0;
         double refused = 0;
         for (Caller caller : callers) {
-            submitted += caller.work;
+            submitted += caller.job.work();
             long completionMillis = caller.completionMillis();
-            inTime += completionMillis <= caller.objectiveMillis ? caller.work : 0;
-            late += completionMillis > caller.objectiveMillis && completionMillis < Long.MAX_VALUE ? caller.work : 0;
-            refused += caller.refused ? caller.work : 0;
+            inTime += completionMillis <= caller.objectiveMillis ? caller.job.work() : 0;
+            late += completionMillis > caller.objectiveMillis && completionMillis < Long.MAX_VALUE
+                    ? caller.job.work()
+                    : 0;
+            refused += caller.refused ? caller.job.work() : 0;
         }
         return new Result(
                 achievableWork() / submitted,
@@ -108,7 +99,7 @@
         for (long at = next.submittedMillis; at < end; at++) {
             while (next != null && next.submittedMillis <= at) {
                 open.add(next);
-                next.remainingWork = next.work;
+                next.remainingWork = next.job.work();
                 next = rest.hasNext() ? rest.next() : null;
             }
             double capacity = POOL_CORES * 1_000;
@@ -126,10 +117,6 @@
         return done;
     }
 
-    private double logNormal(double mean, double deviation) {
-        return mean * Math.exp(random.nextGaussian() * deviation - deviation * deviation / 2);
-    }
-
     /**
      * The outcome of the jobs, as shares of the submitted work.
      *
@@ -145,40 +132,16 @@
      * A caller with one job, who submits it again after each refusal, up to {@link #MAX_SUBMISSIONS} times in all.
      */
     private final class Caller {
-        private final JobSpec spec;
-        private final long[][] taskMillis;
+        private final RandomJob job;
         private final long objectiveMillis;
-        private double work;
         private double remainingWork;
         private long submittedMillis;
         private int submissions;
         private boolean refused;
 
         Caller(int number) {
-            int steps = 1 + (random.nextDouble() < MEAN_STEPS - 1 ? 1 : 0);
-            taskMillis = new long[steps][];
-            List<StepSpec> specs = new ArrayList<>();
-            long criticalPathMillis = 0;
-            for (int step = 0; step < steps; step++) {
-                int tasks = (int) Math.max(1, Math.min(24, logNormal(MEAN_TASKS, 0.6)));
-                int cpuMillis = (int) Math.min(5_300, logNormal(MEAN_CORES * 1_000, 0.45));
-                double meanMillis = Math.min(2_000, logNormal(MEAN_SECONDS * 1_000, 0.5));
-                taskMillis[step] = new long[tasks];
-                long longest = 0;
-                for (int task = 0; task < tasks; task++) {
-                    taskMillis[step][task] = (long) Math.max(50, logNormal(meanMillis, TASK_TIME_DEVIATION));
-                    longest = Math.max(longest, taskMillis[step][task]);
-                    work += taskMillis[step][task] * (double) cpuMillis;
-                }
-                criticalPathMillis += longest;
-                specs.add(StepSpec.builder()
-                        .tasks(tasks, new ResourceAmount(cpuMillis, 256, 0))
-                        .estimateMillis((long) Math.max(1, logNormal(meanMillis, ESTIMATE_DEVIATION)))
-                        .after(step == 0 ? List.of() : List.of(step - 1))
-                        .build());
-            }
-            objectiveMillis = (long) (OBJECTIVE_FACTOR * criticalPathMillis) + OBJECTIVE_ALLOWANCE_MILLIS;
-            spec = new JobSpec(String.format("%016x", number), QUEUE, "text", specs, JobSpec.Schedule.ONCE);
+            job = RandomJob.draw(number, QUEUE, ESTIMATE_DEVIATION, random);
+            objectiveMillis = (long) (OBJECTIVE_FACTOR * job.criticalPathMillis()) + OBJECTIVE_ALLOWANCE_MILLIS;
         }
 
         void begin() {
@@ -188,24 +151,20 @@
 
         private void submit() {
             submissions++;
-            SubmitResult answer = platform.submitJob(spec, this::workMillis);
+            SubmitResult answer = platform.submitJob(job.spec(), job::durationMillis);
             refused = answer.kind() == SubmitResult.Kind.REFUSED;
             if (refused && submissions < MAX_SUBMISSIONS) {
                 time.schedule(answer.retryAfterMillis(), this::submit);
             }
         }
 
-        private long workMillis(TaskId task) {
-            return taskMillis[task.step()][task.index()];
-        }
-
         long giveUpMillis() {
             return submittedMillis + 1_000;
         }
 
         long completionMillis() {
-            return platform.completedMillis(spec.id()).isPresent()
-                    ? platform.completedMillis(spec.id()).getAsLong() - submittedMillis
+            return platform.completedMillis(job.spec().id()).isPresent()
+                    ? platform.completedMillis(job.spec().id()).getAsLong() - submittedMillis
                     : Long.MAX_VALUE;
         }
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/DemandTurnSimulation.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/DemandTurnSimulation.java
@@ -7,11 +7,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.trefoilpost.decision.job.Decision;
-import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.PoolDemand;
 import org.trefoilpost.decision.job.PoolInstructions;
-import org.trefoilpost.decision.job.ResourceAmount;
-import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.SubmitResult;
 import org.trefoilpost.decision.job.fleet.FleetActions;
 import org.trefoilpost.decision.job.fleet.FleetPlanner;
@@ -40,12 +37,7 @@
     private static final long TURN_MILLIS = 8_000;
     private static final long END_MILLIS = 40_000;
     private static final long CALLER_DEADLINE_MILLIS = 3_000;
-    private static final double MEAN_TASKS = 6;
-    private static final double MEAN_CORES = 1.8;
-    private static final double MEAN_SECONDS = 0.8;
-    private static final double MEAN_STEPS = 1.6;
     private static final double ESTIMATE_DEVIATION = 0.2;
-    private static final double TASK_TIME_DEVIATION = 0.3;
     private static final double OBJECTIVE_FACTOR = 1.6;
     private static final long OBJECTIVE_ALLOWANCE_MILLIS = 600;
 
@@ -87,7 +79,7 @@
     }
 
     private Result run() {
-        double jobCoreMillis = MEAN_STEPS * MEAN_TASKS * MEAN_CORES * MEAN_SECONDS * 1_000;
+        double jobCoreMillis = RandomJob.MEAN_CORE_SECONDS * 1_000;
         double turnJobsPerMilli = turnMachines * MACHINE_CPU_MILLIS / 1_000.0 / jobCoreMillis;
         for (long at = 0; at < END_MILLIS - 10_000; at++) {
             boolean turn = at >= LOW_LOAD_MILLIS && at < LOW_LOAD_MILLIS + TURN_MILLIS;
@@ -104,9 +96,9 @@
         double refused = 0;
         for (Caller caller : callers) {
             if (caller.inTurn) {
-                submitted += caller.work;
-                inTime += caller.completionMillis() <= caller.objectiveMillis ? caller.work : 0;
-                refused += caller.refused ? caller.work : 0;
+                submitted += caller.job.work();
+                inTime += caller.completionMillis() <= caller.objectiveMillis ? caller.job.work() : 0;
+                refused += caller.refused ? caller.job.work() : 0;
             }
         }
         return new Result(
@@ -184,10 +176,6 @@
         platform.recordDecision(decision);
     }
 
-    private double logNormal(double mean, double deviation) {
-        return mean * Math.exp(random.nextGaussian() * deviation - deviation * deviation / 2);
-    }
-
     /**
      * The outcome of a turn.
      *
@@ -214,40 +202,16 @@
      * A caller with one job, who submits it again after each refusal until its deadline.
      */
     private final class Caller {
-        private final JobSpec spec;
-        private final long[][] taskMillis;
+        private final RandomJob job;
         private final long objectiveMillis;
         private final boolean inTurn;
-        private double work;
         private long submittedMillis;
         private boolean refused;
 
         Caller(int number, boolean inTurn) {
             this.inTurn = inTurn;
-            int steps = 1 + (random.nextDouble() < MEAN_STEPS - 1 ? 1 : 0);
-            taskMillis = new long[steps][];
-            List<StepSpec> specs = new ArrayList<>();
-            long criticalPathMillis = 0;
-            for (int step = 0; step < steps; step++) {
-                int tasks = (int) Math.max(1, Math.min(24, logNormal(MEAN_TASKS, 0.6)));
-                int cpuMillis = (int) Math.min(5_300, logNormal(MEAN_CORES * 1_000, 0.45));
-                double meanMillis = Math.min(2_000, logNormal(MEAN_SECONDS * 1_000, 0.5));
-                taskMillis[step] = new long[tasks];
-                long longest = 0;
-                for (int task = 0; task < tasks; task++) {
-                    taskMillis[step][task] = (long) Math.max(50, logNormal(meanMillis, TASK_TIME_DEVIATION));
-                    longest = Math.max(longest, taskMillis[step][task]);
-                    work += taskMillis[step][task] * (double) cpuMillis;
-                }
-                criticalPathMillis += longest;
-                specs.add(StepSpec.builder()
-                        .tasks(tasks, new ResourceAmount(cpuMillis, 256, 0))
-                        .estimateMillis((long) Math.max(1, logNormal(meanMillis, ESTIMATE_DEVIATION)))
-                        .after(step == 0 ? List.of() : List.of(step - 1))
-                        .build());
-            }
-            objectiveMillis = (long) (OBJECTIVE_FACTOR * criticalPathMillis) + OBJECTIVE_ALLOWANCE_MILLIS;
-            spec = new JobSpec(String.format("%016x", number), QUEUE, "text", specs, JobSpec.Schedule.ONCE);
+            job = RandomJob.draw(number, QUEUE, ESTIMATE_DEVIATION, random);
+            objectiveMillis = (long) (OBJECTIVE_FACTOR * job.criticalPathMillis()) + OBJECTIVE_ALLOWANCE_MILLIS;
         }
 
         void begin() {
@@ -256,7 +220,7 @@
         }
 
         private void submit() {
-            SubmitResult answer = platform.submitJob(spec, task -> taskMillis[task.step()][task.index()]);
+            SubmitResult answer = platform.submitJob(job.spec(), job::durationMillis);
             refused = answer.kind() == SubmitResult.Kind.REFUSED;
             long retryMillis = time.nowMillis() + answer.retryAfterMillis();
             if (refused && retryMillis < submittedMillis + CALLER_DEADLINE_MILLIS) {
@@ -265,8 +229,8 @@
         }
 
         long completionMillis() {
-            return platform.completedMillis(spec.id()).isPresent()
-                    ? platform.completedMillis(spec.id()).getAsLong() - submittedMillis
+            return platform.completedMillis(job.spec().id()).isPresent()
+                    ? platform.completedMillis(job.spec().id()).getAsLong() - submittedMillis
                     : Long.MAX_VALUE;
         }
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -4,21 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.Moment;
-import org.trefoilpost.decision.job.PoolTimeouts;
-import org.trefoilpost.entry.runtime.MillisClock;
-import org.trefoilpost.entry.runtime.ServiceThread;
 
 /**
  * Replays outages of the store in which the lease of an owner ends: the owner goes on with its state if no other entry
@@ -30,9 +24,7 @@
     private static final String COUNTER_KEY = PoolStore.counterKey(POOL);
 
     private final MemoryStore store = new MemoryStore();
-    private final MillisClock clock = MillisClock.steady();
-    private final ServiceThread<Runnable> thread = ServiceThread.of("jobs-test", 64, clock);
-    private final DecisionLog log = new DecisionLog();
+    private final TestService service = new TestService(store, null, null);
     private final List<String> events = new ArrayList<>();
     private JobContext context;
     private PoolOwnership ownership;
@@ -41,13 +33,9 @@
 
     @BeforeEach
     void claim() {
-        JobServiceSettings settings = new JobServiceSettings(
-                "entry-1", "127.0.0.1:1", new PoolTimeouts(5_000, 120_000, 2_000), 1, true, 1_000);
-        JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        context = new JobContext(settings, new JobPorts(store, null, null, null, null), thread, clock, log, metrics);
-        thread.start((event, nowMillis) -> event.run());
+        context = service.context();
         ownership = new PoolOwnership(context, new LiveEntries(), "incarnation", new ClaimListener());
-        run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+        service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
         long token = store.commit(claimOfThisEntry()).join();
         holder = new Holder(token);
     }
@@ -60,8 +48,7 @@
 
     @AfterEach
     void stop() {
-        thread.close();
-        log.close();
+        service.close();
     }
 
     @Test
@@ -145,13 +132,13 @@
     void returnOfASilentStoreIsNoticedByTheNextProbe() throws InterruptedException {
         store.silent(true);
         for (int i = 0; i < 60; i++) {
-            run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+            service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
             Thread.sleep(20);
         }
         assertEquals(List.of(), events);
         store.silent(false);
         for (int i = 0; i < 60 && events.isEmpty(); i++) {
-            run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+            service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
             Thread.sleep(20);
         }
         assertEquals(List.of("store returned"), events);
@@ -163,22 +150,22 @@
         commit();
         store.silent(false);
         assertEquals(List.of(), events);
-        run(() -> poolStore.sendAgain());
+        service.run(() -> poolStore.sendAgain());
         assertEquals(List.of("committed 1"), events);
     }
 
     @Test
     void releasedClaimIsRemovedUnlessAnotherEntryHasClaimedThePool() {
-        run(() -> ownership.release(POOL, holder.token, now().steadyMillis()));
+        service.run(() -> ownership.release(POOL, holder.token, now().steadyMillis()));
         assertEquals(0, store.revisionOf(OWNER_KEY));
         store.put(OWNER_KEY, "another entry");
-        run(() -> ownership.release(POOL, holder.token, now().steadyMillis() + 1_000));
+        service.run(() -> ownership.release(POOL, holder.token, now().steadyMillis() + 1_000));
         assertTrue(store.revisionOf(OWNER_KEY) != 0);
     }
 
     private void commit() {
         Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of());
-        run(() -> poolStore.commit(
+        service.run(() -> poolStore.commit(
                 commit,
                 now().steadyMillis(),
                 (stored, confirmedMillis) -> events.add("committed " + stored.number()),
@@ -188,30 +175,20 @@
 
     private void lapse() {
         store.expireAllLeases();
-        run(holder::claimLapsed);
-        run(() -> ownership.checkLease());
-        run(() -> ownership.tick(Set.of(), now().steadyMillis()));
-        run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+        service.run(holder::claimLapsed);
+        service.run(() -> ownership.checkLease());
+        service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+        service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
     }
 
     private void renew() {
-        run(() -> ownership.renewClaim(holder, now()));
+        service.run(() -> ownership.renewClaim(holder, now()));
     }
 
     private Moment now() {
         return context.now();
     }
 
-    /** Runs a step on the service thread, and waits until the calls that it made are handled. */
-    private void run(Runnable step) {
-        CompletableFuture<Boolean> done = new CompletableFuture<>();
-        context.execute(() -> {
-            step.run();
-            context.execute(() -> context.execute(() -> context.execute(() -> done.complete(true))));
-        });
-        done.join();
-    }
-
     private final class ClaimListener implements PoolOwnership.Listener {
         @Override
         public void poolClaimed(String pool, long token) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/EndedOwnersTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/EndedOwnersTest.java
@@ -2,16 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.trefoilpost.decision.job.PoolTimeouts;
-import org.trefoilpost.entry.runtime.MillisClock;
-import org.trefoilpost.entry.runtime.ServiceThread;
 
 class EndedOwnersTest {
     private static final LiveEntries.Peer DEAD = new LiveEntries.Peer("entry-2", "127.0.0.1:2", "first", 750);
@@ -19,17 +14,14 @@
     private static final long DEAD_LEASE = 42;
 
     private final MemoryStore store = new MemoryStore();
-    private final MillisClock clock = MillisClock.steady();
-    private final ServiceThread<Runnable> thread = ServiceThread.of("jobs-test", 64, clock);
-    private final DecisionLog log = new DecisionLog();
+    private final TestService service = new TestService(store, null, null);
     private final LiveEntries liveEntries = new LiveEntries();
     private final Set<LiveEntries.Peer> refusing = new HashSet<>();
-    private final EndedOwners endedOwners = new EndedOwners(context(), refusing::contains);
+    private final EndedOwners endedOwners = new EndedOwners(service.context(), refusing::contains);
 
     @AfterEach
     void stop() {
-        thread.close();
-        log.close();
+        service.close();
     }
 
     @Test
@@ -70,11 +62,4 @@
                         new StorePort.Item(LiveEntries.ownerKey("b"), LiveEntries.encode(SILENT), 10, 43)),
                 0);
     }
-
-    private JobContext context() {
-        JobServiceSettings settings = new JobServiceSettings(
-                "entry-1", "127.0.0.1:1", new PoolTimeouts(5_000, 120_000, 2_000), 64, true, 1_000);
-        JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        return new JobContext(settings, new JobPorts(store, null, null, null, null), thread, clock, log, metrics);
-    }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,10 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.trefoilpost.decision.job.PoolTimeouts;
 import org.trefoilpost.decision.job.RegisteredWorker;
-import org.trefoilpost.entry.runtime.MillisClock;
-import org.trefoilpost.entry.runtime.ServiceThread;
 
 /**
  * Plays the owner of the machines against a store that loses answers and that gives the claim to another entry.
@@ -33,33 +28,24 @@
 
     private final MemoryStore store = new MemoryStore();
     private final Machines machines = new Machines();
-    private final MillisClock clock = MillisClock.steady();
-    private final ServiceThread<Runnable> thread = ServiceThread.of("jobs-test", 256, clock);
-    private final DecisionLog log = new DecisionLog();
+    private final TestService service = new TestService(store, machines, new Formats());
     private final List<Long> lost = new ArrayList<>();
     private JobContext context;
     private FleetRunner runner;
 
     @BeforeEach
     void open() {
-        boolean tokensCompared = true;
-        JobServiceSettings settings = new JobServiceSettings(
-                "entry-1", "127.0.0.1:1", new PoolTimeouts(5_000, 120_000, 2_000), 64, tokensCompared, 1_000);
-        JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        JobPorts ports = new JobPorts(store, null, machines, null, new Formats());
-        context = new JobContext(settings, ports, thread, clock, log, metrics);
-        thread.start((event, nowMillis) -> event.run());
+        context = service.context();
         runner = new FleetRunner(
                 context, new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty()), lost::add);
         store.put(OWNER_KEY, "entry-1");
         JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1);
-        run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
+        service.run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
     }
 
     @AfterEach
     void stop() {
-        thread.close();
-        log.close();
+        service.close();
     }
 
     @Test
@@ -106,33 +92,23 @@
         assertTrue(runner.isLapsed());
         assertEquals(List.of(), machines.maintained);
         store.put(OWNER_KEY, "entry-1");
-        run(() -> runner.claimRenewed(store.revisionOf(OWNER_KEY), context.now()));
+        service.run(() -> runner.claimRenewed(store.revisionOf(OWNER_KEY), context.now()));
         tickUntil(() -> !machines.maintained.isEmpty());
         assertEquals(List.of("m1"), machines.maintained);
     }
 
     private void request(int atOnce, String... names) {
-        run(() -> runner.addWave(new UpkeepWave(1, List.of(names), WITHIN_MILLIS, atOnce)));
+        service.run(() -> runner.addWave(new UpkeepWave(1, List.of(names), WITHIN_MILLIS, atOnce)));
     }
 
     /** Ticks until a condition holds, for at most ten seconds. */
     private void tickUntil(BooleanSupplier condition) throws InterruptedException {
         for (int i = 0; i < 500 && !condition.getAsBoolean(); i++) {
-            run(() -> runner.tick(context.now()));
+            service.run(() -> runner.tick(context.now()));
             Thread.sleep(20);
         }
     }
 
-    /** Runs a step on the service thread, and waits until the calls that it made are handled. */
-    private void run(Runnable step) {
-        CompletableFuture<Boolean> done = new CompletableFuture<>();
-        context.execute(() -> {
-            step.run();
-            context.execute(() -> context.execute(() -> context.execute(() -> done.complete(true))));
-        });
-        done.join();
-    }
-
     /** A machine service with two machines in the spare pool that are maintained in an instant. */
     private static final class Machines implements MachinePort {
         private final List<String> maintained = new ArrayList<>();
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -0,0 +1,51 @@
+package org.trefoilpost.entry.job;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.job.PoolTimeouts;
+import org.trefoilpost.entry.runtime.MillisClock;
+import org.trefoilpost.entry.runtime.ServiceThread;
+
+/**
+ * The context of a job service with a thread of its own, for tests of its parts.
+ */
+final class TestService implements AutoCloseable {
+    private static final JobServiceSettings SETTINGS =
+            new JobServiceSettings("entry-1", "127.0.0.1:1", new PoolTimeouts(5_000, 120_000, 2_000), 64, true, 1_000);
+
+    private final ServiceThread<Runnable> thread;
+    private final DecisionLog log = new DecisionLog();
+    private final JobContext context;
+
+    TestService(StorePort store, MachinePort machines, PlatformFormats formats) {
+        MillisClock clock = MillisClock.steady();
+        this.thread = ServiceThread.of("jobs-test", 256, clock);
+        JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+        JobPorts ports = new JobPorts(store, null, machines, null, formats);
+        this.context = new JobContext(SETTINGS, ports, thread, clock, log, metrics);
+        thread.start((event, nowMillis) -> event.run());
+    }
+
+    JobContext context() {
+        return context;
+    }
+
+    /**
+     * Runs a step on the service's thread, and waits until the calls that it made are handled.
+     */
+    void run(Runnable step) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        context.execute(() -> {
+            step.run();
+            context.execute(() -> context.execute(() -> context.execute(() -> done.complete(true))));
+        });
+        done.join();
+    }
+
+    @Override
+    public void close() {
+        thread.close();
+        log.close();
+    }
+}
