Log how long ago the store confirmed the configuration in force

Cause: a 404 by an entry that is behind looked in the logs like one by an entry that is up to date: request-refused had no version and no age, configuration-in-force did not say how far the entry had been behind, and an overdue watch left no line of its own.

Ruled out: logging each answered watch; the age at the moment of a decision says the same with a line only when something is decided.

Change: StoreMirror keeps the time for which the store last confirmed that no change is missing (an answer without changes confirms up to the end of its wait). It is logged as confirmedAge with request-refused, configuration-in-force, dependency-lost, dependency-regained and the new watch-failed, and two gauges show the version in force and its age. No decision uses it yet.

Conclusion: a refusal now tells which version decided it and how old that version's confirmation was.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
@@ -1,12 +1,14 @@
 package org.trefoilpost.entry.job;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.trefoilpost.decision.job.Decision;
 
 /**
@@ -63,6 +65,16 @@
                 .record(Math.max(0, durationMillis), TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Registers a gauge whose value is asked for when the metrics are read.
+     *
+     * @param name  the gauge's name, not null
+     * @param value  supplies the value, on any thread, not null
+     */
+    public void gauge(String name, LongSupplier value) {
+        Gauge.builder(name, value::getAsLong).strongReference(true).register(registry);
+    }
+
     /**
      * Returns all metrics of the registry.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.QueueConfig;
@@ -34,11 +35,21 @@
     private final OwnerCalls ownerCalls;
     private final Map<String, Set<String>> formerPools = new ConcurrentHashMap<>();
     private volatile JobConfiguration configuration;
+    private final LongSupplier configurationConfirmedMillis;
     private volatile boolean ready;
 
-    JobRequestRouter(JobContext context, OwnerCalls ownerCalls) {
+    /**
+     * Constructs a router without a configuration.
+     *
+     * @param configurationConfirmedMillis  supplies on any thread the latest time for which the store has confirmed that
+     *     there is no newer configuration, on the steady clock in milliseconds
+     */
+    JobRequestRouter(JobContext context, OwnerCalls ownerCalls, LongSupplier configurationConfirmedMillis) {
         this.context = context;
         this.ownerCalls = ownerCalls;
+        this.configurationConfirmedMillis = configurationConfirmedMillis;
+        context.metrics().gauge("trefoilpost.jobs.configuration.version", this::configurationVersion);
+        context.metrics().gauge("trefoilpost.jobs.configuration.age.millis", this::configurationAgeMillis);
     }
 
     /**
@@ -125,8 +136,23 @@
 
     @Override
     public void recordRefusal(String reason, String request) {
-        context.logDecision(
-                Decision.failure("request-refused").with("reason", reason).with("request", request));
+        context.logDecision(Decision.failure("request-refused")
+                .with("reason", reason)
+                .with("request", request)
+                .with("version", configurationVersion())
+                .with("confirmedAge", configurationAgeMillis()));
+    }
+
+    /**
+     * Returns the version of the configuration in force, 0 if there is none.
+     */
+    private long configurationVersion() {
+        JobConfiguration current = configuration;
+        return current == null ? 0 : current.version();
+    }
+
+    private long configurationAgeMillis() {
+        return context.now().steadyMillis() - configurationConfirmedMillis.getAsLong();
     }
 
     private CompletableFuture<JobReply> logOutcome(String kind, String job, CompletableFuture<JobReply> reply) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -80,7 +80,7 @@
         this.connections = new OwnerConnections(context, network);
         this.endedOwners = new EndedOwners(context, peer -> network.isRefused(EntryId.of(peer.name())));
         OwnerCalls ownerCalls = new OwnerCalls(context, liveEntries, connections, this::openRunner);
-        this.router = new JobRequestRouter(context, ownerCalls);
+        this.router = new JobRequestRouter(context, ownerCalls, operatorMirror::confirmedMillis);
         this.fleetRunner = new FleetRunner(
                 context, ownerCalls, token -> lostTokens.merge(FleetRunner.MACHINES_CLAIM, token, Math::max));
         this.lastMoment = context.now();
@@ -315,11 +315,14 @@
             if (configuration != null && next.version() <= configuration.version()) {
                 return;
             }
-            configuration = next;
             context.logDecision(Decision.of("configuration-in-force")
                     .with("version", next.version())
+                    .with("formerVersion", configuration == null ? 0 : configuration.version())
+                    .with("revision", operatorMirror.revision())
+                    .with("confirmedAge", context.now().steadyMillis() - operatorMirror.confirmedMillis())
                     .with("queues", next.queues().size())
                     .with("pools", next.pools().size()));
+            configuration = next;
             router.configure(next);
             runners.values().forEach(runner -> runner.configure(next.queues()));
             fleetRunner.configure(next);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -26,10 +26,13 @@
     private long revision;
     private boolean loaded;
     private boolean readInFlight;
+    private long readStartMillis;
     private boolean watching;
     private long watchNumber;
     private boolean connected;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
+    /** Written on the service's thread only. */
+    private volatile long confirmedMillis;
 
     /**
      * Constructs a mirror that has not been started.
@@ -41,6 +44,7 @@
         this.context = context;
         this.listener = listener;
         this.watchDelayMillis = watchDelayMillis;
+        this.confirmedMillis = context.now().steadyMillis();
     }
 
     /**
@@ -79,6 +83,14 @@
         return revision;
     }
 
+    /**
+     * Returns the latest time for which the store has confirmed that the mirror lacks no change, on the steady clock in
+     * milliseconds; before the first answer, the time of the construction. May be called on any thread.
+     */
+    long confirmedMillis() {
+        return confirmedMillis;
+    }
+
     /**
      * Reads a page of items and those after it.
      *
@@ -89,6 +101,7 @@
         readInFlight = true;
         if (after.isEmpty()) {
             itemsBeingRead = new HashMap<>();
+            readStartMillis = context.now().steadyMillis();
         }
         context.onServiceThread(context.store().range(prefix, after), (page, failure) -> {
             if (failure != null) {
@@ -118,6 +131,7 @@
         items.putAll(itemsBeingRead);
         listener.reloaded();
         listener.changesApplied();
+        confirmed(readStartMillis);
         List<Runnable> callbacks = List.copyOf(refreshCallbacks);
         refreshCallbacks.clear();
         callbacks.forEach(Runnable::run);
@@ -138,6 +152,7 @@
         watchNumber++;
         long number = watchNumber;
         long fromRevision = revision;
+        long sentMillis = context.now().steadyMillis();
         context.onServiceThread(
                 context.store().watch(prefix, fromRevision, WATCH_TIMEOUT_MILLIS), (changes, failure) -> {
                     if (number != watchNumber) {
@@ -155,6 +170,7 @@
                         if (!changes.changes().isEmpty()) {
                             listener.changesApplied();
                         }
+                        confirmed(confirmedBy(changes, sentMillis));
                         long delayMillis = changes.changes().isEmpty() ? 0 : watchDelayMillis.getAsLong();
                         context.schedule(delayMillis, () -> continueWatching(number));
                     } else if (failure instanceof StoreFailure storeFailure
@@ -166,11 +182,35 @@
                         read("", -1);
                     } else {
                         storeFailed(failure);
+                        context.logDecision(Decision.failure("watch-failed")
+                                .with("prefix", prefix)
+                                .with("revision", revision)
+                                .with("waitedMillis", context.now().steadyMillis() - sentMillis)
+                                .with("confirmedAge", confirmedAgeMillis())
+                                .with("failure", String.valueOf(failure.getMessage())));
                         context.schedule(RETRY_DELAY_MILLIS, () -> continueWatching(number));
                     }
                 });
     }
 
+    /**
+     * Returns the time for which the answer to a watch confirms that no further change was made. The store gives an answer
+     * without changes at the end of the wait.
+     */
+    private long confirmedBy(StorePort.Changes changes, long sentMillis) {
+        return changes.changes().isEmpty()
+                ? Math.min(sentMillis + WATCH_TIMEOUT_MILLIS, context.now().steadyMillis())
+                : sentMillis;
+    }
+
+    private void confirmed(long millis) {
+        confirmedMillis = Math.max(confirmedMillis, millis);
+    }
+
+    private long confirmedAgeMillis() {
+        return context.now().steadyMillis() - confirmedMillis;
+    }
+
     private void continueWatching(long number) {
         if (number == watchNumber && watching) {
             watch();
@@ -191,7 +231,9 @@
         if (!connected) {
             connected = true;
             reconnectedMillis = nowMillis;
-            context.logDecision(Decision.of("dependency-regained").with("dependency", "store " + prefix));
+            context.logDecision(Decision.of("dependency-regained")
+                    .with("dependency", "store " + prefix)
+                    .with("confirmedAge", confirmedAgeMillis()));
         }
     }
 
@@ -200,6 +242,7 @@
             connected = false;
             context.logDecision(Decision.failure("dependency-lost")
                     .with("dependency", "store " + prefix)
+                    .with("confirmedAge", confirmedAgeMillis())
                     .with("failure", String.valueOf(failure.getMessage())));
         }
     }
