--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
@@ -81,6 +81,10 @@
         return items.containsKey(key) ? new String(items.get(key).value(), StandardCharsets.UTF_8) : "";
     }
 
+    long revision() {
+        return revision;
+    }
+
     long revisionOf(String key) {
         return items.containsKey(key) ? items.get(key).revision() : 0;
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -19,7 +19,10 @@
     private final JobContext context;
 
     TestService(StorePort store, MachinePort machines, PlatformFormats formats) {
-        MillisClock clock = MillisClock.steady();
+        this(store, machines, formats, MillisClock.steady());
+    }
+
+    TestService(StorePort store, MachinePort machines, PlatformFormats formats, MillisClock clock) {
         this.thread = ServiceThread.of("jobs-test", 256, clock);
         JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
         JobPorts ports = new JobPorts(store, null, machines, null, formats);
