Do not deny a queue while the configuration is unconfirmed

Cause: callers of an added route got 404, which says that the queue doesn't exist, from an entry that could not know: the store had confirmed its configuration longer ago than the time within which a newer one must be in force. 404 ends the caller's tries; another entry would have served it.

Ruled out: refusing requests for queues that the old configuration has: a job is accepted only if the store contains it, so an owner without the store accepts none, and a state can be told without it.

Change: ConfigurationBound decides by the time within which a configuration must be in force (configApplyMs) and gives the watch its times.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
@@ -74,9 +74,11 @@
      * The destination of a request.
      *
      * @param configured  true if a configuration is in force
+     * @param current  true if the store has confirmed recently that there is no newer configuration, so that a queue that
+     *     is missing does not exist
      * @param queue  the name of the queue, empty if no queue matches, not null
      * @param job  the identifier of the job in the path, empty if the path names only the queue, not null
      * @param maxBodyBytes  the maximum size of the body, in bytes
      */
-    record Route(boolean configured, Optional<String> queue, String job, int maxBodyBytes) {}
+    record Route(boolean configured, boolean current, Optional<String> queue, String job, int maxBodyBytes) {}
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -83,7 +83,7 @@
     public Route route(String host, String path) {
         JobConfiguration current = configuration;
         if (current == null) {
-            return new Route(false, Optional.empty(), "", 0);
+            return new Route(false, false, Optional.empty(), "", 0);
         }
         Optional<QueueConfig> queue = current.findQueue(host, path);
         String job = queue.map(matching -> path.substring(matching.prefix().length()))
@@ -91,6 +91,11 @@
         boolean invalidName = job.indexOf('/') >= 0 || job.length() > MAX_JOB_NAME_LENGTH;
         return new Route(
                 true,
+                context.settings()
+                        .configurationBound()
+                        .isConfirmed(
+                                configurationConfirmedMillis.getAsLong(),
+                                context.now().steadyMillis()),
                 invalidName ? Optional.empty() : queue.map(QueueConfig::name),
                 invalidName ? "" : job,
                 current.maxBodyBytes());
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobServiceSettings.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobServiceSettings.java
@@ -1,7 +1,7 @@
 package org.trefoilpost.entry.job;
 
+import org.trefoilpost.decision.job.ConfigurationBound;
 import org.trefoilpost.decision.job.PoolTimeouts;
-import org.trefoilpost.decision.job.WatchTimes;
 
 /**
  * The settings of an entry's job service.
@@ -12,7 +12,7 @@
  * @param maxMachineCallsPerSecond  the maximum rate of calls to the machine service, for all entries together
  * @param machineTokensCompared  true if the machine service rejects orders with a lower fencing token than an earlier one
  * @param cpuMillis  the entry's processor share in thousandths of a core
- * @param configurationWatchTimes  the times of the watch of the configuration, not null
+ * @param configurationBound  the time within which a configuration must be in force, not null
  */
 public record JobServiceSettings(
         String name,
@@ -21,4 +21,4 @@
         double maxMachineCallsPerSecond,
         boolean machineTokensCompared,
         long cpuMillis,
-        WatchTimes configurationWatchTimes) {}
+        ConfigurationBound configurationBound) {}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
@@ -19,7 +19,7 @@
         this.mirror = new StoreMirror(
                 context.ports().formats().operatorPrefix(),
                 context,
-                context.settings().configurationWatchTimes(),
+                context.settings().configurationBound().watchTimes(),
                 () -> 0,
                 this);
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -3,8 +3,8 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.concurrent.CompletableFuture;
+import org.trefoilpost.decision.job.ConfigurationBound;
 import org.trefoilpost.decision.job.PoolTimeouts;
-import org.trefoilpost.decision.job.WatchTimes;
 import org.trefoilpost.entry.runtime.MillisClock;
 import org.trefoilpost.entry.runtime.ServiceThread;
 
@@ -19,7 +19,7 @@
             64,
             true,
             1_000,
-            WatchTimes.within(2_000));
+            new ConfigurationBound(2_000));
 
     private final ServiceThread<Runnable> thread;
     private final DecisionLog log = new DecisionLog();
