Keep a local copy of the store from going back to an older page

Cause: an entry could work for a while with workers or claims that the store no longer had. A page that was read replaced the local copy also if a watch had brought later changes meanwhile, and two reads under way at once (a refresh, and a read after the history was dropped) filled one map, so that an item which was removed between them stayed until the next read. The configuration was not affected: its version never falls.

Evidence: StoreMirrorTest, failing before: {p/a=1} instead of {p/a=2, p/b=1}; {p/b=1, p/removed=1} instead of {p/b=1}.

Ruled out: ordering the calls; a watch and a read on two connections have no order.

Change: each read has its own items; a newer read makes an older one void; a page older than the copy is not taken.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -22,12 +22,12 @@
     private final WatchTimes watchTimes;
     private final LongSupplier watchDelayMillis;
     private final Map<String, StorePort.Item> items = new HashMap<>();
-    private Map<String, StorePort.Item> itemsBeingRead = new HashMap<>();
     private final List<Runnable> refreshCallbacks = new ArrayList<>();
     private long revision;
     private boolean loaded;
-    private boolean readInFlight;
-    private long readStartMillis;
+    /** The read under way, null if there is none. */
+    private ItemRead currentRead;
+
     private boolean watching;
     private long watchNumber;
     private int unansweredWatches;
@@ -61,13 +61,13 @@
      */
     void refresh(Runnable done) {
         refreshCallbacks.add(done);
-        if (!readInFlight) {
-            read("", -1);
+        if (currentRead == null) {
+            read();
         }
     }
 
     void start() {
-        read("", -1);
+        read();
     }
 
     boolean isLoaded() {
@@ -100,50 +100,63 @@
         return confirmedMillis;
     }
 
+    /**
+     * Reads all items. An earlier read that has not ended is abandoned.
+     */
+    private void read() {
+        currentRead = new ItemRead(context.now().steadyMillis());
+        readPage(currentRead, "");
+    }
+
     /**
      * Reads a page of items and those after it.
      *
      * @param after  the key after which the page begins, empty for the first page
-     * @param firstRevision  the revision of the first page, from which to watch, negative while it is not known
      */
-    private void read(String after, long firstRevision) {
-        readInFlight = true;
-        if (after.isEmpty()) {
-            itemsBeingRead = new HashMap<>();
-            readStartMillis = context.now().steadyMillis();
-        }
+    private void readPage(ItemRead itemRead, String after) {
         context.onServiceThread(context.store().range(prefix, after), (page, failure) -> {
+            if (itemRead != currentRead) {
+                return;
+            }
             if (failure != null) {
                 storeFailed(failure);
-                context.schedule(RETRY_DELAY_MILLIS, () -> read("", -1));
+                context.schedule(RETRY_DELAY_MILLIS, () -> retryRead(itemRead));
                 return;
             }
             storeAnswered();
-            page.items().forEach(item -> itemsBeingRead.put(item.key(), item));
-            long startRevision = firstRevision < 0 ? page.revision() : firstRevision;
+            itemRead.add(page);
             if (page.hasMore() && !page.items().isEmpty()) {
-                read(page.items().get(page.items().size() - 1).key(), startRevision);
+                readPage(itemRead, page.items().get(page.items().size() - 1).key());
             } else {
-                replace(startRevision);
-                if (!watching) {
-                    watch();
-                }
+                readEnded(itemRead);
             }
         });
     }
 
-    private void replace(long startRevision) {
-        revision = startRevision;
-        loaded = true;
-        readInFlight = false;
-        items.clear();
-        items.putAll(itemsBeingRead);
-        listener.reloaded();
-        listener.changesApplied();
-        confirmed(readStartMillis);
+    private void retryRead(ItemRead failed) {
+        if (failed == currentRead) {
+            read();
+        }
+    }
+
+    private void readEnded(ItemRead itemRead) {
+        currentRead = null;
+        // A watch may have brought later changes meanwhile.
+        if (!loaded || itemRead.revision >= revision) {
+            revision = itemRead.revision;
+            loaded = true;
+            items.clear();
+            items.putAll(itemRead.items);
+            listener.reloaded();
+            listener.changesApplied();
+        }
+        confirmed(itemRead.startMillis);
         List<Runnable> callbacks = List.copyOf(refreshCallbacks);
         refreshCallbacks.clear();
         callbacks.forEach(Runnable::run);
+        if (!watching) {
+            watch();
+        }
     }
 
     /**
@@ -198,7 +211,7 @@
         watching = false;
         context.logDecision(
                 Decision.failure("history-dropped").with("prefix", prefix).with("revision", revision));
-        read("", -1);
+        read();
     }
 
     private void watchFailed(WatchCall call, Throwable failure) {
@@ -261,6 +274,25 @@
         }
     }
 
+    /**
+     * A read of all items, page by page.
+     */
+    private static final class ItemRead {
+        private final long startMillis;
+        private final Map<String, StorePort.Item> items = new HashMap<>();
+        /** The revision of the first page, as later pages may lack changes of earlier ones. */
+        private long revision = -1;
+
+        private ItemRead(long startMillis) {
+            this.startMillis = startMillis;
+        }
+
+        private void add(StorePort.Page page) {
+            page.items().forEach(item -> items.put(item.key(), item));
+            revision = revision < 0 ? page.revision() : revision;
+        }
+    }
+
     /**
      * A call that waits for changes.
      *
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
@@ -12,7 +12,7 @@
 /**
  * A store in memory that answers at once, and can lose the answer to a change. Used on one thread.
  */
-final class MemoryStore implements StorePort {
+class MemoryStore implements StorePort {
     private final Map<String, Item> items = new HashMap<>();
     private final Map<String, Long> leaseOfKey = new HashMap<>();
     private final List<Long> endedLeases = new ArrayList<>();
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
@@ -0,0 +1,124 @@
+package org.trefoilpost.entry.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.WatchTimes;
+
+/**
+ * Plays answers of the store that arrive in an unfavourable order.
+ */
+class StoreMirrorTest {
+    private static final String PREFIX = "p/";
+
+    private final ManualStore store = new ManualStore();
+    private final TestService service = new TestService(store, null, null);
+    private StoreMirror mirror;
+
+    @BeforeEach
+    void start() {
+        mirror = new StoreMirror(PREFIX, service.context(), WatchTimes.LONGEST, () -> 0, new QuietListener());
+        service.run(mirror::start);
+        answerRead(0, 10, item("a", "1", 9));
+    }
+
+    @AfterEach
+    void stop() {
+        service.close();
+    }
+
+    @Test
+    void pageThatIsOlderThanAppliedChangesDoesNotReplaceThem() {
+        List<String> refreshed = new ArrayList<>();
+        service.run(() -> mirror.refresh(() -> refreshed.add("refreshed")));
+        answerWatch(0, 12, item("a", "2", 12), item("b", "1", 11));
+        answerRead(1, 10, item("a", "1", 9));
+        assertEquals(Map.of("p/a", "2", "p/b", "1"), contents());
+        assertEquals(12, mirror.revision());
+        assertEquals(List.of("refreshed"), refreshed);
+    }
+
+    @Test
+    void itemsOfAnAbandonedReadAreNotMixedIntoTheNextOne() {
+        service.run(() -> mirror.refresh(() -> {}));
+        service.run(() -> store.watches
+                .get(0)
+                .completeExceptionally(new StoreFailure(StoreFailure.Kind.HISTORY_DROPPED, "gone", List.of())));
+        answerRead(1, 18, item("removed", "1", 15));
+        answerRead(2, 20, item("b", "1", 19));
+        assertEquals(Map.of("p/b", "1"), contents());
+        assertEquals(20, mirror.revision());
+        answerWatch(store.watches.size() - 1, 21, item("c", "1", 21));
+        assertEquals(Map.of("p/b", "1", "p/c", "1"), contents());
+    }
+
+    private Map<String, String> contents() {
+        Map<String, String> contents = new TreeMap<>();
+        mirror.items().forEach((key, item) -> contents.put(key, new String(item.value(), StandardCharsets.UTF_8)));
+        return contents;
+    }
+
+    private static StorePort.Item item(String name, String value, long revision) {
+        return new StorePort.Item(PREFIX + name, value.getBytes(StandardCharsets.UTF_8), revision, 0);
+    }
+
+    private void answerRead(int number, long revision, StorePort.Item... items) {
+        service.run(() -> store.reads.get(number).complete(new StorePort.Page(List.of(items), false, revision)));
+        service.runWithTimers(() -> {});
+    }
+
+    private void answerWatch(int number, long revision, StorePort.Item... items) {
+        List<Map.Entry<String, Optional<StorePort.Item>>> changes = new ArrayList<>();
+        for (StorePort.Item item : items) {
+            changes.add(Map.entry(item.key(), Optional.of(item)));
+        }
+        service.run(() -> store.watches.get(number).complete(new StorePort.Changes(changes, revision)));
+        service.runWithTimers(() -> {});
+    }
+
+    /** A store whose reads of lists and watches the test answers. */
+    private static final class ManualStore extends MemoryStore {
+        private final List<CompletableFuture<Page>> reads = new ArrayList<>();
+        private final List<CompletableFuture<Changes>> watches = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<Page> range(String prefix, String after) {
+            CompletableFuture<Page> page = new CompletableFuture<>();
+            reads.add(page);
+            return page;
+        }
+
+        @Override
+        public CompletableFuture<Changes> watch(String prefix, long afterRevision, WatchTimes times) {
+            CompletableFuture<Changes> changes = new CompletableFuture<>();
+            watches.add(changes);
+            return changes;
+        }
+    }
+
+    private static final class QuietListener implements StoreMirror.Listener {
+        @Override
+        public void reloaded() {
+            // The test looks at the mirror's items.
+        }
+
+        @Override
+        public void itemChanged(String key, Optional<StorePort.Item> item) {
+            // The test looks at the mirror's items.
+        }
+
+        @Override
+        public void changesApplied() {
+            // The test looks at the mirror's items.
+        }
+    }
+}
