Follow the store on, though a change of it cannot be applied

Cause: if applying one item threw an exception, the watch was never continued: this entry kept its configuration, claims or workers as they were until its process ended, and answered callers by them. The thread logged duty-handler-failed once.

Evidence: StoreMirrorTest.changeThatAListenerFailsOnDoesNotEndTheWatch failed before: [] instead of [p/good]. No input is known that makes a listener throw; the formats refuse what they cannot read.

Ruled out: catching in each listener, as the next one would lack it.

Change: StoreMirror logs change-not-applied with the key, the revision and the failure, applies the other changes and watches on.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -147,8 +147,8 @@
             loaded = true;
             items.clear();
             items.putAll(itemRead.items);
-            listener.reloaded();
-            listener.changesApplied();
+            notifyListener("all items", listener::reloaded);
+            notifyListener("all items", listener::changesApplied);
         }
         confirmed(itemRead.startMillis);
         List<Runnable> callbacks = List.copyOf(refreshCallbacks);
@@ -200,7 +200,7 @@
         revision = Math.max(revision, changes.revision());
         changes.changes().forEach(change -> apply(change.getKey(), change.getValue()));
         if (!changes.changes().isEmpty()) {
-            listener.changesApplied();
+            notifyListener("the changes", listener::changesApplied);
         }
         confirmed(call.confirmedBy(changes, context.now().steadyMillis()));
         long delayMillis = changes.changes().isEmpty() ? 0 : watchDelayMillis.getAsLong();
@@ -250,7 +250,22 @@
         } else {
             items.remove(key);
         }
-        listener.itemChanged(key, item);
+        notifyListener(key, () -> listener.itemChanged(key, item));
+    }
+
+    /**
+     * Calls the listener. A failure is logged and does not keep the mirror from following the store.
+     */
+    private void notifyListener(String subject, Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            context.logDecision(Decision.failure("change-not-applied")
+                    .with("prefix", prefix)
+                    .with("subject", subject)
+                    .with("revision", revision)
+                    .with("failure", e.toString()));
+        }
     }
 
     private void storeAnswered() {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.entry.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -15,18 +16,19 @@
 import org.trefoilpost.decision.job.WatchTimes;
 
 /**
- * Plays answers of the store that arrive in an unfavourable order.
+ * Plays answers of the store that arrive in an unfavourable order, and listeners that fail.
  */
 class StoreMirrorTest {
     private static final String PREFIX = "p/";
 
     private final ManualStore store = new ManualStore();
     private final TestService service = new TestService(store, null, null);
+    private final RecordingListener listener = new RecordingListener();
     private StoreMirror mirror;
 
     @BeforeEach
     void start() {
-        mirror = new StoreMirror(PREFIX, service.context(), WatchTimes.LONGEST, () -> 0, new QuietListener());
+        mirror = new StoreMirror(PREFIX, service.context(), WatchTimes.LONGEST, () -> 0, listener);
         service.run(mirror::start);
         answerRead(0, 10, item("a", "1", 9));
     }
@@ -61,6 +63,27 @@
         assertEquals(Map.of("p/b", "1", "p/c", "1"), contents());
     }
 
+    @Test
+    void changeThatAListenerFailsOnDoesNotEndTheWatch() {
+        listener.failingKey = "p/bad";
+        answerWatch(0, 12, item("bad", "1", 11), item("good", "1", 12));
+        assertEquals(List.of("p/good"), listener.changedKeys);
+        service.runWithTimers(() -> {});
+        assertEquals(2, store.watches.size(), "the watch goes on");
+        answerWatch(1, 13, item("later", "1", 13));
+        assertEquals(List.of("p/good", "p/later"), listener.changedKeys);
+    }
+
+    @Test
+    void reloadThatAListenerFailsOnDoesNotEndTheWatch() {
+        listener.failOnReload = true;
+        service.run(() -> mirror.refresh(() -> {}));
+        answerRead(1, 14, item("a", "2", 14));
+        service.run(() -> store.watches.get(0).complete(new StorePort.Changes(List.of(), 14)));
+        service.runWithTimers(() -> {});
+        assertTrue(store.watches.size() >= 2, "the watch goes on");
+    }
+
     private Map<String, String> contents() {
         Map<String, String> contents = new TreeMap<>();
         mirror.items().forEach((key, item) -> contents.put(key, new String(item.value(), StandardCharsets.UTF_8)));
@@ -105,20 +128,29 @@
         }
     }
 
-    private static final class QuietListener implements StoreMirror.Listener {
+    private static final class RecordingListener implements StoreMirror.Listener {
+        private final List<String> changedKeys = new ArrayList<>();
+        private String failingKey = "";
+        private boolean failOnReload;
+
         @Override
         public void reloaded() {
-            // The test looks at the mirror's items.
+            if (failOnReload) {
+                throw new IllegalStateException("cannot reload");
+            }
         }
 
         @Override
         public void itemChanged(String key, Optional<StorePort.Item> item) {
-            // The test looks at the mirror's items.
+            if (key.equals(failingKey)) {
+                throw new IllegalStateException("cannot apply " + key);
+            }
+            changedKeys.add(key);
         }
 
         @Override
         public void changesApplied() {
-            // The test looks at the mirror's items.
+            // The test looks at the changes themselves.
         }
     }
 }
