--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/RelayDirection.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/RelayDirection.java
@@ -68,7 +68,7 @@
         Chunk next;
         synchronized (this) {
             next = queue.peek();
-            if (writing || next == null || link.isHeld()) {
+            if (writing || next == null || link.isHeld(source)) {
                 return;
             }
             writing = true;
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/RelayFaults.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/RelayFaults.java
@@ -12,12 +12,14 @@
     private final boolean cut;
     private final long dropAfterBytes;
     private final boolean halfOpen;
+    private final boolean holdAnswers;
 
     private RelayFaults(JsonNode json) {
         this.delayMillis = json.path("delayMillis").asLong();
         this.cut = json.path("cut").asBoolean();
         this.dropAfterBytes = json.path("dropAfterBytes").asLong();
         this.halfOpen = json.path("halfOpen").asBoolean();
+        this.holdAnswers = json.path("holdAnswers").asBoolean();
     }
 
     static RelayFaults none() {
@@ -52,11 +54,19 @@
         return halfOpen;
     }
 
+    /**
+     * Returns whether bytes from the target are held back, while those of the client are forwarded.
+     */
+    boolean holdsAnswers() {
+        return holdAnswers;
+    }
+
     ObjectNode toJson() {
         return Json.object()
                 .put("delayMillis", delayMillis)
                 .put("cut", cut)
                 .put("dropAfterBytes", dropAfterBytes)
-                .put("halfOpen", halfOpen);
+                .put("halfOpen", halfOpen)
+                .put("holdAnswers", holdAnswers);
     }
 }
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/RelayLink.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/RelayLink.java
@@ -44,10 +44,10 @@
     }
 
     /**
-     * Returns whether bytes are held back while the connection stays open.
+     * Returns whether bytes from a side are held back while the connection stays open.
      */
-    boolean isHeld() {
-        return silent || faults().isHalfOpen();
+    boolean isHeld(AsynchronousSocketChannel source) {
+        return silent || faults().isHalfOpen() || source == target && faults().holdsAnswers();
     }
 
     void open(InetSocketAddress address) {
--- a/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/RelayServer.java
+++ b/trefoilpost-standins/src/main/java/org/trefoilpost/standins/relay/RelayServer.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import org.jboss.logging.Logger;
 import org.trefoilpost.model.Endpoint;
 import org.trefoilpost.standins.http.HttpAnswer;
@@ -24,8 +25,8 @@
     private static final Logger LOG = Logger.getLogger(RelayServer.class);
     private static final int CONTROL_CONNECTIONS = 100;
 
-    /** Names the fault of the connections that are open when it is set; it lasts until they are closed. */
-    private static final String SILENCE_OPEN = "silenceOpen";
+    /** Names the share of the open connections that go silent until they are closed. */
+    private static final String SILENCED_SHARE = "silencedShare";
 
     private final Endpoint target;
     private final AsynchronousServerSocketChannel server;
@@ -96,8 +97,11 @@
 
     private synchronized HttpAnswer changeFaults(ObjectNode change) {
         faults = faults.with(change);
-        if (change.path(SILENCE_OPEN).asBoolean()) {
-            links.forEach(RelayLink::silence);
+        double silencedShare = change.path(SILENCED_SHARE).asDouble();
+        for (RelayLink link : links) {
+            if (ThreadLocalRandom.current().nextDouble() < silencedShare) {
+                link.silence();
+            }
         }
         List.copyOf(links).forEach(RelayLink::faultsChanged);
         return HttpAnswer.json(200, faults.toJson());
--- a/trefoilpost-standins/src/test/java/org/trefoilpost/standins/relay/RelayServerTest.java
+++ b/trefoilpost-standins/src/test/java/org/trefoilpost/standins/relay/RelayServerTest.java
@@ -115,7 +115,7 @@
                 Socket silentServer = target.accept()) {
             silentClient.getOutputStream().write(1);
             assertEquals(1, silentServer.getInputStream().read());
-            control.faults("{'silenceOpen':true}");
+            control.faults("{'silencedShare':1}");
             silentClient.getOutputStream().write(2);
             try (Socket client = connect();
                     Socket server = target.accept()) {
@@ -127,6 +127,20 @@
         }
     }
 
+    @Test
+    void answersAreHeldWhileRequestsAreForwarded() throws IOException {
+        try (Socket client = connect();
+                Socket server = target.accept()) {
+            control.faults("{'holdAnswers':true}");
+            server.getOutputStream().write(5);
+            client.getOutputStream().write(4);
+            assertEquals(4, server.getInputStream().read());
+            assertEquals(0, client.getInputStream().available());
+            control.faults("{'holdAnswers':false}");
+            assertEquals(5, client.getInputStream().read());
+        }
+    }
+
     @Test
     void heldBytesGoOnWhenHalfOpenIsTakenBack() throws IOException {
         control.faults("{'halfOpen':true}");
