Know a draining worker in time, though the watch of the registry is silent

The owner of a pool could place tasks for up to 3.9 s on a worker that had said that it drains, if the connection of its watch of the registry had gone silent; after drainMs (2 s) such a worker gets no more tasks.

Ruled out: the same for the watch of the live entries: an entry that sends a request to a former owner is told so, and tokens keep orders apart; it keeps the longest times, and is sent again when the watch of the configuration has no answer.

Change: the registry's watch has the times of drainMs less the owner's delay after changes. It is answered by heartbeats at once as a rule, so it costs no further calls.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -30,10 +30,7 @@
     private static final int EVENT_QUEUE_CAPACITY = 8_192;
     private static final long OWNER_TICK_MILLIS = 20;
     private static final long IDLE_TICK_MILLIS = 100;
-    /** Delay after a change of the worker registry, so that an owner of a pool handles changes in batches. */
-    private static final long REGISTRY_WATCH_DELAY_MILLIS = 350;
-
-    /** The delay while this entry owns no pool. */
+    /** Delay of the registry's watch after a change while this entry owns no pool. */
     private static final long REGISTRY_IDLE_WATCH_DELAY_MILLIS = 4_000;
 
     /** If the advances of the wall clock and the steady clock differ by more, the process counts as suspended. */
@@ -230,7 +227,7 @@
     }
 
     private long registryWatchDelayMillis() {
-        return runners.isEmpty() ? REGISTRY_IDLE_WATCH_DELAY_MILLIS : REGISTRY_WATCH_DELAY_MILLIS;
+        return runners.isEmpty() ? REGISTRY_IDLE_WATCH_DELAY_MILLIS : WorkerRegistry.OWNER_WATCH_DELAY_MILLIS;
     }
 
     private void registryChanged() {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -15,6 +15,9 @@
  * The workers that the platform's registry in the store lists.
  */
 final class WorkerRegistry implements StoreMirror.Listener {
+    /** Delay after a change, in milliseconds, so that the owner of a pool handles changes in batches. */
+    static final long OWNER_WATCH_DELAY_MILLIS = 350;
+
     private final JobContext context;
     private final StoreMirror mirror;
     private final Runnable onChange;
@@ -24,7 +27,14 @@
         this.context = context;
         this.onChange = onChange;
         this.mirror = new StoreMirror(
-                context.ports().formats().workerPrefix(), context, WatchTimes.LONGEST, pauseMillis, this);
+                context.ports().formats().workerPrefix(), context, watchTimes(context), pauseMillis, this);
+    }
+
+    /**
+     * Returns the times with which the owner of a pool knows that a worker drains before it may start no more tasks there.
+     */
+    private static WatchTimes watchTimes(JobContext context) {
+        return WatchTimes.within(context.settings().timeouts().minDrainMillis() - OWNER_WATCH_DELAY_MILLIS);
     }
 
     void start() {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +13,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.trefoilpost.decision.job.RegisteredWorker;
 
 /**
  * Plays the owner of the machines against a store that loses answers and that gives the claim to another entry.
@@ -28,7 +26,7 @@
 
     private final MemoryStore store = new MemoryStore();
     private final Machines machines = new Machines();
-    private final TestService service = new TestService(store, machines, new Formats());
+    private final TestService service = new TestService(store, machines, new UnusedFormats());
     private final List<Long> lost = new ArrayList<>();
     private JobContext context;
     private FleetRunner runner;
@@ -137,40 +135,4 @@
     }
 
     /** Formats of which only those of a wave's status are used. */
-    private static final class Formats implements PlatformFormats {
-        @Override
-        public String operatorPrefix() {
-            return "op/";
-        }
-
-        @Override
-        public String workerPrefix() {
-            return "servers/";
-        }
-
-        @Override
-        public Optional<JobConfiguration> configuration(StorePort.Item item) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<UpkeepWave> wave(StorePort.Item item) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<RegisteredWorker> worker(StorePort.Item item) {
-            return Optional.empty();
-        }
-
-        @Override
-        public String waveStatusKey(long wave) {
-            return "status/wave/" + wave;
-        }
-
-        @Override
-        public byte[] waveStatus(long wave, boolean completed) {
-            return Boolean.toString(completed).getBytes(StandardCharsets.UTF_8);
-        }
-    }
 }
