Explain a refusal by an entry that could not know the queue

Change: LogCorrelator adds the lines on the version by which the request was refused and the next higher one.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/log/LogCorrelator.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/log/LogCorrelator.java
@@ -9,15 +9,19 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Selects from the logs of the entries the lines that concern one request or job: its own lines, and the lines without
- * a job that name one of its workers or its pool.
+ * a job that name one of its workers or its pool. For a request that was refused by a configuration, also those that tell
+ * when entries applied that version and the next one.
  */
 public final class LogCorrelator {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Set<String> RELATING_FIELDS = Set.of("worker", "pool");
+    private static final String CONFIGURATION_EVENT = "configuration-in-force";
 
     private final List<JsonNode> lines;
 
@@ -67,17 +71,42 @@
             }
         }
         related.remove("");
+        Set<Long> versions = decidingVersions(id);
         List<String> selected = new ArrayList<>();
         for (JsonNode line : lines) {
-            boolean own = line.path("job").asText().equals(id)
-                    || line.path("request").asText().contains(id);
-            if (own || !line.has("job") && isRelated(line, related)) {
+            boolean applied = line.path("event").asText().equals(CONFIGURATION_EVENT)
+                    && versions.contains(line.path("version").asLong());
+            if (isOwn(line, id) || applied || !line.has("job") && isRelated(line, related)) {
                 selected.add(render(line));
             }
         }
         return selected;
     }
 
+    private static boolean isOwn(JsonNode line, String id) {
+        return line.path("job").asText().equals(id)
+                || line.path("request").asText().contains(id);
+    }
+
+    /**
+     * Returns the versions of the configuration by which a request was refused, each with the next higher one.
+     */
+    private Set<Long> decidingVersions(String id) {
+        TreeSet<Long> applied = new TreeSet<>();
+        lines.stream()
+                .filter(line -> line.path("event").asText().equals(CONFIGURATION_EVENT))
+                .forEach(line -> applied.add(line.path("version").asLong()));
+        Set<Long> versions = new HashSet<>();
+        for (JsonNode line : lines) {
+            if (isOwn(line, id) && line.has("version")) {
+                long version = line.path("version").asLong();
+                versions.add(version);
+                Optional.ofNullable(applied.higher(version)).ifPresent(versions::add);
+            }
+        }
+        return versions;
+    }
+
     private static boolean isRelated(JsonNode line, Set<String> related) {
         return RELATING_FIELDS.stream()
                 .anyMatch(field -> related.contains(line.path(field).asText()));
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/log/LogCorrelatorTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/log/LogCorrelatorTest.java
@@ -29,6 +29,22 @@
                 LogCorrelator.of(LOG_LINES).linesFor("j1"));
     }
 
+    @Test
+    void returnsWhenTheVersionThatRefusedARequestAndTheNextOneWereApplied() {
+        List<String> lines = List.of(
+                "{\"time\":\"1\",\"event\":\"configuration-in-force\",\"version\":2}",
+                "{\"time\":\"2\",\"event\":\"configuration-in-force\",\"version\":4}",
+                "{\"time\":\"3\",\"event\":\"request-refused\",\"request\":\"GET /q/j1\",\"version\":4}",
+                "{\"time\":\"4\",\"event\":\"configuration-in-force\",\"version\":9}",
+                "{\"time\":\"5\",\"event\":\"configuration-in-force\",\"version\":10}");
+        assertEquals(
+                List.of(
+                        "2 configuration-in-force version=4",
+                        "3 request-refused request=GET /q/j1 version=4",
+                        "4 configuration-in-force version=9"),
+                LogCorrelator.of(lines).linesFor("j1"));
+    }
+
     @Test
     void returnsNoLinesForAnUnknownJob() {
         assertEquals(List.of(), LogCorrelator.of(LOG_LINES).linesFor("j3"));
