Confirm a cancel only when it is stored

Cause: a caller's cancel was confirmed although the store never got it, and its job's tasks were started again by the next owner of the pool. The replies to submissions and to cancels of a job waited in one list, and any commit that stored another phase of the job completed them all: a commit that was under way when the cancel came (the job had just begun to run) confirmed the cancel.

PoolRunnerTest failed before in both cases: the cancel confirmed by the first commit.

Change: AwaitedReplies keeps the two kinds apart; a cancel waits for a stored end.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -1,9 +1,6 @@
 package org.trefoilpost.entry.job;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -42,7 +39,7 @@
     private final PoolScheduler scheduler;
     private final PoolStore store;
     private final SilentWorkerCheck silentWorkerCheck;
-    private final Map<String, List<CompletableFuture<JobReply>>> repliesAwaitingStore = new HashMap<>();
+    private final AwaitedReplies awaitedReplies = new AwaitedReplies();
     private long token;
     private boolean lapsed;
     private long ownerConfirmedMillis;
@@ -172,8 +169,7 @@
      */
     void close() {
         closed = true;
-        JobReply uncertain = JobReply.of(JobReplyStatus.UNCERTAIN, "owner-changed");
-        List.copyOf(repliesAwaitingStore.keySet()).forEach(job -> completeReplies(job, uncertain));
+        awaitedReplies.completeAll(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-changed"));
     }
 
     /**
@@ -256,12 +252,7 @@
      */
     private void refuseUnsentJobs() {
         JobReply refusal = JobReply.ofRefusal(PoolScheduler.STORE_UNAVAILABLE);
-        scheduler.withdrawUnsentJobs().forEach(job -> completeReplies(job, refusal));
-    }
-
-    private void completeReplies(String job, JobReply reply) {
-        repliesAwaitingStore.getOrDefault(job, List.of()).forEach(awaited -> awaited.complete(reply));
-        repliesAwaitingStore.remove(job);
+        scheduler.withdrawUnsentJobs().forEach(job -> awaitedReplies.complete(job, refusal));
     }
 
     CompletableFuture<JobReply> submit(JobSpec spec) {
@@ -279,7 +270,7 @@
                 .with("retryAfterMillis", result.retryAfterMillis()));
         return switch (result.kind()) {
             case STORED -> CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.DONE, result.reason()));
-            case PENDING -> whenStored(spec.id());
+            case PENDING -> whenStored(awaitedReplies.addSubmission(spec.id()));
             case REFUSED -> CompletableFuture.completedFuture(JobReply.ofRefusal(result));
         };
     }
@@ -295,7 +286,7 @@
                 .with("phase", phase.get().name()));
         return scheduler.isStored(job)
                 ? CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.DONE, "cancelled"))
-                : whenStored(job);
+                : whenStored(awaitedReplies.addCancellation(job));
     }
 
     JobReply phase(String job) {
@@ -310,11 +301,9 @@
     }
 
     /**
-     * Returns a reply that is completed when the job's phase is stored.
+     * Schedules the commit that a reply waits for, and returns the reply.
      */
-    private CompletableFuture<JobReply> whenStored(String job) {
-        CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        repliesAwaitingStore.computeIfAbsent(job, id -> new ArrayList<>()).add(reply);
+    private CompletableFuture<JobReply> whenStored(CompletableFuture<JobReply> reply) {
         tickSoon();
         return reply;
     }
@@ -384,7 +373,7 @@
 
     @Override
     public void phaseStored(String job, JobPhase phase) {
-        completeReplies(job, JobReply.of(JobReplyStatus.DONE, "stored"));
+        awaitedReplies.phaseStored(job, phase);
     }
 
     @Override
--- /dev/null
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -0,0 +1,187 @@
+package org.trefoilpost.entry.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.JobSpec;
+import org.trefoilpost.decision.job.OrderResult;
+import org.trefoilpost.decision.job.QueueConfig;
+import org.trefoilpost.decision.job.RegisteredWorker;
+import org.trefoilpost.decision.job.ResourceAmount;
+import org.trefoilpost.decision.job.StepSpec;
+import org.trefoilpost.decision.job.WorkerOrder;
+import org.trefoilpost.decision.job.WorkerRunStatus;
+
+/**
+ * Plays the owner of a pool whose commits are answered late.
+ */
+class PoolRunnerTest {
+    private static final String POOL = "pool";
+    private static final String JOB = "0000000000000001";
+    private static final long WAIT_MILLIS = 5_000;
+
+    private final LateStore store = new LateStore();
+    private final Worker worker = new Worker();
+    private final TestService service = new TestService(store, worker, null, new OneWorkerFormats());
+    private PoolRunner runner;
+
+    @BeforeEach
+    void open() {
+        long token = store.commit(claim()).join();
+        store.put("servers/w", "registered");
+        QueueConfig queue = new QueueConfig("q", "host", "/q/", POOL, 0, 3, 1, 1_000, Optional.empty());
+        WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
+        runner = new PoolRunner(POOL, token, service.context(), () -> {});
+        service.run(registry::start);
+        service.run(() -> runner.start(Map.of("q", queue), registry));
+        tickUntil(() -> runner.isOpen());
+    }
+
+    private static StorePort.Change claim() {
+        StorePort.Put owner = new StorePort.Put(LiveEntries.ownerKey(POOL), new byte[0], 0);
+        StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(POOL), new byte[0], 0);
+        return new StorePort.Change(Map.of(), List.of(owner, counter), List.of());
+    }
+
+    @AfterEach
+    void stop() {
+        service.close();
+    }
+
+    @Test
+    void cancelIsConfirmedOnlyWhenItIsStored() {
+        CompletableFuture<JobReply> submitted = submit();
+        tickUntil(submitted::isDone);
+        store.holdAnswers(true);
+        tickUntil(() -> store.heldAnswers() == 1);
+        CompletableFuture<JobReply> cancelled = cancel();
+        assertFalse(cancelled.isDone());
+        store.releaseAnswers();
+        tickUntil(() -> store.heldAnswers() == 1);
+        assertFalse(cancelled.isDone(), "the first commit does not contain the cancel");
+        store.releaseAnswers();
+        tickUntil(cancelled::isDone);
+        assertEquals(JobReplyStatus.DONE, cancelled.join().status());
+    }
+
+    @Test
+    void submissionIsConfirmedByTheFirstCommitThoughTheJobIsCancelledMeanwhile() {
+        store.holdAnswers(true);
+        CompletableFuture<JobReply> submitted = submit();
+        tickUntil(() -> store.heldAnswers() == 1);
+        CompletableFuture<JobReply> cancelled = cancel();
+        store.releaseAnswers();
+        tickUntil(submitted::isDone);
+        assertEquals(JobReplyStatus.DONE, submitted.join().status());
+        assertFalse(cancelled.isDone());
+        tickUntil(() -> store.heldAnswers() == 1);
+        store.releaseAnswers();
+        tickUntil(cancelled::isDone);
+    }
+
+    private CompletableFuture<JobReply> submit() {
+        StepSpec step = StepSpec.builder()
+                .tasks(1, new ResourceAmount(1_000, 128, 0))
+                .estimateMillis(60_000)
+                .build();
+        JobSpec job = new JobSpec(JOB, "q", "text", List.of(step), JobSpec.Schedule.ONCE);
+        return onService(() -> runner.submit(job));
+    }
+
+    private CompletableFuture<JobReply> cancel() {
+        return onService(() -> runner.cancel(JOB));
+    }
+
+    private CompletableFuture<JobReply> onService(Supplier<CompletableFuture<JobReply>> call) {
+        List<CompletableFuture<JobReply>> reply = new ArrayList<>();
+        service.run(() -> reply.add(call.get()));
+        return reply.get(0);
+    }
+
+    private void tickUntil(BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + WAIT_MILLIS * 1_000_000;
+        while (!condition.getAsBoolean() && System.nanoTime() < endNanos) {
+            service.run(() -> runner.tick());
+        }
+        assertTrue(condition.getAsBoolean(), "the condition holds in time");
+    }
+
+    /** A store that can hold back the answers to commits, which take effect at once. */
+    private static final class LateStore extends MemoryStore {
+        private final List<Runnable> heldAnswers = new ArrayList<>();
+        private boolean holding;
+
+        void holdAnswers(boolean hold) {
+            holding = hold;
+        }
+
+        int heldAnswers() {
+            return heldAnswers.size();
+        }
+
+        void releaseAnswers() {
+            List<Runnable> released = List.copyOf(heldAnswers);
+            heldAnswers.clear();
+            released.forEach(Runnable::run);
+        }
+
+        @Override
+        public CompletableFuture<Long> commit(Change change) {
+            CompletableFuture<Long> answer = super.commit(change);
+            if (!holding) {
+                return answer;
+            }
+            CompletableFuture<Long> held = new CompletableFuture<>();
+            heldAnswers.add(() -> answer.whenComplete((revision, failure) -> {
+                if (failure == null) {
+                    held.complete(revision);
+                } else {
+                    held.completeExceptionally(failure);
+                }
+            }));
+            return held;
+        }
+    }
+
+    /** A worker that starts and stops what it is told to. */
+    private static final class Worker implements WorkerPort {
+        private final List<WorkerRunStatus.Running> running = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<Answer> send(WorkerOrder order, long fencingToken) {
+            if (order instanceof WorkerOrder.Start start) {
+                running.add(new WorkerRunStatus.Running(start.task().text(), start.run(), "", 100, 0));
+            } else if (order instanceof WorkerOrder.Stop stop) {
+                running.removeIf(run -> run.task().equals(stop.task()));
+            }
+            Optional<WorkerRunStatus> status = order instanceof WorkerOrder.Hold
+                    ? Optional.of(new WorkerRunStatus(System.nanoTime() / 1_000_000, running, List.of()))
+                    : Optional.empty();
+            return CompletableFuture.completedFuture(new Answer(OrderResult.OK, status));
+        }
+
+        @Override
+        public void closeConnections(String address) {
+            // No connections are kept.
+        }
+    }
+
+    private static final class OneWorkerFormats extends UnusedFormats {
+        @Override
+        public Optional<RegisteredWorker> worker(StorePort.Item item) {
+            ResourceAmount capacity = new ResourceAmount(16_000, 16_000, 0);
+            return Optional.of(new RegisteredWorker("w", "m", POOL, "127.0.0.1:1", "hall", List.of(), capacity, false));
+        }
+    }
+}
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -29,10 +29,17 @@
         this(store, machines, formats, MillisClock.steady());
     }
 
+    TestService(StorePort store, WorkerPort workers, MachinePort machines, PlatformFormats formats) {
+        this(new JobPorts(store, workers, machines, null, formats), MillisClock.steady());
+    }
+
     TestService(StorePort store, MachinePort machines, PlatformFormats formats, MillisClock clock) {
+        this(new JobPorts(store, null, machines, null, formats), clock);
+    }
+
+    private TestService(JobPorts ports, MillisClock clock) {
         this.thread = ServiceThread.of("jobs-test", 256, clock);
         JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        JobPorts ports = new JobPorts(store, null, machines, null, formats);
         this.context = new JobContext(SETTINGS, ports, thread, clock, log, metrics);
         thread.start((event, nowMillis) -> event.run());
     }
