--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
@@ -98,7 +98,7 @@
         int attempts = unpacker.unpackInt();
         double stretch = unpacker.unpackDouble();
         return new QueueConfig(
-                queue, "", "", pool, priority, attempts, stretch, unpacker.unpackLong(), Optional.empty());
+                queue, "", "", pool, priority, attempts, stretch, unpacker.unpackLong(), Optional.empty(), false);
     }
 
     private static void packOccurrences(MessageBufferPacker packer, JobState job) throws IOException {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -13,8 +13,10 @@
  * @param text  the payload that workers receive with each task, may be empty, not null
  * @param steps  the steps, in an order in which each follows its predecessors, not null
  * @param schedule  when the steps run, not null
+ * @param team  the name of the team that submitted the job, empty if it belongs to no team, not null
  */
-public record JobSpec(String id, String queue, String text, List<StepSpec> steps, Schedule schedule) {
+public record JobSpec(
+        String id, String queue, String text, List<StepSpec> steps, Schedule schedule, Optional<String> team) {
     /** The maximum size of the text of a job in UTF-8. */
     public static final int MAX_TEXT_BYTES = 4_000;
 
@@ -29,9 +31,33 @@
         Objects.requireNonNull(queue, "queue");
         Objects.requireNonNull(text, "text");
         Objects.requireNonNull(schedule, "schedule");
+        Objects.requireNonNull(team, "team");
         steps = List.copyOf(steps);
     }
 
+    /**
+     * Constructs the specification of a job that belongs to no team.
+     *
+     * @param id  the caller's identifier of the job, not null
+     * @param queue  the name of the queue, not null
+     * @param text  the payload that workers receive with each task, may be empty, not null
+     * @param steps  the steps, in an order in which each follows its predecessors, not null
+     * @param schedule  when the steps run, not null
+     */
+    public JobSpec(String id, String queue, String text, List<StepSpec> steps, Schedule schedule) {
+        this(id, queue, text, steps, schedule, Optional.empty());
+    }
+
+    /**
+     * Returns a copy of this specification that belongs to a team.
+     *
+     * @param newTeam  the name of the team, empty for none, not null
+     * @return the copy, not null
+     */
+    public JobSpec withTeam(Optional<String> newTeam) {
+        return new JobSpec(id, queue, text, steps, schedule, newTeam);
+    }
+
     /**
      * Validates this job.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -4,9 +4,9 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * Schedules the jobs of one pool: admits them, places their tasks, and handles failures of workers and of earlier
@@ -19,12 +19,9 @@
     /** How long an owner that cannot reach the store may continue to give orders. */
     public static final long ORDERS_WITHOUT_STORE_MILLIS = 9_000;
 
-    private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 1_000;
     /** The refusal of a job while the store does not answer. */
     public static final SubmitResult STORE_UNAVAILABLE =
-            SubmitResult.refused(UNAVAILABLE_RETRY_AFTER_MILLIS, "store-unavailable");
-
-    private static final long UNPLACEABLE_RETRY_AFTER_MILLIS = 60_000;
+            SubmitResult.refused(JobSubmissions.UNAVAILABLE_RETRY_AFTER_MILLIS, "store-unavailable");
 
     private final PoolState state;
     private final OrderSender orderSender;
@@ -38,7 +35,7 @@
     private final BestEffortThrottle throttle;
     private final RunStatistics runStatistics;
     private final PoolTakeover takeover;
-    private final FirstSubmissions firstSubmissions = new FirstSubmissions();
+    private final JobSubmissions submissions;
     private final PoolDemandCalculator demandCalculator;
     private long lastThrottleMillis;
 
@@ -64,6 +61,7 @@
         this.throttle = new BestEffortThrottle(state, orderSender);
         this.takeover = new PoolTakeover(state);
         this.demandCalculator = new PoolDemandCalculator(state, runStatistics);
+        this.submissions = new JobSubmissions(state, admission, demandCalculator);
     }
 
     /**
@@ -85,12 +83,14 @@
     }
 
     /**
-     * Applies the queues of the configuration in force.
+     * Applies the queues and teams of the configuration in force.
      *
      * @param queues  all queues by name, not null
+     * @param teams  the teams, not null
      */
-    public void configure(Map<String, QueueConfig> queues) {
+    public void configure(Map<String, QueueConfig> queues, Teams teams) {
         state.queues = Map.copyOf(queues);
+        state.teams = teams;
         for (JobState job : state.openJobs.values()) {
             QueueConfig config = queues.get(job.spec.queue());
             job.queue = config != null ? config : job.queue;
@@ -137,41 +137,7 @@
      * @return the decision, not null
      */
     public SubmitResult submit(JobSpec spec, boolean storeReachable, Moment now) {
-        JobState known = state.jobs.get(spec.id());
-        if (known != null) {
-            return known.stored ? SubmitResult.KNOWN : SubmitResult.PENDING;
-        }
-        QueueConfig queue = state.queues.get(spec.queue());
-        if (queue == null) {
-            return SubmitResult.refused(UNAVAILABLE_RETRY_AFTER_MILLIS, "unknown-queue");
-        }
-        if (!storeReachable) {
-            return STORE_UNAVAILABLE;
-        }
-        if (!admission.fitsAnyWorker(spec)) {
-            return SubmitResult.refused(UNPLACEABLE_RETRY_AFTER_MILLIS, "fits-no-worker");
-        }
-        JobState job = new JobState(spec, queue, firstSubmission(spec.id(), now));
-        if (!firstSubmissions.isRecorded(spec.id())) {
-            demandCalculator.jobSubmitted(job, now.steadyMillis());
-        }
-        OptionalLong retryAfterMillis = admission.retryAfterMillis(job, now);
-        if (retryAfterMillis.isPresent()) {
-            demandCalculator.jobRefused(spec, now.steadyMillis());
-            firstSubmissions.recordRefusal(spec.id(), now.steadyMillis());
-            return SubmitResult.refused(retryAfterMillis.getAsLong(), "overload");
-        }
-        firstSubmissions.remove(spec.id());
-        admission.jobAccepted(job);
-        job.openDueOccurrences(now);
-        state.markDirty(job, now.steadyMillis(), true);
-        state.add(job);
-        return SubmitResult.PENDING;
-    }
-
-    private Moment firstSubmission(String job, Moment now) {
-        long age = now.steadyMillis() - firstSubmissions.firstSubmittedMillis(job, now.steadyMillis());
-        return new Moment(now.steadyMillis() - age, now.wallMillis() - age);
+        return submissions.submit(spec, storeReachable, now);
     }
 
     /**
@@ -237,13 +203,7 @@
      * @return the identifiers of the jobs, may be empty, not null
      */
     public Set<String> withdrawUnsentJobs() {
-        Set<String> withdrawn = new TreeSet<>();
-        for (JobState job : jobWriter.withdrawUnsent()) {
-            firstSubmissions.recordRefusal(job.spec.id(), job.submittedMillis);
-            withdrawn.add(job.spec.id());
-        }
-        admission.invalidateBacklog();
-        return withdrawn;
+        return submissions.withdrawUnsent(jobWriter.withdrawUnsent());
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * The state shared by the parts of a pool's scheduler.
@@ -21,6 +22,7 @@
     final Set<PoolWorker> unresolvedWorkers = new HashSet<>();
 
     Map<String, QueueConfig> queues = Map.of();
+    Teams teams = Teams.NONE;
     long registryCompleteMillis = Long.MIN_VALUE;
     int arrivingMachines;
     boolean active;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/QueueConfig.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/QueueConfig.java
@@ -14,6 +14,7 @@
  * @param stretch  the time that a job may take, as a multiple of its critical path
  * @param targetMillis  the time that a job may take in addition, in milliseconds
  * @param advice  the placement advice that the queue requires, empty if it requires none, not null
+ * @param publicAccess  true if callers need no key of a team
  */
 public record QueueConfig(
         String name,
@@ -24,7 +25,8 @@
         int maxAttempts,
         double stretch,
         long targetMillis,
-        Optional<AdvicePolicy> advice) {
+        Optional<AdvicePolicy> advice,
+        boolean publicAccess) {
 
     /**
      * The timing of placement advice.
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/AdmissionTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/AdmissionTest.java
@@ -9,15 +9,17 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * Tests admission with callers that submit several times the capacity of a pool.
  */
 class AdmissionTest {
     private static final Moment NOW = new Moment(1_000_000, 2_000_000);
-    private static final QueueConfig QUEUE = new QueueConfig("q", "h", "/q/", "pool", 0, 3, 1.6, 600, Optional.empty());
+    private static final QueueConfig QUEUE =
+            new QueueConfig("q", "h", "/q/", "pool", 0, 3, 1.6, 600, Optional.empty(), false);
     private static final QueueConfig PATIENT_QUEUE =
-            new QueueConfig("q", "h", "/q/", "pool", 0, 3, 1.6, 2_000, Optional.empty());
+            new QueueConfig("q", "h", "/q/", "pool", 0, 3, 1.6, 2_000, Optional.empty(), false);
     private static final ResourceAmount SIZE = new ResourceAmount(10_000, 100_000, 0);
 
     private static final StepSpec SMALL = StepSpec.builder()
@@ -47,7 +49,7 @@
     @Test
     void arrivingMachinesCountForJobsThatCanWaitForThem() {
         open(1);
-        scheduler.configure(Map.of("q", PATIENT_QUEUE));
+        scheduler.configure(Map.of("q", PATIENT_QUEUE), Teams.NONE);
         while (submit(true).kind() != SubmitResult.Kind.REFUSED) {
             assertTrue(lastJob < 100);
         }
@@ -150,7 +152,7 @@
     }
 
     private void open(int workers) {
-        scheduler.configure(Map.of("q", QUEUE));
+        scheduler.configure(Map.of("q", QUEUE), Teams.NONE);
         List<RegisteredWorker> listed = new ArrayList<>();
         for (int i = 0; i < workers; i++) {
             listed.add(new RegisteredWorker("w" + i, "", "pool", "w:80", "dc", List.of("a", "r"), SIZE, false));
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/ArrivalRateTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/ArrivalRateTest.java
@@ -9,7 +9,7 @@
 
 class ArrivalRateTest {
     private static final QueueConfig QUEUE =
-            new QueueConfig("queue", "h", "/q/", "pool", 0, 3, 1.6, 600, Optional.empty());
+            new QueueConfig("queue", "h", "/q/", "pool", 0, 3, 1.6, 600, Optional.empty(), false);
     /** A job of four cores for a second: without any run yet, a task is expected to take as long as estimated. */
     private static final StepSpec STEP = StepSpec.builder()
             .tasks(4, new ResourceAmount(1_000, 128, 0))
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
@@ -16,7 +16,7 @@
 class JobDocumentCodecTest {
     private static final Moment NOW = new Moment(1_000_000, 2_000_000);
     private static final QueueConfig QUEUE =
-            new QueueConfig("q", "h", "/q/", "pool", 1, 4, 2.5, 1_000, Optional.empty());
+            new QueueConfig("q", "h", "/q/", "pool", 1, 4, 2.5, 1_000, Optional.empty(), false);
 
     @Test
     void progressAndRunLocationsSurviveEncoding() {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
@@ -16,7 +16,8 @@
     private static final Moment NOW = new Moment(1_000_000, 2_000_000);
     private static final ResourceAmount SMALL = new ResourceAmount(2_000, 4_000, 0);
     private static final ResourceAmount LARGE = new ResourceAmount(8_000, 60_000, 0);
-    private static final QueueConfig QUEUE = new QueueConfig("q", "h", "/q/", "pool", 0, 3, 1.6, 600, Optional.empty());
+    private static final QueueConfig QUEUE =
+            new QueueConfig("q", "h", "/q/", "pool", 0, 3, 1.6, 600, Optional.empty(), false);
 
     private final List<WorkerOrder> sent = new ArrayList<>();
     private final PoolState state =
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RunStatisticsTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RunStatisticsTest.java
@@ -11,7 +11,8 @@
 
 class RunStatisticsTest {
     private static final Moment NOW = new Moment(1_000_000, 2_000_000);
-    private static final QueueConfig QUEUE = new QueueConfig("q", "h", "/q/", "pool", 0, 3, 2, 1_000, Optional.empty());
+    private static final QueueConfig QUEUE =
+            new QueueConfig("q", "h", "/q/", "pool", 0, 3, 2, 1_000, Optional.empty(), false);
 
     private final PoolState state =
             new PoolState("pool", new PoolTimeouts(5_000, 120_000, 2_000), new RecordedActions(new ArrayList<>()));
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerEvacuatorTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerEvacuatorTest.java
@@ -11,7 +11,8 @@
 class WorkerEvacuatorTest {
     private static final Moment NOW = new Moment(1_000_000, 2_000_000);
     private static final ResourceAmount SIZE = new ResourceAmount(32_000, 131_072, 0);
-    private static final QueueConfig QUEUE = new QueueConfig("q", "h", "/q/", "pool", 0, 3, 2, 1_000, Optional.empty());
+    private static final QueueConfig QUEUE =
+            new QueueConfig("q", "h", "/q/", "pool", 0, 3, 2, 1_000, Optional.empty(), false);
 
     private final List<WorkerOrder> sent = new ArrayList<>();
     private final PoolState state =
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -69,7 +69,8 @@
                 MAX_ATTEMPTS,
                 objectiveFactor,
                 objectiveAllowanceMillis,
-                Optional.empty());
+                Optional.empty(),
+                false);
         for (int i = 0; i < workerCount; i++) {
             addWorker();
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobConfiguration.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobConfiguration.java
@@ -3,9 +3,11 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.trefoilpost.decision.job.QueueConfig;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * The configuration that operators have set: the queues and the pools.
@@ -15,9 +17,15 @@
  * @param pools  the names of the pools that run jobs, not null
  * @param sparePools  the names of the pools that hold spare machines, which are off, not null
  * @param maxBodyBytes  the maximum size of a request's body, in bytes
+ * @param teams  the teams and their keys, not null
  */
 public record JobConfiguration(
-        long version, Map<String, QueueConfig> queues, Set<String> pools, Set<String> sparePools, int maxBodyBytes) {
+        long version,
+        Map<String, QueueConfig> queues,
+        Set<String> pools,
+        Set<String> sparePools,
+        int maxBodyBytes,
+        Teams teams) {
     /**
      * Constructs a configuration with copies of the collections.
      */
@@ -25,6 +33,7 @@
         queues = Map.copyOf(queues);
         pools = Set.copyOf(pools);
         sparePools = Set.copyOf(sparePools);
+        Objects.requireNonNull(teams, "teams");
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -249,7 +249,7 @@
         dropOwnership(pool);
         PoolRunner runner = new PoolRunner(pool, token, context, () -> ownershipLost(pool));
         runners.put(pool, runner);
-        runner.start(configuration.queues(), registry);
+        runner.start(configuration.queues(), configuration.teams(), registry);
     }
 
     private void ownershipLost(String pool) {
@@ -294,7 +294,7 @@
         public void configured(JobConfiguration next) {
             configuration = next;
             router.configure(next);
-            runners.values().forEach(runner -> runner.configure(next.queues()));
+            runners.values().forEach(runner -> runner.configure(next.queues(), next.teams()));
             fleetRunner.configure(next);
         }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobServiceSettings.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobServiceSettings.java
@@ -2,6 +2,7 @@
 
 import org.trefoilpost.decision.job.ConfigurationBound;
 import org.trefoilpost.decision.job.PoolTimeouts;
+import org.trefoilpost.decision.job.team.TeamPolicy;
 
 /**
  * The settings of an entry's job service.
@@ -13,6 +14,7 @@
  * @param machineTokensCompared  true if the machine service rejects orders with a lower fencing token than an earlier one
  * @param cpuMillis  the entry's processor share in thousandths of a core
  * @param configurationBound  the time within which a configuration must be in force, not null
+ * @param teamPolicy  what the deployment requires of its teams, not null
  */
 public record JobServiceSettings(
         String name,
@@ -21,4 +23,5 @@
         double maxMachineCallsPerSecond,
         boolean machineTokensCompared,
         long cpuMillis,
-        ConfigurationBound configurationBound) {}
+        ConfigurationBound configurationBound,
+        TeamPolicy teamPolicy) {}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -19,6 +19,7 @@
 import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.SubmitResult;
 import org.trefoilpost.decision.job.WorkerOrder;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * Runs the scheduler of a pool that this entry owns: carries out its decisions and passes the results to it. Used on
@@ -125,8 +126,8 @@
     /**
      * Loads the registry and the stored jobs, and opens the scheduler with them.
      */
-    void start(Map<String, QueueConfig> queues, WorkerRegistry registry) {
-        scheduler.configure(queues);
+    void start(Map<String, QueueConfig> queues, Teams teams, WorkerRegistry registry) {
+        configure(queues, teams);
         registry.refresh(() -> load(registry));
     }
 
@@ -152,8 +153,8 @@
         store.sendAgain();
     }
 
-    void configure(Map<String, QueueConfig> queues) {
-        scheduler.configure(queues);
+    void configure(Map<String, QueueConfig> queues, Teams teams) {
+        scheduler.configure(queues, context.settings().teamPolicy().keysRequired() ? teams : Teams.NONE);
     }
 
     void updateWorkers(Collection<RegisteredWorker> workers) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * Plays the owner of the machines against a store that loses answers and that gives the claim to another entry.
@@ -37,7 +38,7 @@
         runner = new FleetRunner(
                 context, new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty()), lost::add);
         store.put(OWNER_KEY, "entry-1");
-        JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1);
+        JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1, Teams.NONE);
         service.run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.QueueConfig;
+import org.trefoilpost.decision.job.team.Teams;
 
 class JobRequestRouterTest {
     private static final long CONFIRMED_MILLIS = 1_000_000;
@@ -45,7 +46,7 @@
     }
 
     private static JobConfiguration configuration() {
-        QueueConfig queue = new QueueConfig("q", "host", "/q/", "pool", 0, 1, 1, 1_000, Optional.empty());
-        return new JobConfiguration(1, Map.of("q", queue), Set.of("pool"), Set.of(), 1_000);
+        QueueConfig queue = new QueueConfig("q", "host", "/q/", "pool", 0, 1, 1, 1_000, Optional.empty(), false);
+        return new JobConfiguration(1, Map.of("q", queue), Set.of("pool"), Set.of(), 1_000, Teams.NONE);
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -22,6 +22,7 @@
 import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.WorkerRunStatus;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * Plays the owner of a pool whose commits are answered late.
@@ -40,11 +41,11 @@
     void open() {
         long token = store.commit(claim()).join();
         store.put("servers/w", "registered");
-        QueueConfig queue = new QueueConfig("q", "host", "/q/", POOL, 0, 3, 1, 1_000, Optional.empty());
+        QueueConfig queue = new QueueConfig("q", "host", "/q/", POOL, 0, 3, 1, 1_000, Optional.empty(), false);
         WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
         runner = new PoolRunner(POOL, token, service.context(), () -> {});
         service.run(registry::start);
-        service.run(() -> runner.start(Map.of("q", queue), registry));
+        service.run(() -> runner.start(Map.of("q", queue), Teams.NONE, registry));
         tickUntil(() -> runner.isOpen());
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.job.ConfigurationBound;
 import org.trefoilpost.decision.job.PoolTimeouts;
+import org.trefoilpost.decision.job.team.TeamPolicy;
 import org.trefoilpost.entry.runtime.MillisClock;
 import org.trefoilpost.entry.runtime.ServiceThread;
 
@@ -19,7 +20,8 @@
             64,
             true,
             1_000,
-            new ConfigurationBound(2_000));
+            new ConfigurationBound(2_000),
+            TeamPolicy.NONE);
 
     private final ServiceThread<Runnable> thread;
     private final DecisionLog log = new DecisionLog();
