--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
@@ -34,6 +34,7 @@
                 packQueue(packer, job.queue);
                 packOccurrences(packer, job);
             }
+            JobSpecCodec.packTeam(packer, job.spec);
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("writing to an in-memory buffer failed", e);
@@ -81,6 +82,7 @@
         if (!phase.ended()) {
             unpackOccurrences(unpacker, job, runLocations, now);
         }
+        job.spec = spec.withTeam(JobSpecCodec.unpackTeam(unpacker));
         return new DecodedJob(job, runLocations);
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpecCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpecCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -30,6 +31,7 @@
     public static byte[] encode(JobSpec spec) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             pack(packer, spec);
+            packTeam(packer, spec);
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("writing to an in-memory buffer failed", e);
@@ -45,12 +47,33 @@
      */
     public static JobSpec decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-            return unpack(unpacker);
+            JobSpec spec = unpack(unpacker);
+            return spec.withTeam(unpackTeam(unpacker));
         } catch (IOException | MessagePackException e) {
             throw new IllegalArgumentException("malformed job specification: " + e.getMessage(), e);
         }
     }
 
+    /**
+     * Appends the team of a job, if it has one, as the last element. Earlier versions of the program ignore it, and the
+     * bytes of a job without a team are those that they write.
+     */
+    static void packTeam(MessageBufferPacker packer, JobSpec spec) throws IOException {
+        if (spec.team().isPresent()) {
+            packer.packString(spec.team().get());
+        }
+    }
+
+    /**
+     * Reads the team that may follow as the last element.
+     */
+    static Optional<String> unpackTeam(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext() ? Optional.of(unpacker.unpackString()) : Optional.empty();
+    }
+
+    /**
+     * Writes a specification without its team, see {@link #packTeam}.
+     */
     static void pack(MessageBufferPacker packer, JobSpec spec) throws IOException {
         packer.packString(spec.id()).packString(spec.queue()).packString(spec.text());
         JobSpec.Schedule schedule = spec.schedule();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -9,7 +9,9 @@
  * of the steady clock.
  */
 final class JobState {
-    final JobSpec spec;
+    /** Replaced only while the job is decoded, as its team is the last element of the stored document. */
+    JobSpec spec;
+
     final Map<Integer, OccurrenceState> occurrences = new TreeMap<>();
     QueueConfig queue;
     JobPhase phase = JobPhase.QUEUED;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -186,6 +186,16 @@
         return Optional.of(endNotStored ? JobPhase.RUNNING : job.phase);
     }
 
+    /**
+     * Returns the team that a job belongs to.
+     *
+     * @param id  the job's identifier, not null
+     * @return the team's name, empty if the job is not known or belongs to no team, not null
+     */
+    public Optional<String> teamOfJob(String id) {
+        return Optional.ofNullable(state.jobs.get(id)).flatMap(job -> job.spec.team());
+    }
+
     /**
      * Returns the number of stored jobs of a queue of which no task has started.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/Teams.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/Teams.java
@@ -3,10 +3,12 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -21,10 +23,12 @@
 
     private final Map<String, TeamConfig> teams;
     private final Map<String, String> teamsByKeyDigest;
+    private final List<TeamDefect> defects;
 
     private Teams(Builder builder) {
         this.teams = Map.copyOf(builder.teams);
         this.teamsByKeyDigest = Map.copyOf(builder.teamsByKeyDigest);
+        this.defects = List.copyOf(builder.defects);
     }
 
     /**
@@ -74,6 +78,15 @@
         return teams.values().stream().anyMatch(TeamConfig::isLimited);
     }
 
+    /**
+     * Returns the defects that were found when the teams were decoded.
+     *
+     * @return the defects in the order of the configuration, may be empty, not null
+     */
+    public List<TeamDefect> defects() {
+        return defects;
+    }
+
     private static String digest(String key) {
         try {
             MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
@@ -89,6 +102,7 @@
     public static final class Builder {
         private final Map<String, TeamConfig> teams = new LinkedHashMap<>();
         private final Map<String, String> teamsByKeyDigest = new HashMap<>();
+        private final List<TeamDefect> defects = new ArrayList<>();
 
         private Builder() {}
 
@@ -115,6 +129,27 @@
             return owner == null || owner.equals(team);
         }
 
+        /**
+         * Returns whether a team of this name was added.
+         *
+         * @param name  the team's name, not null
+         * @return true if it was added
+         */
+        public boolean hasTeam(String name) {
+            return teams.containsKey(name);
+        }
+
+        /**
+         * Adds a defect, which does not keep the teams from being used.
+         *
+         * @param defect  the defect, not null
+         * @return this builder, not null
+         */
+        public Builder defect(TeamDefect defect) {
+            defects.add(defect);
+            return this;
+        }
+
         /**
          * Builds the teams.
          *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
@@ -8,6 +8,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,16 @@
     private static final QueueConfig QUEUE =
             new QueueConfig("q", "h", "/q/", "pool", 1, 4, 2.5, 1_000, Optional.empty(), false);
 
+    /** The bytes that the program wrote before jobs had teams. */
+    private static final String EARLIER_SPEC =
+            "b030313233343536373839616263646566a171a4746578740000009102cd03e864000090a0a00000a00000";
+
+    private static final String EARLIER_OPEN_JOB = "02a6515545554544ce001e8480000100"
+            + EARLIER_SPEC
+            + "a4706f6f6c0104cb4004000000000000cd03e8910090c29000a090c29000a090";
+    private static final String EARLIER_ENDED_JOB =
+            "02a9434f4d504c45544544ce001e8480000100b030313233343536373839616263646566a171";
+
     @Test
     void progressAndRunLocationsSurviveEncoding() {
         JobState job = job();
@@ -63,6 +74,45 @@
         assertTrue(JobDocumentCodec.encode(job).length < 100);
     }
 
+    /** Guards against a format that earlier versions of the program cannot read, or reading theirs with a team. */
+    @Test
+    void jobWithoutATeamHasTheBytesOfEarlierVersions() {
+        JobState job = job();
+        assertEquals(EARLIER_SPEC, HexFormat.of().formatHex(JobSpecCodec.encode(job.spec)));
+        assertEquals(EARLIER_OPEN_JOB, HexFormat.of().formatHex(JobDocumentCodec.encode(job)));
+        job.phase = JobPhase.COMPLETED;
+        assertEquals(EARLIER_ENDED_JOB, HexFormat.of().formatHex(JobDocumentCodec.encode(job)));
+        for (String document : List.of(EARLIER_OPEN_JOB, EARLIER_ENDED_JOB)) {
+            JobState read = JobDocumentCodec.decode(HexFormat.of().parseHex(document), NOW)
+                    .job();
+            assertEquals(Optional.empty(), read.spec.team());
+        }
+        assertEquals(
+                Optional.empty(),
+                JobSpecCodec.decode(HexFormat.of().parseHex(EARLIER_SPEC)).team());
+    }
+
+    /** Guards against losing the team of a stored job, open or ended, or writing it where earlier versions misread it. */
+    @Test
+    void teamFollowsTheElementsThatEarlierVersionsRead() {
+        JobState job = job();
+        job.spec = job.spec.withTeam(Optional.of("team-1"));
+        JobState open = decoded(job, EARLIER_OPEN_JOB);
+        assertEquals(Optional.of("team-1"), open.spec.team());
+        assertEquals(2, open.spec.steps().get(0).count());
+        job.phase = JobPhase.COMPLETED;
+        assertEquals(Optional.of("team-1"), decoded(job, EARLIER_ENDED_JOB).spec.team());
+        byte[] spec = JobSpecCodec.encode(open.spec);
+        assertTrue(HexFormat.of().formatHex(spec).startsWith(EARLIER_SPEC));
+        assertEquals(Optional.of("team-1"), JobSpecCodec.decode(spec).team());
+    }
+
+    private static JobState decoded(JobState job, String earlier) {
+        byte[] bytes = JobDocumentCodec.encode(job);
+        assertTrue(HexFormat.of().formatHex(bytes).startsWith(earlier));
+        return JobDocumentCodec.decode(bytes, NOW).job();
+    }
+
     @Test
     void truncatedDocumentAndUnknownFormatAreRejected() {
         byte[] whole = JobDocumentCodec.encode(job());
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.job.JobSpec;
+import org.trefoilpost.decision.job.team.Caller;
 
 /**
  * Accepts callers' requests, independent of the protocol in which they arrive.
@@ -18,33 +19,45 @@
     Route route(String host, String path);
 
     /**
-     * Submits a job.
+     * Decides whether a request to a queue is served, by the configuration in force.
+     *
+     * @param queue  the name of the queue, not null
+     * @param key  the key that the caller sent, empty if it sent none that can be read, not null
+     * @return the decision, not null
+     */
+    Access access(String queue, Optional<String> key);
+
+    /**
+     * Submits a job, which belongs to the caller's team.
      *
      * @param spec  the job, not null
+     * @param caller  the caller, not null
      * @param deadlineMillis  how long the caller waits for the reply, in milliseconds
      * @return the reply, not null
      */
-    CompletableFuture<JobReply> submit(JobSpec spec, long deadlineMillis);
+    CompletableFuture<JobReply> submit(JobSpec spec, Caller caller, long deadlineMillis);
 
     /**
      * Cancels a job.
      *
      * @param queue  the name of the queue, not null
      * @param job  the identifier of the job, not null
+     * @param caller  the caller, not null
      * @param deadlineMillis  how long the caller waits for the reply, in milliseconds
      * @return the reply, not null
      */
-    CompletableFuture<JobReply> cancel(String queue, String job, long deadlineMillis);
+    CompletableFuture<JobReply> cancel(String queue, String job, Caller caller, long deadlineMillis);
 
     /**
      * Reads the phase of a job.
      *
      * @param queue  the name of the queue, not null
      * @param job  the identifier of the job, not null
+     * @param caller  the caller, not null
      * @param deadlineMillis  how long the caller waits for the reply, in milliseconds
      * @return the reply, not null
      */
-    CompletableFuture<JobReply> phase(String queue, String job, long deadlineMillis);
+    CompletableFuture<JobReply> phase(String queue, String job, Caller caller, long deadlineMillis);
 
     /**
      * Counts the jobs of a queue that wait.
@@ -70,6 +83,14 @@
      */
     void recordRefusal(String reason, String request);
 
+    /**
+     * The decision whether a request is served.
+     *
+     * @param refusal  the reply to a request that is not served, empty if it is served, not null
+     * @param caller  the caller, not null
+     */
+    record Access(Optional<JobReply> refusal, Caller caller) {}
+
     /**
      * The destination of a request.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReplyStatus.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReplyStatus.java
@@ -12,6 +12,10 @@
     UNAVAILABLE,
     /** It is not known whether the request was or will be carried out. */
     UNCERTAIN,
+    /** The request was not carried out; it needs the key of a team. */
+    UNAUTHENTICATED,
+    /** The request was not carried out; the job belongs to another team. */
+    FORBIDDEN,
     /** There is no such queue. */
     NO_QUEUE,
     /** There is no such job. */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequest.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequest.java
@@ -11,6 +11,7 @@
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.JobSpecCodec;
 import org.trefoilpost.decision.job.PoolInstructions;
+import org.trefoilpost.decision.job.team.Caller;
 
 /**
  * A request to the owner of a pool, in the form in which entries send it to each other.
@@ -34,10 +35,13 @@
         if (this instanceof Submit submit) {
             byte[] spec = JobSpecCodec.encode(submit.spec());
             packer.packInt(Submit.KIND).packBinaryHeader(spec.length).writePayload(spec);
+            packCaller(packer, submit.caller());
         } else if (this instanceof Cancel cancel) {
             packer.packInt(Cancel.KIND).packString(cancel.job());
+            packCaller(packer, cancel.caller());
         } else if (this instanceof Phase phase) {
             packer.packInt(Phase.KIND).packString(phase.job());
+            packCaller(packer, phase.caller());
         } else if (this instanceof QueuedJobs queuedJobs) {
             packer.packInt(QueuedJobs.KIND).packString(queuedJobs.queue());
         } else if (this instanceof Instruct instruct) {
@@ -59,10 +63,12 @@
     static Optional<JobRequest> decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             return switch (unpacker.unpackInt()) {
-                case Submit.KIND ->
-                    Optional.of(new Submit(JobSpecCodec.decode(unpacker.readPayload(unpacker.unpackBinaryHeader()))));
-                case Cancel.KIND -> Optional.of(new Cancel(unpacker.unpackString()));
-                case Phase.KIND -> Optional.of(new Phase(unpacker.unpackString()));
+                case Submit.KIND -> {
+                    JobSpec spec = JobSpecCodec.decode(unpacker.readPayload(unpacker.unpackBinaryHeader()));
+                    yield Optional.of(new Submit(spec, unpackCaller(unpacker)));
+                }
+                case Cancel.KIND -> Optional.of(new Cancel(unpacker.unpackString(), unpackCaller(unpacker)));
+                case Phase.KIND -> Optional.of(new Phase(unpacker.unpackString(), unpackCaller(unpacker)));
                 case QueuedJobs.KIND -> Optional.of(new QueuedJobs(unpacker.unpackString()));
                 case Instruct.KIND -> {
                     int arrivingMachines = unpacker.unpackInt();
@@ -80,21 +86,63 @@
         }
     }
 
+    /**
+     * Appends the team of an identified caller as the last element; the empty text stands for no team. Earlier versions
+     * of the program ignore it, and the bytes for an unidentified caller are those that they write.
+     */
+    private static void packCaller(MessageBufferPacker packer, Caller caller) throws IOException {
+        if (caller.identified()) {
+            packer.packString(caller.team().orElse(""));
+        }
+    }
+
+    private static Caller unpackCaller(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext()
+                ? Caller.of(Optional.of(unpacker.unpackString()).filter(team -> !team.isEmpty()))
+                : Caller.UNIDENTIFIED;
+    }
+
+    /**
+     * A caller's request about one job.
+     */
+    sealed interface AboutJob extends JobRequest {
+        /**
+         * Returns the job's identifier.
+         *
+         * @return the identifier, not null
+         */
+        String job();
+
+        /**
+         * Returns who sent the request.
+         *
+         * @return the caller, not null
+         */
+        Caller caller();
+    }
+
     /**
      * Submits a job.
      *
      * @param spec  the job, not null
+     * @param caller  the caller, not null
      */
-    record Submit(JobSpec spec) implements JobRequest {
+    record Submit(JobSpec spec, Caller caller) implements AboutJob {
         static final int KIND = 1;
+
+        @Override
+        public String job() {
+            return spec.id();
+        }
     }
 
     /**
      * Cancels a job.
      *
      * @param job  the identifier of the job, not null
+     * @param caller  the caller, not null
      */
-    record Cancel(String job) implements JobRequest {
+    record Cancel(String job, Caller caller) implements AboutJob {
         static final int KIND = 2;
     }
 
@@ -102,8 +150,9 @@
      * Reads the phase of a job.
      *
      * @param job  the identifier of the job, not null
+     * @param caller  the caller, not null
      */
-    record Phase(String job) implements JobRequest {
+    record Phase(String job, Caller caller) implements AboutJob {
         static final int KIND = 3;
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -12,6 +12,9 @@
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.QueueConfig;
+import org.trefoilpost.decision.job.team.AccessDecision;
+import org.trefoilpost.decision.job.team.Caller;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * Routes callers' requests to the owners of the pools and returns the owners' replies.
@@ -91,45 +94,79 @@
         boolean invalidName = job.indexOf('/') >= 0 || job.length() > MAX_JOB_NAME_LENGTH;
         return new Route(
                 true,
-                context.settings()
-                        .configurationBound()
-                        .isConfirmed(
-                                configurationConfirmedMillis.getAsLong(),
-                                context.now().steadyMillis()),
+                isConfirmed(),
                 invalidName ? Optional.empty() : queue.map(QueueConfig::name),
                 invalidName ? "" : job,
                 current.maxBodyBytes());
     }
 
+    private boolean isConfirmed() {
+        return context.settings()
+                .configurationBound()
+                .isConfirmed(
+                        configurationConfirmedMillis.getAsLong(), context.now().steadyMillis());
+    }
+
+    @Override
+    public Access access(String queue, Optional<String> key) {
+        // Read before the configuration, so that it never confirms a later configuration than the one used.
+        boolean confirmed = isConfirmed();
+        JobConfiguration current = configuration;
+        QueueConfig config = current == null ? null : current.queues().get(queue);
+        AccessDecision decision = AccessDecision.of(
+                context.settings().teamPolicy(),
+                current == null ? Teams.NONE : current.teams(),
+                config != null && config.publicAccess(),
+                confirmed,
+                key);
+        return new Access(refusal(decision.result()), decision.caller());
+    }
+
+    private static Optional<JobReply> refusal(AccessDecision.Result result) {
+        return switch (result) {
+            case GRANTED -> Optional.empty();
+            case MISSING_KEY -> Optional.of(JobReply.of(JobReplyStatus.UNAUTHENTICATED, "missing-key"));
+            case UNKNOWN_KEY -> Optional.of(JobReply.of(JobReplyStatus.UNAUTHENTICATED, "unknown-key"));
+            case UNCONFIRMED -> Optional.of(JobReply.of(JobReplyStatus.UNAVAILABLE, "configuration-unconfirmed"));
+        };
+    }
+
     @Override
-    public CompletableFuture<JobReply> submit(JobSpec spec, long deadlineMillis) {
+    public CompletableFuture<JobReply> submit(JobSpec untagged, Caller caller, long deadlineMillis) {
+        JobSpec spec = untagged.withTeam(caller.team());
         Optional<String> fault = spec.fault();
         if (fault.isPresent()) {
             recordRefusal("malformed-job", spec.id() + ": " + fault.get());
             return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.MALFORMED, fault.get()));
         }
-        JobRequest request = new JobRequest.Submit(spec);
+        JobRequest request = new JobRequest.Submit(spec, caller);
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        context.execute(() -> askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id()), deadlineMillis)
+        context.execute(() -> askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id(), caller), deadlineMillis)
                 .thenAccept(known -> {
                     if (known.isPresent()) {
-                        reply.complete(JobReply.of(JobReplyStatus.DONE, "known"));
+                        reply.complete(
+                                known.get().status() == JobReplyStatus.DONE
+                                        ? JobReply.of(JobReplyStatus.DONE, "known")
+                                        : known.get());
                     } else {
                         askOwner(spec.queue(), spec.id(), request, deadlineMillis, reply);
                     }
                 }));
-        return logOutcome("submit", spec.id(), reply);
+        return logOutcome("submit", spec.id(), recordForbidden("submit", spec.id(), caller, reply));
     }
 
     @Override
-    public CompletableFuture<JobReply> cancel(String queue, String job, long deadlineMillis) {
-        return logOutcome(
-                "cancel", job, askCurrentThenFormerOwners(queue, job, new JobRequest.Cancel(job), deadlineMillis));
+    public CompletableFuture<JobReply> cancel(String queue, String job, Caller caller, long deadlineMillis) {
+        CompletableFuture<JobReply> reply =
+                askCurrentThenFormerOwners(queue, job, new JobRequest.Cancel(job, caller), deadlineMillis);
+        return logOutcome("cancel", job, recordForbidden("cancel", job, caller, reply));
     }
 
     @Override
-    public CompletableFuture<JobReply> phase(String queue, String job, long deadlineMillis) {
-        return askCurrentThenFormerOwners(queue, job, new JobRequest.Phase(job), deadlineMillis);
+    public CompletableFuture<JobReply> phase(String queue, String job, Caller caller, long deadlineMillis) {
+        CompletableFuture<JobReply> reply =
+                askCurrentThenFormerOwners(queue, job, new JobRequest.Phase(job, caller), deadlineMillis);
+        return recordForbidden("phase", job, caller, reply);
     }
 
     @Override
@@ -141,11 +178,29 @@
 
     @Override
     public void recordRefusal(String reason, String request) {
-        context.logDecision(Decision.failure("request-refused")
+        context.logDecision(requestRefused(reason, request));
+    }
+
+    private Decision requestRefused(String reason, String request) {
+        return Decision.failure("request-refused")
                 .with("reason", reason)
                 .with("request", request)
                 .with("version", configurationVersion())
-                .with("confirmedAge", configurationAgeMillis()));
+                .with("confirmedAge", configurationAgeMillis());
+    }
+
+    /**
+     * Logs a request that the owner refused because the job belongs to another team, with the caller's team.
+     */
+    private CompletableFuture<JobReply> recordForbidden(
+            String kind, String job, Caller caller, CompletableFuture<JobReply> reply) {
+        return reply.whenComplete((value, failure) -> {
+            if (value != null && value.status() == JobReplyStatus.FORBIDDEN) {
+                context.logDecision(requestRefused(value.reason(), kind + " " + job)
+                        .with("job", job)
+                        .with("team", caller.team().orElse("")));
+            }
+        });
     }
 
     /**
@@ -201,8 +256,8 @@
     }
 
     /**
-     * Asks the owners of the queue's former pools, one after the other, until one carries out the request. The result
-     * is empty if none does.
+     * Asks the owners of the queue's former pools, one after the other, until one knows the job: it carries out the
+     * request, or refuses it because the job belongs to another team. The result is empty if none does.
      */
     private CompletableFuture<Optional<JobReply>> askFormerOwners(
             String queue, JobRequest request, long deadlineMillis) {
@@ -229,7 +284,8 @@
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
         ownerCalls.ask(pools.next(), request, ownerTimeoutMillis(deadlineMillis), reply);
         context.onServiceThread(reply, (answer, failure) -> {
-            if (answer != null && answer.status() == JobReplyStatus.DONE) {
+            if (answer != null
+                    && (answer.status() == JobReplyStatus.DONE || answer.status() == JobReplyStatus.FORBIDDEN)) {
                 found.complete(Optional.of(answer));
             } else {
                 askNextFormerOwner(pools, request, deadlineMillis, found);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.team.TeamDefect;
 
 /**
  * The configuration in force and the waves that operators have written to the store. Used on the service's thread only,
@@ -87,10 +88,27 @@
                 .with("confirmedAge", context.now().steadyMillis() - mirror.confirmedMillis())
                 .with("queues", next.queues().size())
                 .with("pools", next.pools().size()));
+        logTeamDefects(next);
         configuration = next;
         listener.configured(next);
     }
 
+    /**
+     * Logs the defects of the teams, once per version as each version is applied once.
+     */
+    private void logTeamDefects(JobConfiguration next) {
+        if (context.settings().teamPolicy().keysRequired()) {
+            for (TeamDefect defect : next.teams().defects()) {
+                context.logDecision(Decision.failure("team-malformed")
+                        .with("reason", defect.kind().code())
+                        .with("team", defect.team())
+                        .with("position", defect.position())
+                        .with("detail", defect.detail())
+                        .with("version", next.version()));
+            }
+        }
+    }
+
     /**
      * Receives what operators have written.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -123,6 +123,9 @@
      * Carries out a request in the runner of a pool that this entry owns.
      */
     static CompletableFuture<JobReply> serve(PoolRunner runner, JobRequest request) {
+        if (request instanceof JobRequest.AboutJob about && !runner.mayAccess(about.job(), about.caller())) {
+            return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.FORBIDDEN, "other-team"));
+        }
         if (request instanceof JobRequest.Submit submit) {
             return runner.submit(submit.spec());
         } else if (request instanceof JobRequest.Cancel cancel) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -19,6 +19,7 @@
 import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.SubmitResult;
 import org.trefoilpost.decision.job.WorkerOrder;
+import org.trefoilpost.decision.job.team.Caller;
 import org.trefoilpost.decision.job.team.Teams;
 
 /**
@@ -256,6 +257,14 @@
         scheduler.withdrawUnsentJobs().forEach(job -> awaitedReplies.complete(job, refusal));
     }
 
+    /**
+     * Returns whether a caller may send requests about a job. Without keys, teams that jobs may have from before do not
+     * matter.
+     */
+    boolean mayAccess(String job, Caller caller) {
+        return !context.settings().teamPolicy().keysRequired() || caller.mayAccessJobOf(scheduler.teamOfJob(job));
+    }
+
     CompletableFuture<JobReply> submit(JobSpec spec) {
         Moment now = context.now();
         SubmitResult result = scheduler.submit(spec, store.isReachable(now.steadyMillis()), now);
