--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Decision.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Decision.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A scheduling decision and the values that led to it, for the log.
@@ -49,6 +50,18 @@
         return this;
     }
 
+    /**
+     * Adds an input value if there is one.
+     *
+     * @param key  the stable field key, not null
+     * @param value  the input's value, empty to add nothing, not null
+     * @return this, not null
+     */
+    public Decision withIfPresent(String key, Optional<?> value) {
+        value.ifPresent(present -> inputs.put(key, present));
+        return this;
+    }
+
     /**
      * Returns the stable name of the log event.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -198,7 +198,7 @@
             if (value != null && value.status() == JobReplyStatus.FORBIDDEN) {
                 context.logDecision(requestRefused(value.reason(), kind + " " + job)
                         .with("job", job)
-                        .with("team", caller.team().orElse("")));
+                        .withIfPresent("team", caller.team()));
             }
         });
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -122,8 +122,8 @@
     /**
      * Carries out a request in the runner of a pool that this entry owns.
      */
-    static CompletableFuture<JobReply> serve(PoolRunner runner, JobRequest request) {
-        if (request instanceof JobRequest.AboutJob about && !runner.mayAccess(about.job(), about.caller())) {
+    private CompletableFuture<JobReply> serve(PoolRunner runner, JobRequest request) {
+        if (request instanceof JobRequest.AboutJob about && !mayAccess(runner, about)) {
             return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.FORBIDDEN, "other-team"));
         }
         if (request instanceof JobRequest.Submit submit) {
@@ -138,6 +138,15 @@
         return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.MALFORMED, "unknown-request"));
     }
 
+    /**
+     * Returns whether the caller may send requests about the job. Where no keys are required, the teams that jobs may have
+     * from before do not matter.
+     */
+    private boolean mayAccess(PoolRunner runner, JobRequest.AboutJob request) {
+        return !context.settings().teamPolicy().keysRequired()
+                || request.caller().mayAccessJobOf(runner.teamOfJob(request.job()));
+    }
+
     /**
      * Answers a call from another entry.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -19,7 +19,6 @@
 import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.SubmitResult;
 import org.trefoilpost.decision.job.WorkerOrder;
-import org.trefoilpost.decision.job.team.Caller;
 import org.trefoilpost.decision.job.team.Teams;
 
 /**
@@ -257,12 +256,8 @@
         scheduler.withdrawUnsentJobs().forEach(job -> awaitedReplies.complete(job, refusal));
     }
 
-    /**
-     * Returns whether a caller may send requests about a job. Without keys, teams that jobs may have from before do not
-     * matter.
-     */
-    boolean mayAccess(String job, Caller caller) {
-        return !context.settings().teamPolicy().keysRequired() || caller.mayAccessJobOf(scheduler.teamOfJob(job));
+    Optional<String> teamOfJob(String job) {
+        return scheduler.teamOfJob(job);
     }
 
     CompletableFuture<JobReply> submit(JobSpec spec) {
@@ -273,6 +268,7 @@
                         : Decision.of("job-submitted"))
                 .with("job", spec.id())
                 .with("queue", spec.queue())
+                .withIfPresent("team", spec.team())
                 .with("pool", pool)
                 .with("token", token)
                 .with("outcome", result.kind().name())
