--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -256,6 +256,10 @@
         scheduler.withdrawUnsentJobs().forEach(job -> awaitedReplies.complete(job, refusal));
     }
 
+    Optional<String> teamOfJob(String job) {
+        return scheduler.teamOfJob(job);
+    }
+
     CompletableFuture<JobReply> submit(JobSpec spec) {
         Moment now = context.now();
         SubmitResult result = scheduler.submit(spec, store.isReachable(now.steadyMillis()), now);
@@ -264,6 +268,7 @@
                         : Decision.of("job-submitted"))
                 .with("job", spec.id())
                 .with("queue", spec.queue())
+                .withIfPresent("team", spec.team())
                 .with("pool", pool)
                 .with("token", token)
                 .with("outcome", result.kind().name())
