--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -161,8 +161,11 @@
         List<MachineView> candidates = candidates(wave);
         int empty = shortage ? (int) candidates.stream().filter(view::isEmpty).count() : 0;
         int atOnce = wave.requiredAtOnce(empty, nowMillis);
-        int emptyingCount = 0;
+        int emptyingCount = emptyLongRunning(wave, candidates, evacuating, nowMillis);
         for (MachineView machine : candidates) {
+            if (emptying.contains(machine.name())) {
+                continue;
+            }
             if (view.isEmpty(machine)
                     && down < atOnce
                     && !view.machinesWithOrderInFlight().contains(machine.name())) {
@@ -180,6 +183,29 @@
         wave.orderedMachines.forEach(machine -> view.machine(machine).ifPresent(evacuating::add));
     }
 
+    /**
+     * Empties machines with long-running tasks from the beginning of a wave, as many at a time as the deadline requires.
+     * They take the longest, since a task must be ready elsewhere before the next of its step is stopped, and would otherwise
+     * come last, one after the other.
+     *
+     * @return the number of machines
+     */
+    private int emptyLongRunning(
+            WaveProgress wave, List<MachineView> candidates, List<MachineView> evacuating, long nowMillis) {
+        List<MachineView> hosts =
+                candidates.stream().filter(this::hasLongRunning).toList();
+        int count = Math.min(hosts.size(), wave.requiredAtOnce(0, hosts.size(), nowMillis));
+        for (MachineView host : hosts.subList(0, count)) {
+            emptying.add(host.name());
+            evacuating.add(host);
+        }
+        return count;
+    }
+
+    private boolean hasLongRunning(MachineView machine) {
+        return view.usage(machine).map(PoolDemand.WorkerUsage::hasLongRunning).orElse(false);
+    }
+
     private int countDown(WaveProgress wave) {
         int down = 0;
         for (String machine : wave.machines) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveProgress.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveProgress.java
@@ -79,8 +79,16 @@
      * @param nowMillis  the current time on the steady clock, in milliseconds
      */
     int requiredAtOnce(int empty, long nowMillis) {
+        return requiredAtOnce(empty, waitingMachines().size() - empty, nowMillis);
+    }
+
+    /**
+     * Returns the number of machines that must be emptied or down at the same time for some machines to be done before the
+     * deadline, at least 1 and at most the limit of the wave.
+     */
+    int requiredAtOnce(int empty, int busy, long nowMillis) {
         long remainingMillis = Math.max(1, deadlineMillis - nowMillis - DEADLINE_MARGIN_MILLIS);
-        long workMillis = (waitingMachines().size() - empty) * BUSY_MACHINE_MILLIS + empty * EMPTY_MACHINE_MILLIS;
+        long workMillis = busy * BUSY_MACHINE_MILLIS + empty * EMPTY_MACHINE_MILLIS;
         return (int) Math.max(1, Math.min(atOnce, (workMillis + remainingMillis - 1) / remainingMillis));
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
@@ -27,6 +27,10 @@
     final FleetPlanner planner = new FleetPlanner(this, 64);
     OrderOutcome nextOutcome = OrderOutcome.DONE;
     boolean busyWorkers;
+    /** The times that the workers of machines with long-running tasks take to be emptied, by machine. */
+    final Map<String, Long> emptyingMillis = new HashMap<>();
+
+    private final Map<String, Long> evacuatingSinceMillis = new HashMap<>();
     boolean storeDown;
     boolean ordersAllowed = true;
     int maxDown;
@@ -98,15 +102,27 @@
         for (MachineView machine : machines.values()) {
             if (machine.pool().equals(pool) && machine.up()) {
                 boolean evacuating = instructions.evacuating().contains(machine.worker());
-                workers.put(
-                        machine.worker(),
-                        new PoolDemand.WorkerUsage(0, false, evacuating && !busyWorkers, !evacuating));
+                boolean hasLongRunning = hasLongRunning(machine, evacuating);
+                boolean empty = evacuating && !busyWorkers && !hasLongRunning;
+                workers.put(machine.worker(), new PoolDemand.WorkerUsage(0, hasLongRunning, empty, !evacuating));
             }
         }
         PoolDemand demand = new PoolDemand(needs.getOrDefault(pool, 0.0), workers);
         planner.load(pool, instructions.evacuating(), demand, moment());
     }
 
+    private boolean hasLongRunning(MachineView machine, boolean evacuating) {
+        if (!emptyingMillis.containsKey(machine.name())) {
+            return false;
+        }
+        if (!evacuating) {
+            evacuatingSinceMillis.remove(machine.worker());
+            return true;
+        }
+        long since = evacuatingSinceMillis.computeIfAbsent(machine.worker(), worker -> nowMillis);
+        return nowMillis - since < emptyingMillis.get(machine.name());
+    }
+
     @Override
     public void beginUpkeep(String machine, long wave) {
         orders.add("upkeep " + machine);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
@@ -237,4 +237,19 @@
         fleet.runFor(2_400);
         assertTrue(fleet.countUp("b") >= 14, "machines: " + fleet.countUp("b"));
     }
+
+    /**
+     * Guards against a wave that is late because the machines that take longest to empty come last, one after the other.
+     */
+    @Test
+    void machinesWithLongRunningTasksAreEmptiedInTimeForTheWave() {
+        fleet.add("a", 60);
+        fleet.configure(Set.of("a"));
+        fleet.needs.put("a", 60.0);
+        List<String> machines = new ArrayList<>(fleet.machines.keySet());
+        machines.subList(0, 10).forEach(machine -> fleet.emptyingMillis.put(machine, 8_000L));
+        fleet.addWave(1, machines, 27_000, 30);
+        fleet.runFor(27_000);
+        assertTrue(fleet.storedWaves.get(1L).endsWith("true"), fleet.storedWaves.toString());
+    }
 }
