--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ArrivalRate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ArrivalRate.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 
 /**
  * Estimates the resources that newly submitted jobs keep in use, from the most recent submissions. The number of
@@ -11,8 +12,12 @@
  * the rate is, long before as many tasks run or wait.
  */
 final class ArrivalRate {
-    /** The number of submissions from which the rate is computed. */
-    private static final int SUBMISSIONS = 10;
+    /** The minimum number of submissions from which the rate is computed. */
+    private static final int MIN_SUBMISSIONS = 10;
+    /** The time over which the rate is computed while it is high, so that chance weighs less. */
+    private static final long RATE_WINDOW_MILLIS = 500;
+    /** The number of submissions over which the work of a job is averaged, as the work varies by far more than the rate. */
+    private static final int MAX_SUBMISSIONS = 60;
     /** The minimum time over which the rate is computed, so that jobs submitted together do not count as a high rate. */
     private static final long MIN_SPAN_MILLIS = 250;
 
@@ -49,7 +54,7 @@
         submissions.add(submission);
         totalCpuWork += submission.cpuWork;
         totalMemoryWork += submission.memoryWork;
-        if (submissions.size() > SUBMISSIONS) {
+        if (submissions.size() > MAX_SUBMISSIONS) {
             Submission oldest = submissions.poll();
             totalCpuWork -= oldest.cpuWork;
             totalMemoryWork -= oldest.memoryWork;
@@ -60,11 +65,28 @@
      * Returns the resources that the submitted work keeps in use, none until enough jobs have been submitted.
      */
     ResourceAmount sustainedUse(long nowMillis) {
-        if (submissions.size() < SUBMISSIONS) {
+        if (submissions.size() < MIN_SUBMISSIONS) {
             return ResourceAmount.NONE;
         }
-        long spanMillis = Math.max(MIN_SPAN_MILLIS, nowMillis - submissions.peek().millis);
-        return new ResourceAmount((long) (totalCpuWork / spanMillis), (long) (totalMemoryWork / spanMillis), 0);
+        double jobsPerMilli = jobsPerMilli(nowMillis) / submissions.size();
+        return new ResourceAmount((long) (totalCpuWork * jobsPerMilli), (long) (totalMemoryWork * jobsPerMilli), 0);
+    }
+
+    /**
+     * Returns the rate of the submissions of the last {@link #RATE_WINDOW_MILLIS}, or of the last
+     * {@link #MIN_SUBMISSIONS} if these took longer.
+     */
+    private double jobsPerMilli(long nowMillis) {
+        int count = 0;
+        long oldestMillis = nowMillis;
+        for (Iterator<Submission> newest = submissions.descendingIterator(); newest.hasNext(); count++) {
+            Submission submission = newest.next();
+            if (count >= MIN_SUBMISSIONS && nowMillis - submission.millis > RATE_WINDOW_MILLIS) {
+                break;
+            }
+            oldestMillis = submission.millis;
+        }
+        return (double) count / Math.max(MIN_SPAN_MILLIS, nowMillis - oldestMillis);
     }
 
     private record Submission(long millis, double cpuWork, double memoryWork) {}
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
@@ -11,6 +11,11 @@
     private static final double USABLE_MACHINE_SHARE = 0.85;
 
     private static final long REFUSED_DEMAND_WINDOW_MILLIS = 800;
+    /**
+     * The most machines for work at hand, as a multiple of those for the work that arrives. When demand rises, far more work
+     * waits than arrives in the time of a task; by the time machines for all of it have come, it is done or given up.
+     */
+    private static final double MAX_BACKLOG_FACTOR = 1.3;
 
     private final PoolState state;
     private final RefusedDemand refusedDemand = new RefusedDemand(REFUSED_DEMAND_WINDOW_MILLIS);
@@ -40,7 +45,7 @@
      */
     PoolDemand demand(Moment now) {
         Map<String, PoolDemand.WorkerUsage> workers = new HashMap<>();
-        ResourceAmount total = waitingDemand(now).plus(refusedDemand.sum(now.steadyMillis()));
+        ResourceAmount used = ResourceAmount.NONE;
         ResourceAmount longRunning = ResourceAmount.NONE;
         ResourceAmount capacity = ResourceAmount.NONE;
         int listedWorkers = 0;
@@ -52,7 +57,7 @@
                     longRunning = longRunning.plus(run.reserved());
                 }
             }
-            total = total.plus(worker.usedResources);
+            used = used.plus(worker.usedResources);
             if (worker.listed) {
                 capacity = capacity.plus(worker.registration.capacity());
                 listedWorkers++;
@@ -65,31 +70,40 @@
                             worker.fenced && WorkerEvacuator.isEmpty(worker),
                             worker.acceptsWork(now.steadyMillis())));
         }
-        ResourceAmount sustained = longRunning.plus(arrivalRate.sustainedUse(now.steadyMillis()));
-        double needed =
-                Math.max(machines(total, capacity, listedWorkers), machines(sustained, capacity, listedWorkers));
+        PoolSize size = new PoolSize(capacity, listedWorkers);
+        double needed = neededMachines(used, longRunning, size, now);
         return new PoolDemand(Math.max(needed, machinesForTaskLimits()), workers);
     }
 
-    private static double machines(ResourceAmount total, ResourceAmount capacity, int count) {
-        if (count == 0 || capacity.cpuMillis() == 0 || capacity.memoryMb() == 0) {
-            return total.cpuMillis() > 0 ? 1 : 0;
+    /**
+     * Returns the number of machines needed for the work that arrives, and for a part of the work at hand beyond it.
+     */
+    private double neededMachines(ResourceAmount used, ResourceAmount longRunning, PoolSize size, Moment now) {
+        WaitingDemand waiting = waitingDemand();
+        double present = size.machinesFor(used.plus(waiting.total()).plus(refusedDemand.sum(now.steadyMillis())));
+        ResourceAmount arriving = arrivalRate.sustainedUse(now.steadyMillis());
+        if (arriving.equals(ResourceAmount.NONE)) {
+            return present;
         }
-        double cpuShare = (double) total.cpuMillis() / capacity.cpuMillis();
-        double memoryShare = (double) total.memoryMb() / capacity.memoryMb();
-        return Math.max(cpuShare, memoryShare) * count / USABLE_MACHINE_SHARE;
+        double sustained = size.machinesFor(longRunning.plus(arriving));
+        double oneStepMore = size.machinesFor(used.plus(waiting.widestStep()));
+        double limit = Math.max(sustained * MAX_BACKLOG_FACTOR, oneStepMore);
+        return Math.max(sustained, Math.min(present, limit));
     }
 
-    private ResourceAmount waitingDemand(Moment now) {
-        ResourceAmount waiting = ResourceAmount.NONE;
+    private WaitingDemand waitingDemand() {
+        ResourceAmount total = ResourceAmount.NONE;
+        ResourceAmount widestStep = ResourceAmount.NONE;
         for (JobState job : state.openJobs.values()) {
             for (OccurrenceState occurrence : job.openOccurrences()) {
                 for (JobStepState step : occurrence.steps) {
-                    waiting = waiting.plus(waitingDemand(step));
+                    ResourceAmount demand = waitingDemand(step);
+                    total = total.plus(demand);
+                    widestStep = demand.cpuMillis() > widestStep.cpuMillis() ? demand : widestStep;
                 }
             }
         }
-        return waiting;
+        return new WaitingDemand(total, widestStep);
     }
 
     private static ResourceAmount waitingDemand(JobStepState step) {
@@ -121,4 +135,28 @@
         }
         return maxMachines;
     }
+
+    /**
+     * The resources that the ready tasks without a run ask for.
+     *
+     * @param widestStep  those of the step that asks for the most processors
+     */
+    private record WaitingDemand(ResourceAmount total, ResourceAmount widestStep) {}
+
+    /**
+     * The capacity of the workers that the registry lists.
+     */
+    private record PoolSize(ResourceAmount capacity, int workers) {
+        /**
+         * Returns how many workers of the mean size an amount fills.
+         */
+        double machinesFor(ResourceAmount amount) {
+            if (workers == 0 || capacity.cpuMillis() == 0 || capacity.memoryMb() == 0) {
+                return amount.cpuMillis() > 0 ? 1 : 0;
+            }
+            double cpuShare = (double) amount.cpuMillis() / capacity.cpuMillis();
+            double memoryShare = (double) amount.memoryMb() / capacity.memoryMb();
+            return Math.max(cpuShare, memoryShare) * workers / USABLE_MACHINE_SHARE;
+        }
+    }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
@@ -28,7 +28,7 @@
      */
     private static final double RETURN_SHARE = 0.25;
 
-    private static final long RETURN_INTERVAL_MILLIS = 1_000;
+    private static final long RETURN_INTERVAL_MILLIS = 500;
     /** Time for which an unanswered order may still be carried out. */
     private static final long MAX_ORDER_DELAY_MILLIS = 13_000;
 
