--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -50,7 +50,8 @@
 
     private boolean isLeaseExpired(PoolWorker worker, long nowMillis) {
         boolean unconfirmed = worker.missedCalls > 0 || !worker.fenced || worker.ended;
-        boolean mayHaveRuns = !worker.runs.isEmpty() || state.unresolvedWorkers.contains(worker);
+        boolean mayHaveRuns = state.unresolvedWorkers.contains(worker)
+                || worker.runs.values().stream().anyMatch(run -> !worker.mayStillStart(run, nowMillis));
         return unconfirmed && mayHaveRuns && nowMillis > worker.leaseExpiryMillis();
     }
 
@@ -67,6 +68,10 @@
     }
 
     private static long waitMillis(PoolWorker worker) {
+        if (worker.incarnation.isKnown() && worker.hasEndsToAcknowledge()) {
+            // A hold with an acknowledgement is not left with a worker that might restart meanwhile.
+            return 0;
+        }
         if (!worker.fenced || worker.missedCalls > 0 || worker.holdUrgent || worker.processedEnd > worker.storedEnd) {
             return 0;
         }
@@ -80,12 +85,21 @@
 
     private void removeIfUnlisted(PoolWorker worker, long nowMillis) {
         boolean allRunsEnded = worker.ended || nowMillis > worker.leaseExpiryMillis();
-        if (!worker.listed && worker.runs.isEmpty() && allRunsEnded && !worker.holdInFlight) {
+        boolean mayRestart = worker.incarnation.isKnown() && nowMillis < worker.unansweredOrdersUntilMillis;
+        if (!worker.listed && worker.runs.isEmpty() && allRunsEnded && !worker.holdInFlight && !mayRestart) {
             state.workers.remove(worker.id);
             state.unresolvedWorkers.remove(worker);
         }
     }
 
+    /**
+     * Returns whether the end of a worker, found out by listing the machines, is that of its present incarnation. A worker
+     * that restarted while the machines were listed is not silent.
+     */
+    boolean isEndCurrent(PoolWorker worker) {
+        return !worker.incarnation.isKnown() || worker.missedCalls >= CALLS_UNTIL_SILENT;
+    }
+
     /**
      * Returns the silent workers that may have runs, for which failure detection is needed.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -91,13 +91,13 @@
         worker.holdInFlight = true;
         worker.holdUrgent = false;
         worker.holdSentMillis = nowMillis;
-        worker.ackSentEnd = worker.storedEnd;
+        worker.ackSentEnd = worker.endToAcknowledge(nowMillis);
         // The lease of a worker that does not answer is not renewed, so that it expires at a known time.
         boolean renewed = worker.fenced && worker.isClockKnown() && worker.missedCalls == 0;
         Optional<Long> leaseUntil =
                 renewed ? Optional.of(worker.grantLease(nowMillis, state.timeouts.leaseMillis())) : Optional.empty();
         state.actions.send(new WorkerOrder.Hold(
-                worker.id, worker.registration.address(), leaseUntil, worker.storedEnd, waitMillis));
+                worker.id, worker.registration.address(), leaseUntil, worker.ackSentEnd, waitMillis));
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -31,6 +31,7 @@
     private final Admission admission;
     private final JobWriter jobWriter;
     private final HoldScheduler holdScheduler;
+    private final WorkerRestarts restarts;
     private final WorkerEvacuator evacuator;
     private final BestEffortThrottle throttle;
     private final RunStatistics runStatistics;
@@ -57,6 +58,7 @@
         this.admission = new Admission(state, runStatistics, startDeadlines);
         this.jobWriter = new JobWriter(state);
         this.holdScheduler = new HoldScheduler(state, orderSender, runTracker);
+        this.restarts = new WorkerRestarts(state);
         this.evacuator = new WorkerEvacuator(state, orderSender);
         this.throttle = new BestEffortThrottle(state, orderSender);
         this.takeover = new PoolTakeover(state);
@@ -109,7 +111,12 @@
         Set<String> present = new TreeSet<>();
         for (RegisteredWorker registration : listed) {
             present.add(registration.id());
-            PoolWorker worker = state.workers.computeIfAbsent(registration.id(), id -> new PoolWorker(registration));
+            PoolWorker known = state.workers.computeIfAbsent(registration.id(), id -> new PoolWorker(registration));
+            Optional<PoolWorker> registered = restarts.registered(known, registration.incarnation(), now);
+            if (registered.isEmpty()) {
+                continue;
+            }
+            PoolWorker worker = registered.get();
             if (registration.draining() && !worker.registration.draining()) {
                 state.actions.logDecision(Decision.of("worker-draining").with("worker", worker.id));
             }
@@ -243,7 +250,8 @@
     public void statusReceived(String workerId, WorkerRunStatus status, Moment now) {
         PoolWorker worker = state.workers.get(workerId);
         if (worker != null) {
-            runTracker.statusReceived(worker, status, now);
+            restarts.reported(worker, status, now)
+                    .ifPresent(reporter -> runTracker.statusReceived(reporter, status, now));
         }
     }
 
@@ -281,7 +289,7 @@
      */
     public void workerEnded(String workerId, String reason, Moment now) {
         PoolWorker worker = state.workers.get(workerId);
-        if (worker != null) {
+        if (worker != null && holdScheduler.isEndCurrent(worker)) {
             runTracker.workerEnded(worker, reason, now);
         }
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -24,6 +24,9 @@
     Map<String, QueueConfig> queues = Map.of();
     Teams teams = Teams.NONE;
     long registryCompleteMillis = Long.MIN_VALUE;
+    /** Until when orders of an earlier owner may be carried out by workers that have not seen this owner's token. */
+    long foreignOrdersUntilMillis = Long.MIN_VALUE;
+
     int arrivingMachines;
     boolean active;
     boolean placementDue;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTakeover.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTakeover.java
@@ -35,6 +35,7 @@
     void begin(long registryCompleteMillis, Moment now) {
         openedMillis = now.steadyMillis();
         state.registryCompleteMillis = registryCompleteMillis;
+        state.foreignOrdersUntilMillis = openedMillis + Run.MAX_ORDER_DELAY_MILLIS;
         for (JobDocumentCodec.RunLocation location : runLocations) {
             if (!state.workers.containsKey(location.worker())) {
                 addUnlistedWorker(location);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -16,11 +16,24 @@
     /** The minimum rate of a worker's clock relative to true time: clocks may lag by 2 %, the rest is a margin. */
     static final double MIN_CLOCK_RATE = 0.975;
 
+    /** Age of a status up to which the worker cannot have ended and started again, with a margin for slow calls. */
+    private static final long FRESH_STATUS_MILLIS = 50;
+
+    /** Time after which ends are acknowledged even if each status brings new ones, so that they do not pile up. */
+    private static final long MAX_ACK_DELAY_MILLIS = 1_000;
+
+    /** By how much a clock in whole milliseconds may seem to go back. */
+    private static final long CLOCK_ROUNDING_MILLIS = 1;
+
     /** Time that a worker may take to end its runs after its lease has expired. */
     private static final long LEASE_END_MARGIN_MILLIS = 250;
 
     final String id;
     final Map<String, Run> runs = new HashMap<>();
+    /** Starts without an answer that no status has listed; the worker may still carry them out if it restarts. */
+    final Map<String, Run> unansweredStarts = new HashMap<>();
+
+    WorkerIncarnation incarnation;
     RegisteredWorker registration;
     ResourceAmount usedResources = ResourceAmount.NONE;
     boolean listed = true;
@@ -41,20 +54,146 @@
     long ackSentEnd;
     long ackedEnd;
     double blame;
+    /** True from an unanswered call until the next answered hold. */
+    boolean callUnanswered;
+
+    long unansweredOrdersUntilMillis = Long.MIN_VALUE;
+    private long ackedMillis;
+    private long unansweredAckUntilMillis = Long.MIN_VALUE;
     private int runsOfUnknownSize;
     private long clockMillis;
     private long clockSeenMillis = Long.MIN_VALUE;
     private long leaseUntilMillis = Long.MIN_VALUE;
+    /** The latest end of a lease that was sent, on the worker's clock. */
+    private long sentLeaseEnd;
+    /** The latest end of a lease that was sent to previous incarnations and may still arrive. */
+    private long formerLeaseEnd;
 
     PoolWorker(RegisteredWorker registration) {
         this.id = registration.id();
         this.registration = registration;
+        this.incarnation = registration.incarnation();
+    }
+
+    /**
+     * Returns a new incarnation of a worker. What the platform and the owner decided about the worker stays, and so do the
+     * orders that are on their way; all else begins again.
+     */
+    static PoolWorker afterRestart(PoolWorker former, WorkerIncarnation incarnation, long nowMillis) {
+        PoolWorker worker = new PoolWorker(former.registration);
+        worker.incarnation = incarnation;
+        worker.listed = former.listed;
+        worker.evacuating = former.evacuating;
+        worker.holdInFlight = former.holdInFlight;
+        worker.holdSentMillis = former.holdSentMillis;
+        worker.startsInFlight = former.startsInFlight;
+        worker.leaseUntilMillis = former.leaseUntilMillis;
+        if (former.holdInFlight) {
+            former.holdUnanswered(nowMillis);
+        } else if (former.startsInFlight > 0) {
+            former.callUnanswered(nowMillis);
+        }
+        if (nowMillis < former.unansweredOrdersUntilMillis) {
+            worker.unansweredOrdersUntilMillis = former.unansweredOrdersUntilMillis;
+            worker.unansweredAckUntilMillis = former.unansweredAckUntilMillis;
+            worker.formerLeaseEnd = Math.max(former.sentLeaseEnd, former.formerLeaseEnd);
+        }
+        // A late acknowledgement of the previous incarnation's ends would make the worker discard its own unseen ones.
+        worker.suspectUntilMillis = worker.unansweredAckUntilMillis;
+        return worker;
+    }
+
+    /**
+     * Records when the present incarnation started, if it was not known.
+     */
+    void learnIncarnation(WorkerIncarnation learned) {
+        if (!incarnation.isKnown()) {
+            incarnation = learned;
+        }
+    }
+
+    /**
+     * Records that a call was not answered, so that the worker may still carry out its order.
+     */
+    void callUnanswered(long nowMillis) {
+        callUnanswered = true;
+        unansweredOrdersUntilMillis = nowMillis + Run.MAX_ORDER_DELAY_MILLIS;
+    }
+
+    /**
+     * Records that a start was not answered.
+     */
+    void startUnanswered(Run run, long nowMillis) {
+        callUnanswered(nowMillis);
+        unansweredStarts.values().removeIf(start -> start.isOrderTooOld(nowMillis));
+        unansweredStarts.put(key(run), run);
+    }
+
+    /**
+     * Records that a hold was not answered.
+     */
+    void holdUnanswered(long nowMillis) {
+        callUnanswered(nowMillis);
+        if (incarnation.isKnown() && ackSentEnd > 0) {
+            unansweredAckUntilMillis = unansweredOrdersUntilMillis;
+        }
+    }
+
+    /**
+     * Returns the number of the last end that the next hold acknowledges, 0 for none. A worker that has restarted under its
+     * identifier would discard its own ends up to that number, now or when the hold arrives late. Where that is possible,
+     * a hold acknowledges nothing needlessly, nothing after an unanswered call, and else only what follows a status so soon
+     * that the worker cannot have restarted, or is overdue.
+     */
+    long endToAcknowledge(long nowMillis) {
+        if (!incarnation.isKnown()) {
+            return storedEnd;
+        }
+        boolean statusFresh = nowMillis - clockSeenMillis <= FRESH_STATUS_MILLIS;
+        boolean overdue = nowMillis - ackedMillis > MAX_ACK_DELAY_MILLIS;
+        boolean acknowledges = hasEndsToAcknowledge() && !callUnanswered && (statusFresh || overdue);
+        return acknowledges ? storedEnd : 0;
+    }
+
+    boolean hasEndsToAcknowledge() {
+        return storedEnd > ackedEnd;
+    }
+
+    /**
+     * Records that the worker has answered a hold, and with it received the acknowledgement that the hold carried.
+     */
+    void recordAcknowledgement(long nowMillis) {
+        if (ackSentEnd > ackedEnd || !hasEndsToAcknowledge()) {
+            ackedMillis = nowMillis;
+        }
+        ackedEnd = Math.max(ackedEnd, ackSentEnd);
+    }
+
+    /**
+     * Returns whether the worker may still carry out the start of a run although its lease has expired or it has ended:
+     * it may restart under its identifier.
+     */
+    boolean mayStillStart(Run run, long nowMillis) {
+        boolean unanswered = run.phase == RunPhase.STARTING || run.phase == RunPhase.UNCONFIRMED;
+        return incarnation.isKnown() && unanswered && !run.stopAnswered && !run.isOrderTooOld(nowMillis);
+    }
+
+    /**
+     * Returns whether a time on the worker's clock is earlier than one that it showed before, beyond rounding.
+     */
+    boolean showsEarlierClock(long workerMillis) {
+        return isClockKnown() && workerMillis < clockMillis - CLOCK_ROUNDING_MILLIS;
     }
 
     /**
      * Records the time that the worker's own clock showed in an answer.
      */
     void recordClock(long workerMillis, long nowMillis) {
+        if (formerLeaseEnd > workerMillis) {
+            // The lease that a late order names is far off on a clock that began again.
+            long remaining = (long) ((formerLeaseEnd - workerMillis) / MIN_CLOCK_RATE);
+            assumeLeaseUntil(nowMillis + remaining + LEASE_END_MARGIN_MILLIS);
+        }
         clockMillis = workerMillis;
         clockSeenMillis = nowMillis;
         lastAnswerMillis = nowMillis;
@@ -75,6 +214,7 @@
         }
         long remaining = nowMillis - clockSeenMillis + leaseMillis;
         assumeLeaseUntil(clockSeenMillis + (long) (remaining / MIN_CLOCK_RATE) + LEASE_END_MARGIN_MILLIS);
+        sentLeaseEnd = Math.max(sentLeaseEnd, clockMillis + remaining);
         return clockMillis + remaining;
     }
 
@@ -118,6 +258,10 @@
         return runs.get(key(task, number));
     }
 
+    static String key(Run run) {
+        return key(run.task.id.text(), run.number);
+    }
+
     private static String key(String task, int number) {
         return task + '#' + number;
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
@@ -6,7 +6,7 @@
 /**
  * A worker as listed by the registry.
  *
- * @param id  the identifier of this incarnation of the worker, not null
+ * @param id  the identifier of the worker, which a restart keeps only on platforms that send {@code born}, not null
  * @param machine  the machine that the worker runs on, empty if it is not known, not null
  * @param pool  the pool that the worker belongs to, not null
  * @param address  the worker's address as {@code host:port}, not null
@@ -14,6 +14,7 @@
  * @param labels  the worker's labels, its rack last, not null
  * @param capacity  the worker's resources, not null
  * @param draining  true if the worker is draining and about to leave
+ * @param born  when this incarnation of the worker started, in milliseconds since 1970, 0 if the platform does not send it
  */
 public record RegisteredWorker(
         String id,
@@ -23,7 +24,8 @@
         String dataCentre,
         List<String> labels,
         ResourceAmount capacity,
-        boolean draining) {
+        boolean draining,
+        long born) {
     /**
      * Constructs a worker with a copy of the labels.
      */
@@ -32,6 +34,39 @@
         labels = List.copyOf(labels);
     }
 
+    /**
+     * Constructs a worker of a platform that does not send when a worker started.
+     *
+     * @param id  the identifier of the worker, not null
+     * @param machine  the machine that the worker runs on, empty if it is not known, not null
+     * @param pool  the pool that the worker belongs to, not null
+     * @param address  the worker's address as {@code host:port}, not null
+     * @param dataCentre  the worker's data centre, not null
+     * @param labels  the worker's labels, its rack last, not null
+     * @param capacity  the worker's resources, not null
+     * @param draining  true if the worker is draining and about to leave
+     */
+    public RegisteredWorker(
+            String id,
+            String machine,
+            String pool,
+            String address,
+            String dataCentre,
+            List<String> labels,
+            ResourceAmount capacity,
+            boolean draining) {
+        this(id, machine, pool, address, dataCentre, labels, capacity, draining, WorkerIncarnation.UNKNOWN.born());
+    }
+
+    /**
+     * Returns the incarnation of the worker that registered.
+     *
+     * @return the incarnation, unknown if the platform does not send it, not null
+     */
+    public WorkerIncarnation incarnation() {
+        return new WorkerIncarnation(born);
+    }
+
     /**
      * Returns the label of the worker's rack.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -4,6 +4,9 @@
  * A run of a task on a worker. A run keeps its resources reserved until its end is certain.
  */
 final class Run {
+    /** Time after which an order without an answer is no longer carried out. Delays of up to 12 s are known. */
+    static final long MAX_ORDER_DELAY_MILLIS = 15_000;
+
     final JobTaskState task;
     final int number;
     final PoolWorker worker;
@@ -14,6 +17,13 @@
     boolean stopInFlight;
     boolean stopAnswered;
     long stopAnsweredMillis;
+    /** True if a stop is in flight that the previous incarnation of the worker may answer. */
+    boolean stopSentBeforeRestart;
+    /** True if a status of the worker has listed the run. */
+    boolean listed;
+    /** The number of consecutive statuses that should have listed the run and did not. */
+    int absences;
+
     String checkpoint = "";
     int percent;
     long progressMillis;
@@ -47,6 +57,35 @@
         return phase == RunPhase.RUNNING && percent >= PoolWorker.FULL_PACE;
     }
 
+    /**
+     * Returns whether the start of the run is so old that it is no longer carried out.
+     */
+    boolean isOrderTooOld(long nowMillis) {
+        return nowMillis >= startedMillis + MAX_ORDER_DELAY_MILLIS;
+    }
+
+    /**
+     * Returns whether the start may have been, or may still be, carried out by an incarnation of the worker that begins
+     * now. Not if a status has listed the run; the answer to a start does not say which incarnation gave it.
+     */
+    boolean mayStartAfterRestart() {
+        return !listed;
+    }
+
+    /**
+     * Returns the run as far as it is known on a new incarnation of its worker: unresolved.
+     */
+    Run afterRestart(PoolWorker newIncarnation) {
+        RunPhase newPhase = phase == RunPhase.STARTING ? RunPhase.STARTING : RunPhase.UNCONFIRMED;
+        Run run = new Run(task, number, newIncarnation, newPhase, startedMillis);
+        run.checkpoint = checkpoint;
+        run.wanted = wanted;
+        run.sizeUnknown = sizeUnknown;
+        run.stopInFlight = stopInFlight;
+        run.stopSentBeforeRestart = stopInFlight;
+        return run;
+    }
+
     ResourceAmount reserved() {
         return task.step.spec.reservedDemand();
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -1,10 +1,8 @@
 package org.trefoilpost.decision.job;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 /**
@@ -20,7 +18,6 @@
     private final PoolState state;
     private final OrderSender orderSender;
     private final RunStatistics runStatistics;
-    private final Map<Run, Integer> absences = new HashMap<>();
 
     RunTracker(PoolState state, OrderSender orderSender, RunStatistics runStatistics) {
         this.state = state;
@@ -58,6 +55,7 @@
     private void markUnconfirmed(Run run, Moment now) {
         run.phase = RunPhase.UNCONFIRMED;
         run.worker.missedCalls++;
+        run.worker.startUnanswered(run, now.steadyMillis());
         run.worker.holdUrgent = true;
         run.worker.nextHoldMillis = now.steadyMillis();
         logRun("start-unanswered", run);
@@ -87,11 +85,16 @@
      */
     void stopAnswered(PoolWorker worker, String task, int number, OrderResult result, Moment now) {
         Run run = worker.run(task, number);
+        if (result == OrderResult.NO_ANSWER) {
+            worker.callUnanswered(now.steadyMillis());
+        }
         if (result == OrderResult.OTHER_LIFE) {
             workerEnded(worker, "other-life", now);
         } else if (run != null) {
+            boolean maybeOfFormer = run.stopSentBeforeRestart;
+            run.stopSentBeforeRestart = false;
             run.stopInFlight = false;
-            if (result == OrderResult.OK) {
+            if (result == OrderResult.OK && !maybeOfFormer) {
                 run.stopAnswered = true;
                 run.stopAnsweredMillis = now.steadyMillis();
                 worker.holdUrgent = true;
@@ -110,6 +113,7 @@
             workerEnded(worker, "other-life", now);
         } else {
             worker.missedCalls++;
+            worker.holdUnanswered(now.steadyMillis());
         }
     }
 
@@ -120,7 +124,8 @@
         long nowMillis = now.steadyMillis();
         worker.holdInFlight = false;
         worker.missedCalls = 0;
-        worker.ackedEnd = Math.max(worker.ackedEnd, worker.ackSentEnd);
+        worker.callUnanswered = false;
+        worker.recordAcknowledgement(nowMillis);
         worker.recordClock(status.clockMillis(), nowMillis);
         boolean firstStatus = !worker.fenced;
         worker.fenced = true;
@@ -147,6 +152,9 @@
         if (run == null) {
             run = adopt(worker, running, now);
         }
+        run.listed = true;
+        run.absences = 0;
+        worker.unansweredStarts.remove(PoolWorker.key(run));
         if (run.phase == RunPhase.UNCONFIRMED && run.wanted || run.phase == RunPhase.STARTING) {
             run.phase = RunPhase.RUNNING;
             run.confirmedMillis = now.steadyMillis();
@@ -205,6 +213,7 @@
         Run run = worker.run(ended.task(), ended.run());
         JobTaskState task = run != null ? run.task : state.task(ended.task());
         if (run != null) {
+            worker.unansweredStarts.remove(PoolWorker.key(run));
             runStatistics.runEnded(run, ended.how(), now.steadyMillis());
             worker.remove(run);
         }
@@ -291,9 +300,8 @@
     private void resolveAbsent(PoolWorker worker, Set<Run> seen, Moment now) {
         for (Run run : new ArrayList<>(worker.runs.values())) {
             if (seen.contains(run)) {
-                absences.remove(run);
+                run.absences = 0;
             } else if (isStoppedBeforeStart(run, worker) || isLost(run, worker)) {
-                absences.remove(run);
                 worker.remove(run);
                 logRun("run-absent", run);
                 state.placementDue = true;
@@ -307,9 +315,10 @@
         return run.stopAnswered && run.stopAnsweredMillis <= worker.holdSentMillis;
     }
 
-    private boolean isLost(Run run, PoolWorker worker) {
+    private static boolean isLost(Run run, PoolWorker worker) {
         boolean expected = run.phase == RunPhase.RUNNING && run.confirmedMillis < worker.holdSentMillis;
-        return expected && absences.merge(run, 1, Integer::sum) >= ABSENCES_UNTIL_LOST;
+        run.absences += expected ? 1 : 0;
+        return expected && run.absences >= ABSENCES_UNTIL_LOST;
     }
 
     /**
@@ -324,7 +333,8 @@
     }
 
     /**
-     * Removes all runs of a worker, which are certain to have ended, so that their tasks can start again.
+     * Removes the runs of a worker that are certain to have ended, so that their tasks can start again: all, except for
+     * starts that the worker may still carry out after a restart.
      */
     void releaseRuns(PoolWorker worker, String reason, Moment now) {
         state.actions.logDecision(Decision.failure("worker-lost")
@@ -333,9 +343,10 @@
                 .with("runs", worker.runs.size())
                 .with("answerAge", worker.answerAgeMillis(now.steadyMillis())));
         for (Run run : new ArrayList<>(worker.runs.values())) {
-            worker.remove(run);
-            absences.remove(run);
-            run.task.notReadySinceMillis = Math.max(run.task.notReadySinceMillis, now.steadyMillis());
+            if (!worker.mayStillStart(run, now.steadyMillis())) {
+                worker.remove(run);
+                run.task.notReadySinceMillis = Math.max(run.task.notReadySinceMillis, now.steadyMillis());
+            }
         }
         state.unresolvedWorkers.remove(worker);
         state.placementDue = true;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRunStatus.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRunStatus.java
@@ -8,8 +8,9 @@
  * @param clockMillis  the worker's clock in milliseconds
  * @param running  the present runs, not null
  * @param ended  the run ends that are not acknowledged yet, the oldest first, not null
+ * @param born  when this incarnation of the worker started, in milliseconds since 1970, 0 if the platform does not send it
  */
-public record WorkerRunStatus(long clockMillis, List<Running> running, List<Ended> ended) {
+public record WorkerRunStatus(long clockMillis, List<Running> running, List<Ended> ended, long born) {
     /**
      * Constructs a status with copies of the lists.
      */
@@ -18,6 +19,26 @@
         ended = List.copyOf(ended);
     }
 
+    /**
+     * Constructs a status on a platform that does not send when a worker started.
+     *
+     * @param clockMillis  the worker's clock in milliseconds
+     * @param running  the present runs, not null
+     * @param ended  the run ends that are not acknowledged yet, the oldest first, not null
+     */
+    public WorkerRunStatus(long clockMillis, List<Running> running, List<Ended> ended) {
+        this(clockMillis, running, ended, WorkerIncarnation.UNKNOWN.born());
+    }
+
+    /**
+     * Returns the incarnation of the worker that reported the status.
+     *
+     * @return the incarnation, unknown if the platform does not send it, not null
+     */
+    public WorkerIncarnation incarnation() {
+        return new WorkerIncarnation(born);
+    }
+
     /**
      * A present run.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
@@ -56,6 +56,23 @@
         }
     }
 
+    /** Guards against ends that are ignored or discarded unseen, and runs that count twice, after a restart. */
+    @Test
+    void workersThatRestartUnderTheirIdentifier() {
+        for (long seed = 700; seed < 760; seed++) {
+            assertEquals("", PoolScenario.workersRestarted(seed).violations(), "seed " + seed);
+        }
+    }
+
+    /** Guards against late orders of a former owner, and its runs, that a restart hides from the next owner. */
+    @Test
+    void workersThatRestartWhileOwnersAreReplaced() {
+        for (long seed = 800; seed < 860; seed++) {
+            assertEquals(
+                    "", PoolScenario.workersRestartedAndOwnersReplaced(seed).violations(), "seed " + seed);
+        }
+    }
+
     @Test
     void allFailuresCombined() {
         for (long seed = 500; seed < 580; seed++) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
@@ -34,6 +34,7 @@
     private final Map<String, Integer> acknowledgedFailures = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private int starts;
+    private int unpreventableStarts;
     private boolean lateOrder;
 
     /**
@@ -122,6 +123,17 @@
         }
     }
 
+    /**
+     * Records the start of a run that no owner can prevent, which is not checked.
+     */
+    void unpreventableStart() {
+        unpreventableStarts++;
+    }
+
+    int unpreventableStarts() {
+        return unpreventableStarts;
+    }
+
     private void checkStepOrder(JobSpec job, TaskId task) {
         for (int earlier : job.steps().get(task.step()).after()) {
             StepSpec step = job.steps().get(earlier);
