--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -73,7 +73,12 @@
         return report;
     }
 
-    int incarnation() {
+    /**
+     * Returns the number of the present incarnation, which grows with each restart under the same identifier.
+     *
+     * @return the number, not negative
+     */
+    public int incarnation() {
         return incarnation;
     }
 
@@ -301,8 +306,13 @@
      *
      * <p>Such an order may discard ends of this incarnation. It is not held against the owner if the run began before this
      * incarnation first reported its status, as the owner could not know of it.
+     *
+     * @param order  the order, not null
+     * @param token  the sender's fencing token
+     * @param sentTo  the incarnation that was running when the order was sent
+     * @return the outcome, not null
      */
-    OrderResult hold(WorkerOrder.Hold order, long token, int sentTo) {
+    public OrderResult hold(WorkerOrder.Hold order, long token, int sentTo) {
         if (token < highestToken) {
             return OrderResult.FENCED;
         }
