--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -202,6 +203,46 @@
         assertEquals(0, actions.sent(WorkerOrder.Stop.class).size());
     }
 
+    /** Guards against a lease that a late order of the previous clock extends, so that a cut-off worker's run is doubled. */
+    @Test
+    void leaseCoversWhatALateOrderMayGrantOnTheNewClock() {
+        runTheTask();
+        tickAfter(900);
+        answer(actions.lastOf(WorkerOrder.Hold.class), OrderResult.NO_ANSWER);
+        register(REBORN);
+        status(REBORN, 5, List.of(), List.of());
+        tick();
+        answer(actions.lastOf(WorkerOrder.Start.class), OrderResult.OK);
+        tickAfter(100);
+        status(REBORN, 105, List.of(running(2)), List.of());
+        actions.orders.removeIf(WorkerOrder.Start.class::isInstance);
+        for (int i = 0; i < 20; i++) {
+            tickAfter(1_000);
+            actions.sent(WorkerOrder.Hold.class).forEach(hold -> answer(hold, OrderResult.NO_ANSWER));
+            actions.orders.clear();
+        }
+        assertEquals(Optional.of(JobPhase.RUNNING), scheduler.phase(JOB));
+        assertTrue(scheduler.silentWorkers().contains("w"), "its run may go on under the lease of the late order");
+    }
+
+    /** Guards against a new owner that takes the status of a restarted worker for that of the listed incarnation. */
+    @Test
+    void newOwnerLearnsOfARestartFromTheFirstStatus() {
+        runTheTask();
+        store();
+        byte[] document = actions.documents.get(JOB);
+        Actions successorActions = new Actions();
+        PoolScheduler successor = new PoolScheduler("pool", new PoolTimeouts(5_000, 120_000, 2_000), successorActions);
+        successor.configure(Map.of("q", QUEUE), Teams.NONE);
+        successor.open(Map.of(JOB, document), List.of(registration(BORN)), now.steadyMillis(), now);
+        successor.tick(true, now);
+        successor.statusReceived("w", new WorkerRunStatus(5, List.of(), List.of(), REBORN), now);
+        successor.updateWorkers(List.of(registration(BORN)), now);
+        successor.tick(true, now);
+        assertEquals(2, successorActions.lastOf(WorkerOrder.Start.class).run());
+        assertEquals(0, successorActions.lastOf(WorkerOrder.Hold.class).lastEnd());
+    }
+
     /** Guards against a start that the new incarnation has answered, unnoticed, and that counts as ended. */
     @Test
     void startThatNoStatusHasListedMayRunOnTheNewIncarnation() {
@@ -354,6 +395,7 @@
 
     private static final class Actions implements PoolActions {
         private final List<WorkerOrder> orders = new ArrayList<>();
+        private final Map<String, byte[]> documents = new HashMap<>();
         private long committed;
         private long stored;
 
@@ -382,6 +424,7 @@
         @Override
         public void commit(Commit commit) {
             committed = commit.number();
+            documents.putAll(commit.puts());
         }
 
         @Override
