--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -228,6 +228,9 @@
         if (worker == null) {
             return;
         }
+        if (result == OrderResult.NO_ANSWER) {
+            worker.callUnanswered(now.steadyMillis());
+        }
         if (order instanceof WorkerOrder.Start start) {
             runTracker.startAnswered(worker, start.task(), start.run(), result, now);
         } else if (order instanceof WorkerOrder.Stop stop) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -58,6 +58,9 @@
     boolean callUnanswered;
 
     long unansweredOrdersUntilMillis = Long.MIN_VALUE;
+    /** Until when the worker is given no work because of a restart. */
+    long pausedUntilMillis = Long.MIN_VALUE;
+
     private long ackedMillis;
     private long unansweredAckUntilMillis = Long.MIN_VALUE;
     private int runsOfUnknownSize;
@@ -99,7 +102,7 @@
             worker.formerLeaseEnd = Math.max(former.sentLeaseEnd, former.formerLeaseEnd);
         }
         // A late acknowledgement of the previous incarnation's ends would make the worker discard its own unseen ones.
-        worker.suspectUntilMillis = worker.unansweredAckUntilMillis;
+        worker.pausedUntilMillis = worker.unansweredAckUntilMillis;
         return worker;
     }
 
@@ -267,7 +270,7 @@
     }
 
     boolean isReachable(long nowMillis) {
-        return fenced && !ended && missedCalls == 0 && nowMillis >= suspectUntilMillis;
+        return fenced && !ended && missedCalls == 0 && nowMillis >= Math.max(suspectUntilMillis, pausedUntilMillis);
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -85,9 +85,6 @@
      */
     void stopAnswered(PoolWorker worker, String task, int number, OrderResult result, Moment now) {
         Run run = worker.run(task, number);
-        if (result == OrderResult.NO_ANSWER) {
-            worker.callUnanswered(now.steadyMillis());
-        }
         if (result == OrderResult.OTHER_LIFE) {
             workerEnded(worker, "other-life", now);
         } else if (run != null) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRestarts.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRestarts.java
@@ -79,7 +79,7 @@
                 .with("formerBorn", former.incarnation.born())
                 .with("runs", formerRuns)
                 .with("unresolved", worker.runs.size())
-                .with("pauseMillis", Math.max(0, worker.suspectUntilMillis - nowMillis))
+                .with("pauseMillis", Math.max(0, worker.pausedUntilMillis - nowMillis))
                 .with("answerAge", former.answerAgeMillis(nowMillis)));
         return worker;
     }
