--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
@@ -28,12 +28,15 @@
     private CpuCapacity cpuCapacity = new CpuCapacity(1, 0);
     private double totalWork;
     private double waitingWork;
+    private TeamUsage teamUsage;
+    private ResourceAmount waitingDemand = ResourceAmount.NONE;
     private long refreshedMillis = Long.MIN_VALUE / 2;
 
     Backlog(PoolState state, RunStatistics runStatistics, StartDeadlines startDeadlines) {
         this.state = state;
         this.runStatistics = runStatistics;
         this.startDeadlines = startDeadlines;
+        this.teamUsage = TeamUsage.of(state);
     }
 
     /**
@@ -50,23 +53,48 @@
      */
     double shortageMillis(JobState job, Moment now) {
         refreshIfStale(now);
-        List<StepWork> newSteps = stepWorkOf(job);
+        return shortageMillis(stepWork, stepWorkOf(job), cpuCapacity, now);
+    }
+
+    /**
+     * Returns by how many milliseconds a team would miss the latest start of a step of an additional job, or of its
+     * existing work that is due after it, with no more than its share of the pool; not positive if it would miss none.
+     */
+    double shareShortageMillis(JobState job, String team, Moment now) {
+        refreshIfStale(now);
+        List<StepWork> ownWork =
+                stepWork.stream().filter(step -> step.team.equals(team)).toList();
+        double guaranteedCpu = teamUsage.guaranteedCpu(team, teamUsage.sharesWith(job.spec));
+        CpuCapacity ownCapacity = new CpuCapacity(Math.max(1, Math.min(cpuCapacity.current, guaranteedCpu)), 0);
+        return shortageMillis(ownWork, stepWorkOf(job), ownCapacity, now);
+    }
+
+    /**
+     * Returns what the teams use and wait for, with the waiting work of the jobs accepted since the last refresh.
+     */
+    TeamUsage teamUsage(Moment now) {
+        refreshIfStale(now);
+        return teamUsage;
+    }
+
+    private static double shortageMillis(
+            List<StepWork> existingSteps, List<StepWork> newSteps, CpuCapacity capacity, Moment now) {
         double precedingWork = 0;
         double maxOverrun = 0;
         int nextNew = 0;
-        for (StepWork step : stepWork) {
+        for (StepWork step : existingSteps) {
             while (nextNew < newSteps.size() && newSteps.get(nextNew).latestStartMillis <= step.latestStartMillis) {
-                maxOverrun = Math.max(maxOverrun, overrunMillis(precedingWork, newSteps.get(nextNew), now));
+                maxOverrun = Math.max(maxOverrun, overrunMillis(precedingWork, newSteps.get(nextNew), capacity, now));
                 precedingWork += newSteps.get(nextNew).work;
                 nextNew++;
             }
             if (nextNew > 0 && step.latestStartMillis != Long.MAX_VALUE) {
-                maxOverrun = Math.max(maxOverrun, overrunMillis(precedingWork, step, now));
+                maxOverrun = Math.max(maxOverrun, overrunMillis(precedingWork, step, capacity, now));
             }
             precedingWork += step.work;
         }
         for (StepWork step : newSteps.subList(nextNew, newSteps.size())) {
-            maxOverrun = Math.max(maxOverrun, overrunMillis(precedingWork, step, now));
+            maxOverrun = Math.max(maxOverrun, overrunMillis(precedingWork, step, capacity, now));
             precedingWork += step.work;
         }
         return maxOverrun;
@@ -88,6 +116,33 @@
         return true;
     }
 
+    /**
+     * Returns whether the free capacity holds all waiting tasks, and the job's tasks of the steps without predecessors.
+     */
+    boolean hasRoomFor(JobState job, Moment now) {
+        refreshIfStale(now);
+        ResourceAmount needed = waitingDemand;
+        for (StepSpec step : job.spec.steps()) {
+            if (step.after().isEmpty()) {
+                ResourceAmount demand = step.reservedDemand();
+                needed = needed.plus(demand.times(step.count()));
+                long fitting = countFittingTasks(step, now);
+                if (fitting < step.count() || demand.times(fitting).cpuMillis() < needed.cpuMillis()) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Returns the time in milliseconds that the tasks take that could start but wait for capacity.
+     */
+    double waitingMillis(Moment now) {
+        refreshIfStale(now);
+        return cpuCapacity.millisFor(waitingWork);
+    }
+
     private long countFittingTasks(StepSpec step, Moment now) {
         long count = 0;
         for (PoolWorker worker : state.workers.values()) {
@@ -98,8 +153,8 @@
         return count;
     }
 
-    private double overrunMillis(double precedingWork, StepWork step, Moment now) {
-        return cpuCapacity.millisFor(precedingWork) - (step.latestStartMillis - now.steadyMillis());
+    private static double overrunMillis(double precedingWork, StepWork step, CpuCapacity capacity, Moment now) {
+        return capacity.millisFor(precedingWork) - (step.latestStartMillis - now.steadyMillis());
     }
 
     /**
@@ -119,6 +174,8 @@
         for (StepWork step : stepWorkOf(job)) {
             insert(step);
         }
+        teamUsage.addWaiting(job.spec);
+        waitingDemand = waitingDemand.plus(TeamUsage.initialDemand(job.spec));
     }
 
     private void insert(StepWork step) {
@@ -142,12 +199,16 @@
         List<StepWork> steps = new ArrayList<>();
         for (int i = 0; i < job.spec.steps().size(); i++) {
             StepSpec step = job.spec.steps().get(i);
-            steps.add(new StepWork(latestStarts[i], step.count() * taskWork(job, step)));
+            steps.add(new StepWork(latestStarts[i], step.count() * taskWork(job, step), teamOf(job)));
         }
         steps.sort(BY_START);
         return steps;
     }
 
+    private static String teamOf(JobState job) {
+        return job.spec.team().orElse("");
+    }
+
     private double taskWork(JobState job, StepSpec step) {
         return (double) runStatistics.expectedMillis(job, step) * step.demand().cpuMillis();
     }
@@ -159,6 +220,8 @@
         refreshedMillis = now.steadyMillis();
         stepWork.clear();
         waitingWork = 0;
+        teamUsage = TeamUsage.of(state);
+        waitingDemand = ResourceAmount.NONE;
         for (JobState job : state.openJobs.values()) {
             for (OccurrenceState occurrence : job.openOccurrences()) {
                 addRemaining(occurrence, now);
@@ -172,6 +235,10 @@
     private void addRemaining(OccurrenceState occurrence, Moment now) {
         long[] latestStarts = startDeadlines.latestStartsMillis(occurrence, now);
         for (JobStepState step : occurrence.steps) {
+            if (!step.ended() && !step.spec.bestEffort() && step.readyMillis != JobStepState.NOT_READY) {
+                teamUsage.addWaiting(step);
+                waitingDemand = waitingDemand.plus(TeamUsage.waitingDemand(step));
+            }
             if (!step.ended() && !step.spec.longRunning() && !step.spec.bestEffort()) {
                 addRemaining(step, latestStarts[step.number], now);
             }
@@ -190,12 +257,13 @@
             waitingTasks += !task.done && task.runs.isEmpty() ? 1 : 0;
         }
         double taskWork = taskWork(step.occurrence.job, step.spec);
+        String team = teamOf(step.occurrence.job);
         if (runningTasks > 0) {
-            stepWork.add(new StepWork(Long.MIN_VALUE, runningTasks * taskWork * RUNNING_REMAINING_SHARE));
+            stepWork.add(new StepWork(Long.MIN_VALUE, runningTasks * taskWork * RUNNING_REMAINING_SHARE, team));
         }
         if (waitingTasks > 0) {
             boolean late = latestStartMillis < now.steadyMillis();
-            stepWork.add(new StepWork(late ? Long.MAX_VALUE : latestStartMillis, waitingTasks * taskWork));
+            stepWork.add(new StepWork(late ? Long.MAX_VALUE : latestStartMillis, waitingTasks * taskWork, team));
             waitingWork += step.readyMillis == JobStepState.NOT_READY ? 0 : waitingTasks * taskWork;
         }
     }
@@ -217,9 +285,10 @@
     }
 
     /**
-     * Work in thousandths of a core times milliseconds, and the latest start with which its job meets its objective.
+     * Work in thousandths of a core times milliseconds, the latest start with which its job meets its objective, and the
+     * job's team, empty for none.
      */
-    private record StepWork(long latestStartMillis, double work) {}
+    private record StepWork(long latestStartMillis, double work, String team) {}
 
     /**
      * Processor capacity in thousandths of a core: of the present workers, and of machines that are arriving.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Decision.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Decision.java
@@ -49,6 +49,17 @@
         return this;
     }
 
+    /**
+     * Adds input values in the order of the map.
+     *
+     * @param values  the values by stable field key, not null
+     * @return this, not null
+     */
+    public Decision withAll(Map<String, Object> values) {
+        inputs.putAll(values);
+        return this;
+    }
+
     /**
      * Returns the stable name of the log event.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/FirstSubmissions.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/FirstSubmissions.java
@@ -1,8 +1,10 @@
 package org.trefoilpost.decision.job;
 
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Records when refused jobs were first submitted, so that the objective of a resubmitted job counts from then.
@@ -14,6 +16,7 @@
     private static final int MAX_JOBS = 20_000;
 
     private final Map<String, Long> firstSubmittedMillis = new LinkedHashMap<>();
+    private final Set<String> withinRate = new HashSet<>();
 
     /**
      * Returns when a job was first submitted, which is the present time if no refusal is recorded.
@@ -38,20 +41,40 @@
      */
     void recordRefusal(String job, long nowMillis) {
         firstSubmittedMillis.putIfAbsent(job, nowMillis);
-        Iterator<Long> oldest = firstSubmittedMillis.values().iterator();
-        while (oldest.hasNext()) {
-            boolean expired = nowMillis - oldest.next() > RETENTION_MILLIS;
+        Iterator<Map.Entry<String, Long>> entries =
+                firstSubmittedMillis.entrySet().iterator();
+        while (entries.hasNext()) {
+            Map.Entry<String, Long> oldest = entries.next();
+            boolean expired = nowMillis - oldest.getValue() > RETENTION_MILLIS;
             if (!expired && firstSubmittedMillis.size() <= MAX_JOBS) {
                 return;
             }
-            oldest.remove();
+            withinRate.remove(oldest.getKey());
+            entries.remove();
         }
     }
 
+    /**
+     * Records that a refused job was within the rate of its team, so that its resubmissions are too.
+     */
+    void markWithinRate(String job) {
+        if (firstSubmittedMillis.containsKey(job)) {
+            withinRate.add(job);
+        }
+    }
+
+    /**
+     * Returns whether a refused job was within the rate of its team.
+     */
+    boolean isWithinRate(String job) {
+        return withinRate.contains(job);
+    }
+
     /**
      * Removes a job that was accepted.
      */
     void remove(String job) {
         firstSubmittedMillis.remove(job);
+        withinRate.remove(job);
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSubmissions.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSubmissions.java
@@ -1,7 +1,7 @@
 package org.trefoilpost.decision.job;
 
 import java.util.Collection;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -42,14 +42,20 @@
             return SubmitResult.refused(UNPLACEABLE_RETRY_AFTER_MILLIS, "fits-no-worker");
         }
         JobState job = new JobState(spec, queue, firstSubmission(spec.id(), now));
-        if (!firstSubmissions.isRecorded(spec.id())) {
+        boolean resubmission = firstSubmissions.isRecorded(spec.id());
+        if (!resubmission) {
             demandCalculator.jobSubmitted(job, now.steadyMillis());
         }
-        OptionalLong retryAfterMillis = admission.retryAfterMillis(job, now);
-        if (retryAfterMillis.isPresent()) {
+        boolean withinRate =
+                firstSubmissions.isWithinRate(spec.id()) || admission.isWithinRate(spec, resubmission, now);
+        Optional<SubmitResult> refusal = admission.refusal(job, withinRate, now);
+        if (refusal.isPresent()) {
             demandCalculator.jobRefused(spec, now.steadyMillis());
             firstSubmissions.recordRefusal(spec.id(), now.steadyMillis());
-            return SubmitResult.refused(retryAfterMillis.getAsLong(), "overload");
+            if (withinRate) {
+                firstSubmissions.markWithinRate(spec.id());
+            }
+            return refusal.get();
         }
         firstSubmissions.remove(spec.id());
         admission.jobAccepted(job);
@@ -71,6 +77,7 @@
         Set<String> withdrawn = new TreeSet<>();
         for (JobState job : jobs) {
             firstSubmissions.recordRefusal(job.spec.id(), job.submittedMillis);
+            firstSubmissions.markWithinRate(job.spec.id());
             withdrawn.add(job.spec.id());
         }
         admission.invalidateBacklog();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -12,7 +12,8 @@
  * Chooses which tasks start next, and on which workers.
  *
  * <p>Steps whose job can still meet its objective go first, then late ones, then best-effort ones; within each group by
- * the priority of their queue, then by their latest start.
+ * the priority of their queue, then by their latest start. Of steps that can meet their objective, those of a team over
+ * its share go after the others of the same priority.
  */
 final class Placer {
     private static final int MAX_STARTS_IN_FLIGHT = 8;
@@ -30,6 +31,7 @@
     private final OrderSender orderSender;
     private final StartDeadlines startDeadlines;
     private final PlacementAdvice advice;
+    private final TeamOrder teamOrder;
     private final Set<PoolWorker> reservedWorkers = new HashSet<>();
     private long lastRoundMillis;
 
@@ -38,6 +40,7 @@
         this.orderSender = orderSender;
         this.startDeadlines = startDeadlines;
         this.advice = advice;
+        this.teamOrder = new TeamOrder(state);
     }
 
     /**
@@ -53,9 +56,7 @@
 
     private void place(Moment now) {
         List<Candidate> candidates = candidates(now);
-        candidates.sort(Comparator.comparingInt(Candidate::rank)
-                .thenComparingInt(candidate -> candidate.step.occurrence.job.queue.priority())
-                .thenComparingLong(Candidate::latestStartMillis));
+        sort(candidates, now);
         List<ResourceAmount> unplacedDemands = new ArrayList<>();
         reservedWorkers.clear();
         for (Candidate candidate : candidates) {
@@ -63,6 +64,22 @@
         }
     }
 
+    private void sort(List<Candidate> candidates, Moment now) {
+        Comparator<Candidate> byPriority = Comparator.comparingInt(Candidate::rank)
+                .thenComparingInt(candidate -> candidate.step.occurrence.job.queue.priority());
+        candidates.sort(byPriority.thenComparingLong(Candidate::latestStartMillis));
+        List<JobStepState> inTime = candidates.stream()
+                .filter(candidate -> candidate.rank == Candidate.IN_TIME)
+                .map(Candidate::step)
+                .toList();
+        Set<JobStepState> overShare = teamOrder.stepsOverShare(inTime, now);
+        if (!overShare.isEmpty()) {
+            candidates.sort(byPriority
+                    .thenComparing(candidate -> overShare.contains(candidate.step))
+                    .thenComparingLong(Candidate::latestStartMillis));
+        }
+    }
+
     private List<Candidate> candidates(Moment now) {
         List<Candidate> candidates = new ArrayList<>();
         for (JobState job : state.openJobs.values()) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/SubmitResult.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/SubmitResult.java
@@ -1,18 +1,21 @@
 package org.trefoilpost.decision.job;
 
+import java.util.Map;
+
 /**
  * The decision on a submitted job.
  *
  * @param kind  the kind of decision, not null
  * @param retryAfterMillis  the delay before submitting a refused job again, in milliseconds, else 0
  * @param reason  the stable reason, not null
+ * @param inputs  further values that led to the decision, for the log, not null
  */
-public record SubmitResult(Kind kind, long retryAfterMillis, String reason) {
+public record SubmitResult(Kind kind, long retryAfterMillis, String reason, Map<String, Object> inputs) {
     /** The job was accepted before. */
-    public static final SubmitResult KNOWN = new SubmitResult(Kind.STORED, 0, "known");
+    public static final SubmitResult KNOWN = new SubmitResult(Kind.STORED, 0, "known", Map.of());
 
     /** The job is new, and counts as accepted once it is stored. */
-    public static final SubmitResult PENDING = new SubmitResult(Kind.PENDING, 0, "new");
+    public static final SubmitResult PENDING = new SubmitResult(Kind.PENDING, 0, "new", Map.of());
 
     /**
      * Obtains the refusal of a job.
@@ -22,7 +25,19 @@
      * @return the refusal, not null
      */
     public static SubmitResult refused(long retryAfterMillis, String reason) {
-        return new SubmitResult(Kind.REFUSED, retryAfterMillis, reason);
+        return refused(retryAfterMillis, reason, Map.of());
+    }
+
+    /**
+     * Obtains the refusal of a job, with the values that led to it.
+     *
+     * @param retryAfterMillis  the delay before submitting the job again, in milliseconds
+     * @param reason  the stable reason, not null
+     * @param inputs  the values, for the log, not null
+     * @return the refusal, not null
+     */
+    public static SubmitResult refused(long retryAfterMillis, String reason, Map<String, Object> inputs) {
+        return new SubmitResult(Kind.REFUSED, retryAfterMillis, reason, inputs);
     }
 
     /**
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamUsage.java
@@ -0,0 +1,157 @@
+package org.trefoilpost.decision.job;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.trefoilpost.decision.job.team.TeamConfig;
+import org.trefoilpost.decision.job.team.TeamDemand;
+import org.trefoilpost.decision.job.team.TeamShares;
+
+/**
+ * What the teams of the configuration use of a pool and wait for.
+ *
+ * <p>Work without a team, and best-effort work, has no share: what it uses is not available to the teams.
+ */
+final class TeamUsage {
+    /** Share of a pool's capacity that tasks occupy before further tasks no longer fit. */
+    private static final double USABLE_SHARE = 0.85;
+
+    private final PoolState state;
+    private final Map<String, ResourceAmount> used = new HashMap<>();
+    private final Map<String, ResourceAmount> longRunning = new HashMap<>();
+    private final Map<String, ResourceAmount> waiting = new HashMap<>();
+    private ResourceAmount capacity = ResourceAmount.NONE;
+
+    private TeamUsage(PoolState state) {
+        this.state = state;
+    }
+
+    /**
+     * Obtains the present use; waiting tasks are to be added.
+     */
+    static TeamUsage of(PoolState state) {
+        TeamUsage usage = new TeamUsage(state);
+        for (PoolWorker worker : state.workers.values()) {
+            usage.add(worker);
+        }
+        return usage;
+    }
+
+    private void add(PoolWorker worker) {
+        boolean usable = worker.listed && !worker.ended && !worker.evacuating && !worker.registration.draining();
+        if (usable) {
+            capacity = capacity.plus(usable(worker.registration.capacity()));
+        }
+        for (Run run : worker.runs.values()) {
+            Optional<TeamConfig> team = teamOf(run.task.step);
+            if (team.isPresent()) {
+                used.merge(team.get().name(), run.reserved(), ResourceAmount::plus);
+                if (run.task.step.spec.longRunning()) {
+                    longRunning.merge(team.get().name(), run.reserved(), ResourceAmount::plus);
+                }
+            } else if (usable) {
+                capacity = capacity.minus(run.reserved());
+            }
+        }
+    }
+
+    private static ResourceAmount usable(ResourceAmount amount) {
+        return new ResourceAmount(
+                (long) (amount.cpuMillis() * USABLE_SHARE),
+                (long) (amount.memoryMb() * USABLE_SHARE),
+                amount.accelerators());
+    }
+
+    /**
+     * Returns the team whose share a step counts against, empty if it counts against none.
+     */
+    Optional<TeamConfig> teamOf(JobStepState step) {
+        return step.spec.bestEffort()
+                ? Optional.empty()
+                : step.occurrence.job.spec.team().flatMap(state.teams::team);
+    }
+
+    /**
+     * Adds the waiting tasks of a step.
+     */
+    void addWaiting(JobStepState step) {
+        teamOf(step).ifPresent(team -> waiting.merge(team.name(), waitingDemand(step), ResourceAmount::plus));
+    }
+
+    /**
+     * Adds the steps without predecessors of a submitted job.
+     */
+    void addWaiting(JobSpec job) {
+        job.team()
+                .flatMap(state.teams::team)
+                .ifPresent(team -> waiting.merge(team.name(), initialDemand(job), ResourceAmount::plus));
+    }
+
+    /**
+     * Returns the resources of the tasks of a job that can start at once, without best-effort ones.
+     */
+    static ResourceAmount initialDemand(JobSpec job) {
+        ResourceAmount demand = ResourceAmount.NONE;
+        for (StepSpec step : job.steps()) {
+            if (step.after().isEmpty() && !step.bestEffort()) {
+                demand = demand.plus(step.reservedDemand().times(step.count()));
+            }
+        }
+        return demand;
+    }
+
+    /**
+     * Returns the resources of the tasks of a step that have no run.
+     */
+    static ResourceAmount waitingDemand(JobStepState step) {
+        int tasks = 0;
+        for (JobTaskState task : step.tasks) {
+            tasks += !task.done && task.runs.isEmpty() ? 1 : 0;
+        }
+        return step.spec.reservedDemand().times(tasks);
+    }
+
+    /**
+     * Returns the resources of a team's runs.
+     */
+    ResourceAmount use(String team) {
+        return used.getOrDefault(team, ResourceAmount.NONE);
+    }
+
+    /**
+     * Returns the processor capacity that a team's work is certain to get, less what its long-running tasks hold, in
+     * thousandths of a core.
+     */
+    double guaranteedCpu(String team, TeamShares shares) {
+        long held = longRunning.getOrDefault(team, ResourceAmount.NONE).cpuMillis();
+        return Math.max(0, shares.share(team) * capacity.cpuMillis() - held);
+    }
+
+    /**
+     * Returns the teams' shares if a further job was accepted.
+     */
+    TeamShares sharesWith(JobSpec job) {
+        TeamUsage usage = new TeamUsage(state);
+        usage.used.putAll(used);
+        usage.waiting.putAll(waiting);
+        usage.capacity = capacity;
+        usage.addWaiting(job);
+        return usage.shares();
+    }
+
+    /**
+     * Returns the teams' shares.
+     */
+    TeamShares shares() {
+        Map<String, TeamDemand> demands = new TreeMap<>();
+        for (TeamConfig team : state.teams.all()) {
+            ResourceAmount teamWaiting = waiting.getOrDefault(team.name(), ResourceAmount.NONE);
+            ResourceAmount teamUse = use(team.name());
+            if (!teamUse.plus(teamWaiting).equals(ResourceAmount.NONE)) {
+                demands.put(team.name(), new TeamDemand(team.weight(), teamUse, teamWaiting));
+            }
+        }
+        return TeamShares.of(capacity, demands);
+    }
+}
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
@@ -13,7 +13,6 @@
 import org.trefoilpost.decision.job.PoolScheduler;
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.WorkerOrder;
-import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * Emulates an owner of the pool: runs its scheduler, and delays or loses its calls.
@@ -39,7 +38,7 @@
         this.token = token;
         this.scheduler = new PoolScheduler("pool", EmulatedPlatform.TIMEOUTS, this);
         this.ownershipConfirmedMillis = time.nowMillis();
-        scheduler.configure(queues, Teams.NONE);
+        scheduler.configure(queues, platform.teams());
         Moment now = time.moment();
         scheduler.open(platform.store().documents(), platform.listedWorkers(), now.steadyMillis(), now);
         tick();
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -23,6 +23,7 @@
 import org.trefoilpost.decision.job.SubmitResult;
 import org.trefoilpost.decision.job.TaskId;
 import org.trefoilpost.decision.job.WorkerOrder;
+import org.trefoilpost.decision.job.team.Teams;
 
 /**
  * Emulates a pool on the platform, its callers, and the faults injected into it.
@@ -46,6 +47,7 @@
     private final List<EmulatedOwner> owners = new ArrayList<>();
     private final Random random;
     private final QueueConfig queue;
+    private Teams teams = Teams.NONE;
     private boolean storeDown;
     private int lostPerThousand;
     private int lastJob;
@@ -77,6 +79,18 @@
         startOwner();
     }
 
+    Teams teams() {
+        return teams;
+    }
+
+    /**
+     * Changes the teams of the configuration in force.
+     */
+    void configureTeams(Teams newTeams) {
+        teams = newTeams;
+        owner().scheduler().configure(Map.of(QUEUE, queue), teams);
+    }
+
     VirtualTime time() {
         return time;
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/RandomJob.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/RandomJob.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.ResourceAmount;
@@ -67,6 +68,13 @@
         return mean * Math.exp(random.nextGaussian() * deviation - deviation * deviation / 2);
     }
 
+    /**
+     * Returns a copy of this job that belongs to a team.
+     */
+    RandomJob ofTeam(String team) {
+        return new RandomJob(spec.withTeam(Optional.of(team)), taskMillis, work, criticalPathMillis);
+    }
+
     long durationMillis(TaskId task) {
         return taskMillis[task.step()][task.index()];
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReply.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReply.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.trefoilpost.decision.job.JobPhase;
 import org.trefoilpost.decision.job.SubmitResult;
 
@@ -17,6 +18,8 @@
 public record JobReply(
         JobReplyStatus status, String reason, long retryAfterMillis, Optional<JobPhase> phase, int queuedJobs) {
     private static final int NO_COUNT = -1;
+    /** The reasons of refusals that depend on the job, rather than on the state of the service. */
+    private static final Set<String> REJECTION_REASONS = Set.of("overload", "team-over-rate", "fits-no-worker");
 
     /**
      * Constructs a reply and checks that status and reason are not null.
@@ -56,8 +59,8 @@
      * @return the reply, not null
      */
     public static JobReply ofRefusal(SubmitResult result) {
-        boolean rejected = result.reason().equals("overload") || result.reason().equals("fits-no-worker");
-        JobReplyStatus status = rejected ? JobReplyStatus.REJECTED : JobReplyStatus.UNAVAILABLE;
+        JobReplyStatus status =
+                REJECTION_REASONS.contains(result.reason()) ? JobReplyStatus.REJECTED : JobReplyStatus.UNAVAILABLE;
         return refusal(status, result.reason(), result.retryAfterMillis());
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -268,7 +268,8 @@
                 .with("token", token)
                 .with("outcome", result.kind().name())
                 .with("reason", result.reason())
-                .with("retryAfterMillis", result.retryAfterMillis()));
+                .with("retryAfterMillis", result.retryAfterMillis())
+                .withAll(result.inputs()));
         return switch (result.kind()) {
             case STORED -> CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.DONE, result.reason()));
             case PENDING -> whenStored(awaitedReplies.addSubmission(spec.id()));
