--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamOrder.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamOrder.java
@@ -18,10 +18,12 @@
  */
 final class TeamOrder {
     /**
-     * The use, relative to its share, from which a team counts as over it. A single job of a small team exceeds its
-     * share; with a factor of 1 so many steps were put off that a tenth more of the work was late than without shares.
+     * The part of its share by which a team may exceed it. A single job of a small team exceeds its share; without a
+     * tolerance so many steps were put off that a tenth more of the work was late than without shares.
      */
-    private static final double OVER_SHARE_FACTOR = 1.5;
+    private static final double SHARE_TOLERANCE = 0.5;
+    /** The largest tolerance, as a part of the pool: some jobs of a team of mean size. */
+    private static final double MAX_TOLERANCE = 0.05;
     /** The time over which a team's use has to exceed its share, so that a job that has just begun is not put off. */
     private static final double MEAN_USE_MILLIS = 2_000;
 
@@ -53,9 +55,7 @@
             if (team.isPresent()) {
                 String name = team.get().name();
                 ResourceAmount before = used.getOrDefault(name, usage.use(name));
-                if (shares.isLimited(name)
-                        && Math.min(recentUse.mean(name), shares.dominantPart(before))
-                                >= OVER_SHARE_FACTOR * shares.share(name)) {
+                if (isOver(name, shares, before)) {
                     over.add(step);
                 }
                 used.put(name, before.plus(TeamUsage.waitingDemand(step)));
@@ -64,6 +64,12 @@
         return over;
     }
 
+    private boolean isOver(String team, TeamShares shares, ResourceAmount use) {
+        double share = shares.share(team);
+        double limit = share + Math.min(MAX_TOLERANCE, SHARE_TOLERANCE * share);
+        return shares.isLimited(team) && recentUse.mean(team) >= limit && shares.dominantPart(use) >= limit;
+    }
+
     private void recordUse(TeamUsage usage, TeamShares shares, Moment now) {
         Map<String, Double> parts = new HashMap<>();
         for (TeamConfig team : state.teams.all()) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamUsage.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamUsage.java
@@ -22,6 +22,8 @@
     private final Map<String, ResourceAmount> longRunning = new HashMap<>();
     private final Map<String, ResourceAmount> waiting = new HashMap<>();
     private ResourceAmount capacity = ResourceAmount.NONE;
+    /** The processor capacity on which teams can rely, in thousandths of a core; less than a well packed pool uses. */
+    private long reliableCpu;
 
     private TeamUsage(PoolState state) {
         this.state = state;
@@ -32,35 +34,45 @@
      */
     static TeamUsage of(PoolState state) {
         TeamUsage usage = new TeamUsage(state);
+        ResourceAmount total = ResourceAmount.NONE;
+        ResourceAmount reserved = ResourceAmount.NONE;
+        ResourceAmount withoutShare = ResourceAmount.NONE;
         for (PoolWorker worker : state.workers.values()) {
-            usage.add(worker);
+            boolean usable = worker.listed && !worker.ended && !worker.evacuating && !worker.registration.draining();
+            if (usable) {
+                total = total.plus(worker.registration.capacity());
+                reserved = reserved.plus(worker.usedResources);
+            }
+            for (Run run : worker.runs.values()) {
+                boolean hasShare = usage.addRun(run);
+                withoutShare = usable && !hasShare ? withoutShare.plus(run.reserved()) : withoutShare;
+            }
         }
+        usage.capacity = usable(total, reserved).minus(withoutShare);
+        usage.reliableCpu =
+                usable(total, ResourceAmount.NONE).minus(withoutShare).cpuMillis();
         return usage;
     }
 
-    private void add(PoolWorker worker) {
-        boolean usable = worker.listed && !worker.ended && !worker.evacuating && !worker.registration.draining();
-        if (usable) {
-            capacity = capacity.plus(usable(worker.registration.capacity()));
-        }
-        for (Run run : worker.runs.values()) {
-            Optional<TeamConfig> team = teamOf(run.task.step);
-            if (team.isPresent()) {
-                used.merge(team.get().name(), run.reserved(), ResourceAmount::plus);
-                if (run.task.step.spec.longRunning()) {
-                    longRunning.merge(team.get().name(), run.reserved(), ResourceAmount::plus);
-                }
-            } else if (usable) {
-                capacity = capacity.minus(run.reserved());
+    private boolean addRun(Run run) {
+        Optional<TeamConfig> team = teamOf(run.task.step);
+        team.ifPresent(config -> {
+            used.merge(config.name(), run.reserved(), ResourceAmount::plus);
+            if (run.task.step.spec.longRunning()) {
+                longRunning.merge(config.name(), run.reserved(), ResourceAmount::plus);
             }
-        }
+        });
+        return team.isPresent();
     }
 
-    private static ResourceAmount usable(ResourceAmount amount) {
+    /**
+     * Returns the capacity that tasks can occupy: at least what they do occupy.
+     */
+    private static ResourceAmount usable(ResourceAmount total, ResourceAmount reserved) {
         return new ResourceAmount(
-                (long) (amount.cpuMillis() * USABLE_SHARE),
-                (long) (amount.memoryMb() * USABLE_SHARE),
-                amount.accelerators());
+                Math.max(reserved.cpuMillis(), (long) (total.cpuMillis() * USABLE_SHARE)),
+                Math.max(reserved.memoryMb(), (long) (total.memoryMb() * USABLE_SHARE)),
+                total.accelerators());
     }
 
     /**
@@ -125,7 +137,7 @@
      */
     double guaranteedCpu(String team, TeamShares shares) {
         long held = longRunning.getOrDefault(team, ResourceAmount.NONE).cpuMillis();
-        return Math.max(0, shares.share(team) * capacity.cpuMillis() - held);
+        return Math.max(0, shares.share(team) * reliableCpu - held);
     }
 
     /**
