--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ConfigurationBound.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ConfigurationBound.java
@@ -1,5 +1,7 @@
 package org.trefoilpost.decision.job;
 
+import java.util.OptionalLong;
+
 /**
  * The time within which a configuration that operators have written must be in force, and what an entry decides by it.
  *
@@ -27,14 +29,13 @@
     }
 
     /**
-     * Returns whether the store has confirmed recently that there is no newer configuration. Otherwise a queue that the
-     * configuration in force lacks may exist.
+     * Returns whether it was certain recently that there was no newer configuration. Otherwise a queue or a key that the
+     * configuration in force has may have been removed, and one that it lacks may exist.
      *
-     * @param confirmedMillis  the latest time for which the store has confirmed it, in milliseconds
-     * @param nowMillis  the present time on the same clock, in milliseconds
+     * @param confirmedAgeMillis  the age of the latest confirmation in milliseconds, empty if there is none, not null
      * @return false if a newer configuration may have to be in force by now
      */
-    public boolean isConfirmed(long confirmedMillis, long nowMillis) {
-        return nowMillis - confirmedMillis <= applyMillis;
+    public boolean isConfirmed(OptionalLong confirmedAgeMillis) {
+        return confirmedAgeMillis.isPresent() && confirmedAgeMillis.getAsLong() <= applyMillis;
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WatchTimes.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WatchTimes.java
@@ -20,7 +20,7 @@
     private static final long TIMEOUT_PERCENT = 70;
 
     /** So many watches without an answer show a store that answers late, as a lost connection costs only one. */
-    private static final int UNANSWERED_UNTIL_LONGEST = 2;
+    private static final int UNANSWERED_UNTIL_SHORT_WAIT = 2;
 
     /**
      * Returns the times with which a change is applied within a bound, though one watch gets no answer.
@@ -36,12 +36,22 @@
     }
 
     /**
-     * Returns the times of the next watch.
+     * Returns the times of the next watch. A store that answers late gets more time for its answer by a shorter wait: with
+     * a longer timeout, a watch that was sent to a silent store would hide its return for longer than the bound allows.
      *
      * @param unanswered  how many watches in succession have had no answer, not negative
-     * @return these times, or the longest after several, not null
+     * @return these times, or those with a short wait after several, not null
      */
     public WatchTimes afterUnanswered(int unanswered) {
-        return unanswered < UNANSWERED_UNTIL_LONGEST ? this : LONGEST;
+        return unanswered < UNANSWERED_UNTIL_SHORT_WAIT || this.equals(LONGEST) ? this : withShortWait();
+    }
+
+    /**
+     * Returns the times of a watch that is to confirm soon that there are no further changes.
+     *
+     * @return the times, with the same timeout, not null
+     */
+    public WatchTimes withShortWait() {
+        return new WatchTimes(Math.min(waitMillis, MIN_WAIT_MILLIS), timeoutMillis);
     }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/ConfigurationBoundTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/ConfigurationBoundTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationBoundTest {
@@ -12,15 +13,16 @@
 
     @Test
     void confirmationHoldsForTheTimeInWhichAnotherConfigurationNeedNotBeInForce() {
-        assertTrue(bound.isConfirmed(10_000, 10_000));
-        assertTrue(bound.isConfirmed(10_000, 12_000));
-        assertFalse(bound.isConfirmed(10_000, 12_001));
+        assertTrue(bound.isConfirmed(OptionalLong.of(0)));
+        assertTrue(bound.isConfirmed(OptionalLong.of(2_000)));
+        assertFalse(bound.isConfirmed(OptionalLong.of(2_001)));
+        assertFalse(bound.isConfirmed(OptionalLong.empty()));
     }
 
     @Test
     void watchesKeepToTheBound() {
         assertEquals(WatchTimes.within(2_000), bound.watchTimes());
-        assertTrue(bound.isConfirmed(0, bound.watchTimes().timeoutMillis()));
+        assertTrue(bound.isConfirmed(OptionalLong.of(bound.watchTimes().timeoutMillis())));
     }
 
     @Test
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WatchTimesTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WatchTimesTest.java
@@ -21,10 +21,16 @@
     }
 
     @Test
-    void lateStoreGetsTheLongestTimes() {
-        WatchTimes times = WatchTimes.within(2_000);
-        assertEquals(times, times.afterUnanswered(0));
-        assertEquals(times, times.afterUnanswered(1));
-        assertEquals(WatchTimes.LONGEST, times.afterUnanswered(2));
+    void lateStoreGetsMoreTimeForItsAnswerWithinTheBound() {
+        for (long applyMillis = 2_000; applyMillis <= 4_000; applyMillis += 100) {
+            WatchTimes times = WatchTimes.within(applyMillis);
+            assertEquals(times, times.afterUnanswered(0));
+            assertEquals(times, times.afterUnanswered(1));
+            WatchTimes late = times.afterUnanswered(2);
+            assertEquals(times.timeoutMillis(), late.timeoutMillis(), "a longer timeout hides the store's return");
+            long longestAnswerMillis = WatchTimes.LONGEST.timeoutMillis() - WatchTimes.LONGEST.waitMillis();
+            assertTrue(late.timeoutMillis() - late.waitMillis() >= longestAnswerMillis, "bound " + applyMillis);
+        }
+        assertEquals(WatchTimes.LONGEST, WatchTimes.LONGEST.afterUnanswered(2));
     }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
@@ -16,6 +16,7 @@
     private final JobPorts ports;
     private final ServiceThread<Runnable> eventLoop;
     private final MillisClock clock;
+    private final MillisClock wallClock;
     private final DecisionLog log;
     private final JobMetrics metrics;
 
@@ -24,12 +25,14 @@
             JobPorts ports,
             ServiceThread<Runnable> eventLoop,
             MillisClock clock,
+            MillisClock wallClock,
             DecisionLog log,
             JobMetrics metrics) {
         this.settings = settings;
         this.ports = ports;
         this.eventLoop = eventLoop;
         this.clock = clock;
+        this.wallClock = wallClock;
         this.log = log;
         this.metrics = metrics;
     }
@@ -51,7 +54,7 @@
     }
 
     Moment now() {
-        return new Moment(clock.nowMillis(), System.currentTimeMillis());
+        return new Moment(clock.nowMillis(), wallClock.nowMillis());
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
@@ -74,8 +74,8 @@
      * The destination of a request.
      *
      * @param configured  true if a configuration is in force
-     * @param current  true if the store has confirmed recently that there is no newer configuration, so that a queue that
-     *     is missing does not exist
+     * @param current  true if the configuration in force was confirmed recently; otherwise the request must be refused as
+     *     unavailable, because the queue and the caller's key may have been added or removed
      * @param queue  the name of the queue, empty if no queue matches, not null
      * @param job  the identifier of the job in the path, empty if the path names only the queue, not null
      * @param maxBodyBytes  the maximum size of the body, in bytes
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.LongSupplier;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.QueueConfig;
@@ -31,25 +30,26 @@
 
     private static final long MAX_JOB_NAME_LENGTH = 64;
 
+    private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 1_000;
+
     private final JobContext context;
     private final OwnerCalls ownerCalls;
     private final Map<String, Set<String>> formerPools = new ConcurrentHashMap<>();
     private volatile JobConfiguration configuration;
-    private final LongSupplier configurationConfirmedMillis;
+    private final ConfigurationStatus configurationStatus;
     private volatile boolean ready;
 
     /**
      * Constructs a router without a configuration.
      *
-     * @param configurationConfirmedMillis  supplies on any thread the latest time for which the store has confirmed that
-     *     there is no newer configuration, on the steady clock in milliseconds
+     * @param configurationStatus  tells how recently the configuration in force was confirmed
      */
-    JobRequestRouter(JobContext context, OwnerCalls ownerCalls, LongSupplier configurationConfirmedMillis) {
+    JobRequestRouter(JobContext context, OwnerCalls ownerCalls, ConfigurationStatus configurationStatus) {
         this.context = context;
         this.ownerCalls = ownerCalls;
-        this.configurationConfirmedMillis = configurationConfirmedMillis;
+        this.configurationStatus = configurationStatus;
         context.metrics().gauge("trefoilpost.jobs.configuration.version", this::configurationVersion);
-        context.metrics().gauge("trefoilpost.jobs.configuration.age.millis", this::configurationAgeMillis);
+        context.metrics().gauge("trefoilpost.jobs.configuration.age.millis", configurationStatus::displayedAgeMillis);
     }
 
     /**
@@ -91,11 +91,7 @@
         boolean invalidName = job.indexOf('/') >= 0 || job.length() > MAX_JOB_NAME_LENGTH;
         return new Route(
                 true,
-                context.settings()
-                        .configurationBound()
-                        .isConfirmed(
-                                configurationConfirmedMillis.getAsLong(),
-                                context.now().steadyMillis()),
+                configurationStatus.isConfirmed(),
                 invalidName ? Optional.empty() : queue.map(QueueConfig::name),
                 invalidName ? "" : job,
                 current.maxBodyBytes());
@@ -129,14 +125,26 @@
 
     @Override
     public CompletableFuture<JobReply> phase(String queue, String job, long deadlineMillis) {
-        return askCurrentThenFormerOwners(queue, job, new JobRequest.Phase(job), deadlineMillis);
+        return askCurrentThenFormerOwners(queue, job, new JobRequest.Phase(job), deadlineMillis)
+                .thenApply(this::refuseIfUnconfirmed);
     }
 
     @Override
     public CompletableFuture<JobReply> queuedJobs(String queue, long deadlineMillis) {
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
         context.execute(() -> askOwner(queue, "", new JobRequest.QueuedJobs(queue), deadlineMillis, reply));
-        return reply;
+        return reply.thenApply(this::refuseIfUnconfirmed);
+    }
+
+    /**
+     * Replaces the reply to a read if the configuration has become unconfirmed while the owner was asked, as when the process
+     * was suspended meanwhile: the queue may have been removed since.
+     */
+    private JobReply refuseIfUnconfirmed(JobReply reply) {
+        return configurationStatus.isConfirmed()
+                ? reply
+                : JobReply.refusal(
+                        JobReplyStatus.UNAVAILABLE, "configuration-unconfirmed", UNCONFIRMED_RETRY_AFTER_MILLIS);
     }
 
     @Override
@@ -145,7 +153,7 @@
                 .with("reason", reason)
                 .with("request", request)
                 .with("version", configurationVersion())
-                .with("confirmedAge", configurationAgeMillis()));
+                .with("confirmedAge", configurationStatus.displayedAgeMillis()));
     }
 
     /**
@@ -156,10 +164,6 @@
         return current == null ? 0 : current.version();
     }
 
-    private long configurationAgeMillis() {
-        return context.now().steadyMillis() - configurationConfirmedMillis.getAsLong();
-    }
-
     private CompletableFuture<JobReply> logOutcome(String kind, String job, CompletableFuture<JobReply> reply) {
         long startMillis = context.now().steadyMillis();
         return reply.whenComplete((value, failure) -> {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.trefoilpost.decision.job.ConfigurationConfirmation;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.WatchTimes;
@@ -33,9 +34,6 @@
     /** Delay of the registry's watch after a change while this entry owns no pool. */
     private static final long REGISTRY_IDLE_WATCH_DELAY_MILLIS = 4_000;
 
-    /** If the advances of the wall clock and the steady clock differ by more, the process counts as suspended. */
-    private static final long MAX_CLOCK_DIVERGENCE_MILLIS = 300;
-
     private final JobContext context;
     private final ServiceThread<Runnable> eventLoop;
     private final DecisionLog decisionLog;
@@ -52,6 +50,7 @@
     private final FleetRunner fleetRunner;
     private PeerNetwork network;
     private OwnerConnections connections;
+    private ConfigurationPeers configurationPeers;
     private EndedOwners endedOwners;
     private JobConfiguration configuration;
     private Moment lastMoment;
@@ -62,7 +61,8 @@
         MillisClock clock = MillisClock.steady();
         this.eventLoop = ServiceThread.of("jobs", EVENT_QUEUE_CAPACITY, clock);
         this.decisionLog = new DecisionLog();
-        this.context = new JobContext(settings, ports, eventLoop, clock, decisionLog, metrics);
+        this.context =
+                new JobContext(settings, ports, eventLoop, clock, System::currentTimeMillis, decisionLog, metrics);
         this.registry = new WorkerRegistry(context, this::registryWatchDelayMillis, this::registryChanged);
         this.operatorEntries = new OperatorEntries(context, new OperatorListener());
         this.liveMirror =
@@ -76,9 +76,10 @@
                 this::messageReceived,
                 peerMetrics);
         this.connections = new OwnerConnections(context, network);
+        this.configurationPeers = new ConfigurationPeers(context, operatorEntries, connections);
         this.endedOwners = new EndedOwners(context, peer -> network.isRefused(EntryId.of(peer.name())));
         OwnerCalls ownerCalls = new OwnerCalls(context, liveEntries, connections, this::openRunner);
-        this.router = new JobRequestRouter(context, ownerCalls, operatorEntries::confirmedMillis);
+        this.router = new JobRequestRouter(context, ownerCalls, operatorEntries.status());
         this.fleetRunner = new FleetRunner(
                 context, ownerCalls, token -> lostTokens.merge(FleetRunner.MACHINES_CLAIM, token, Math::max));
         this.lastMoment = context.now();
@@ -159,6 +160,7 @@
         checkForProcessPause(now);
         ownership.tick(claimablePools(), now.steadyMillis());
         connections.tick(liveEntries, context.settings().name(), now.steadyMillis());
+        configurationPeers.tick(liveEntries, now.steadyMillis());
         endedOwners.tick(liveEntries, now.steadyMillis());
         new ArrayList<>(runners.values()).forEach(PoolRunner::tick);
         fleetRunner.tick(now);
@@ -201,12 +203,13 @@
     private void checkForProcessPause(Moment now) {
         long wallAdvanceMillis = now.wallMillis() - lastMoment.wallMillis();
         long steadyAdvanceMillis = now.steadyMillis() - lastMoment.steadyMillis();
-        if (Math.abs(wallAdvanceMillis - steadyAdvanceMillis) > MAX_CLOCK_DIVERGENCE_MILLIS) {
+        if (ConfigurationConfirmation.isDiverged(lastMoment, now)) {
             context.logDecision(Decision.failure("clocks-disagree")
                     .with("wallAdvanceMillis", wallAdvanceMillis)
                     .with("steadyAdvanceMillis", steadyAdvanceMillis));
             runners.values().forEach(PoolRunner::invalidateOwnerConfirmation);
             fleetRunner.invalidateOwnerConfirmation();
+            operatorEntries.suspended();
         }
         lastMoment = now;
     }
@@ -274,9 +277,9 @@
     }
 
     private void answerPoolCall(PoolCall call, Consumer<PeerReply> reply) {
-        // A call without a pool is a ping, which only tests the connection.
+        // A call without a pool asks for the configuration, or only tests the connection.
         if (call.pool().isEmpty()) {
-            reply.accept(PoolAnswer.of(call.callId(), false, new byte[0]));
+            reply.accept(configurationPeers.answer(call.callId(), call.request()));
         } else {
             router.ownerCalls()
                     .answerPeerCall(
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.Moment;
 
 /**
  * The configuration in force and the waves that operators have written to the store. Used on the service's thread only,
@@ -11,11 +12,15 @@
     private final JobContext context;
     private final StoreMirror mirror;
     private final Listener listener;
+    private final ConfigurationStatus status;
     private JobConfiguration configuration;
+    /** The item of the configuration in force, null before the first one. */
+    private StorePort.Item configurationItem;
 
     OperatorEntries(JobContext context, Listener listener) {
         this.context = context;
         this.listener = listener;
+        this.status = new ConfigurationStatus(context);
         this.mirror = new StoreMirror(
                 context.ports().formats().operatorPrefix(),
                 context,
@@ -43,11 +48,40 @@
     }
 
     /**
-     * Returns the latest time for which the store has confirmed that there is no newer configuration, on the steady clock
-     * in milliseconds. May be called on any thread.
+     * Returns the version of the configuration in force, 0 before the first one.
      */
-    long confirmedMillis() {
-        return mirror.confirmedMillis();
+    long version() {
+        return configuration == null ? 0 : configuration.version();
+    }
+
+    /**
+     * Returns the operators' item of the configuration in force, empty before the first one.
+     */
+    Optional<StorePort.Item> configurationItem() {
+        return Optional.ofNullable(configurationItem);
+    }
+
+    /**
+     * Returns how recently the configuration was confirmed.
+     */
+    ConfigurationStatus status() {
+        return status;
+    }
+
+    /**
+     * Applies the operators' item of a configuration that another entry has in force, if it is newer.
+     */
+    void itemFromPeer(StorePort.Item item) {
+        context.ports().formats().configuration(item).ifPresent(next -> configure(next, item));
+    }
+
+    /**
+     * Discards the confirmation and watches again at once on a new connection, as the process has been suspended.
+     */
+    void suspended() {
+        status.invalidate();
+        context.store().renewConnections();
+        mirror.watchAgain();
     }
 
     @Override
@@ -61,7 +95,7 @@
             return;
         }
         PlatformFormats formats = context.ports().formats();
-        formats.configuration(item.get()).ifPresent(this::configure);
+        formats.configuration(item.get()).ifPresent(next -> configure(next, item.get()));
         formats.wave(item.get()).ifPresent(listener::waveRequested);
     }
 
@@ -75,8 +109,18 @@
         listener.watchUnanswered();
     }
 
-    private void configure(JobConfiguration next) {
-        long formerVersion = configuration == null ? 0 : configuration.version();
+    @Override
+    public boolean needsConfirmation() {
+        return true;
+    }
+
+    @Override
+    public void confirmed(Moment confirmed) {
+        status.confirmed(confirmed);
+    }
+
+    private void configure(JobConfiguration next, StorePort.Item item) {
+        long formerVersion = version();
         if (configuration != null && next.version() <= formerVersion) {
             return;
         }
@@ -84,10 +128,11 @@
                 .with("version", next.version())
                 .with("formerVersion", formerVersion)
                 .with("revision", mirror.revision())
-                .with("confirmedAge", context.now().steadyMillis() - mirror.confirmedMillis())
+                .with("confirmedAge", status.displayedAgeMillis())
                 .with("queues", next.queues().size())
                 .with("pools", next.pools().size()));
         configuration = next;
+        configurationItem = item;
         listener.configured(next);
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
@@ -14,7 +14,7 @@
 import org.trefoilpost.model.EntryId;
 
 /**
- * The connections to the entries that own pools. A connection on which a ping is not answered in time is replaced.
+ * The connections to the entries that own pools, and to others for a time. A connection on which a ping is not answered in time is replaced.
  */
 final class OwnerConnections {
     private static final long PING_INTERVAL_MILLIS = 700;
@@ -24,6 +24,7 @@
     private final JobContext context;
     private final PeerNetwork network;
     private final Map<String, LiveEntries.Peer> connectedOwners = new HashMap<>();
+    private final Map<String, Kept> keptPeers = new HashMap<>();
     private long lastPingMillis;
 
     OwnerConnections(JobContext context, PeerNetwork network) {
@@ -32,7 +33,7 @@
     }
 
     /**
-     * Opens connections to the owners of pools, closes all others, and sends a ping on each if that is due.
+     * Opens connections to the owners of pools and the entries that are kept connected, closes all others, and sends a ping on each if that is due.
      */
     void tick(LiveEntries liveEntries, String self, long nowMillis) {
         Set<String> owners = new HashSet<>();
@@ -42,6 +43,12 @@
                 connect(owner.peer());
             }
         }
+        keptPeers.values().removeIf(kept -> kept.untilMillis < nowMillis);
+        for (Kept kept : keptPeers.values()) {
+            if (owners.add(kept.peer.name())) {
+                connect(kept.peer);
+            }
+        }
         for (String name : Set.copyOf(connectedOwners.keySet())) {
             if (!owners.contains(name)) {
                 connectedOwners.remove(name);
@@ -54,6 +61,20 @@
         }
     }
 
+    /**
+     * Connects to an entry, and keeps the connection until a time though the entry may own no pool.
+     */
+    void keepConnected(LiveEntries.Peer peer, long untilMillis) {
+        keptPeers.put(peer.name(), new Kept(peer, untilMillis));
+        if (!connectedOwners.containsKey(peer.name())) {
+            connect(peer);
+        }
+    }
+
+    boolean isConnected(LiveEntries.Peer peer) {
+        return network.connectedPeers().contains(EntryId.of(peer.name()));
+    }
+
     /**
      * Connects to an owner, again if its address or incarnation has changed.
      */
@@ -101,4 +122,6 @@
         }
         throw new IllegalStateException("expected a pool answer to a pool call, but received " + reply);
     }
+
+    private record Kept(LiveEntries.Peer peer, long untilMillis) {}
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.WatchTimes;
 
 /**
@@ -31,10 +32,13 @@
     private boolean watching;
     private long watchNumber;
     private int unansweredWatches;
+    /** Whether the next watch is to end soon, as the last one has not shown that there are no further changes. */
+    private boolean confirmSoon;
+
     private boolean connected;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
-    /** Written on the service's thread only. */
-    private volatile long confirmedMillis;
+    /** The latest time for which the store has confirmed that no change is missing, at first that of the construction. */
+    private long confirmedMillis;
 
     /**
      * Constructs a mirror that has not been started.
@@ -92,19 +96,11 @@
         return revision;
     }
 
-    /**
-     * Returns the latest time for which the store has confirmed that the mirror lacks no change, on the steady clock in
-     * milliseconds; before the first answer, the time of the construction. May be called on any thread.
-     */
-    long confirmedMillis() {
-        return confirmedMillis;
-    }
-
     /**
      * Reads all items. An earlier read that has not ended is abandoned.
      */
     private void read() {
-        currentRead = new ItemRead(context.now().steadyMillis());
+        currentRead = new ItemRead(context.now());
         readPage(currentRead, "");
     }
 
@@ -150,7 +146,7 @@
             notifyListener("all items", listener::reloaded);
             notifyListener("all items", listener::changesApplied);
         }
-        confirmed(itemRead.startMillis);
+        confirmed(itemRead.start);
         List<Runnable> callbacks = List.copyOf(refreshCallbacks);
         refreshCallbacks.clear();
         callbacks.forEach(Runnable::run);
@@ -165,6 +161,7 @@
     void watchAgain() {
         if (watching) {
             connected = false;
+            confirmSoon = true;
             watch();
         }
     }
@@ -172,8 +169,9 @@
     private void watch() {
         watching = true;
         watchNumber++;
-        WatchTimes times = watchTimes.afterUnanswered(unansweredWatches);
-        WatchCall call = new WatchCall(watchNumber, revision, context.now().steadyMillis(), times);
+        WatchTimes usualTimes = watchTimes.afterUnanswered(unansweredWatches);
+        WatchTimes times = confirmSoon && listener.needsConfirmation() ? usualTimes.withShortWait() : usualTimes;
+        WatchCall call = new WatchCall(watchNumber, revision, context.now(), times);
         context.onServiceThread(context.store().watch(prefix, call.fromRevision, times), (changes, failure) -> {
             if (call.number != watchNumber) {
                 return;
@@ -202,7 +200,8 @@
         if (!changes.changes().isEmpty()) {
             notifyListener("the changes", listener::changesApplied);
         }
-        confirmed(call.confirmedBy(changes, context.now().steadyMillis()));
+        confirmed(call.confirmedBy(changes, context.now()));
+        confirmSoon = !changes.changes().isEmpty();
         long delayMillis = changes.changes().isEmpty() ? 0 : watchDelayMillis.getAsLong();
         context.schedule(delayMillis, () -> continueWatching(call));
     }
@@ -215,8 +214,9 @@
     }
 
     private void watchFailed(WatchCall call, Throwable failure) {
-        long waitedMillis = context.now().steadyMillis() - call.sentMillis;
+        long waitedMillis = context.now().steadyMillis() - call.sent.steadyMillis();
         storeFailed(failure);
+        confirmSoon = true;
         context.logDecision(Decision.failure("watch-failed")
                 .with("prefix", prefix)
                 .with("revision", revision)
@@ -230,8 +230,9 @@
         context.schedule(Math.max(0, RETRY_DELAY_MILLIS - waitedMillis), () -> continueWatching(call));
     }
 
-    private void confirmed(long millis) {
-        confirmedMillis = Math.max(confirmedMillis, millis);
+    private void confirmed(Moment moment) {
+        confirmedMillis = Math.max(confirmedMillis, moment.steadyMillis());
+        listener.confirmed(moment);
     }
 
     private long confirmedAgeMillis() {
@@ -293,13 +294,13 @@
      * A read of all items, page by page.
      */
     private static final class ItemRead {
-        private final long startMillis;
+        private final Moment start;
         private final Map<String, StorePort.Item> items = new HashMap<>();
         /** The revision of the first page, as later pages may lack changes of earlier ones. */
         private long revision = -1;
 
-        private ItemRead(long startMillis) {
-            this.startMillis = startMillis;
+        private ItemRead(Moment start) {
+            this.start = start;
         }
 
         private void add(StorePort.Page page) {
@@ -313,13 +314,15 @@
      *
      * @param fromRevision  the revision after which changes are awaited
      */
-    private record WatchCall(long number, long fromRevision, long sentMillis, WatchTimes times) {
+    private record WatchCall(long number, long fromRevision, Moment sent, WatchTimes times) {
         /**
-         * Returns the time for which an answer confirms that no further change was made. The store gives an answer without
-         * changes at the end of the wait.
+         * Returns the moment for which an answer confirms that no further change was made. The store gives an answer without
+         * changes at the end of the wait. The wall clock is counted from the sending, so that a suspension of this process
+         * before the answer shows as a difference between the clocks.
          */
-        long confirmedBy(StorePort.Changes changes, long answeredMillis) {
-            return changes.changes().isEmpty() ? Math.min(sentMillis + times.waitMillis(), answeredMillis) : sentMillis;
+        Moment confirmedBy(StorePort.Changes changes, Moment answered) {
+            long answeredAfterMillis = Math.max(0, answered.steadyMillis() - sent.steadyMillis());
+            return changes.changes().isEmpty() ? sent.plus(Math.min(times.waitMillis(), answeredAfterMillis)) : sent;
         }
     }
 
@@ -343,6 +346,22 @@
          */
         void changesApplied();
 
+        /**
+         * Returns whether the age of the contents matters, so that a watch is to confirm them soon after a change or a
+         * failure.
+         */
+        default boolean needsConfirmation() {
+            return false;
+        }
+
+        /**
+         * Handles that the store has confirmed that no change before a moment is missing. Called after these changes have
+         * been passed on.
+         */
+        default void confirmed(Moment moment) {
+            // Most contents are used whatever their age.
+        }
+
         /**
          * Handles that a watch has had no answer; its connection may have gone silent, and others with it.
          */
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SilentStoreConnectionTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SilentStoreConnectionTest.java
@@ -59,6 +59,18 @@
         assertEquals(List.of(), late);
     }
 
+    @Test
+    void configurationIsInForceInTimeAfterSecondsWithoutAnAnswer() {
+        List<String> late = new ArrayList<>();
+        for (long outageMillis = 1_000; outageMillis <= 8_000; outageMillis += 300) {
+            long tookMillis = play(2_000, outageMillis, 0, 0, FollowedConfiguration::new);
+            if (tookMillis > SETTLE_MILLIS) {
+                late.add("no answers for " + outageMillis + ": in force " + tookMillis + " after their end");
+            }
+        }
+        assertEquals(List.of(), late);
+    }
+
     @Test
     void drainingWorkerIsKnownInTimeThoughTheWatchOfTheRegistryIsSilent() {
         List<String> late = new ArrayList<>();
@@ -79,6 +91,19 @@
      */
     private static long play(
             long silentAtMillis, long writeDelayMillis, int idleConnections, Function<JobContext, Followed> follow) {
+        return play(silentAtMillis, 0, writeDelayMillis, idleConnections, follow);
+    }
+
+    /**
+     * Makes all connections silent for some time, those too that are opened meanwhile, changes a key, and returns how long it
+     * takes until the change is applied.
+     */
+    private static long play(
+            long silentAtMillis,
+            long outageMillis,
+            long writeDelayMillis,
+            int idleConnections,
+            Function<JobContext, Followed> follow) {
         AtomicLong clock = new AtomicLong(1_000_000);
         EmulatedStoreConnections store = new EmulatedStoreConnections(new MemoryStore(), clock::get);
         store.openIdleConnections(idleConnections);
@@ -89,6 +114,10 @@
             service.run(followed::start);
             advance(service, store, clock, silentAtMillis);
             service.run(store::silenceOpenConnections);
+            for (long passed = 0; passed < outageMillis; passed += STEP_MILLIS) {
+                advance(service, store, clock, STEP_MILLIS);
+                service.run(store::silenceOpenConnections);
+            }
             advance(service, store, clock, writeDelayMillis);
             service.run(() -> store.write(followed.key(), NEW));
             long writtenMillis = clock.get();
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -28,21 +28,21 @@
     private final JobContext context;
 
     TestService(StorePort store, MachinePort machines, PlatformFormats formats) {
-        this(store, machines, formats, MillisClock.steady());
+        this(new JobPorts(store, null, machines, null, formats), MillisClock.steady(), System::currentTimeMillis);
     }
 
     TestService(StorePort store, WorkerPort workers, MachinePort machines, PlatformFormats formats) {
-        this(new JobPorts(store, workers, machines, null, formats), MillisClock.steady());
+        this(new JobPorts(store, workers, machines, null, formats), MillisClock.steady(), System::currentTimeMillis);
     }
 
     TestService(StorePort store, MachinePort machines, PlatformFormats formats, MillisClock clock) {
-        this(new JobPorts(store, null, machines, null, formats), clock);
+        this(new JobPorts(store, null, machines, null, formats), clock, clock);
     }
 
-    private TestService(JobPorts ports, MillisClock clock) {
+    TestService(JobPorts ports, MillisClock clock, MillisClock wallClock) {
         this.thread = ServiceThread.of("jobs-test", 256, clock);
         JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        this.context = new JobContext(SETTINGS, ports, thread, clock, log, metrics);
+        this.context = new JobContext(SETTINGS, ports, thread, clock, wallClock, log, metrics);
         thread.start((event, nowMillis) -> event.run());
     }
 
