--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
@@ -12,6 +12,9 @@
  * The context that the parts of the job service share: its thread, clocks, ports, log and metrics.
  */
 final class JobContext {
+    private static final int MAX_CLOCK_READINGS = 5;
+    private static final long MAX_READING_MILLIS = 20;
+
     private final JobServiceSettings settings;
     private final JobPorts ports;
     private final ServiceThread<Runnable> eventLoop;
@@ -53,8 +56,18 @@
         return metrics;
     }
 
+    /**
+     * Returns the present moment. A thread that is preempted between the readings of the two clocks reads them again, so that
+     * this does not look like a suspension of the process.
+     */
     Moment now() {
-        return new Moment(clock.nowMillis(), wallClock.nowMillis());
+        long steadyMillis = clock.nowMillis();
+        long wallMillis = wallClock.nowMillis();
+        for (int i = 0; i < MAX_CLOCK_READINGS && clock.nowMillis() - steadyMillis > MAX_READING_MILLIS; i++) {
+            steadyMillis = clock.nowMillis();
+            wallMillis = wallClock.nowMillis();
+        }
+        return new Moment(steadyMillis, wallMillis);
     }
 
     /**
