--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
@@ -12,7 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.JobSpec;
@@ -41,11 +41,13 @@
     private static final String POOL = "pool";
     private static final String FORMER_POOL = "former";
     private static final long WAIT_MILLIS = 5_000;
+    private static final long CONFIRM_INTERVAL_MILLIS = 100;
     private static final long DEADLINE_MILLIS = 3_000;
 
     private final MemoryStore store = new MemoryStore();
     private final Map<String, PoolRunner> runners = new HashMap<>();
-    private final AtomicLong confirmedMillis = new AtomicLong(Long.MAX_VALUE / 2);
+    private final AtomicBoolean confirmed = new AtomicBoolean(true);
+    private ConfigurationStatus status;
     private TestService service;
     private JobRequestRouter router;
 
@@ -140,7 +142,8 @@
         assertEquals(
                 Optional.of(JobReply.of(JobReplyStatus.UNAUTHENTICATED, "missing-key")),
                 router.access("q", Optional.empty()).refusal());
-        confirmedMillis.set(Long.MIN_VALUE / 2);
+        confirmed.set(false);
+        service.run(status::invalidate);
         for (String queue : List.of("q", "open")) {
             JobReply refusal =
                     router.access(queue, Optional.of("key-a")).refusal().orElseThrow();
@@ -152,7 +155,8 @@
     @Test
     void withoutTheContractTeamsAndKeysHaveNoEffect() {
         open(TeamPolicy.NONE, POOL);
-        confirmedMillis.set(Long.MIN_VALUE / 2);
+        confirmed.set(false);
+        service.run(status::invalidate);
         JobIngress.Access open = new JobIngress.Access(Optional.empty(), Caller.UNIDENTIFIED);
         for (Optional<String> key : List.of(Optional.of("key-a"), Optional.of("key-x"), Optional.<String>empty())) {
             assertEquals(open, router.access("q", key));
@@ -183,13 +187,22 @@
                 new LiveEntries(),
                 null,
                 pool -> Optional.ofNullable(runners.get(pool)).filter(PoolRunner::isOpen));
-        router = new JobRequestRouter(service.context(), calls, confirmedMillis::get);
+        status = new ConfigurationStatus(service.context());
+        service.run(this::confirmRepeatedly);
+        router = new JobRequestRouter(service.context(), calls, status);
         service.run(() -> router.configure(configuration(1, POOL)));
         for (String pool : pools) {
             openRunner(pool);
         }
     }
 
+    private void confirmRepeatedly() {
+        if (confirmed.get()) {
+            status.confirmed(service.context().now());
+        }
+        service.context().schedule(CONFIRM_INTERVAL_MILLIS, this::confirmRepeatedly);
+    }
+
     private void openRunner(String pool) {
         StorePort.Put owner = new StorePort.Put(LiveEntries.ownerKey(pool), new byte[0], 0);
         StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(pool), new byte[0], 0);
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -18,29 +18,29 @@
     private final JobContext context;
 
     TestService(StorePort store, MachinePort machines, PlatformFormats formats) {
-        this(store, machines, formats, MillisClock.steady());
+        this(new JobPorts(store, null, machines, null, formats), MillisClock.steady(), System::currentTimeMillis);
     }
 
     TestService(StorePort store, WorkerPort workers, MachinePort machines, PlatformFormats formats) {
-        this(new JobPorts(store, workers, machines, null, formats), MillisClock.steady());
+        this(new JobPorts(store, workers, machines, null, formats), MillisClock.steady(), System::currentTimeMillis);
     }
 
     TestService(StorePort store, MachinePort machines, PlatformFormats formats, MillisClock clock) {
-        this(new JobPorts(store, null, machines, null, formats), clock);
+        this(new JobPorts(store, null, machines, null, formats), clock, clock);
     }
 
     TestService(StorePort store, WorkerPort workers, PlatformFormats formats, MillisClock clock, TeamPolicy policy) {
-        this(new JobPorts(store, workers, null, null, formats), clock, policy);
+        this(new JobPorts(store, workers, null, null, formats), clock, clock, policy);
     }
 
-    private TestService(JobPorts ports, MillisClock clock) {
-        this(ports, clock, TeamPolicy.NONE);
+    TestService(JobPorts ports, MillisClock clock, MillisClock wallClock) {
+        this(ports, clock, wallClock, TeamPolicy.NONE);
     }
 
-    private TestService(JobPorts ports, MillisClock clock, TeamPolicy policy) {
+    private TestService(JobPorts ports, MillisClock clock, MillisClock wallClock, TeamPolicy policy) {
         this.thread = ServiceThread.of("jobs-test", 256, clock);
         JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        this.context = new JobContext(settings(policy), ports, thread, clock, log, metrics);
+        this.context = new JobContext(settings(policy), ports, thread, clock, wallClock, log, metrics);
         thread.start((event, nowMillis) -> event.run());
     }
 
