--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -59,10 +59,10 @@
 
     long unansweredOrdersUntilMillis = Long.MIN_VALUE;
     /** Until when the worker is given no work because of a restart. */
-    long pausedUntilMillis = Long.MIN_VALUE;
+    long pausedUntilMillis = Long.MIN_VALUE / 2;
 
     private long ackedMillis;
-    private long unansweredAckUntilMillis = Long.MIN_VALUE;
+    private long unansweredAckUntilMillis = Long.MIN_VALUE / 2;
     private int runsOfUnknownSize;
     private long clockMillis;
     private long clockSeenMillis = Long.MIN_VALUE;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
@@ -63,6 +63,14 @@
         WorkerOrder.Start again = actions.lastOf(WorkerOrder.Start.class);
         assertEquals(2, again.run());
         assertTrue(again.leaseUntilMillis() < CLOCK, "the lease is on the clock of the new incarnation");
+        Map<String, Object> restart = actions.restarts.get(0).inputs();
+        assertEquals(
+                List.of("registered-again", REBORN, BORN, 0L),
+                List.of(
+                        restart.get("reason"),
+                        restart.get("born"),
+                        restart.get("formerBorn"),
+                        restart.get("pauseMillis")));
     }
 
     /** Guards against a restart that only the hold shows, as the registry lags behind. */
@@ -126,6 +134,33 @@
         assertEquals(7, actions.lastOf(WorkerOrder.Hold.class).lastEnd(), "acknowledged after an answered hold");
     }
 
+    /** Guards against a late acknowledgement that makes the new incarnation discard the end of new work. */
+    @Test
+    void workerIsGivenNoWorkWhileALateAcknowledgementMayArrive() {
+        runTheTask();
+        tickAfter(900);
+        status(BORN, CLOCK + 900, List.of(), List.of(ended(7, 1, RunEnd.FAILED)));
+        store();
+        answer(actions.lastOf(WorkerOrder.Start.class), OrderResult.OK);
+        tickAfter(400);
+        status(BORN, CLOCK + 1_700, List.of(running(2)), List.of(ended(7, 1, RunEnd.FAILED)));
+        tick();
+        WorkerOrder.Hold acknowledging = actions.lastOf(WorkerOrder.Hold.class);
+        assertEquals(7, acknowledging.lastEnd());
+        answer(acknowledging, OrderResult.NO_ANSWER);
+        register(REBORN);
+        actions.orders.clear();
+        for (int i = 0; i < 14; i++) {
+            status(REBORN, 5 + i * 1_000L, List.of(), List.of());
+            tickAfter(1_000);
+        }
+        assertEquals(0, actions.sent(WorkerOrder.Start.class).size());
+        tickAfter(1_000);
+        status(REBORN, 15_005, List.of(), List.of());
+        tick();
+        assertEquals(3, actions.lastOf(WorkerOrder.Start.class).run());
+    }
+
     /** Guards against a status that brings the runs of an ended incarnation back. */
     @Test
     void lateStatusOfThePreviousIncarnationIsIgnored() {
@@ -396,6 +431,7 @@
     private static final class Actions implements PoolActions {
         private final List<WorkerOrder> orders = new ArrayList<>();
         private final Map<String, byte[]> documents = new HashMap<>();
+        private final List<Decision> restarts = new ArrayList<>();
         private long committed;
         private long stored;
 
@@ -434,6 +470,10 @@
         public void ownershipLost(String workerId) {}
 
         @Override
-        public void logDecision(Decision decision) {}
+        public void logDecision(Decision decision) {
+            if (decision.name().equals("worker-restarted")) {
+                restarts.add(decision);
+            }
+        }
     }
 }
