--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
@@ -317,10 +317,13 @@
         answer(actions.lastOf(WorkerOrder.Stop.class), OrderResult.OK);
         tickAfter(20);
         status(BORN, CLOCK + 720, List.of(), List.of());
+        tickAfter(20);
+        status(BORN, CLOCK + 740, List.of(), List.of());
         actions.orders.clear();
         tickAfter(400);
         assertEquals(0, actions.sent(WorkerOrder.Stop.class).size());
         register(REBORN);
+        assertEquals(0, actions.restarts.get(0).inputs().get("runs"), "the run was resolved before the restart");
         tick();
         assertEquals(TASK, actions.lastOf(WorkerOrder.Stop.class).task());
     }
