--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.decision.job;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -58,6 +59,7 @@
                 .thenComparingLong(Candidate::latestStartMillis));
         List<ResourceAmount> unplacedDemands = new ArrayList<>();
         reservedWorkers.clear();
+        state.teamGate.beginRound();
         for (Candidate candidate : candidates) {
             placeStep(candidate.step, unplacedDemands, now);
         }
@@ -99,6 +101,12 @@
         return false;
     }
 
+    private long countStartable(JobStepState step, long nowMillis) {
+        return Arrays.stream(step.tasks)
+                .filter(task -> isStartable(task, nowMillis))
+                .count();
+    }
+
     private boolean isStartable(JobTaskState task, long nowMillis) {
         boolean noUnseenRun = !task.mayHaveUnseenRun || !state.mayHaveUnseenRuns(nowMillis);
         return noUnseenRun && task.isStartable(nowMillis);
@@ -128,6 +136,9 @@
                     }
                     return;
                 }
+                if (!state.teamGate.admitTask(step, countStartable(step, now.steadyMillis()), now)) {
+                    return;
+                }
                 orderSender.start(task, task.lastRunNumber + 1, worker, now);
                 perWorker.merge(worker, 1, Integer::sum);
             }
@@ -235,6 +246,9 @@
         List<PoolWorker> workers = new ArrayList<>(state.workers.values());
         workers.removeIf(worker -> !mayRun(step, step.spec.reservedDemand(), worker, now));
         List<PoolWorker> chosen = GangPlacement.chooseWorkers(step, workers);
+        if (!chosen.isEmpty() && !state.teamGate.admitGang(step, now)) {
+            return;
+        }
         for (int i = 0; i < chosen.size(); i++) {
             orderSender.start(step.tasks[i], runNumber, chosen.get(i), now);
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.trefoilpost.decision.job.team.PoolTeamLimits;
 import org.trefoilpost.decision.job.team.Teams;
 
 /**
@@ -99,6 +100,22 @@
         state.placementDue = true;
     }
 
+    /**
+     * Checks each start against the limits of the job's team from now on.
+     *
+     * @param limits  the limits, not null
+     */
+    public void enforce(PoolTeamLimits limits) {
+        state.teamGate = new TeamGate(state, limits);
+    }
+
+    /**
+     * Handles that the grant of a team may have changed, so that waiting tasks may fit.
+     */
+    public void grantsChanged() {
+        state.placementDue = true;
+    }
+
     /**
      * Updates the workers of the pool that the registry lists.
      *
@@ -328,7 +345,9 @@
             stopStalled(now);
             if (state.active) {
                 evacuator.tick(now);
+                state.teamGate.observe(now);
                 placer.placeIfDue(now);
+                state.teamGate.decide(now);
             }
             if (now.steadyMillis() - lastThrottleMillis >= BestEffortThrottle.TICK_INTERVAL_MILLIS) {
                 lastThrottleMillis = now.steadyMillis();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -23,6 +23,7 @@
 
     Map<String, QueueConfig> queues = Map.of();
     Teams teams = Teams.NONE;
+    TeamGate teamGate = TeamGate.OPEN;
     long registryCompleteMillis = Long.MIN_VALUE;
     int arrivingMachines;
     boolean active;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -151,7 +151,7 @@
         return acceptsWork(nowMillis) && step.allowsLabels(registration.labels());
     }
 
-    private boolean allSizesKnown() {
+    boolean allSizesKnown() {
         return runsOfUnknownSize == 0;
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -22,6 +22,8 @@
     boolean wanted = true;
     /** True if the job of the run is no longer known, and with it the resources of the run. */
     boolean sizeUnknown;
+    /** True if an earlier owner of the pool started the run. */
+    boolean adopted;
 
     Run(JobTaskState task, int number, PoolWorker worker, RunPhase phase, long nowMillis) {
         this.task = task;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -178,6 +178,7 @@
         JobTaskState target = task != null ? task : unknownTask(running.task(), now);
         Run run = new Run(target, running.run(), worker, RunPhase.RUNNING, now.steadyMillis());
         run.sizeUnknown = task == null;
+        run.adopted = true;
         target.lastRunNumber = Math.max(target.lastRunNumber, running.run());
         target.mayHaveUnseenRun = false;
         worker.add(run);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
@@ -27,6 +27,7 @@
     private final PrometheusMeterRegistry registry;
     private final Map<String, Counter> counters = new ConcurrentHashMap<>();
     private final Map<String, Timer> timers = new ConcurrentHashMap<>();
+    private final TeamGauges teams;
 
     /**
      * Constructs metrics that are registered in a registry.
@@ -35,6 +36,7 @@
      */
     public JobMetrics(PrometheusMeterRegistry registry) {
         this.registry = registry;
+        this.teams = new TeamGauges(registry);
     }
 
     /**
@@ -75,6 +77,13 @@
         Gauge.builder(name, value::getAsLong).strongReference(true).register(registry);
     }
 
+    /**
+     * Returns the gauges of what teams use and hold.
+     */
+    TeamGauges teams() {
+        return teams;
+    }
+
     /**
      * Returns all metrics of the registry.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -39,6 +39,7 @@
     private final Runnable onOwnershipLost;
     private final PoolScheduler scheduler;
     private final PoolStore store;
+    private final TeamStore teamStore;
     private final SilentWorkerCheck silentWorkerCheck;
     private final AwaitedReplies awaitedReplies = new AwaitedReplies();
     private long token;
@@ -58,6 +59,7 @@
         this.onOwnershipLost = onOwnershipLost;
         this.scheduler = new PoolScheduler(pool, context.settings().timeouts(), this);
         this.store = new PoolStore(pool, token, context);
+        this.teamStore = new TeamStore(pool, this::token, context, scheduler, this::tickSoon);
         this.silentWorkerCheck = new SilentWorkerCheck(context, this::workerEnded);
         this.ownerConfirmedMillis = context.now().steadyMillis();
         this.lastOwnerCheckMillis = ownerConfirmedMillis;
@@ -151,10 +153,12 @@
      */
     void sendCommitAgain() {
         store.sendAgain();
+        teamStore.watchAgain();
     }
 
     void configure(Map<String, QueueConfig> queues, Teams teams) {
         scheduler.configure(queues, context.settings().teamPolicy().keysRequired() ? teams : Teams.NONE);
+        teamStore.configure(queues, teams);
     }
 
     void updateWorkers(Collection<RegisteredWorker> workers) {
@@ -170,6 +174,7 @@
      */
     void close() {
         closed = true;
+        teamStore.close();
         awaitedReplies.completeAll(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-changed"));
     }
 
@@ -196,6 +201,7 @@
             claimLapsed();
         }
         checkOwner(now.steadyMillis());
+        teamStore.updateGauges(now.steadyMillis());
         silentWorkerCheck.run(scheduler.silentWorkers(), now.steadyMillis());
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -70,6 +70,15 @@
         read();
     }
 
+    /**
+     * Ends the read or watch that is under way; its answer is ignored. The mirror can be started again.
+     */
+    void stop() {
+        currentRead = null;
+        watching = false;
+        watchNumber++;
+    }
+
     boolean isLoaded() {
         return loaded;
     }
