--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
@@ -33,6 +33,10 @@
                 JobSpecCodec.pack(packer, job.spec);
                 packQueue(packer, job.queue);
                 packOccurrences(packer, job);
+                if (job.spec.team().isPresent()) {
+                    // At the end, where programs that do not know teams ignore it.
+                    packer.packString(job.spec.team().get());
+                }
             }
             return packer.toByteArray();
         } catch (IOException e) {
@@ -80,6 +84,9 @@
         List<RunLocation> runLocations = new ArrayList<>();
         if (!phase.ended()) {
             unpackOccurrences(unpacker, job, runLocations, now);
+            if (unpacker.hasNext()) {
+                job.spec = job.spec.withTeam(Optional.of(unpacker.unpackString()));
+            }
         }
         return new DecodedJob(job, runLocations);
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -9,7 +9,7 @@
  * of the steady clock.
  */
 final class JobState {
-    final JobSpec spec;
+    JobSpec spec;
     final Map<Integer, OccurrenceState> occurrences = new TreeMap<>();
     QueueConfig queue;
     JobPhase phase = JobPhase.QUEUED;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/GrantPolicy.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/GrantPolicy.java
@@ -68,9 +68,6 @@
     }
 
     private static ResourceAmount wish(GrantView view, ResourceAmount granted, boolean claims) {
-        if (view.waiting().isNone()) {
-            return ResourceAmount.NONE;
-        }
         ResourceAmount needed =
                 claims ? view.use().plus(view.waiting().claimant().orElseThrow()) : view.need();
         return view.limited(Amounts.excess(needed, granted));
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/GrantWrites.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/GrantWrites.java
@@ -10,6 +10,9 @@
     /** Time between two writes of a team that can wait, so that the ends of several runs are returned together. */
     private static final long INTERVAL_MILLIS = 200;
 
+    /** Time between two returns of a team that other pools wait for, if the rate of writes is exhausted. */
+    private static final long AWAITED_INTERVAL_MILLIS = 1_000;
+
     /** Time after which a call that failed is made again. */
     private static final long RETRY_MILLIS = 250;
 
@@ -69,11 +72,19 @@
         }
         ResourceAmount equalPart = Amounts.dividedBy(view.limit(), view.pools());
         boolean large = !returned.fitsIn(Amounts.dividedBy(equalPart, MIN_RETURNED_PART));
+        // A pool with waiting work soon uses a small rest itself.
         return large
                 || Amounts.isNone(granted)
-                || view.othersWish()
-                || view.isOvercommitted()
-                || view.yieldsToAnother();
+                || isAwaited(view) && view.waiting().isNone()
+                || mustReturn(view);
+    }
+
+    private static boolean mustReturn(GrantView view) {
+        return view.isOvercommitted() || view.yieldsToAnother();
+    }
+
+    private static boolean isAwaited(GrantView view) {
+        return view.othersWish() || mustReturn(view);
     }
 
     /**
@@ -92,6 +103,7 @@
         budget.spend();
         ledger.writeSent(row);
         ledger.nextMinorWriteMillis = nowMillis + INTERVAL_MILLIS;
+        ledger.nextAwaitedWriteMillis = nowMillis + AWAITED_INTERVAL_MILLIS;
         writer.write(ledger.team, ledger.grants.with(pool, row, ledger.grants.revision()));
     }
 
@@ -101,7 +113,10 @@
 
     void refused(TeamLedger ledger, String reason, boolean keyChanged, long nowMillis) {
         ledger.callInFlight = false;
-        if (!keyChanged) {
+        if (keyChanged) {
+            // Another pool has changed its row, so the decision is made again at once.
+            ledger.nextMinorWriteMillis = nowMillis;
+        } else {
             ledger.nextWriteMillis = nowMillis + RETRY_MILLIS;
         }
         writer.logDecision(decision("grant-refused", ledger).with("reason", reason));
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/PoolTeamLimits.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/PoolTeamLimits.java
@@ -26,6 +26,9 @@
     private int pools = 1;
     private boolean configured;
     private boolean loaded;
+    /** True if a round of placements was made since the last decision. */
+    private boolean roundMade;
+
     private PoolUse poolUse = new PoolUse(Map.of(), ResourceAmount.NONE, PoolUse.UNKNOWN_CAPACITY);
 
     /**
@@ -177,11 +180,12 @@
     }
 
     /**
-     * Forgets the work that waited in the last round of placements.
+     * Begins a round of placements, in which the waiting work is determined again.
      */
     public void beginRound() {
+        roundMade = true;
         for (TeamLedger ledger : ledgers.values()) {
-            ledger.waiting = ledger.waiting.cleared();
+            ledger.refused = WaitingWork.NONE;
             ledger.firstRefused = Optional.empty();
         }
     }
@@ -210,21 +214,28 @@
                 .claimant()
                 .filter(claimed -> !claimed.equals(unit))
                 .isPresent();
-        boolean allowed = loaded && !otherUnitClaimed && GrantPolicy.mayStart(view(ledger), ledger.certainGrant, unit);
+        // The share of a pool depends on what waits, to which this unit belongs.
+        WaitingWork work = ledger.waiting.isNone() ? WaitingWork.NONE.plus(unit, count) : ledger.waiting;
+        boolean allowed =
+                loaded && !otherUnitClaimed && GrantPolicy.mayStart(view(ledger, work), ledger.certainGrant, unit);
         if (allowed) {
             ledger.known = ledger.known.plus(unit, false);
             return true;
         }
-        ledger.waiting = ledger.waiting.plus(unit, count);
-        if (!otherUnitClaimed && (ledger.firstRefused.isEmpty() || !unit.fitsIn(ledger.limit))) {
+        boolean fitsLimit = unit.fitsIn(ledger.limit);
+        if (fitsLimit) {
+            // No share is asked for a unit that only runs alone; it is claimed.
+            ledger.refused = ledger.refused.plus(unit, count);
+        }
+        if (!otherUnitClaimed && (ledger.firstRefused.isEmpty() || !fitsLimit)) {
             ledger.firstRefused = Optional.of(unit);
         }
         writes.logLimitReached(ledger, unit, loaded ? "grant" : "not-loaded", nowMillis);
         return false;
     }
 
-    private GrantView view(TeamLedger ledger) {
-        return ledger.view(pool, pools, poolUse.free());
+    private GrantView view(TeamLedger ledger, WaitingWork work) {
+        return ledger.view(pool, pools, poolUse.free(), work);
     }
 
     /**
@@ -233,6 +244,10 @@
      * @param nowMillis  the present time on the steady clock, in milliseconds
      */
     public void decide(long nowMillis) {
+        if (roundMade) {
+            roundMade = false;
+            ledgers.values().forEach(TeamLedger::endRound);
+        }
         if (!loaded) {
             return;
         }
@@ -244,11 +259,13 @@
                 writes.removeRow(ledger, nowMillis);
                 continue;
             }
-            Optional<ResourceAmount> claimed = ledger.claim.update(ledger.firstRefused, view(ledger), nowMillis);
+            GrantView unclaimed = view(ledger, ledger.waiting);
+            Optional<ResourceAmount> claimed = ledger.claim.update(ledger.firstRefused, unclaimed, nowMillis);
             ledger.waiting = ledger.waiting.withClaimant(claimed);
+            GrantView view = view(ledger, ledger.waiting);
             boolean mayRaise = nowMillis >= ledger.settledMillis;
-            PoolGrant row = GrantPolicy.decide(view(ledger), token.getAsLong(), mayRaise);
-            writes.writeIfDue(ledger, view(ledger), row, nowMillis);
+            PoolGrant row = GrantPolicy.decide(view, token.getAsLong(), mayRaise);
+            writes.writeIfDue(ledger, view, row, nowMillis);
         }
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/TeamLedger.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/TeamLedger.java
@@ -26,7 +26,11 @@
     TeamUse known = TeamUse.NONE;
     ResourceAmount unseen = ResourceAmount.NONE;
     final RecentPeak recentUse = new RecentPeak();
+    /** The work that the limit kept waiting in the last round of placements. */
     WaitingWork waiting = WaitingWork.NONE;
+    /** The work that the limit has kept waiting so far in the present round. */
+    WaitingWork refused = WaitingWork.NONE;
+
     final UnitClaim claim = new UnitClaim();
     /** The unit of this round that may be claimed, empty if none was refused. */
     Optional<ResourceAmount> firstRefused = Optional.empty();
@@ -39,6 +43,8 @@
     long nextWriteMillis = Long.MIN_VALUE;
     /** The time of the next write that can wait. */
     long nextMinorWriteMillis = Long.MIN_VALUE;
+    /** The time of the next return that other pools wait for, if the rate of writes is exhausted. */
+    long nextAwaitedWriteMillis = Long.MIN_VALUE;
 
     long limitLoggedMillis = Long.MIN_VALUE / 2;
     private Optional<PoolGrant> attempted = Optional.empty();
@@ -51,11 +57,15 @@
         return known.total().plus(unseen);
     }
 
-    GrantView view(String pool, int pools, ResourceAmount free) {
-        WaitingWork placeable = waiting.isNone() ? waiting : waiting.within(free);
+    GrantView view(String pool, int pools, ResourceAmount free, WaitingWork work) {
+        WaitingWork placeable = work.isNone() ? work : work.within(free);
         return new GrantView(pool, limit, pools, grants, use(), recentUse.peak(), placeable);
     }
 
+    void endRound() {
+        waiting = refused.withClaimant(waiting.claimant());
+    }
+
     /**
      * Applies the stored grants when the pool is taken over.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/UnitClaim.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/UnitClaim.java
@@ -13,7 +13,7 @@
     static final long MIN_WAIT_MILLIS = 2_000;
 
     /** Time in which runs of usual length end. Longer stops would delay the jobs of other pools by seconds. */
-    private static final long MAX_CLAIM_MILLIS = 2_200;
+    private static final long MAX_CLAIM_MILLIS = 1_800;
 
     private static final long PAUSE_MILLIS = 4_000;
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/WaitingWork.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/WaitingWork.java
@@ -24,13 +24,6 @@
         return new WaitingWork(sum, smaller ? unit : smallest, claimant);
     }
 
-    /**
-     * Returns no work, but the same claimant.
-     */
-    WaitingWork cleared() {
-        return NONE.withClaimant(claimant);
-    }
-
     WaitingWork withClaimant(Optional<ResourceAmount> unit) {
         return new WaitingWork(amount, smallest, unit);
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Predicate;
 import org.trefoilpost.decision.job.OrderResult;
 import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.ResourceAmount;
@@ -155,6 +156,17 @@
         return used;
     }
 
+    /**
+     * Returns the resources of the active runs of some jobs.
+     */
+    ResourceAmount usedBy(Predicate<String> jobs) {
+        ResourceAmount used = ResourceAmount.NONE;
+        for (ActiveRun run : runs.values()) {
+            used = jobs.test(run.task.job()) ? used.plus(run.demand) : used;
+        }
+        return used;
+    }
+
     private void finish(ActiveRun run) {
         if (alive && runs.get(run.task.text()) == run) {
             endRun(run, failing || random.nextInt(1_000) < failuresPerThousand ? RunEnd.FAILED : RunEnd.DONE);
