--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -125,18 +125,24 @@
         if (unconstrained && unplacedDemands.stream().anyMatch(unplaced -> unplaced.fitsIn(demand))) {
             return;
         }
+        long startable = state.teamGate.isLimited(step) ? countStartable(step, now.steadyMillis()) : 1;
+        if (unconstrained && state.teamGate.refusesAsBefore(step, startable)) {
+            return;
+        }
         Map<PoolWorker, Integer> perWorker = new HashMap<>();
         for (JobTaskState task : step.tasks) {
             if (isStartable(task, now.steadyMillis())) {
                 PoolWorker worker = bestWorker(step, demand, perWorker, now);
                 if (worker == null) {
-                    reserveIfStarving(step, demand, now);
+                    if (state.teamGate.hasRoom(step)) {
+                        reserveIfStarving(step, demand, now);
+                    }
                     if (unconstrained && step.tickets.isEmpty()) {
                         unplacedDemands.add(demand);
                     }
                     return;
                 }
-                if (!state.teamGate.admitTask(step, countStartable(step, now.steadyMillis()), now)) {
+                if (!state.teamGate.admitTask(step, startable--, now)) {
                     return;
                 }
                 orderSender.start(task, task.lastRunNumber + 1, worker, now);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamGate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamGate.java
@@ -73,11 +73,34 @@
         return admit(step, demand.times(step.tasks.length), demand, 1, now);
     }
 
-    private boolean admit(JobStepState step, ResourceAmount unit, ResourceAmount member, long count, Moment now) {
+    /**
+     * Returns whether the team of a step's job has a limit.
+     */
+    boolean isLimited(JobStepState step) {
         Optional<String> team = step.occurrence.job.spec.team();
-        return !isActive()
-                || team.isEmpty()
-                || limits.tryStart(team.get(), unit, member, Math.max(1, count), now.steadyMillis());
+        return isActive() && team.isPresent() && limits.isLimited(team.get());
+    }
+
+    /**
+     * Returns whether no task of a step can start, as the team's limit has refused a task that needs no more in this round.
+     */
+    boolean refusesAsBefore(JobStepState step, long count) {
+        return isLimited(step) && limits.refusesAsBefore(team(step), step.spec.demand(), Math.max(1, count));
+    }
+
+    /**
+     * Returns whether the team's limit leaves room for a task of a step.
+     */
+    boolean hasRoom(JobStepState step) {
+        return !isLimited(step) || limits.hasRoom(team(step), step.spec.demand());
+    }
+
+    private static String team(JobStepState step) {
+        return step.occurrence.job.spec.team().orElseThrow();
+    }
+
+    private boolean admit(JobStepState step, ResourceAmount unit, ResourceAmount member, long count, Moment now) {
+        return !isLimited(step) || limits.tryStart(team(step), unit, member, Math.max(1, count), now.steadyMillis());
     }
 
     private PoolUse use(long nowMillis) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/GrantWrites.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/GrantWrites.java
@@ -107,8 +107,8 @@
         writer.write(ledger.team, ledger.grants.with(pool, row, ledger.grants.revision()));
     }
 
-    void stored(TeamLedger ledger, long revision) {
-        ledger.writeStored(pool, revision);
+    void stored(TeamLedger ledger, long revision, long nowMillis) {
+        ledger.writeStored(pool, revision, nowMillis);
     }
 
     void refused(TeamLedger ledger, String reason, boolean keyChanged, long nowMillis) {
@@ -116,6 +116,7 @@
         if (keyChanged) {
             // Another pool has changed its row, so the decision is made again at once.
             ledger.nextMinorWriteMillis = nowMillis;
+            ledger.nextAwaitedWriteMillis = nowMillis;
         } else {
             ledger.nextWriteMillis = nowMillis + RETRY_MILLIS;
         }
@@ -146,7 +147,7 @@
         }
     }
 
-    void logUnreadable(TeamLedger ledger, PoolTeamLimits.StoredGrants stored, IllegalArgumentException failure) {
+    void logUnreadable(TeamLedger ledger, StoredGrants stored, IllegalArgumentException failure) {
         writer.logDecision(Decision.failure("team-key-unreadable")
                 .with("team", ledger.team)
                 .with("pool", pool)
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/PoolTeamLimits.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/PoolTeamLimits.java
@@ -99,6 +99,16 @@
         return teams.hasLimits();
     }
 
+    /**
+     * Returns whether a team is limited.
+     *
+     * @param team  the name of the team, not null
+     * @return true if it has a cap
+     */
+    public boolean isLimited(String team) {
+        return limit(team) != null;
+    }
+
     /**
      * Applies all stored grants, which were read after the owner's claim, or are read again later.
      *
@@ -125,7 +135,8 @@
     public void changed(String team, Optional<StoredGrants> stored, long nowMillis) {
         TeamLedger ledger = ledger(team);
         if (stored.isEmpty()) {
-            if (loaded && ledger.grants.revision() != 0 && !ledger.callInFlight) {
+            boolean keyKnown = ledger.grants.revision() != 0 || ledger.unreadable;
+            if (loaded && keyKnown && !ledger.callInFlight) {
                 // The report of the removal has no revision, so a later write of the key may already be known.
                 writes.read(ledger);
             }
@@ -143,10 +154,10 @@
                 writes.logUnreadable(ledger, stored, e);
             }
             ledger.unreadable = true;
+            ledger.unreadSinceClaim |= !loaded;
             return;
         }
-        if (!loaded && !ledger.callInFlight) {
-            ledger.unreadable = false;
+        if (!loaded || ledger.unreadSinceClaim) {
             ledger.takeOver(pool, grants, token.getAsLong());
         } else {
             update(ledger, grants, nowMillis);
@@ -154,8 +165,8 @@
     }
 
     private void update(TeamLedger ledger, TeamGrants grants, long nowMillis) {
-        boolean rowLost = !Amounts.isNone(ledger.grants.row(pool).granted()) && grants.revision() == 0;
-        if (rowLost) {
+        boolean rowLost = !Amounts.isNone(ledger.grants.row(pool).granted()) || ledger.unreadable;
+        if (rowLost && grants.revision() == 0) {
             ledger.settledMillis = nowMillis + SETTLE_MILLIS;
         }
         // No earlier owner can write after the claim of this one, so only a later owner's row has a higher token.
@@ -214,10 +225,7 @@
                 .claimant()
                 .filter(claimed -> !claimed.equals(unit))
                 .isPresent();
-        // The share of a pool depends on what waits, to which this unit belongs.
-        WaitingWork work = ledger.waiting.isNone() ? WaitingWork.NONE.plus(unit, count) : ledger.waiting;
-        boolean allowed =
-                loaded && !otherUnitClaimed && GrantPolicy.mayStart(view(ledger, work), ledger.certainGrant, unit);
+        boolean allowed = !otherUnitClaimed && mayStart(ledger, unit, count);
         if (allowed) {
             ledger.known = ledger.known.plus(unit, false);
             return true;
@@ -234,6 +242,44 @@
         return false;
     }
 
+    private boolean mayStart(TeamLedger ledger, ResourceAmount unit, long count) {
+        // The share of a pool depends on what waits, to which this unit belongs.
+        WaitingWork work = ledger.waiting.isNone() ? WaitingWork.NONE.plus(unit, count) : ledger.waiting;
+        return loaded && GrantPolicy.mayStart(view(ledger, work), ledger.certainGrant, unit);
+    }
+
+    /**
+     * Returns whether a unit could start now as far as the team's limit is concerned.
+     *
+     * @param teamName  the limited team, not null
+     * @param unit  what the unit uses, not null
+     * @return true if it could start
+     */
+    public boolean hasRoom(String teamName, ResourceAmount unit) {
+        return mayStart(ledger(teamName), unit, 1);
+    }
+
+    /**
+     * Returns whether units certainly cannot start, as a unit that needs no more was refused in this round. If so, they count
+     * as waiting.
+     *
+     * @param teamName  the limited team, not null
+     * @param unit  what each unit uses, not null
+     * @param count  the number of such units that could start, positive
+     * @return true if they cannot start
+     */
+    public boolean refusesAsBefore(String teamName, ResourceAmount unit, long count) {
+        TeamLedger ledger = ledger(teamName);
+        boolean refuses = !ledger.refused.isNone()
+                && ledger.refused.smallest().fitsIn(unit)
+                && unit.fitsIn(ledger.limit)
+                && ledger.waiting.claimant().isEmpty();
+        if (refuses) {
+            ledger.refused = ledger.refused.plus(unit, count);
+        }
+        return refuses;
+    }
+
     private GrantView view(TeamLedger ledger, WaitingWork work) {
         return ledger.view(pool, pools, poolUse.free(), work);
     }
@@ -274,9 +320,10 @@
      *
      * @param team  the name of the team, not null
      * @param revision  the new revision of the team's key
+     * @param nowMillis  the present time on the steady clock, in milliseconds
      */
-    public void writeStored(String team, long revision) {
-        writes.stored(ledger(team), revision);
+    public void writeStored(String team, long revision, long nowMillis) {
+        writes.stored(ledger(team), revision, nowMillis);
     }
 
     /**
@@ -291,7 +338,7 @@
     public void writeRefused(
             String team, String reason, Optional<StoredGrants> current, boolean conflict, long nowMillis) {
         TeamLedger ledger = ledger(team);
-        boolean keyChanged = conflict && current.map(StoredGrants::revision).orElse(0L) != ledger.grants.revision();
+        boolean keyChanged = conflict && current.map(StoredGrants::revision).orElse(0L) != ledger.expectedRevision;
         writes.refused(ledger, reason, keyChanged, nowMillis);
         if (conflict) {
             applyRead(ledger, current, nowMillis);
@@ -342,20 +389,4 @@
         ledgers.forEach((team, ledger) -> result.put(team, new UseAndGrant(ledger.use(), ledger.certainGrant)));
         return result;
     }
-
-    /**
-     * The stored grants of a team as they were read.
-     *
-     * @param value  the bytes, not null
-     * @param revision  the revision of the key, greater than 0
-     */
-    public record StoredGrants(byte[] value, long revision) {}
-
-    /**
-     * What a team uses in the pool, and what it holds.
-     *
-     * @param use  the use, including runs that no worker has reported yet, not null
-     * @param grant  the amount that the pool is certain to hold, not null
-     */
-    public record UseAndGrant(ResourceAmount use, ResourceAmount grant) {}
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/TeamLedger.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/TeamLedger.java
@@ -18,6 +18,9 @@
 
     TeamGrants grants = TeamGrants.ABSENT;
     boolean unreadable;
+    /** True if the key was unreadable when the pool was taken over, so that its former grant is not known yet. */
+    boolean unreadSinceClaim;
+
     /** The amount that the pool is certain to hold. */
     ResourceAmount certainGrant = ResourceAmount.NONE;
     /** The grant that this owner found when it took over the pool. */
@@ -47,6 +50,9 @@
     long nextAwaitedWriteMillis = Long.MIN_VALUE;
 
     long limitLoggedMillis = Long.MIN_VALUE / 2;
+    /** The revision that the last write expected. */
+    long expectedRevision;
+
     private Optional<PoolGrant> attempted = Optional.empty();
 
     TeamLedger(String team) {
@@ -70,6 +76,8 @@
      * Applies the stored grants when the pool is taken over.
      */
     void takeOver(String pool, TeamGrants stored, long token) {
+        unreadable = false;
+        unreadSinceClaim = false;
         grants = stored;
         PoolGrant row = stored.row(pool);
         // A later owner has written the row if its token is higher; this one may then start nothing.
@@ -84,6 +92,7 @@
      */
     void update(String pool, TeamGrants stored, boolean ownRow) {
         unreadable = false;
+        unreadSinceClaim = false;
         if (stored.revision() != grants.revision()) {
             // Writes without an answer named the former revision and can no longer take effect.
             writeUnresolved = false;
@@ -102,6 +111,7 @@
      */
     void writeSent(PoolGrant row) {
         attempted = Optional.of(row);
+        expectedRevision = grants.revision();
         callInFlight = true;
         certainGrant = Amounts.min(certainGrant, row.granted());
     }
@@ -109,9 +119,11 @@
     /**
      * Applies the confirmation of the write that is under way.
      */
-    void writeStored(String pool, long revision) {
+    void writeStored(String pool, long revision, long nowMillis) {
         callInFlight = false;
         PoolGrant row = attempted.orElseThrow();
+        // A new grant counts as used for the time after which unused ones are returned.
+        recentUse.add(row.granted(), nowMillis);
         // The mirror may have shown the write, or a later one of another pool, before its answer came.
         if (revision > grants.revision()) {
             writeUnresolved = false;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedTeamKeys.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedTeamKeys.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.trefoilpost.decision.job.team.PoolTeamLimits.StoredGrants;
+import org.trefoilpost.decision.job.team.StoredGrants;
 
 /**
  * Stores the claims of several pools and the keys of the teams, with revisions as the platform's store has them.
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TeamLimitScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TeamLimitScenario.java
@@ -11,7 +11,7 @@
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.ResourceAmount;
 import org.trefoilpost.decision.job.StepSpec;
-import org.trefoilpost.decision.job.team.PoolTeamLimits.StoredGrants;
+import org.trefoilpost.decision.job.team.StoredGrants;
 import org.trefoilpost.decision.job.team.TeamConfig;
 import org.trefoilpost.decision.job.team.TeamGrantsCodec;
 import org.trefoilpost.decision.job.team.Teams;
@@ -33,6 +33,8 @@
     /** The longest time for which a job with room may have nothing running. */
     private static final long MAX_IDLE_MILLIS = 3_000;
 
+    private static final int MAX_WRITES_PER_SECOND = 4;
+
     private static final List<String> TEAMS = List.of("a", "b", "c", "open");
 
     private final TeamPools pools;
@@ -176,6 +178,7 @@
         checkIdle = true;
         time.runFor(UNDISTURBED_MILLIS + DRAIN_MILLIS);
         checkEnds();
+        checkLoad();
         return String.join("\n", pools.checks().violations());
     }
 
@@ -316,6 +319,19 @@
         return cap == 0 || amount * 2 < cap;
     }
 
+    /**
+     * Checks that the limits were in effect, and how often the pools wrote their grants.
+     */
+    private void checkLoad() {
+        if (pools.decisionCount("team-limit-reached") == 0) {
+            pools.checks().addViolation("LOAD no team has reached its limit");
+        }
+        long seconds = (FAULT_MILLIS + RECOVERY_MILLIS + UNDISTURBED_MILLIS + DRAIN_MILLIS) / 1_000;
+        if (pools.keys().writes() > MAX_WRITES_PER_SECOND * POOLS * seconds) {
+            pools.checks().addViolation("WRITES " + pools.keys().writes() + " in " + seconds + " s");
+        }
+    }
+
     private void checkEnds() {
         List<String> open = new ArrayList<>();
         pools.jobs().forEach((id, job) -> {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TeamPoolOwner.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TeamPoolOwner.java
@@ -17,7 +17,7 @@
 import org.trefoilpost.decision.job.PoolScheduler;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.team.PoolTeamLimits;
-import org.trefoilpost.decision.job.team.PoolTeamLimits.StoredGrants;
+import org.trefoilpost.decision.job.team.StoredGrants;
 import org.trefoilpost.decision.job.team.TeamGrantWriter;
 import org.trefoilpost.decision.job.team.TeamGrants;
 import org.trefoilpost.decision.job.team.TeamGrantsCodec;
@@ -215,7 +215,7 @@
             Optional<StoredGrants> current = pools.keys().read(team);
             later(1 + random.nextInt(4), () -> {
                 if (revision.isPresent()) {
-                    limits.writeStored(team, revision.get());
+                    limits.writeStored(team, revision.get(), time.nowMillis());
                 } else {
                     limits.writeRefused(team, "conflict", current, true, time.nowMillis());
                 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/TeamGauges.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/TeamGauges.java
@@ -7,7 +7,7 @@
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import org.trefoilpost.decision.job.ResourceAmount;
-import org.trefoilpost.decision.job.team.PoolTeamLimits.UseAndGrant;
+import org.trefoilpost.decision.job.team.UseAndGrant;
 
 /**
  * Gauges of what teams use and hold in the pools of this entry.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/TeamStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/TeamStore.java
@@ -10,7 +10,7 @@
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.WatchTimes;
 import org.trefoilpost.decision.job.team.PoolTeamLimits;
-import org.trefoilpost.decision.job.team.PoolTeamLimits.StoredGrants;
+import org.trefoilpost.decision.job.team.StoredGrants;
 import org.trefoilpost.decision.job.team.TeamGrantWriter;
 import org.trefoilpost.decision.job.team.TeamGrants;
 import org.trefoilpost.decision.job.team.TeamGrantsCodec;
@@ -79,6 +79,7 @@
         } else if (!limits.isActive() && started) {
             started = false;
             mirror.stop();
+            context.metrics().teams().remove(pool);
         }
     }
 
@@ -134,7 +135,7 @@
             }
             context.metrics().record("trefoilpost.jobs.store.time", "team-grant", nowMillis() - sentMillis);
             if (failure == null) {
-                limits.writeStored(team, revision);
+                limits.writeStored(team, revision, nowMillis());
             } else {
                 writeFailed(team, claimToken, failure);
             }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -13,16 +13,6 @@
  * The context of a job service with a thread of its own, for tests of its parts.
  */
 final class TestService implements AutoCloseable {
-    private static final JobServiceSettings SETTINGS = new JobServiceSettings(
-            "entry-1",
-            "127.0.0.1:1",
-            new PoolTimeouts(5_000, 120_000, 2_000),
-            64,
-            true,
-            1_000,
-            new ConfigurationBound(2_000),
-            TeamPolicy.NONE);
-
     private final ServiceThread<Runnable> thread;
     private final DecisionLog log = new DecisionLog();
     private final JobContext context;
@@ -39,13 +29,33 @@
         this(new JobPorts(store, null, machines, null, formats), clock);
     }
 
+    TestService(StorePort store, WorkerPort workers, PlatformFormats formats, TeamPolicy teamPolicy) {
+        this(new JobPorts(store, workers, null, null, formats), MillisClock.steady(), teamPolicy);
+    }
+
     private TestService(JobPorts ports, MillisClock clock) {
+        this(ports, clock, TeamPolicy.NONE);
+    }
+
+    private TestService(JobPorts ports, MillisClock clock, TeamPolicy teamPolicy) {
         this.thread = ServiceThread.of("jobs-test", 256, clock);
         JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        this.context = new JobContext(SETTINGS, ports, thread, clock, log, metrics);
+        this.context = new JobContext(settings(teamPolicy), ports, thread, clock, log, metrics);
         thread.start((event, nowMillis) -> event.run());
     }
 
+    private static JobServiceSettings settings(TeamPolicy teamPolicy) {
+        return new JobServiceSettings(
+                "entry-1",
+                "127.0.0.1:1",
+                new PoolTimeouts(5_000, 120_000, 2_000),
+                64,
+                true,
+                1_000,
+                new ConfigurationBound(2_000),
+                teamPolicy);
+    }
+
     JobContext context() {
         return context;
     }
