--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.decision.job;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -59,6 +60,7 @@
         sort(candidates, now);
         List<ResourceAmount> unplacedDemands = new ArrayList<>();
         reservedWorkers.clear();
+        state.teamGate.beginRound();
         for (Candidate candidate : candidates) {
             placeStep(candidate.step, unplacedDemands, now);
         }
@@ -116,6 +118,12 @@
         return false;
     }
 
+    private long countStartable(JobStepState step, long nowMillis) {
+        return Arrays.stream(step.tasks)
+                .filter(task -> isStartable(task, nowMillis))
+                .count();
+    }
+
     private boolean isStartable(JobTaskState task, long nowMillis) {
         boolean noUnseenRun = !task.mayHaveUnseenRun || !state.mayHaveUnseenRuns(nowMillis);
         return noUnseenRun && task.isStartable(nowMillis);
@@ -134,17 +142,26 @@
         if (unconstrained && unplacedDemands.stream().anyMatch(unplaced -> unplaced.fitsIn(demand))) {
             return;
         }
+        long startable = state.teamGate.isLimited(step) ? countStartable(step, now.steadyMillis()) : 1;
+        if (unconstrained && state.teamGate.refusesAsBefore(step, startable)) {
+            return;
+        }
         Map<PoolWorker, Integer> perWorker = new HashMap<>();
         for (JobTaskState task : step.tasks) {
             if (isStartable(task, now.steadyMillis())) {
                 PoolWorker worker = bestWorker(step, demand, perWorker, now);
                 if (worker == null) {
-                    reserveIfStarving(step, demand, now);
+                    if (state.teamGate.hasRoom(step)) {
+                        reserveIfStarving(step, demand, now);
+                    }
                     if (unconstrained && step.tickets.isEmpty()) {
                         unplacedDemands.add(demand);
                     }
                     return;
                 }
+                if (!state.teamGate.admitTask(step, startable--, now)) {
+                    return;
+                }
                 orderSender.start(task, task.lastRunNumber + 1, worker, now);
                 perWorker.merge(worker, 1, Integer::sum);
             }
@@ -252,6 +269,9 @@
         List<PoolWorker> workers = new ArrayList<>(state.workers.values());
         workers.removeIf(worker -> !mayRun(step, step.spec.reservedDemand(), worker, now));
         List<PoolWorker> chosen = GangPlacement.chooseWorkers(step, workers);
+        if (!chosen.isEmpty() && !state.teamGate.admitGang(step, now)) {
+            return;
+        }
         for (int i = 0; i < chosen.size(); i++) {
             orderSender.start(step.tasks[i], runNumber, chosen.get(i), now);
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -23,6 +23,7 @@
 
     Map<String, QueueConfig> queues = Map.of();
     Teams teams = Teams.NONE;
+    TeamGate teamGate = TeamGate.OPEN;
     long registryCompleteMillis = Long.MIN_VALUE;
     /** Until when orders of an earlier owner may be carried out by workers that have not seen this owner's token. */
     long foreignOrdersUntilMillis = Long.MIN_VALUE;
