--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -33,6 +33,14 @@
         this(new JobPorts(store, workers, null, null, formats), clock, clock, policy);
     }
 
+    TestService(StorePort store, WorkerPort workers, PlatformFormats formats, TeamPolicy policy) {
+        this(
+                new JobPorts(store, workers, null, null, formats),
+                MillisClock.steady(),
+                System::currentTimeMillis,
+                policy);
+    }
+
     TestService(JobPorts ports, MillisClock clock, MillisClock wallClock) {
         this(ports, clock, wallClock, TeamPolicy.NONE);
     }
