--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -84,6 +84,8 @@
 
     @Override
     public Route route(String host, String path) {
+        // Read before the configuration, so that it never confirms a later configuration than the one used.
+        boolean confirmed = configurationStatus.isConfirmed();
         JobConfiguration current = configuration;
         if (current == null) {
             return new Route(false, false, Optional.empty(), "", 0);
@@ -94,7 +96,7 @@
         boolean invalidName = job.indexOf('/') >= 0 || job.length() > MAX_JOB_NAME_LENGTH;
         return new Route(
                 true,
-                configurationStatus.isConfirmed(),
+                confirmed,
                 invalidName ? Optional.empty() : queue.map(QueueConfig::name),
                 invalidName ? "" : job,
                 current.maxBodyBytes());
