--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -156,6 +156,15 @@
     }
 
     private void tick() {
+        try {
+            tickParts();
+        } finally {
+            // A failure of one part must not end the ticks; the service's thread logs it.
+            context.schedule(runners.isEmpty() ? IDLE_TICK_MILLIS : OWNER_TICK_MILLIS, this::tick);
+        }
+    }
+
+    private void tickParts() {
         Moment now = context.now();
         checkForProcessPause(now);
         ownership.tick(claimablePools(), now.steadyMillis());
@@ -167,7 +176,6 @@
         takeOwnClaims();
         renewLapsedClaims(now);
         router.setReady(!leaving && configuration != null && liveMirror.isLoaded());
-        context.schedule(runners.isEmpty() ? IDLE_TICK_MILLIS : OWNER_TICK_MILLIS, this::tick);
     }
 
     private List<ClaimHolder> claimHolders() {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.trefoilpost.model.Endpoint;
 
 /**
  * The live entries, and the owner of each pool, as registered in the store.
@@ -69,7 +70,9 @@
             return;
         }
         Peer peer = new Peer(parts[0], parts[1], parts[2], parseCpuMillis(parts[3]));
-        if (item.key().startsWith(ENTRY_KEY_PREFIX)) {
+        if (item.key().startsWith(ENTRY_KEY_PREFIX) && !peer.hasEndpoint()) {
+            entries.remove(item.key().substring(ENTRY_KEY_PREFIX.length()));
+        } else if (item.key().startsWith(ENTRY_KEY_PREFIX)) {
             entries.put(item.key().substring(ENTRY_KEY_PREFIX.length()), peer);
         } else if (item.key().startsWith(OWNER_KEY_PREFIX)) {
             String pool = item.key().substring(OWNER_KEY_PREFIX.length());
@@ -115,7 +118,19 @@
      * @param incarnation  an identifier that differs for each process of the entry
      * @param cpuMillis  the entry's processor share in thousandths of a core
      */
-    record Peer(String name, String address, String incarnation, long cpuMillis) {}
+    record Peer(String name, String address, String incarnation, long cpuMillis) {
+        /**
+         * Returns whether the address can be read.
+         */
+        boolean hasEndpoint() {
+            try {
+                Endpoint.parse(address);
+                return true;
+            } catch (IllegalArgumentException e) {
+                return false;
+            }
+        }
+    }
 
     /**
      * The owner of a pool.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
@@ -38,7 +38,7 @@
     void tick(LiveEntries liveEntries, String self, long nowMillis) {
         Set<String> owners = new HashSet<>();
         for (LiveEntries.Owner owner : liveEntries.owners().values()) {
-            if (!owner.peer().name().equals(self)) {
+            if (!owner.peer().name().equals(self) && owner.peer().hasEndpoint()) {
                 owners.add(owner.peer().name());
                 connect(owner.peer());
             }
