--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.PoolDemand;
 import org.trefoilpost.decision.job.PoolInstructions;
 import org.trefoilpost.entry.peer.PeerCallException;
@@ -76,7 +77,7 @@
                         peer, pending.pool, request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, remainingMillis))),
                 (answer, failure) -> {
                     if (failure == null && answer.isOwner()) {
-                        JobReply reply = JobReplyCodec.decode(answer.reply());
+                        JobReply reply = decode(answer.reply());
                         if (reply.reason().equals("owner-changed")) {
                             pending.mayHaveReachedOwner = true;
                             retryOrGiveUp(pending);
@@ -123,6 +124,31 @@
      * Carries out a request in the runner of a pool that this entry owns.
      */
     private CompletableFuture<JobReply> serve(PoolRunner runner, JobRequest request) {
+        try {
+            return serveUnguarded(runner, request);
+        } catch (RuntimeException e) {
+            return CompletableFuture.completedFuture(internalFailure(e));
+        }
+    }
+
+    /**
+     * Logs a failure, and returns the reply to the request: it may have been carried out in part.
+     */
+    private JobReply internalFailure(RuntimeException failure) {
+        context.logDecision(Decision.failure("request-failed").with("failure", failure.toString()));
+        return JobReply.of(JobReplyStatus.UNCERTAIN, "internal");
+    }
+
+    private JobReply decode(byte[] reply) {
+        try {
+            return JobReplyCodec.decode(reply);
+        } catch (RuntimeException e) {
+            // A newer program may send a status that this one does not know.
+            return internalFailure(e);
+        }
+    }
+
+    private CompletableFuture<JobReply> serveUnguarded(PoolRunner runner, JobRequest request) {
         if (request instanceof JobRequest.AboutJob about && !mayAccess(runner, about)) {
             return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.FORBIDDEN, "other-team"));
         }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
@@ -2,7 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.team.Caller;
 
 class OwnerCallsTest {
     @Test
@@ -23,4 +26,17 @@
         JobReply gone = JobReply.of(JobReplyStatus.NO_JOB, "unknown-job");
         assertEquals(gone, OwnerCalls.uncertainIfCallLost(gone, true));
     }
+
+    /** Guards against a failure while a local owner serves a request, after which the caller got no answer. */
+    @Test
+    void requestOnWhichALocalOwnerFailsIsUncertain() {
+        try (TestService service = new TestService(new MemoryStore(), null, null, new UnusedFormats())) {
+            PoolRunner runner = new PoolRunner("pool", 1, service.context(), () -> {});
+            OwnerCalls calls = new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.of(runner));
+            JobRequest failing = new JobRequest.Submit(null, Caller.UNIDENTIFIED);
+            CompletableFuture<JobReply> reply = new CompletableFuture<>();
+            service.run(() -> calls.ask("pool", failing, 3_000, reply));
+            assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "internal"), reply.getNow(null));
+        }
+    }
 }
