--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -161,25 +161,30 @@
     public CompletableFuture<JobReply> phase(String queue, String job, Caller caller, long deadlineMillis) {
         CompletableFuture<JobReply> reply =
                 askCurrentThenFormerOwners(queue, job, new JobRequest.Phase(job, caller), deadlineMillis);
-        return recordForbidden("phase", job, caller, reply).thenApply(this::refuseIfUnconfirmed);
+        return recordForbidden("phase", job, caller, reply).thenApply(answer -> checkRead(queue, answer));
     }
 
     @Override
     public CompletableFuture<JobReply> queuedJobs(String queue, long deadlineMillis) {
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
         context.execute(() -> askOwner(queue, "", new JobRequest.QueuedJobs(queue), deadlineMillis, reply));
-        return reply.thenApply(this::refuseIfUnconfirmed);
+        return reply.thenApply(answer -> checkRead(queue, answer));
     }
 
     /**
-     * Replaces the reply to a read if the configuration has become unconfirmed while the owner was asked, as when the process
-     * was suspended meanwhile: the queue may have been removed since.
+     * Replaces the reply to a read if the configuration has become unconfirmed while the owner was asked, as when the
+     * process was suspended meanwhile, or if the configuration applied meanwhile has removed the queue.
      */
-    private JobReply refuseIfUnconfirmed(JobReply reply) {
-        return configurationStatus.isConfirmed()
+    private JobReply checkRead(String queue, JobReply reply) {
+        boolean confirmed = configurationStatus.isConfirmed();
+        JobConfiguration current = configuration;
+        if (!confirmed) {
+            return JobReply.refusal(
+                    JobReplyStatus.UNAVAILABLE, "configuration-unconfirmed", UNCONFIRMED_RETRY_AFTER_MILLIS);
+        }
+        return current != null && current.queues().containsKey(queue)
                 ? reply
-                : JobReply.refusal(
-                        JobReplyStatus.UNAVAILABLE, "configuration-unconfirmed", UNCONFIRMED_RETRY_AFTER_MILLIS);
+                : JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue");
     }
 
     @Override
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -9,17 +9,23 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.QueueConfig;
+import org.trefoilpost.decision.job.team.Caller;
 import org.trefoilpost.decision.job.team.Teams;
 
 class JobRequestRouterTest {
     private static final long CONFIRMED_MILLIS = 1_000_000;
 
     private final AtomicLong clock = new AtomicLong(CONFIRMED_MILLIS);
-    private final TestService service = new TestService(new MemoryStore(), null, null, clock::get);
+    /** Runs once at the next reading of the clock by the thread of the test. */
+    private final AtomicReference<Runnable> atClockReading = new AtomicReference<>();
+
+    private final Thread testThread = Thread.currentThread();
+    private final TestService service = new TestService(new MemoryStore(), null, null, this::readClock);
     private final ConfigurationStatus status = new ConfigurationStatus(service.context());
     private final JobRequestRouter router = new JobRequestRouter(
             service.context(),
@@ -77,6 +83,43 @@
         assertEquals("configuration-unconfirmed", late.join().reason());
     }
 
+    /** Guards against a confirmation of a newer configuration that is taken for one of the configuration used. */
+    @Test
+    void queueOfAConfigurationAppliedMeanwhileIsNotReportedMissing() {
+        router.configure(withoutQueues(1));
+        atClockReading.set(() -> router.configure(configuration()));
+        JobIngress.Route route = router.route("host", "/q/1");
+        assertTrue(route.current());
+        assertEquals(Optional.of("q"), route.queue());
+    }
+
+    /** Guards against a read that is answered for a queue that was removed while its owner was asked. */
+    @Test
+    void readOfAQueueThatWasRemovedMeanwhileFindsNoQueue() {
+        router.configure(configuration());
+        CompletableFuture<JobReply> count = router.queuedJobs("q", 3_000);
+        CompletableFuture<JobReply> phase = router.phase("q", "1", Caller.UNIDENTIFIED, 3_000);
+        service.run(() -> router.configure(withoutQueues(2)));
+        for (int i = 0; i < 30 && !(count.isDone() && phase.isDone()); i++) {
+            clock.addAndGet(100);
+            service.runWithTimers(() -> {});
+        }
+        assertEquals(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"), count.join());
+        assertEquals(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"), phase.join());
+    }
+
+    private long readClock() {
+        Runnable step = Thread.currentThread() == testThread ? atClockReading.getAndSet(null) : null;
+        if (step != null) {
+            step.run();
+        }
+        return clock.get();
+    }
+
+    private static JobConfiguration withoutQueues(long version) {
+        return new JobConfiguration(version, Map.of(), Set.of("pool"), Set.of(), 1_000, Teams.NONE);
+    }
+
     private static JobConfiguration configuration() {
         QueueConfig queue = new QueueConfig("q", "host", "/q/", "pool", 0, 1, 1, 1_000, Optional.empty(), false);
         return new JobConfiguration(1, Map.of("q", queue), Set.of("pool"), Set.of(), 1_000, Teams.NONE);
