--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/SubmissionRate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/SubmissionRate.java
@@ -15,6 +15,8 @@
     private static final double RESUBMISSION_RESERVE = 0.5;
 
     private static final double MILLIS_PER_SECOND = 1_000;
+    /** How far refusals move the named time ahead; callers are told no longer delay, and the bucket is full by then. */
+    private static final double MAX_PROMISE_MILLIS = 8_000;
     /** Tolerance for rounding, in jobs. */
     private static final double ROUNDING = 1e-9;
 
@@ -76,7 +78,8 @@
         fill(nowMillis);
         double missing = Math.max(0, 1 + reserve(true) - tokens);
         double millisPerJob = MILLIS_PER_SECOND / jobsPerSecond;
-        promisedMillis = Math.max(nowMillis + missing * millisPerJob, promisedMillis + millisPerJob);
+        double nextMillis = Math.min(promisedMillis + millisPerJob, nowMillis + MAX_PROMISE_MILLIS);
+        promisedMillis = Math.max(nowMillis + missing * millisPerJob, nextMillis);
         return (long) Math.ceil(promisedMillis - nowMillis);
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/team/SubmissionRateTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/team/SubmissionRateTest.java
@@ -50,6 +50,18 @@
         assertTrue(rate.tryTake(true, NOW + first));
     }
 
+    /** Guards against refusals that name ever later times, long after the bucket is full again. */
+    @Test
+    void namedTimeIsAtMostEightSecondsAhead() {
+        SubmissionRate rate = new SubmissionRate(10, NOW);
+        takeAll(rate, NOW);
+        for (int i = 0; i < 1_000; i++) {
+            assertTrue(rate.retryAfterMillis(NOW) <= 8_000);
+        }
+        takeAll(rate, NOW + 10_000);
+        assertEquals(1_100, rate.retryAfterMillis(NOW + 10_000));
+    }
+
     @Test
     void changedRateAppliesFromThenOn() {
         SubmissionRate rate = new SubmissionRate(10, NOW);
