--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/RecentUse.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/team/RecentUse.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * The mean part of a pool that each team has used in the last seconds; the weight of a past use falls exponentially.
@@ -9,7 +10,7 @@
 public final class RecentUse {
     private final double meanMillis;
     private final Map<String, Double> means = new HashMap<>();
-    private long recordedMillis = Long.MIN_VALUE / 2;
+    private OptionalLong recordedMillis = OptionalLong.empty();
 
     /**
      * Constructs a record without any use.
@@ -27,8 +28,9 @@
      * @param nowMillis  the present time in milliseconds
      */
     public void record(Map<String, Double> parts, long nowMillis) {
-        double kept = Math.exp(-Math.max(0, nowMillis - recordedMillis) / meanMillis);
-        recordedMillis = nowMillis;
+        // The use before the first record is not known and counts as none.
+        double kept = Math.exp(-Math.max(0, nowMillis - recordedMillis.orElse(nowMillis)) / meanMillis);
+        recordedMillis = OptionalLong.of(nowMillis);
         means.keySet().retainAll(parts.keySet());
         parts.forEach((team, part) -> means.merge(team, (1 - kept) * part, (mean, added) -> kept * mean + added));
     }
