--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -165,9 +165,13 @@
     }
 
     /**
-     * Sends a new watch call in place of the one that is under way, which may have been sent to a silent store.
+     * Sends the read and the watch that are under way again, as they may have been sent to a silent store.
      */
     void watchAgain() {
+        if (currentRead != null) {
+            connected = false;
+            read();
+        }
         if (watching) {
             connected = false;
             confirmSoon = true;
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
@@ -84,6 +84,20 @@
         assertTrue(store.watches.size() >= 2, "the watch goes on");
     }
 
+    /** Guards against a read that was sent to a silent store and is not sent again when another watch shows the silence. */
+    @Test
+    void readAfterDroppedHistoryIsSentAgain() {
+        service.run(() -> store.watches
+                .get(0)
+                .completeExceptionally(new StoreFailure(StoreFailure.Kind.HISTORY_DROPPED, "gone", List.of())));
+        assertEquals(2, store.reads.size());
+        service.run(mirror::watchAgain);
+        assertEquals(3, store.reads.size(), "the read is sent again");
+        answerRead(2, 20, item("b", "1", 19));
+        assertEquals(Map.of("p/b", "1"), contents());
+        assertEquals(2, store.watches.size(), "the watch goes on");
+    }
+
     private Map<String, String> contents() {
         Map<String, String> contents = new TreeMap<>();
         mirror.items().forEach((key, item) -> contents.put(key, new String(item.value(), StandardCharsets.UTF_8)));
