--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
@@ -14,7 +14,8 @@
 import org.trefoilpost.model.EntryId;
 
 /**
- * The connections to the entries that own pools, and to others for a time. A connection on which a ping is not answered in time is replaced.
+ * The connections to the entries that own pools, and to others for a time. A connection on which a ping is not answered
+ * in time is replaced.
  */
 final class OwnerConnections {
     private static final long PING_INTERVAL_MILLIS = 700;
@@ -23,7 +24,7 @@
 
     private final JobContext context;
     private final PeerNetwork network;
-    private final Map<String, LiveEntries.Peer> connectedOwners = new HashMap<>();
+    private final Map<String, LiveEntries.Peer> connectedPeers = new HashMap<>();
     private final Map<String, Kept> keptPeers = new HashMap<>();
     private long lastPingMillis;
 
@@ -33,31 +34,32 @@
     }
 
     /**
-     * Opens connections to the owners of pools and the entries that are kept connected, closes all others, and sends a ping on each if that is due.
+     * Opens connections to the owners of pools and the entries that are kept connected, closes all others, and sends a
+     * ping on each if that is due.
      */
     void tick(LiveEntries liveEntries, String self, long nowMillis) {
-        Set<String> owners = new HashSet<>();
+        Set<String> wanted = new HashSet<>();
         for (LiveEntries.Owner owner : liveEntries.owners().values()) {
             if (!owner.peer().name().equals(self) && owner.peer().hasEndpoint()) {
-                owners.add(owner.peer().name());
+                wanted.add(owner.peer().name());
                 connect(owner.peer());
             }
         }
         keptPeers.values().removeIf(kept -> kept.untilMillis < nowMillis);
         for (Kept kept : keptPeers.values()) {
-            if (owners.add(kept.peer.name())) {
+            if (wanted.add(kept.peer.name())) {
                 connect(kept.peer);
             }
         }
-        for (String name : Set.copyOf(connectedOwners.keySet())) {
-            if (!owners.contains(name)) {
-                connectedOwners.remove(name);
+        for (String name : Set.copyOf(connectedPeers.keySet())) {
+            if (!wanted.contains(name)) {
+                connectedPeers.remove(name);
                 network.disconnect(EntryId.of(name));
             }
         }
         if (nowMillis - lastPingMillis >= PING_INTERVAL_MILLIS) {
             lastPingMillis = nowMillis;
-            connectedOwners.values().forEach(this::ping);
+            connectedPeers.values().forEach(this::ping);
         }
     }
 
@@ -66,7 +68,7 @@
      */
     void keepConnected(LiveEntries.Peer peer, long untilMillis) {
         keptPeers.put(peer.name(), new Kept(peer, untilMillis));
-        if (!connectedOwners.containsKey(peer.name())) {
+        if (!connectedPeers.containsKey(peer.name())) {
             connect(peer);
         }
     }
@@ -79,7 +81,7 @@
      * Connects to an owner, again if its address or incarnation has changed.
      */
     private void connect(LiveEntries.Peer peer) {
-        LiveEntries.Peer previous = connectedOwners.put(peer.name(), peer);
+        LiveEntries.Peer previous = connectedPeers.put(peer.name(), peer);
         if (previous != null && !previous.equals(peer)) {
             network.disconnect(EntryId.of(peer.name()));
         }
@@ -96,11 +98,11 @@
         context.onServiceThread(
                 network.call(entry, id -> PoolCall.of(id, "", EMPTY_REQUEST), PING_TIMEOUT_MILLIS),
                 (reply, failure) -> {
-                    if (failure != null && peer.equals(connectedOwners.get(peer.name()))) {
+                    if (failure != null && peer.equals(connectedPeers.get(peer.name()))) {
                         context.logDecision(Decision.failure("dependency-lost")
                                 .with("dependency", "entry " + peer.name())
                                 .with("failure", String.valueOf(failure.getMessage())));
-                        connectedOwners.remove(peer.name());
+                        connectedPeers.remove(peer.name());
                         network.disconnect(entry);
                     }
                 });
