--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
@@ -237,7 +237,7 @@
         for (JobStepState step : occurrence.steps) {
             if (!step.ended() && !step.spec.bestEffort() && step.readyMillis != JobStepState.NOT_READY) {
                 teamUsage.addWaiting(step);
-                waitingDemand = waitingDemand.plus(TeamUsage.waitingDemand(step));
+                waitingDemand = waitingDemand.plus(step.waitingDemand());
             }
             if (!step.ended() && !step.spec.longRunning() && !step.spec.bestEffort()) {
                 addRemaining(step, latestStarts[step.number], now);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobStepState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobStepState.java
@@ -56,4 +56,15 @@
      * A permission to run the step on a worker, with its expiry on the steady clock.
      */
     record Ticket(String text, long expiryMillis) {}
+
+    /**
+     * Returns the resources that the tasks without a run reserve once they start.
+     */
+    ResourceAmount waitingDemand() {
+        int waitingTasks = 0;
+        for (JobTaskState task : tasks) {
+            waitingTasks += !task.done && task.runs.isEmpty() ? 1 : 0;
+        }
+        return spec.reservedDemand().times(waitingTasks);
+    }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
@@ -110,11 +110,7 @@
         if (step.readyMillis == JobStepState.NOT_READY || step.ended()) {
             return ResourceAmount.NONE;
         }
-        int tasks = 0;
-        for (JobTaskState task : step.tasks) {
-            tasks += !task.done && task.runs.isEmpty() ? 1 : 0;
-        }
-        return step.spec.reservedDemand().times(tasks);
+        return step.waitingDemand();
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamOrder.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamOrder.java
@@ -58,7 +58,7 @@
                 if (isOver(name, shares, before)) {
                     over.add(step);
                 }
-                used.put(name, before.plus(TeamUsage.waitingDemand(step)));
+                used.put(name, before.plus(step.waitingDemand()));
             }
         }
         return over;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamUsage.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/TeamUsage.java
@@ -88,7 +88,7 @@
      * Adds the waiting tasks of a step.
      */
     void addWaiting(JobStepState step) {
-        teamOf(step).ifPresent(team -> waiting.merge(team.name(), waitingDemand(step), ResourceAmount::plus));
+        teamOf(step).ifPresent(team -> waiting.merge(team.name(), step.waitingDemand(), ResourceAmount::plus));
     }
 
     /**
@@ -113,17 +113,6 @@
         return demand;
     }
 
-    /**
-     * Returns the resources of the tasks of a step that have no run.
-     */
-    static ResourceAmount waitingDemand(JobStepState step) {
-        int tasks = 0;
-        for (JobTaskState task : step.tasks) {
-            tasks += !task.done && task.runs.isEmpty() ? 1 : 0;
-        }
-        return step.spec.reservedDemand().times(tasks);
-    }
-
     /**
      * Returns the resources of a team's runs.
      */
