Continue the registry's watch at once when an entry takes a pool over

Cause: an entry without pools delays the next watch of the registry by 4 s after a change. An entry that became the owner of a pool within that delay read the registry once and then saw no change until the delay was over: neither machines that had arrived nor workers that drained, and its capacities counted as unknown once the read was 2.7 s old.

Change: a read that a refresh asks for ends the delay of the next watch.

Result: StoreMirrorTest.refreshEndsTheDelayOfTheNextWatch failed before (2 watches instead of 3).

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -31,6 +31,9 @@
     private ItemRead currentRead;
 
     private boolean watching;
+    /** Whether the next watch call waits for the delay after changes. */
+    private boolean watchDelayed;
+
     private long watchNumber;
     private int unansweredWatches;
     /** Whether the next watch is to end soon, as the last one has not shown that there are no further changes. */
@@ -61,7 +64,8 @@
     }
 
     /**
-     * Reads all items again, and runs a callback after the listener has been called.
+     * Reads all items again, and runs a callback after the listener has been called. The watch goes on after the read
+     * without a delay that was chosen before.
      */
     void refresh(Runnable done) {
         refreshCallbacks.add(done);
@@ -159,7 +163,7 @@
         List<Runnable> callbacks = List.copyOf(refreshCallbacks);
         refreshCallbacks.clear();
         callbacks.forEach(Runnable::run);
-        if (!watching) {
+        if (!watching || watchDelayed) {
             watch();
         }
     }
@@ -181,6 +185,7 @@
 
     private void watch() {
         watching = true;
+        watchDelayed = false;
         watchNumber++;
         WatchTimes usualTimes = watchTimes.afterUnanswered(unansweredWatches);
         WatchTimes times = confirmSoon && listener.needsConfirmation() ? usualTimes.withShortWait() : usualTimes;
@@ -216,6 +221,7 @@
         confirmed(call.confirmedBy(changes, context.now()));
         confirmSoon = !changes.changes().isEmpty();
         long delayMillis = changes.changes().isEmpty() ? 0 : watchDelayMillis.getAsLong();
+        watchDelayed = delayMillis > 0;
         context.schedule(delayMillis, () -> continueWatching(call));
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
@@ -98,6 +98,22 @@
         assertEquals(2, store.watches.size(), "the watch goes on");
     }
 
+    /** Guards against an owner that takes a pool over while the watch of an entry without pools is delayed. */
+    @Test
+    void refreshEndsTheDelayOfTheNextWatch() {
+        StoreMirror delayed =
+                new StoreMirror(PREFIX, service.context(), WatchTimes.LONGEST, () -> 60_000, new RecordingListener());
+        service.run(delayed::start);
+        answerRead(1, 10);
+        answerWatch(1, 12, item("a", "2", 12));
+        assertEquals(2, store.watches.size(), "the next watch is delayed");
+        service.run(() -> delayed.refresh(() -> {}));
+        answerRead(2, 13, item("a", "2", 12));
+        assertEquals(3, store.watches.size(), "the watch goes on with the read");
+        answerWatch(2, 14, item("b", "1", 14));
+        assertEquals(14, delayed.revision());
+    }
+
     private Map<String, String> contents() {
         Map<String, String> contents = new TreeMap<>();
         mirror.items().forEach((key, item) -> contents.put(key, new String(item.value(), StandardCharsets.UTF_8)));
