Reach the store through another entry while it does not serve this one

Ruled out: overload (half of the capacity was free) and slow placement (the first start followed acceptance within 60 ms).

Change: RelayedStore sends calls through another live entry after failures that span 100 ms, or a silence of 500 ms, and directly again with the first answer to a probe. An entry that cannot pass a call on says so, and the call then goes on directly. No call whose outcome is unknown is repeated; the conditions of commits hold as before. StorePath decides, RelayedStore carries out.

Result: OwnerWithoutStoreTest cuts an owner off for 4 s, twice its lease, with closed and with silent connections; it keeps its pool.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobPorts.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobPorts.java
@@ -10,4 +10,8 @@
  * @param formats  the formats of the platform's items in the store, not null
  */
 public record JobPorts(
-        StorePort store, WorkerPort workers, MachinePort machines, AdvicePort advice, PlatformFormats formats) {}
+        StorePort store, WorkerPort workers, MachinePort machines, AdvicePort advice, PlatformFormats formats) {
+    JobPorts withStore(StorePort other) {
+        return new JobPorts(other, workers, machines, advice, formats);
+    }
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -18,6 +18,7 @@
 import org.trefoilpost.entry.peer.PeerReply;
 import org.trefoilpost.entry.peer.PoolAnswer;
 import org.trefoilpost.entry.peer.PoolCall;
+import org.trefoilpost.entry.relay.RelayedStore;
 import org.trefoilpost.entry.runtime.MillisClock;
 import org.trefoilpost.entry.runtime.ServiceThread;
 import org.trefoilpost.model.Endpoint;
@@ -38,6 +39,7 @@
     private final ServiceThread<Runnable> eventLoop;
     private final DecisionLog decisionLog;
     private final LiveEntries liveEntries = new LiveEntries();
+    private final RelayedStore store;
     private final WorkerRegistry registry;
     private final OperatorEntries operatorEntries;
     private final StoreMirror liveMirror;
@@ -61,8 +63,9 @@
         MillisClock clock = MillisClock.steady();
         this.eventLoop = ServiceThread.of("jobs", EVENT_QUEUE_CAPACITY, clock);
         this.decisionLog = new DecisionLog();
-        this.context =
-                new JobContext(settings, ports, eventLoop, clock, System::currentTimeMillis, decisionLog, metrics);
+        this.store = new RelayedStore(ports.store(), clock, settings.name(), LiveEntries.entryKey(settings.name()));
+        this.context = new JobContext(
+                settings, ports.withStore(store), eventLoop, clock, System::currentTimeMillis, decisionLog, metrics);
         this.registry = new WorkerRegistry(context, this::registryWatchDelayMillis, this::registryChanged);
         this.operatorEntries = new OperatorEntries(context, new OperatorListener());
         this.liveMirror =
@@ -76,6 +79,7 @@
                 this::messageReceived,
                 peerMetrics);
         this.connections = new OwnerConnections(context, network);
+        store.attach(new PeerStoreRelay(context, liveEntries, connections), context::logDecision);
         this.configurationPeers = new ConfigurationPeers(context, operatorEntries, connections);
         this.endedOwners = new EndedOwners(context, peer -> network.isRefused(EntryId.of(peer.name())));
         OwnerCalls ownerCalls = new OwnerCalls(context, liveEntries, connections, this::openRunner);
@@ -288,6 +292,8 @@
         // A call without a pool asks for the configuration, or only tests the connection.
         if (call.pool().isEmpty()) {
             reply.accept(configurationPeers.answer(call.callId(), call.request()));
+        } else if (call.pool().equals(PeerStoreRelay.POOL)) {
+            PeerStoreRelay.answer(store, call, reply);
         } else {
             router.ownerCalls()
                     .answerPeerCall(
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
@@ -114,7 +114,16 @@
      * @return the answer; fails if there is none within the timeout
      */
     CompletableFuture<PoolAnswer> call(LiveEntries.Peer peer, String pool, byte[] request, long timeoutMillis) {
-        return network.call(EntryId.of(peer.name()), id -> PoolCall.of(id, pool, request), timeoutMillis)
+        return call(peer.name(), pool, request, timeoutMillis);
+    }
+
+    /**
+     * Calls the entry with a name. May be called on any thread.
+     *
+     * @return the answer; fails if there is none within the timeout
+     */
+    CompletableFuture<PoolAnswer> call(String entry, String pool, byte[] request, long timeoutMillis) {
+        return network.call(EntryId.of(entry), id -> PoolCall.of(id, pool, request), timeoutMillis)
                 .thenApply(OwnerConnections::toPoolAnswer);
     }
 
