Claim pools and order machines sooner after a loss of all entries

The wait for the former owner's renewal began only when the wait for other entries' registrations had ended, and the wait for a former owner's orders to machines only with the claim.

Change: both waits before a claim run at the same time, and the first one ends once no entry has registered for 150 ms. The wait before the first order to a machine begins when the entry learned that the machines had no owner, if it has seen every claim since: a former owner's confirmation is older than that.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/OrderWindow.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/OrderWindow.java
@@ -8,8 +8,8 @@
  *
  * <p>There, the orders of two owners must be kept apart in time. An owner sends orders only for a short time after it
  * asked the store to confirm its claim. A new owner waits until the last order that the earlier owner could have sent has
- * arrived or has been abandoned, and only then sends its first one. The wait begins when the claim is answered, which is
- * later than any confirmation of an earlier claim.
+ * arrived or has been abandoned, and only then sends its first one. The wait begins when the claim is answered, or when the
+ * new owner learned that there was no owner; both are later than any confirmation of an earlier claim.
  *
  * <p>The time since a confirmation is taken from both clocks, because the steady clock does not advance while a machine
  * is suspended and the wall clock may jump.
@@ -53,6 +53,19 @@
         return new OrderWindow(claimed.steadyMillis() + HANDOVER_MILLIS, Optional.empty(), true);
     }
 
+    /**
+     * Returns this window if there was no owner for some time before the claim, so that no earlier owner has had its claim
+     * confirmed since then.
+     *
+     * @param ownerlessMillis  a time from which on there was no owner, on the steady clock in milliseconds
+     * @return the window, not null
+     */
+    public OrderWindow withHandoverSince(long ownerlessMillis) {
+        return limited
+                ? new OrderWindow(Math.min(firstOrderMillis, ownerlessMillis + HANDOVER_MILLIS), confirmed, true)
+                : this;
+    }
+
     /**
      * Returns this window after a confirmation of the claim.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/MachineOrderSimulation.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/MachineOrderSimulation.java
@@ -21,6 +21,7 @@
 
     private final Random random;
     private final boolean limited;
+    private final boolean ownersWatchClaims;
     private final List<Holder> holders = new ArrayList<>();
     private final List<Order> ordersInNetwork = new ArrayList<>();
     private long nowMillis;
@@ -29,11 +30,21 @@
     private Holder claimOwner;
     private long claimExpiryMillis;
     private long highestToken;
+    /** Counts the ends of claims. */
+    private int endedClaims;
+
     private String violation = "";
 
-    MachineOrderSimulation(long seed, boolean limited) {
+    /**
+     * Constructs a simulation.
+     *
+     * @param limited  whether owners keep to their windows
+     * @param ownersWatchClaims  whether owners know since when there was no owner before their claims
+     */
+    MachineOrderSimulation(long seed, boolean limited, boolean ownersWatchClaims) {
         this.random = new Random(seed);
         this.limited = limited;
+        this.ownersWatchClaims = ownersWatchClaims;
         for (int i = 0; i < HOLDERS; i++) {
             holders.add(new Holder("holder-" + i));
         }
@@ -56,6 +67,7 @@
         if (claimOwner != null && (revoked || nowMillis >= claimExpiryMillis)) {
             claimOwner = null;
             claimToken = 0;
+            endedClaims++;
         }
     }
 
@@ -85,6 +97,8 @@
         private long token;
         private long nextRenewalMillis;
         private OrderWindow window = OrderWindow.UNLIMITED;
+        private int seenEndedClaims = -1;
+        private long ownerlessMillis;
 
         Holder(String name) {
             this.name = name;
@@ -114,6 +128,10 @@
         }
 
         private void callStore() {
+            if (claimOwner == null && seenEndedClaims != endedClaims) {
+                seenEndedClaims = endedClaims;
+                ownerlessMillis = now().steadyMillis();
+            }
             if (claimOwner == null && random.nextInt((int) (RECLAIM_MILLIS / STEP_MILLIS)) == 0) {
                 lastRevision++;
                 claimOwner = this;
@@ -121,6 +139,7 @@
                 claimExpiryMillis = nowMillis + LEASE_MILLIS;
                 token = lastRevision;
                 window = limited ? OrderWindow.ofClaim(now()) : OrderWindow.UNLIMITED;
+                window = ownersWatchClaims ? window.withHandoverSince(ownerlessMillis) : window;
             }
             if (claimOwner == this && nowMillis >= nextRenewalMillis) {
                 claimExpiryMillis = nowMillis + LEASE_MILLIS;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/OrderWindowTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/OrderWindowTest.java
@@ -51,16 +51,36 @@
     @Test
     void ordersOfTwoOwnersNeverOverlap() {
         for (int seed = 0; seed < SEEDS; seed++) {
-            assertEquals("", new MachineOrderSimulation(seed, true).firstViolation(), "seed " + seed);
+            assertEquals("", new MachineOrderSimulation(seed, true, false).firstViolation(), "seed " + seed);
         }
     }
 
+    @Test
+    void ordersOfTwoOwnersNeverOverlapIfTheNewOneKnewOfTheEndOfTheClaim() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            assertEquals("", new MachineOrderSimulation(seed, true, true).firstViolation(), "seed " + seed);
+        }
+    }
+
+    @Test
+    void handoverBeginsWhenTheMachinesWereKnownToHaveNoOwner() {
+        OrderWindow earlier = window.withHandoverSince(CLAIMED.steadyMillis() - 600);
+        Moment first = CLAIMED.plus(HANDOVER_MILLIS - 600);
+        assertFalse(earlier.withConfirmation(first).includes(first.plus(-1)));
+        assertTrue(earlier.withConfirmation(first).includes(first));
+        OrderWindow later = window.withHandoverSince(CLAIMED.steadyMillis() + 600);
+        assertTrue(later.withConfirmation(CLAIMED.plus(HANDOVER_MILLIS)).includes(CLAIMED.plus(HANDOVER_MILLIS)));
+    }
+
     @Test
     void simulationFindsOverlappingOrdersWithoutTheWindow() {
         int violations = 0;
         for (int seed = 0; seed < SEEDS; seed++) {
-            violations +=
-                    new MachineOrderSimulation(seed, false).firstViolation().isEmpty() ? 0 : 1;
+            violations += new MachineOrderSimulation(seed, false, false)
+                            .firstViolation()
+                            .isEmpty()
+                    ? 0
+                    : 1;
         }
         assertTrue(violations > SEEDS / 10, "seeds with a lower token after a higher one: " + violations);
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -127,6 +127,16 @@
         loadState();
     }
 
+    /**
+     * Handles that owners have changed. Shortens the wait before the first order if the machines had no owner for some time
+     * before this entry claimed them.
+     */
+    void ownersChanged(LiveEntries liveEntries) {
+        liveEntries
+                .ownerlessBeforeClaimMillis(MACHINES_CLAIM, token)
+                .ifPresent(millis -> orderWindow = orderWindow.withHandoverSince(millis));
+    }
+
     void close() {
         token = 0;
         ownership++;
@@ -248,7 +258,7 @@
             if (ownership == callOwnership && plan != null) {
                 if (failure == null) {
                     List<MachineView> views = new ArrayList<>();
-                    machines.forEach(machine -> views.add(toMachineView(machine)));
+                    machines.forEach(machine -> views.add(MachineConversions.toView(machine)));
                     plan.machinesListed(views, requestedMillis, context.now());
                 } else {
                     plan.listFailed(context.now());
@@ -257,16 +267,6 @@
         });
     }
 
-    private static MachineView toMachineView(MachinePort.Machine machine) {
-        return new MachineView(
-                machine.name(),
-                machine.pool(),
-                machine.state() == MachinePort.State.UP,
-                machine.state() == MachinePort.State.UPKEEP,
-                machine.worker(),
-                machine.cpuMillis());
-    }
-
     @Override
     public void instruct(String pool, PoolInstructions instructions) {
         if (!poolsWithCallInFlight.add(pool)) {
@@ -301,22 +301,13 @@
         context.onServiceThread(call, (outcome, failure) -> {
             if (ownership == callOwnership && plan != null) {
                 plan.orderAnswered(
-                        machine, failure == null ? toOrderOutcome(outcome) : OrderOutcome.UNKNOWN, context.now());
+                        machine,
+                        failure == null ? MachineConversions.toOrderOutcome(outcome) : OrderOutcome.UNKNOWN,
+                        context.now());
             }
         });
     }
 
-    private static OrderOutcome toOrderOutcome(MachinePort.Outcome outcome) {
-        return switch (outcome) {
-            case DONE -> OrderOutcome.DONE;
-            case FENCED -> OrderOutcome.FENCED;
-            case BUSY -> OrderOutcome.BUSY;
-            case REJECTED -> OrderOutcome.REJECTED;
-            case REFUSED -> OrderOutcome.REFUSED;
-            case UNKNOWN -> OrderOutcome.UNKNOWN;
-        };
-    }
-
     @Override
     public void storeWave(long wave, String state, long revision, boolean completed) {
         PlatformFormats formats = context.ports().formats();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -350,6 +350,7 @@
         @Override
         public void changesApplied() {
             takeOwnClaims();
+            fleetRunner.ownersChanged(liveEntries);
             claimHolders().forEach(this::checkClaim);
         }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.trefoilpost.model.Endpoint;
 
@@ -23,6 +24,13 @@
     private final Map<String, Peer> entries = new TreeMap<>();
     private final Map<String, Owner> owners = new HashMap<>();
     private final Map<String, Long> ownerlessSinceMillis = new HashMap<>();
+    /** Since when each owned pool was known to have no owner before its present claim, as far as that is known. */
+    private final Map<String, Long> ownerlessBeforeClaimMillis = new HashMap<>();
+
+    /** Since when no change has been missed. */
+    private long completeSinceMillis = Long.MIN_VALUE / 2;
+
+    private long entryAddedMillis = Long.MIN_VALUE / 2;
 
     static String entryKey(String entry) {
         return ENTRY_KEY_PREFIX + entry;
@@ -42,9 +50,11 @@
      */
     void replace(Collection<StorePort.Item> items, long nowMillis) {
         Map<String, Owner> previousOwners = new HashMap<>(owners);
+        completeSinceMillis = nowMillis;
         entries.clear();
         owners.clear();
-        items.forEach(item -> put(item));
+        ownerlessBeforeClaimMillis.clear();
+        items.forEach(item -> put(item, nowMillis));
         previousOwners.keySet().stream()
                 .filter(pool -> !owners.containsKey(pool))
                 .forEach(pool -> ownerlessSinceMillis.put(pool, nowMillis));
@@ -55,7 +65,7 @@
      */
     void change(String key, Optional<StorePort.Item> item, long nowMillis) {
         if (item.isPresent()) {
-            put(item.get());
+            put(item.get(), nowMillis);
         } else if (key.startsWith(ENTRY_KEY_PREFIX)) {
             entries.remove(key.substring(ENTRY_KEY_PREFIX.length()));
         } else if (key.startsWith(OWNER_KEY_PREFIX)) {
@@ -64,7 +74,7 @@
         }
     }
 
-    private void put(StorePort.Item item) {
+    private void put(StorePort.Item item, long nowMillis) {
         String[] parts = new String(item.value(), StandardCharsets.UTF_8).split(SEPARATOR, -1);
         if (parts.length != VALUE_PARTS) {
             return;
@@ -73,11 +83,14 @@
         if (item.key().startsWith(ENTRY_KEY_PREFIX) && !peer.hasEndpoint()) {
             entries.remove(item.key().substring(ENTRY_KEY_PREFIX.length()));
         } else if (item.key().startsWith(ENTRY_KEY_PREFIX)) {
-            entries.put(item.key().substring(ENTRY_KEY_PREFIX.length()), peer);
+            Peer former = entries.put(item.key().substring(ENTRY_KEY_PREFIX.length()), peer);
+            entryAddedMillis = former == null ? nowMillis : entryAddedMillis;
         } else if (item.key().startsWith(OWNER_KEY_PREFIX)) {
             String pool = item.key().substring(OWNER_KEY_PREFIX.length());
             owners.put(pool, new Owner(peer, item.revision(), item.lease()));
-            ownerlessSinceMillis.remove(pool);
+            ownerlessBeforeClaimMillis.remove(pool);
+            Optional.ofNullable(ownerlessSinceMillis.remove(pool))
+                    .ifPresent(since -> ownerlessBeforeClaimMillis.put(pool, Math.max(since, completeSinceMillis)));
         }
     }
 
@@ -98,6 +111,13 @@
         return Optional.ofNullable(owners.get(pool));
     }
 
+    /**
+     * Returns when an entry was last added, on the steady clock in milliseconds.
+     */
+    long entryAddedMillis() {
+        return entryAddedMillis;
+    }
+
     Map<String, Owner> owners() {
         return owners;
     }
@@ -110,6 +130,19 @@
         return ownerlessSinceMillis.computeIfAbsent(pool, key -> nowMillis);
     }
 
+    /**
+     * Returns a time from which on a pool had no owner until its present claim, on the steady clock in milliseconds.
+     *
+     * @param token  the token of the claim
+     * @return the time, empty if that claim is not known or changes before it were missed
+     */
+    OptionalLong ownerlessBeforeClaimMillis(String pool, long token) {
+        Long since = ownerlessBeforeClaimMillis.get(pool);
+        boolean known = since != null
+                && owner(pool).filter(owner -> owner.token() == token).isPresent();
+        return known ? OptionalLong.of(since) : OptionalLong.empty();
+    }
+
     /**
      * A live entry.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
@@ -28,8 +28,11 @@
     /** Time in which the former owner of a pool may renew its claim before any other entry claims the pool. */
     private static final long FORMER_OWNER_DELAY_MILLIS = 150;
 
-    /** Delay between the registration of this entry and its first claim. */
-    private static final long FIRST_CLAIM_DELAY_MILLIS = 300;
+    /** The longest delay between the registration of this entry and its first claim. */
+    private static final long MAX_FIRST_CLAIM_DELAY_MILLIS = 300;
+
+    /** Time without further registrations after which the first claim is made, so that pools are spread over all entries. */
+    private static final long SETTLE_MILLIS = 150;
 
     private static final String CLAIM_MARKER = "claim:";
 
@@ -74,12 +77,28 @@
             }
             callLease(nowMillis);
         }
-        if (registered && !leaving && nowMillis - registeredAtMillis >= FIRST_CLAIM_DELAY_MILLIS) {
+        recordOwnerless(pools, nowMillis);
+        if (registered && !leaving && isSettled(nowMillis)) {
             Map<String, List<String>> ranking = OwnerRanking.of(pools, liveEntries);
             pools.forEach(pool -> claimIfDue(pool, ranking, nowMillis));
         }
     }
 
+    /**
+     * Records since when pools have no owner, also before this entry may claim them.
+     */
+    private void recordOwnerless(Set<String> pools, long nowMillis) {
+        pools.stream()
+                .filter(pool -> liveEntries.owner(pool).isEmpty())
+                .forEach(pool -> liveEntries.ownerlessSinceMillis(pool, nowMillis));
+    }
+
+    private boolean isSettled(long nowMillis) {
+        long lastRegistrationMillis = Math.max(registeredAtMillis, liveEntries.entryAddedMillis());
+        return nowMillis - lastRegistrationMillis >= SETTLE_MILLIS
+                || nowMillis - registeredAtMillis >= MAX_FIRST_CLAIM_DELAY_MILLIS;
+    }
+
     /**
      * Ends the lease, which removes all keys, so that other entries can claim the pools without waiting for its expiry.
      */
