Let requests wait for the next owner while one can come, and refuse them soon otherwise

Cause: a request that found no owner waited 0.5 s and was then refused with a Retry-After of 1 s, whether a take-over of about a second was under way or no entry could reach the store.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/store/StorePath.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/store/StorePath.java
@@ -27,6 +27,9 @@
     private static final long PROBE_INTERVAL_MILLIS = 500;
     /** Time for which an entry that could not pass a call on is not asked again. */
     private static final long PEER_PAUSE_MILLIS = 1_000;
+    /** Time for which a call that an entry has passed on shows that the store can be reached. */
+    private static final long PASSED_ON_VALID_MILLIS = 1_000;
+
     /** The maximum number of entries that are asked to pass on one call. */
     private static final int MAX_PEERS_PER_CALL = 2;
 
@@ -38,6 +41,7 @@
     private boolean direct = true;
     private long failingSinceMillis;
     private long probedMillis;
+    private long passedOnMillis = Long.MIN_VALUE / 2;
     private String preferredPeer;
 
     /**
@@ -58,6 +62,16 @@
         return direct;
     }
 
+    /**
+     * Returns whether the store can be reached, directly or through another entry.
+     *
+     * @param nowMillis  the present time on the steady clock in milliseconds
+     * @return true if calls are expected to be answered
+     */
+    public boolean isServed(long nowMillis) {
+        return direct || nowMillis - passedOnMillis <= PASSED_ON_VALID_MILLIS;
+    }
+
     /**
      * Records that a call was sent to the store that it answers at once.
      *
@@ -156,8 +170,10 @@
      * Records that an entry has passed on a call and returned the store's answer.
      *
      * @param peer  the name of the entry, not null
+     * @param nowMillis  the present time on the steady clock in milliseconds
      */
-    public void passedOn(String peer) {
+    public void passedOn(String peer, long nowMillis) {
+        passedOnMillis = nowMillis;
         preferredPeer = peer;
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/store/StorePathTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/store/StorePathTest.java
@@ -76,10 +76,22 @@
     @Test
     void peerThatPassedACallOnIsAskedFirst() {
         makeUnusable();
-        path.passedOn("entry-1");
+        path.passedOn("entry-1", 1_100);
         assertEquals(List.of("entry-1", "entry-3"), path.peersForCall(List.of("entry-1", "entry-3", "entry-4"), 1_100));
     }
 
+    @Test
+    void storeIsServedWhileCallsArePassedOn() {
+        assertTrue(path.isServed(900));
+        makeUnusable();
+        assertFalse(path.isServed(1_100));
+        path.passedOn("entry-1", 1_200);
+        assertTrue(path.isServed(2_200));
+        assertFalse(path.isServed(2_201));
+        path.answered();
+        assertTrue(path.isServed(9_000));
+    }
+
     private void makeUnusable() {
         path.failed(1_000);
         assertTrue(path.failed(1_100));
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -82,7 +82,7 @@
         store.attach(new PeerStoreRelay(context, liveEntries, connections), context::logDecision);
         this.configurationPeers = new ConfigurationPeers(context, operatorEntries, connections);
         this.endedOwners = new EndedOwners(context, peer -> network.isRefused(EntryId.of(peer.name())));
-        OwnerCalls ownerCalls = new OwnerCalls(context, liveEntries, connections, this::openRunner);
+        OwnerCalls ownerCalls = new OwnerCalls(context, liveEntries, connections, this::openRunner, store::isServed);
         this.router = new JobRequestRouter(context, ownerCalls, operatorEntries.status());
         this.fleetRunner = new FleetRunner(
                 context, ownerCalls, token -> lostTokens.merge(FleetRunner.MACHINES_CLAIM, token, Math::max));
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -3,8 +3,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.OwnerWait;
 import org.trefoilpost.decision.job.PoolDemand;
 import org.trefoilpost.decision.job.PoolInstructions;
 import org.trefoilpost.entry.peer.PeerCallException;
@@ -16,9 +18,6 @@
  */
 final class OwnerCalls {
     private static final long RETRY_DELAY_MILLIS = 60;
-    /** Maximum time for which a request that has not reached any owner is retried. */
-    private static final long MAX_NO_OWNER_WAIT_MILLIS = 500;
-
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
 
     /** Proposed to the caller if no owner was reached. */
@@ -28,16 +27,25 @@
     private final LiveEntries liveEntries;
     private final OwnerConnections connections;
     private final Function<String, Optional<PoolRunner>> localRunner;
+    private final BooleanSupplier storeServed;
 
+    /**
+     * Constructs the calls.
+     *
+     * @param localRunner  returns the runner of a pool that this entry owns
+     * @param storeServed  tells whether the store can be reached
+     */
     OwnerCalls(
             JobContext context,
             LiveEntries liveEntries,
             OwnerConnections connections,
-            Function<String, Optional<PoolRunner>> localRunner) {
+            Function<String, Optional<PoolRunner>> localRunner,
+            BooleanSupplier storeServed) {
         this.context = context;
         this.liveEntries = liveEntries;
         this.connections = connections;
         this.localRunner = localRunner;
+        this.storeServed = storeServed;
     }
 
     /**
@@ -110,7 +118,8 @@
         long nowMillis = context.now().steadyMillis();
         long endMillis = pending.mayHaveReachedOwner
                 ? pending.deadlineMillis
-                : Math.min(pending.deadlineMillis, pending.startMillis + MAX_NO_OWNER_WAIT_MILLIS);
+                : Math.min(
+                        pending.deadlineMillis, pending.startMillis + OwnerWait.maxMillis(storeServed.getAsBoolean()));
         if (nowMillis + RETRY_DELAY_MILLIS < endMillis) {
             context.schedule(RETRY_DELAY_MILLIS, () -> attempt(pending));
         } else if (pending.mayHaveReachedOwner) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/relay/RelayedStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/relay/RelayedStore.java
@@ -97,6 +97,17 @@
         direct.renewConnections();
     }
 
+    /**
+     * Returns whether the store can be reached, directly or through another entry.
+     *
+     * @return true if calls are expected to be answered
+     */
+    public boolean isServed() {
+        synchronized (path) {
+            return path.isServed(clock.nowMillis());
+        }
+    }
+
     /**
      * Carries out a call for another entry, unless the store does not serve this entry either.
      *
@@ -183,7 +194,7 @@
 
     private void passedOn(String peer) {
         synchronized (path) {
-            path.passedOn(peer);
+            path.passedOn(peer, clock.nowMillis());
         }
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -36,7 +36,9 @@
     void open() {
         context = service.context();
         runner = new FleetRunner(
-                context, new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty()), lost::add);
+                context,
+                new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty(), () -> true),
+                lost::add);
         store.put(OWNER_KEY, "entry-1");
         JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1, Teams.NONE);
         service.run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -29,7 +29,7 @@
     private final ConfigurationStatus status = new ConfigurationStatus(service.context());
     private final JobRequestRouter router = new JobRequestRouter(
             service.context(),
-            new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.empty()),
+            new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.empty(), () -> true),
             status);
 
     @BeforeEach
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
@@ -186,7 +186,8 @@
                 service.context(),
                 new LiveEntries(),
                 null,
-                pool -> Optional.ofNullable(runners.get(pool)).filter(PoolRunner::isOpen));
+                pool -> Optional.ofNullable(runners.get(pool)).filter(PoolRunner::isOpen),
+                () -> true);
         status = new ConfigurationStatus(service.context());
         service.run(this::confirmRepeatedly);
         router = new JobRequestRouter(service.context(), calls, status);
