Retry a commit in one series, however often it is repeated

Cause: each time that the store seemed to have returned, the pending commit was sent once more and that call retried on its own when it failed.

Change: only the latest call of a commit is retried.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -40,6 +40,8 @@
     private PendingCommit pending;
     private boolean awaitsClaim;
     private int failedAttempts;
+    /** Counts the calls, so that only the latest one is repeated when it fails. */
+    private long callNumber;
 
     PoolStore(String pool, long token, JobContext context) {
         this.pool = pool;
@@ -172,6 +174,8 @@
             return;
         }
         long sentMillis = context.now().steadyMillis();
+        callNumber++;
+        long number = callNumber;
         context.onServiceThread(context.store().commit(toChange(attempt)), (revision, failure) -> {
             if (attempt != pending || attempt.cancelled.getAsBoolean()) {
                 return;
@@ -193,11 +197,17 @@
                         .with("number", attempt.commit.number())
                         .with("jobs", attempt.commit.puts().size())
                         .with("failure", String.valueOf(failure.getMessage())));
-                context.schedule(RETRY_DELAY_MILLIS, () -> send(attempt));
+                context.schedule(RETRY_DELAY_MILLIS, () -> sendUnlessRepeated(attempt, number));
             }
         });
     }
 
+    private void sendUnlessRepeated(PendingCommit attempt, long failedNumber) {
+        if (failedNumber == callNumber) {
+            send(attempt);
+        }
+    }
+
     private void complete(PendingCommit attempt, long revision, long confirmedMillis) {
         counterRevision = revision;
         pending = null;
