Notice a rise of demand after five submissions, and arriving workers sooner

Cause: a pool's rate of arrivals was known after ten submissions, about half a second into a turn of demand, and a worker on a machine that had arrived was seen up to 350 ms after its registration.

Change: five submissions give a rate. The owner of a pool in which machines arrive watches the registry 60 ms after a change instead of 350 ms.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ArrivalRate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ArrivalRate.java
@@ -13,7 +13,7 @@
  */
 final class ArrivalRate {
     /** The minimum number of submissions from which the rate is computed. */
-    private static final int MIN_SUBMISSIONS = 10;
+    private static final int MIN_SUBMISSIONS = 5;
     /** The time over which the rate is computed while it is high, so that chance weighs less. */
     private static final long RATE_WINDOW_MILLIS = 500;
     /** The number of submissions over which the work of a job is averaged, as the work varies by far more than the rate. */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -32,8 +32,6 @@
     private static final int EVENT_QUEUE_CAPACITY = 8_192;
     private static final long OWNER_TICK_MILLIS = 20;
     private static final long IDLE_TICK_MILLIS = 100;
-    /** Delay of the registry's watch after a change while this entry owns no pool. */
-    private static final long REGISTRY_IDLE_WATCH_DELAY_MILLIS = 4_000;
 
     private final JobContext context;
     private final ServiceThread<Runnable> eventLoop;
@@ -66,7 +64,8 @@
         this.store = new RelayedStore(ports.store(), clock, settings.name(), LiveEntries.entryKey(settings.name()));
         this.context = new JobContext(
                 settings, ports.withStore(store), eventLoop, clock, System::currentTimeMillis, decisionLog, metrics);
-        this.registry = new WorkerRegistry(context, this::registryWatchDelayMillis, this::registryChanged);
+        this.registry = new WorkerRegistry(
+                context, () -> WorkerRegistry.watchDelayMillis(runners.values()), this::registryChanged);
         this.operatorEntries = new OperatorEntries(context, new OperatorListener());
         this.liveMirror =
                 new StoreMirror(LiveEntries.KEY_PREFIX, context, WatchTimes.LONGEST, () -> 0, new LiveEntryListener());
@@ -241,10 +240,6 @@
         return Optional.ofNullable(runners.get(pool)).filter(PoolRunner::isOpen);
     }
 
-    private long registryWatchDelayMillis() {
-        return runners.isEmpty() ? REGISTRY_IDLE_WATCH_DELAY_MILLIS : WorkerRegistry.OWNER_WATCH_DELAY_MILLIS;
-    }
-
     private void registryChanged() {
         runners.values().forEach(runner -> runner.updateWorkers(registry.workersOfPool(runner.pool())));
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -124,6 +124,10 @@
         loseOwnership(reason);
     }
 
+    boolean awaitsMachines() {
+        return instructions.arrivingMachines() > 0;
+    }
+
     boolean isOpen() {
         return open && !closed;
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -17,9 +17,15 @@
  * The workers that the platform's registry in the store lists.
  */
 final class WorkerRegistry implements StoreMirror.Listener {
+    /** Delay after a change, in milliseconds, while this entry owns no pool. */
+    private static final long IDLE_WATCH_DELAY_MILLIS = 4_000;
+
     /** Delay after a change, in milliseconds, so that the owner of a pool handles changes in batches. */
     static final long OWNER_WATCH_DELAY_MILLIS = 350;
 
+    /** Delay after a change, in milliseconds, while machines arrive whose workers can start tasks as soon as they are known. */
+    private static final long ARRIVAL_WATCH_DELAY_MILLIS = 60;
+
     private final JobContext context;
     private final StoreMirror mirror;
     private final Runnable onChange;
@@ -42,6 +48,20 @@
         return WatchTimes.within(context.settings().timeouts().minDrainMillis() - OWNER_WATCH_DELAY_MILLIS);
     }
 
+    /**
+     * Returns the delay after a change before the registry is watched again, in milliseconds.
+     *
+     * @param ownedPools  the runners of the pools that this entry owns
+     */
+    static long watchDelayMillis(Collection<PoolRunner> ownedPools) {
+        if (ownedPools.isEmpty()) {
+            return IDLE_WATCH_DELAY_MILLIS;
+        }
+        return ownedPools.stream().anyMatch(PoolRunner::awaitsMachines)
+                ? ARRIVAL_WATCH_DELAY_MILLIS
+                : OWNER_WATCH_DELAY_MILLIS;
+    }
+
     void start() {
         mirror.start();
     }
