Log what a job was accepted with and how it kept to that, and shortages of machines

Cause: the log said that a job was accepted, not what was expected of it, so a late job could not be told from one that was promised wrongly.

Change: job-submitted and job-refused name the objective, the time to spare of the tightest step, the wait before it, the workers and the machines that arrive; job-ended names the objective and how the job kept to it (in-time, late, without-objective, not-completed), which the metric trefoilpost.jobs.decisions.job-ended counts. machines-short names the needs and balances when no pool can give a machine up.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
@@ -103,7 +103,7 @@
     }
 
     private Map<String, Object> refusalInputs(JobState job, Moment now) {
-        Map<String, Object> inputs = new LinkedHashMap<>();
+        Map<String, Object> inputs = expectation(job, now);
         teamOf(job).ifPresent(team -> {
             TeamUsage usage = backlog.teamUsage(now);
             TeamShares shares = usage.sharesWith(job.spec);
@@ -150,6 +150,20 @@
         return team.isPresent() && backlog.shareShortageMillis(job, team.get().name(), now) <= 0;
     }
 
+    /**
+     * Returns what an accepted job is expected to find, for the log: the time within which it is to be completed, the time to
+     * spare of its tightest step, the time that the work before it takes, and the capacity that this rests on.
+     */
+    Map<String, Object> expectation(JobState job, Moment now) {
+        Map<String, Object> inputs = new LinkedHashMap<>();
+        inputs.put("objective", startDeadlines.objectiveMillis(job));
+        inputs.put("spare", (long) -backlog.overrunMillis(job, now));
+        inputs.put("wait", (long) backlog.waitMillis(now));
+        inputs.put("workers", state.workers.size());
+        inputs.put("arriving", state.arrivingMachines);
+        return inputs;
+    }
+
     /**
      * Discards the cached backlog after a cancellation, a change of the queues or of the number of arriving machines.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
@@ -56,6 +56,26 @@
         return shortageMillis(stepWork, stepWorkOf(job), cpuCapacity, now);
     }
 
+    /**
+     * Returns by how many milliseconds the step of an additional job with the least time to spare would miss its latest
+     * start; negative if it would not.
+     */
+    double overrunMillis(JobState job, Moment now) {
+        refreshIfStale(now);
+        double precedingWork = 0;
+        double maxOverrun = Double.NEGATIVE_INFINITY;
+        int next = 0;
+        for (StepWork step : stepWorkOf(job)) {
+            while (next < stepWork.size() && stepWork.get(next).latestStartMillis < step.latestStartMillis) {
+                precedingWork += stepWork.get(next).work;
+                next++;
+            }
+            maxOverrun = Math.max(maxOverrun, overrunMillis(precedingWork, step, cpuCapacity, now));
+            precedingWork += step.work;
+        }
+        return maxOverrun;
+    }
+
     /**
      * Returns by how many milliseconds a team would miss the latest start of a step of an additional job, or of its
      * existing work that is due after it, with no more than its share of the pool; not positive if it would miss none.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 
 /**
@@ -18,6 +19,9 @@
     long submittedMillis;
     long submittedWallMillis;
     long endedWallMillis;
+    /** The time after its submission within which this owner expected to complete the job when it accepted it. */
+    OptionalLong objectiveMillis = OptionalLong.empty();
+
     int nextOccurrence;
     int endedOccurrences;
     /** The number of changes of the tasks' crash records. */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSubmissions.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSubmissions.java
@@ -1,7 +1,9 @@
 package org.trefoilpost.decision.job;
 
 import java.util.Collection;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -61,11 +63,24 @@
             return refusal.get();
         }
         firstSubmissions.remove(spec.id());
+        SubmitResult accepted = acceptance(job, now);
         admission.jobAccepted(job);
         job.openDueOccurrences(now);
         state.markDirty(job, now.steadyMillis(), true);
         state.add(job);
-        return SubmitResult.PENDING;
+        return accepted;
+    }
+
+    /**
+     * Returns the acceptance of a job, and records within which time it is to be completed.
+     */
+    private SubmitResult acceptance(JobState job, Moment now) {
+        if (job.spec.longRunning() || job.spec.schedule().timed()) {
+            return SubmitResult.PENDING;
+        }
+        Map<String, Object> expectation = admission.expectation(job, now);
+        job.objectiveMillis = OptionalLong.of((long) expectation.get("objective"));
+        return SubmitResult.pending(expectation);
     }
 
     private Moment firstSubmission(String job, Moment now) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -87,11 +87,28 @@
         job.endedWallMillis = now.wallMillis();
         openJobs.remove(job.spec.id());
         markDirty(job, now.steadyMillis(), true);
+        long ageMillis = now.steadyMillis() - job.submittedMillis;
         actions.logDecision(Decision.of("job-ended")
                 .with("job", job.spec.id())
+                .with("queue", job.spec.queue())
                 .with("pool", pool)
                 .with("phase", phase.name())
-                .with("age", now.steadyMillis() - job.submittedMillis));
+                .with("how", outcome(job, ageMillis))
+                .with("age", ageMillis)
+                .with("objective", job.objectiveMillis.orElse(-1)));
+    }
+
+    /**
+     * Returns how a job ended against the objective with which this owner accepted it, for the log and the metrics.
+     */
+    private static String outcome(JobState job, long ageMillis) {
+        if (job.phase != JobPhase.COMPLETED) {
+            return "not-completed";
+        }
+        if (job.objectiveMillis.isEmpty()) {
+            return "without-objective";
+        }
+        return ageMillis <= job.objectiveMillis.getAsLong() ? "in-time" : "late";
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StartDeadlines.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StartDeadlines.java
@@ -35,9 +35,20 @@
         return latestStartsMillis(job, job.submittedMillis);
     }
 
+    /**
+     * Returns the time after its submission within which a job is to be completed, in milliseconds.
+     */
+    long objectiveMillis(JobState job) {
+        return objectiveMillis(job, criticalPathsMillis(job)[0]);
+    }
+
+    private static long objectiveMillis(JobState job, long criticalPathMillis) {
+        return (long) (job.queue.stretch() * criticalPathMillis) + job.queue.targetMillis();
+    }
+
     private long[] latestStartsMillis(JobState job, long dueMillis) {
         long[] millis = criticalPathsMillis(job);
-        long end = dueMillis + (long) (job.queue.stretch() * millis[0]) + job.queue.targetMillis();
+        long end = dueMillis + objectiveMillis(job, millis[0]);
         for (int i = 0; i < millis.length; i++) {
             millis[i] = end - millis[i];
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/SubmitResult.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/SubmitResult.java
@@ -17,6 +17,16 @@
     /** The job is new, and counts as accepted once it is stored. */
     public static final SubmitResult PENDING = new SubmitResult(Kind.PENDING, 0, "new", Map.of());
 
+    /**
+     * Obtains the acceptance of a new job, which counts as accepted once it is stored.
+     *
+     * @param inputs  the values that led to it, for the log, not null
+     * @return the acceptance, not null
+     */
+    public static SubmitResult pending(Map<String, Object> inputs) {
+        return new SubmitResult(Kind.PENDING, 0, "new", inputs);
+    }
+
     /**
      * Obtains the refusal of a job.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
@@ -63,6 +63,7 @@
     private final Map<String, Double> expectedNeeds = new HashMap<>();
     private final Map<String, DemandForecast> forecasts = new HashMap<>();
     private final Map<String, Double> recentPeaks = new HashMap<>();
+    private final ShortageLog shortageLog;
     private long observedMillis;
     private long lastShortageMillis = Long.MIN_VALUE / 2;
 
@@ -72,6 +73,7 @@
         this.view = view;
         this.upkeepPlanner = upkeepPlanner;
         this.rateLimiter = rateLimiter;
+        this.shortageLog = new ShortageLog(actions);
     }
 
     /**
@@ -279,6 +281,7 @@
             while (balance.get(pool) < 0) {
                 Optional<MachineView> source = chooseSource(pool, peakBalance, nowMillis);
                 if (source.isEmpty()) {
+                    shortageLog.log(pool, expectedNeeds, balance, peakBalance, nowMillis);
                     break;
                 }
                 decideMove(source.get(), pool, evacuating);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/TeamAdmissionTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/TeamAdmissionTest.java
@@ -40,7 +40,7 @@
         assertEquals("team-over-rate", answer.reason());
         assertTrue(answer.retryAfterMillis() >= 500 && answer.retryAfterMillis() <= 8_000, answer.toString());
         assertEquals(
-                List.of("team", "rate", "share", "use"),
+                List.of("objective", "spare", "wait", "workers", "arriving", "team", "rate", "share", "use"),
                 List.copyOf(answer.inputs().keySet()));
         assertEquals("small", answer.inputs().get("team"));
         assertEquals(1.0, answer.inputs().get("rate"));
@@ -74,7 +74,9 @@
     void teamlessJobsAreAdmittedAsBefore() {
         open(100, 100);
         submitUntilRefused("", "overload");
-        assertEquals(Map.of(), submit("").inputs());
+        assertEquals(
+                List.of("objective", "spare", "wait", "workers", "arriving"),
+                List.copyOf(submit("").inputs().keySet()));
     }
 
     @Test
