--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ArrivalRate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ArrivalRate.java
@@ -86,7 +86,8 @@
             }
             oldestMillis = submission.millis;
         }
-        return (double) count / Math.max(MIN_SPAN_MILLIS, nowMillis - oldestMillis);
+        // The first submission begins the time that the others took.
+        return (double) (count - 1) / Math.max(MIN_SPAN_MILLIS, nowMillis - oldestMillis);
     }
 
     private record Submission(long millis, double cpuWork, double memoryWork) {}
