Let pools give up their whole surplus while another pool is short of a machine

Cause: a pool gave a machine to another one only if it kept a surplus of a whole machine.

Change: beside a shortage of a machine or more, a pool gives what it has beyond its need and keeps less than a machine.

Result: FleetPlannerTest.poolsKeepNoSurplusBesideAnUrgentShortage (a pool that needs 20 of 32 machines has 11 instead of 8). ShiftingDemandTest holds, its bound of moves included.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
@@ -20,6 +20,9 @@
     private static final double RESERVE_MACHINES = 1.5;
     /** Surplus that a pool must keep after it gives a machine to another pool, and have beyond its reserve to return one. */
     private static final double MIN_SURPLUS_MACHINES = 1.0;
+    /** Shortage of a pool from which others give it all of their surplus, as they would otherwise idle beside it. */
+    private static final double URGENT_SHORTAGE_MACHINES = 1.0;
+
     /** Time for which a surplus must last before machines are returned to a spare pool. */
     private static final long MIN_SURPLUS_MILLIS = 2_500;
     /**
@@ -279,7 +282,7 @@
         byBalance.sort(Comparator.comparingDouble(balance::get));
         for (String pool : byBalance) {
             while (balance.get(pool) < 0) {
-                Optional<MachineView> source = chooseSource(pool, peakBalance, nowMillis);
+                Optional<MachineView> source = chooseSource(pool, -balance.get(pool), peakBalance, nowMillis);
                 if (source.isEmpty()) {
                     shortageLog.log(pool, expectedNeeds, balance, peakBalance, nowMillis);
                     break;
@@ -292,14 +295,16 @@
         }
     }
 
-    private Optional<MachineView> chooseSource(String target, Map<String, Double> balance, long nowMillis) {
+    private Optional<MachineView> chooseSource(
+            String target, double shortage, Map<String, Double> balance, long nowMillis) {
         for (MachineView machine : view.machines()) {
             if (view.sparePools().contains(machine.pool()) && isMovable(machine, nowMillis)) {
                 return Optional.of(machine);
             }
         }
+        double keptSurplus = shortage >= URGENT_SHORTAGE_MACHINES ? 0 : MIN_SURPLUS_MACHINES;
         return balance.entrySet().stream()
-                .filter(entry -> !entry.getKey().equals(target) && entry.getValue() >= MIN_SURPLUS_MACHINES + 1)
+                .filter(entry -> !entry.getKey().equals(target) && entry.getValue() >= keptSurplus + 1)
                 .sorted(Map.Entry.<String, Double>comparingByValue().reversed())
                 .flatMap(entry -> leastUsedMachine(entry.getKey(), nowMillis).stream())
                 .findFirst();
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
@@ -241,6 +241,22 @@
     /**
      * Guards against a wave that is late because the machines that take longest to empty come last, one after the other.
      */
+    /** Replays a demand beyond all machines, beside which each other pool kept a machine and a part of one idle. */
+    @Test
+    void poolsKeepNoSurplusBesideAnUrgentShortage() {
+        EmulatedFleet fleet = new EmulatedFleet();
+        List<String> pools = List.of("a", "b", "c", "d");
+        pools.forEach(pool -> fleet.add(pool, 8));
+        fleet.configure(Set.copyOf(pools));
+        pools.forEach(pool -> fleet.needs.put(pool, 6.6));
+        fleet.runFor(3_000);
+        assertEquals(0, fleet.moves, "no pool is short");
+        fleet.needs.put("a", 20.0);
+        fleet.runFor(6_000);
+        assertEquals(11, fleet.countUp("a"));
+        assertEquals(7, fleet.countUp("b"));
+    }
+
     @Test
     void machinesWithLongRunningTasksAreEmptiedInTimeForTheWave() {
         fleet.add("a", 60);
