Count the crash of a worker that is being evacuated

Cause: the end of a worker that was being evacuated was taken for the end of its evacuation, so the crash was not counted. A suspected task is started on idle workers, and idle workers are the ones that are moved.

Change: such a crash counts and is attributed to no job, since the worker may have been reported empty by an earlier owner of the pool. A machine is moved only once its worker is empty. Runs that only the store names on such a worker do not count, as before.

The check on evacuated workers in workersThatLeaveAreMovedOrAreOnlySilentHaveNotCrashed was wrong in that it took a worker with a run for one that was moved; it is replaced by the new test.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerCrashes.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerCrashes.java
@@ -17,13 +17,15 @@
 
     /**
      * Records the crash of a worker and returns the tasks that are now proved to crash their workers. The end of a worker
-     * that was about to leave is no crash.
+     * that drains is no crash. A worker that is being evacuated is moved only once it is empty, so one that ends with runs
+     * has crashed; but it may have been reported empty to the owner of the machines by an earlier owner of the pool, so that
+     * the crash is attributed to no job.
      *
      * @param ended  tells which of the worker's runs have ended with it
      */
     List<JobTaskState> record(PoolWorker worker, Predicate<Run> ended, Moment now) {
         List<JobTaskState> proved = new ArrayList<>();
-        if (worker.evacuating || worker.registration.draining()) {
+        if (worker.registration.draining()) {
             return proved;
         }
         for (Run run : worker.runs.values()) {
@@ -34,7 +36,9 @@
         }
         for (JobDocumentCodec.RunLocation stored : worker.unreportedRuns) {
             JobTaskState task = state.task(stored.task().text());
-            if (task != null && record(task, stored.run(), worker, evidence(stored, worker), now)) {
+            // The store may still name runs that had ended when the worker was emptied.
+            boolean counts = task != null && !worker.evacuating;
+            if (counts && record(task, stored.run(), worker, evidence(stored, worker), now)) {
                 proved.add(task);
             }
         }
@@ -43,6 +47,9 @@
     }
 
     private static CrashEvidence evidence(Run run, Moment now) {
+        if (run.worker.evacuating) {
+            return CrashEvidence.NONE;
+        }
         long crashedByMillis = Math.min(run.worker.silentByMillis, now.steadyMillis());
         boolean soon = crashedByMillis - run.startedMillis <= CrashEvidence.RECENT_MILLIS;
         boolean onlyRecent = true;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/crash/CrashEvidence.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/crash/CrashEvidence.java
@@ -14,6 +14,9 @@
     /** Age up to which a run is recent, and time after a start that is soon, in milliseconds. */
     public static final long RECENT_MILLIS = 300;
 
+    /** The evidence of a crash that may have any cause. */
+    public static final CrashEvidence NONE = new CrashEvidence(false, false, false, false, false);
+
     /** Age from which a run has survived its start, so that a crash of its worker is not attributed to it, in milliseconds. */
     public static final long SURVIVAL_MILLIS = 1_500;
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerCrashesTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerCrashesTest.java
@@ -116,19 +116,31 @@
     }
 
     @Test
-    void workersThatLeaveAreMovedOrAreOnlySilentHaveNotCrashed() {
+    void workersThatDrainOrAreOnlySilentHaveNotCrashed() {
         PoolWorker draining = worker("draining", true);
-        PoolWorker evacuating = worker("evacuating", false);
-        evacuating.evacuating = true;
         PoolWorker silent = worker("silent", false);
-        List<JobTaskState> tasks = List.of(run(draining, 0), run(evacuating, 0), run(silent, 0));
-        List.of(draining, evacuating, silent).forEach(worker -> answered(worker, 20));
+        List<JobTaskState> tasks = List.of(run(draining, 0), run(silent, 0));
+        List.of(draining, silent).forEach(worker -> answered(worker, 20));
         crash(draining);
-        crash(evacuating);
         workerLosses.releaseRuns(silent, "lease-lapsed", NOW.plus(9_000));
         tasks.forEach(task -> assertEquals(CrashRecord.NONE, task.crashRecord));
     }
 
+    /**
+     * Guards against a task that crashed idle workers just chosen to be moved: those crashes were not counted, so it was
+     * started again without a bound.
+     */
+    @Test
+    void crashOfAWorkerThatIsBeingEvacuatedCountsButIsNotAttributed() {
+        PoolWorker evacuating = worker("evacuating", false);
+        JobTaskState task = run(evacuating, 0);
+        answered(evacuating, 20);
+        evacuating.evacuating = true;
+        crash(evacuating);
+        assertEquals(1, task.crashRecord.crashes());
+        assertEquals(0, task.crashRecord.attributed());
+    }
+
     @Test
     void provedTaskFailsItsJobAndNoOther() {
         JobTaskState task = null;
