Name jobs on demand in one place, and drop repeated work and constants of the relay

Read again as a whole; behaviour stays as it is.

- Four decisions asked whether a job is neither long-running nor scheduled; JobSpec.onDemand answers it.
- The objective of an accepted job was read back from the values for its log line; it is computed once and passed to them.
- A relayed call was encoded for each entry that was asked, and the time for which an answer of the store is awaited was stated twice.

Run: formatter, linter and compilation of all these modules; AdmissionTest, TeamAdmissionTest, ArrivalRateTest, OverloadTest, RelayedStoreTest, StoreCallCodecTest, PlatformContractTest, OwnerWithoutStoreTest pass.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
@@ -103,7 +103,7 @@
     }
 
     private Map<String, Object> refusalInputs(JobState job, Moment now) {
-        Map<String, Object> inputs = expectation(job, now);
+        Map<String, Object> inputs = expectation(job, objectiveMillis(job), now);
         teamOf(job).ifPresent(team -> {
             TeamUsage usage = backlog.teamUsage(now);
             TeamShares shares = usage.sharesWith(job.spec);
@@ -127,7 +127,7 @@
     }
 
     private OptionalLong overloadMillis(JobState job, Moment now) {
-        if (job.spec.longRunning() || job.spec.schedule().timed()) {
+        if (!job.spec.onDemand()) {
             return OptionalLong.empty();
         }
         boolean late = startDeadlines.latestStartsMillis(job)[0] < now.steadyMillis();
@@ -151,12 +151,19 @@
     }
 
     /**
-     * Returns what an accepted job is expected to find, for the log: the time within which it is to be completed, the time to
-     * spare of its tightest step, the time that the work before it takes, and the capacity that this rests on.
+     * Returns the time after its submission within which a job is to be completed, in milliseconds.
      */
-    Map<String, Object> expectation(JobState job, Moment now) {
+    long objectiveMillis(JobState job) {
+        return startDeadlines.objectiveMillis(job);
+    }
+
+    /**
+     * Returns what a job is expected to find, for the log: the time within which it is to be completed, the time to spare of
+     * its tightest step, the time that the work before it takes, and the capacity that this rests on.
+     */
+    Map<String, Object> expectation(JobState job, long objectiveMillis, Moment now) {
         Map<String, Object> inputs = new LinkedHashMap<>();
-        inputs.put("objective", startDeadlines.objectiveMillis(job));
+        inputs.put("objective", objectiveMillis);
         inputs.put("spare", (long) -backlog.overrunMillis(job, now));
         inputs.put("wait", (long) backlog.waitMillis(now));
         inputs.put("workers", state.workers.size());
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ArrivalRate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ArrivalRate.java
@@ -36,7 +36,7 @@
      * Adds a job that was submitted for the first time, unless it is long-running or scheduled.
      */
     void jobSubmitted(JobState job, long nowMillis) {
-        if (job.spec.longRunning() || job.spec.schedule().timed()) {
+        if (!job.spec.onDemand()) {
             return;
         }
         double cpuWork = 0;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Backlog.java
@@ -188,7 +188,7 @@
      * Adds the work of a job that was just accepted, unless it is long-running or scheduled.
      */
     void add(JobState job) {
-        if (job.spec.longRunning() || job.spec.schedule().timed()) {
+        if (!job.spec.onDemand()) {
             return;
         }
         for (StepWork step : stepWorkOf(job)) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -95,6 +95,15 @@
         return steps.stream().anyMatch(StepSpec::longRunning);
     }
 
+    /**
+     * Returns whether this job is to be completed soon after its submission: it neither lasts nor waits for its times.
+     *
+     * @return true if the job is neither long-running nor scheduled
+     */
+    public boolean onDemand() {
+        return !longRunning() && !schedule.timed();
+    }
+
     /**
      * The schedule of a job.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSubmissions.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSubmissions.java
@@ -1,7 +1,6 @@
 package org.trefoilpost.decision.job;
 
 import java.util.Collection;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -75,12 +74,12 @@
      * Returns the acceptance of a job, and records within which time it is to be completed.
      */
     private SubmitResult acceptance(JobState job, Moment now) {
-        if (job.spec.longRunning() || job.spec.schedule().timed()) {
+        if (!job.spec.onDemand()) {
             return SubmitResult.PENDING;
         }
-        Map<String, Object> expectation = admission.expectation(job, now);
-        job.objectiveMillis = OptionalLong.of((long) expectation.get("objective"));
-        return SubmitResult.pending(expectation);
+        long objectiveMillis = admission.objectiveMillis(job);
+        job.objectiveMillis = OptionalLong.of(objectiveMillis);
+        return SubmitResult.pending(admission.expectation(job, objectiveMillis, now));
     }
 
     private Moment firstSubmission(String job, Moment now) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StorePort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StorePort.java
@@ -10,6 +10,9 @@
  * The platform's metadata store. A call that fails completes with a {@link StoreFailure}.
  */
 public interface StorePort {
+    /** Time for which the answer to a call other than a watch is awaited, in milliseconds. */
+    long CALL_TIMEOUT_MILLIS = 1_200;
+
     /**
      * Reads the latest version of an item.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/relay/RelayedStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/relay/RelayedStore.java
@@ -149,28 +149,32 @@
         synchronized (path) {
             peers = List.copyOf(path.peersForCall(connected, clock.nowMillis()));
         }
+        if (peers.isEmpty()) {
+            return sendDirectly(call);
+        }
         CompletableFuture<T> result = new CompletableFuture<>();
-        sendThrough(peers.iterator(), call, result);
+        sendThrough(peers.iterator(), call, StoreCallCodec.encode(call), result);
         return result;
     }
 
     /**
      * Asks the next entry to carry out a call, and sends the call directly if none is left.
      */
-    private <T> void sendThrough(Iterator<String> peers, StoreCall<T> call, CompletableFuture<T> result) {
+    private <T> void sendThrough(
+            Iterator<String> peers, StoreCall<T> call, byte[] encoded, CompletableFuture<T> result) {
         if (!peers.hasNext()) {
             sendDirectly(call).whenComplete((value, failure) -> complete(result, value, failure));
             return;
         }
         String peer = peers.next();
-        relay.send(peer, StoreCallCodec.encode(call), call.timeoutMillis()).whenComplete((reply, failure) -> {
+        relay.send(peer, encoded, call.timeoutMillis()).whenComplete((reply, failure) -> {
             if (failure != null) {
                 notPassedOn(peer);
                 String message = "no answer of entry " + peer + ": " + failure.getMessage();
                 result.completeExceptionally(new StoreFailure(StoreFailure.Kind.UNKNOWN, message, List.of()));
             } else if (reply.isEmpty()) {
                 notPassedOn(peer);
-                sendThrough(peers, call, result);
+                sendThrough(peers, call, encoded, result);
             } else {
                 replied(peer, call, reply.get(), result);
             }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/relay/StoreCall.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/relay/StoreCall.java
@@ -11,9 +11,6 @@
  * @param <T>  the type of the call's result
  */
 sealed interface StoreCall<T> {
-    /** Time for which an answer is awaited, except that of a watch. */
-    long TIMEOUT_MILLIS = 1_200;
-
     /**
      * Sends the call to the store.
      */
@@ -28,7 +25,7 @@
      * Returns how long the answer is awaited, in milliseconds.
      */
     default long timeoutMillis() {
-        return TIMEOUT_MILLIS;
+        return StorePort.CALL_TIMEOUT_MILLIS;
     }
 
     /**
