Log which requests are without an answer while an entry stops

Cause: a request was logged when it had its outcome, not when its connection was closed without one, and "stopped" did not say how many requests were left. A gauge counts the waiting ones. No decision changes.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
@@ -83,6 +83,20 @@
      */
     void recordRefusal(String reason, String request);
 
+    /**
+     * Returns the number of requests that wait for a reply.
+     *
+     * @return the number, not negative
+     */
+    int unansweredCount();
+
+    /**
+     * Logs each request that waits for a reply, and what it waits for.
+     *
+     * @return completes once the requests are logged, not null
+     */
+    CompletableFuture<Void> logUnanswered();
+
     /**
      * The decision whether a request is served.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -53,6 +53,7 @@
         this.configurationStatus = configurationStatus;
         context.metrics().gauge("trefoilpost.jobs.configuration.version", this::configurationVersion);
         context.metrics().gauge("trefoilpost.jobs.configuration.age.millis", configurationStatus::displayedAgeMillis);
+        context.metrics().gauge("trefoilpost.jobs.requests.unanswered", ownerCalls::unansweredCount);
     }
 
     /**
@@ -192,6 +193,21 @@
         context.logDecision(requestRefused(reason, request));
     }
 
+    @Override
+    public int unansweredCount() {
+        return ownerCalls.unansweredCount();
+    }
+
+    @Override
+    public CompletableFuture<Void> logUnanswered() {
+        CompletableFuture<Void> logged = new CompletableFuture<>();
+        context.execute(() -> {
+            ownerCalls.logUnanswered(context.now().steadyMillis());
+            logged.complete(null);
+        });
+        return logged;
+    }
+
     private Decision requestRefused(String reason, String request) {
         return Decision.failure("request-refused")
                 .with("reason", reason)
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -1,6 +1,8 @@
 package org.trefoilpost.entry.job;
 
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
@@ -28,6 +30,8 @@
     private final OwnerConnections connections;
     private final Function<String, Optional<PoolRunner>> localRunner;
     private final BooleanSupplier storeServed;
+    private final Set<PendingRequest> unanswered = new LinkedHashSet<>();
+    private volatile int unansweredCount;
 
     /**
      * Constructs the calls.
@@ -55,15 +59,37 @@
      */
     void ask(String pool, JobRequest request, long timeoutMillis, CompletableFuture<JobReply> reply) {
         long nowMillis = context.now().steadyMillis();
-        attempt(new PendingRequest(pool, request, reply, nowMillis, nowMillis + timeoutMillis));
+        PendingRequest pending = new PendingRequest(pool, request, reply, nowMillis, nowMillis + timeoutMillis);
+        unanswered.add(pending);
+        unansweredCount = unanswered.size();
+        reply.whenComplete((answer, failure) -> {
+            unanswered.remove(pending);
+            unansweredCount = unanswered.size();
+        });
+        attempt(pending);
+    }
+
+    /**
+     * Returns the number of requests that wait for a reply. May be called on any thread.
+     */
+    int unansweredCount() {
+        return unansweredCount;
+    }
+
+    /**
+     * Logs each request that waits for a reply, and what it waits for.
+     */
+    void logUnanswered(long nowMillis) {
+        unanswered.forEach(pending -> context.logDecision(pending.describe("request-unanswered", nowMillis)));
     }
 
     private void attempt(PendingRequest pending) {
-        Optional<PoolRunner> runner = localRunner.apply(pending.pool);
-        Optional<LiveEntries.Owner> owner = liveEntries.owner(pending.pool);
+        Optional<PoolRunner> runner = localRunner.apply(pending.pool());
+        Optional<LiveEntries.Owner> owner = liveEntries.owner(pending.pool());
         if (runner.isPresent()) {
-            pending.mayHaveReachedOwner = true;
-            context.onServiceThread(serve(runner.get(), pending.request), (answer, failure) -> {
+            pending.reachedOwner();
+            pending.passedTo("this entry");
+            context.onServiceThread(serve(runner.get(), pending.request()), (answer, failure) -> {
                 if (failure != null || answer.reason().equals("owner-changed")) {
                     retryOrGiveUp(pending);
                 } else {
@@ -78,16 +104,17 @@
     }
 
     private void forward(PendingRequest pending, LiveEntries.Peer peer) {
-        long remainingMillis = pending.deadlineMillis - context.now().steadyMillis();
-        byte[] request = pending.request.encode();
+        long remainingMillis = pending.deadlineMillis() - context.now().steadyMillis();
+        byte[] request = pending.request().encode();
+        pending.passedTo(peer.name());
         context.onServiceThread(
                 connections.call(
-                        peer, pending.pool, request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, remainingMillis))),
+                        peer, pending.pool(), request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, remainingMillis))),
                 (answer, failure) -> {
                     if (failure == null && answer.isOwner()) {
                         JobReply reply = decode(answer.reply());
                         if (reply.reason().equals("owner-changed")) {
-                            pending.mayHaveReachedOwner = true;
+                            pending.reachedOwner();
                             retryOrGiveUp(pending);
                         } else {
                             complete(pending, reply);
@@ -95,14 +122,15 @@
                         return;
                     }
                     boolean lost = failure instanceof PeerCallException call && call.possiblySent();
-                    pending.mayHaveReachedOwner |= lost;
-                    pending.callLost |= lost;
+                    if (lost) {
+                        pending.callLost();
+                    }
                     retryOrGiveUp(pending);
                 });
     }
 
     private void complete(PendingRequest pending, JobReply reply) {
-        pending.reply.complete(uncertainIfCallLost(reply, pending.callLost));
+        pending.reply().complete(uncertainIfCallLost(reply, pending.isCallLost()));
     }
 
     /**
@@ -115,17 +143,19 @@
     }
 
     private void retryOrGiveUp(PendingRequest pending) {
+        pending.awaitOwner();
         long nowMillis = context.now().steadyMillis();
-        long endMillis = pending.mayHaveReachedOwner
-                ? pending.deadlineMillis
+        long endMillis = pending.mayHaveReachedOwner()
+                ? pending.deadlineMillis()
                 : Math.min(
-                        pending.deadlineMillis, pending.startMillis + OwnerWait.maxMillis(storeServed.getAsBoolean()));
+                        pending.deadlineMillis(),
+                        pending.startMillis() + OwnerWait.maxMillis(storeServed.getAsBoolean()));
         if (nowMillis + RETRY_DELAY_MILLIS < endMillis) {
             context.schedule(RETRY_DELAY_MILLIS, () -> attempt(pending));
-        } else if (pending.mayHaveReachedOwner) {
-            pending.reply.complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"));
+        } else if (pending.mayHaveReachedOwner()) {
+            pending.reply().complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"));
         } else {
-            pending.reply.complete(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", RETRY_AFTER_MILLIS));
+            pending.reply().complete(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", RETRY_AFTER_MILLIS));
         }
     }
 
@@ -225,30 +255,4 @@
         }
         return JobReplyCodec.decodeDemand(answer.reply());
     }
-
-    /**
-     * A request that has not been replied to yet.
-     */
-    private static final class PendingRequest {
-        private final String pool;
-        private final JobRequest request;
-        private final CompletableFuture<JobReply> reply;
-        private final long startMillis;
-        private final long deadlineMillis;
-        private boolean mayHaveReachedOwner;
-        private boolean callLost;
-
-        private PendingRequest(
-                String pool,
-                JobRequest request,
-                CompletableFuture<JobReply> reply,
-                long startMillis,
-                long deadlineMillis) {
-            this.pool = pool;
-            this.request = request;
-            this.reply = reply;
-            this.startMillis = startMillis;
-            this.deadlineMillis = deadlineMillis;
-        }
-    }
 }
