--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobIngress.java
@@ -83,6 +83,19 @@
      */
     void recordRefusal(String reason, String request);
 
+    /**
+     * Returns the number of requests that wait for a reply.
+     *
+     * @return the number, not negative
+     */
+    int unansweredCount();
+
+    /**
+     * Ends the wait of all requests, because this entry ends: each gets its reply at once, and so does each later one. A
+     * request that is certainly not carried out is refused as unavailable, any other one is uncertain.
+     */
+    void endRequests();
+
     /**
      * The decision whether a request is served.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -1,6 +1,9 @@
 package org.trefoilpost.entry.job;
 
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
@@ -23,11 +26,16 @@
     /** Proposed to the caller if no owner was reached. */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
+    private static final String ENTRY_STOPPING = "entry-stopping";
+
     private final JobContext context;
     private final LiveEntries liveEntries;
     private final OwnerConnections connections;
     private final Function<String, Optional<PoolRunner>> localRunner;
     private final BooleanSupplier storeServed;
+    private final Set<PendingRequest> unanswered = new LinkedHashSet<>();
+    private volatile int unansweredCount;
+    private boolean ended;
 
     /**
      * Constructs the calls.
@@ -55,15 +63,62 @@
      */
     void ask(String pool, JobRequest request, long timeoutMillis, CompletableFuture<JobReply> reply) {
         long nowMillis = context.now().steadyMillis();
-        attempt(new PendingRequest(pool, request, reply, nowMillis, nowMillis + timeoutMillis));
+        PendingRequest pending = new PendingRequest(pool, request, reply, nowMillis, nowMillis + timeoutMillis);
+        unanswered.add(pending);
+        unansweredCount = unanswered.size();
+        reply.whenComplete((answer, failure) -> {
+            unanswered.remove(pending);
+            unansweredCount = unanswered.size();
+        });
+        attempt(pending);
+    }
+
+    /**
+     * Returns the number of requests that wait for a reply. May be called on any thread.
+     */
+    int unansweredCount() {
+        return unansweredCount;
+    }
+
+    /**
+     * Ends the wait of all requests, and of those that are asked later: each is answered at once, as not carried out if that
+     * is certain.
+     */
+    void endRequests() {
+        ended = true;
+        List.copyOf(unanswered).forEach(this::giveUp);
+    }
+
+    /**
+     * Returns whether a reply says that the wait for an owner was ended, so that no other owner is asked instead.
+     */
+    static boolean isEnded(JobReply reply) {
+        return reply.reason().equals(ENTRY_STOPPING);
+    }
+
+    private void giveUp(PendingRequest pending) {
+        context.logDecision(pending.describe("request-given-up", context.now().steadyMillis()));
+        pending.reply()
+                .complete(
+                        pending.mayHaveRun()
+                                ? JobReply.of(JobReplyStatus.UNCERTAIN, ENTRY_STOPPING)
+                                : JobReply.refusal(JobReplyStatus.UNAVAILABLE, ENTRY_STOPPING, RETRY_AFTER_MILLIS));
     }
 
     private void attempt(PendingRequest pending) {
-        Optional<PoolRunner> runner = localRunner.apply(pending.pool);
-        Optional<LiveEntries.Owner> owner = liveEntries.owner(pending.pool);
+        if (pending.reply().isDone()) {
+            return;
+        }
+        if (ended) {
+            giveUp(pending);
+            return;
+        }
+        Optional<PoolRunner> runner = localRunner.apply(pending.pool());
+        Optional<LiveEntries.Owner> owner = liveEntries.owner(pending.pool());
         if (runner.isPresent()) {
-            pending.mayHaveReachedOwner = true;
-            context.onServiceThread(serve(runner.get(), pending.request), (answer, failure) -> {
+            pending.reachedOwner();
+            pending.passedTo("this entry");
+            context.onServiceThread(serve(runner.get(), pending.request()), (answer, failure) -> {
                 if (failure != null || answer.reason().equals("owner-changed")) {
                     retryOrGiveUp(pending);
                 } else {
@@ -78,16 +133,17 @@
     }
 
     private void forward(PendingRequest pending, LiveEntries.Peer peer) {
-        long remainingMillis = pending.deadlineMillis - context.now().steadyMillis();
-        byte[] request = pending.request.encode();
+        long remainingMillis = pending.deadlineMillis() - context.now().steadyMillis();
+        byte[] request = pending.request().encode();
+        pending.passedTo(peer.name());
         context.onServiceThread(
                 connections.call(
-                        peer, pending.pool, request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, remainingMillis))),
+                        peer, pending.pool(), request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, remainingMillis))),
                 (answer, failure) -> {
                     if (failure == null && answer.isOwner()) {
                         JobReply reply = decode(answer.reply());
                         if (reply.reason().equals("owner-changed")) {
-                            pending.mayHaveReachedOwner = true;
+                            pending.reachedOwner();
                             retryOrGiveUp(pending);
                         } else {
                             complete(pending, reply);
@@ -95,14 +151,15 @@
                         return;
                     }
                     boolean lost = failure instanceof PeerCallException call && call.possiblySent();
-                    pending.mayHaveReachedOwner |= lost;
-                    pending.callLost |= lost;
+                    if (lost) {
+                        pending.callLost();
+                    }
                     retryOrGiveUp(pending);
                 });
     }
 
     private void complete(PendingRequest pending, JobReply reply) {
-        pending.reply.complete(uncertainIfCallLost(reply, pending.callLost));
+        pending.reply().complete(uncertainIfCallLost(reply, pending.isCallLost()));
     }
 
     /**
@@ -115,17 +172,19 @@
     }
 
     private void retryOrGiveUp(PendingRequest pending) {
+        pending.awaitOwner();
         long nowMillis = context.now().steadyMillis();
-        long endMillis = pending.mayHaveReachedOwner
-                ? pending.deadlineMillis
+        long endMillis = pending.mayHaveReachedOwner()
+                ? pending.deadlineMillis()
                 : Math.min(
-                        pending.deadlineMillis, pending.startMillis + OwnerWait.maxMillis(storeServed.getAsBoolean()));
+                        pending.deadlineMillis(),
+                        pending.startMillis() + OwnerWait.maxMillis(storeServed.getAsBoolean()));
         if (nowMillis + RETRY_DELAY_MILLIS < endMillis) {
             context.schedule(RETRY_DELAY_MILLIS, () -> attempt(pending));
-        } else if (pending.mayHaveReachedOwner) {
-            pending.reply.complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"));
+        } else if (pending.mayHaveReachedOwner()) {
+            pending.reply().complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"));
         } else {
-            pending.reply.complete(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", RETRY_AFTER_MILLIS));
+            pending.reply().complete(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", RETRY_AFTER_MILLIS));
         }
     }
 
@@ -225,30 +284,4 @@
         }
         return JobReplyCodec.decodeDemand(answer.reply());
     }
-
-    /**
-     * A request that has not been replied to yet.
-     */
-    private static final class PendingRequest {
-        private final String pool;
-        private final JobRequest request;
-        private final CompletableFuture<JobReply> reply;
-        private final long startMillis;
-        private final long deadlineMillis;
-        private boolean mayHaveReachedOwner;
-        private boolean callLost;
-
-        private PendingRequest(
-                String pool,
-                JobRequest request,
-                CompletableFuture<JobReply> reply,
-                long startMillis,
-                long deadlineMillis) {
-            this.pool = pool;
-            this.request = request;
-            this.reply = reply;
-            this.startMillis = startMillis;
-            this.deadlineMillis = deadlineMillis;
-        }
-    }
 }
