Keep the listener open until the last request of a stopping entry is answered

Cause: an entry closed its listener 2.2 s after SIGTERM and stayed for up to 1.2 s with the requests in progress. If less than half of a zone's entries are in rotation, the platform sends connections to the others as well. Ruled out: a listener that closes before the platform stops sending (0 refused tries in a series of one entry each 1.5 s), entries that are ready before they listen. Change: the listener closes once no request is without an answer, at the latest when the last ones are given up. Requests that arrive meanwhile are served.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
@@ -3,9 +3,9 @@
 /**
  * The steps of a graceful stop, as times since it began.
  *
- * <p>At first the listener stays open, so that no caller is turned away before the entry has left the balancer's rotation.
- * Then the requests in progress have the rest of the time until shortly before the process would be killed: a request that
- * is still without an answer then is answered that it was not served, rather than that its connection is closed.
+ * <p>At first the entry waits until it has left the balancer's rotation, and serves as before. Then it ends once no request
+ * is without an answer. Shortly before the process would be killed, the requests that are left get an answer that says that
+ * they were not served, or that their outcome is unknown.
  */
 public final class StopSchedule {
     /** Two probes a second apart without success end the rotation, and the second one needs some time to be answered. */
@@ -40,21 +40,21 @@
     }
 
     /**
-     * Returns when the listener closes. Requests that have been read by then are still served.
+     * Returns when the entry has left the balancer's rotation; its listener stays open until then at least.
      *
      * @return the time since the stop began, in milliseconds, not negative
      */
-    public long listenerCloseMillis() {
+    public long rotationExitMillis() {
         return Math.min(ROTATION_EXIT_MILLIS, graceMillis / MAX_LISTENING_DIVISOR);
     }
 
     /**
      * Returns when the requests that are still without an answer get one.
      *
-     * @return the time since the stop began, in milliseconds, not before the listener closes
+     * @return the time since the stop began, in milliseconds, not before the entry has left the rotation
      */
     public long lastAnswersMillis() {
-        return Math.max(listenerCloseMillis(), graceMillis - LAST_ANSWERS_MILLIS);
+        return Math.max(rotationExitMillis(), graceMillis - LAST_ANSWERS_MILLIS);
     }
 
     /**
@@ -68,7 +68,7 @@
 
     @Override
     public String toString() {
-        return "listener closes after " + listenerCloseMillis() + " ms, last answers after " + lastAnswersMillis()
+        return "out of the rotation after " + rotationExitMillis() + " ms, last answers after " + lastAnswersMillis()
                 + " ms, exit after " + exitMillis() + " ms";
     }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/stop/StopScheduleTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/stop/StopScheduleTest.java
@@ -8,10 +8,10 @@
 
 class StopScheduleTest {
     @Test
-    void requestReadBeforeTheListenerClosesHasItsWholeUsualDeadline() {
+    void requestReadBeforeTheRotationIsLeftHasItsWholeUsualDeadline() {
         StopSchedule schedule = StopSchedule.of(6_000);
-        assertEquals(2_200, schedule.listenerCloseMillis());
-        assertTrue(schedule.lastAnswersMillis() >= schedule.listenerCloseMillis() + 2_750);
+        assertEquals(2_200, schedule.rotationExitMillis());
+        assertTrue(schedule.lastAnswersMillis() >= schedule.rotationExitMillis() + 2_750);
         assertTrue(schedule.exitMillis() > schedule.lastAnswersMillis());
         assertTrue(schedule.exitMillis() < 6_000);
     }
@@ -20,8 +20,8 @@
     void stepsKeepTheirOrderAndEndWithinTheGraceTime() {
         for (long graceMillis = 0; graceMillis <= 20_000; graceMillis += 50) {
             StopSchedule schedule = StopSchedule.of(graceMillis);
-            assertTrue(schedule.listenerCloseMillis() >= 0, schedule.toString());
-            assertTrue(schedule.listenerCloseMillis() <= schedule.lastAnswersMillis(), schedule.toString());
+            assertTrue(schedule.rotationExitMillis() >= 0, schedule.toString());
+            assertTrue(schedule.rotationExitMillis() <= schedule.lastAnswersMillis(), schedule.toString());
             assertTrue(schedule.lastAnswersMillis() <= schedule.exitMillis(), schedule.toString());
             assertTrue(schedule.exitMillis() <= graceMillis, schedule.toString());
         }
