--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
@@ -14,10 +14,10 @@
     /** The time before the kill that is kept for the answers to the requests that are given up. */
     private static final long LAST_ANSWERS_MILLIS = 1_000;
 
-    /** The time before the kill at which the process ends by itself. */
-    private static final long EXIT_MILLIS = 400;
+    /** The time before the kill at which the process begins to end by itself, with time to write its log. */
+    private static final long EXIT_MILLIS = 600;
 
-    private static final int MAX_LISTENING_DIVISOR = 2;
+    private static final int MAX_ROTATION_EXIT_DIVISOR = 2;
 
     private final long graceMillis;
 
@@ -40,12 +40,12 @@
     }
 
     /**
-     * Returns when the entry has left the balancer's rotation; its listener stays open until then at least.
+     * Returns when the entry is expected to have left the balancer's rotation; its listener stays open until then at least.
      *
      * @return the time since the stop began, in milliseconds, not negative
      */
     public long rotationExitMillis() {
-        return Math.min(ROTATION_EXIT_MILLIS, graceMillis / MAX_LISTENING_DIVISOR);
+        return Math.min(ROTATION_EXIT_MILLIS, graceMillis / MAX_ROTATION_EXIT_DIVISOR);
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -287,7 +287,7 @@
             pools.remove(config.pool());
         }
         CompletableFuture<Optional<JobReply>> found = new CompletableFuture<>();
-        askNextFormerOwner(pools.iterator(), request, deadlineMillis, found);
+        askNextFormerOwner(pools.iterator(), request, deadlineMillis, false, found);
         return found;
     }
 
@@ -295,6 +295,7 @@
             Iterator<String> pools,
             JobRequest request,
             long deadlineMillis,
+            boolean mayHaveRun,
             CompletableFuture<Optional<JobReply>> found) {
         if (!pools.hasNext()) {
             found.complete(Optional.empty());
@@ -307,9 +308,10 @@
                     && (answer.status() == JobReplyStatus.DONE
                             || answer.status() == JobReplyStatus.FORBIDDEN
                             || OwnerCalls.isEnded(answer))) {
-                found.complete(Optional.of(answer));
+                found.complete(Optional.of(OwnerCalls.uncertainIfCallLost(answer, mayHaveRun)));
             } else {
-                askNextFormerOwner(pools, request, deadlineMillis, found);
+                boolean uncertain = answer == null || answer.status() == JobReplyStatus.UNCERTAIN;
+                askNextFormerOwner(pools, request, deadlineMillis, mayHaveRun || uncertain, found);
             }
         });
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -150,7 +150,8 @@
                         }
                         return;
                     }
-                    boolean lost = failure instanceof PeerCallException call && call.possiblySent();
+                    boolean notSent = failure instanceof PeerCallException call && !call.possiblySent();
+                    boolean lost = failure != null && !notSent;
                     if (lost) {
                         pending.callLost();
                     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PendingRequest.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PendingRequest.java
@@ -15,6 +15,7 @@
     private final long startMillis;
     private final long deadlineMillis;
     private String awaited = ANY_OWNER;
+    private boolean callInFlight;
     private boolean mayHaveReachedOwner;
     private boolean callLost;
 
@@ -65,6 +66,7 @@
      */
     void passedTo(String entry) {
         awaited = entry;
+        callInFlight = true;
     }
 
     /**
@@ -72,6 +74,7 @@
      */
     void awaitOwner() {
         awaited = ANY_OWNER;
+        callInFlight = false;
     }
 
     /**
@@ -90,7 +93,7 @@
      * Returns whether the request may be carried out, or has been, as far as this entry knows.
      */
     boolean mayHaveRun() {
-        return mayHaveReachedOwner || !awaited.equals(ANY_OWNER);
+        return mayHaveReachedOwner || callInFlight;
     }
 
     boolean isCallLost() {
