--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -53,6 +53,7 @@
         this.configurationStatus = configurationStatus;
         context.metrics().gauge("trefoilpost.jobs.configuration.version", this::configurationVersion);
         context.metrics().gauge("trefoilpost.jobs.configuration.age.millis", configurationStatus::displayedAgeMillis);
+        context.metrics().gauge("trefoilpost.jobs.requests.unanswered", ownerCalls::unansweredCount);
     }
 
     /**
@@ -192,6 +193,16 @@
         context.logDecision(requestRefused(reason, request));
     }
 
+    @Override
+    public int unansweredCount() {
+        return ownerCalls.unansweredCount();
+    }
+
+    @Override
+    public void endRequests() {
+        context.execute(ownerCalls::endRequests);
+    }
+
     private Decision requestRefused(String reason, String request) {
         return Decision.failure("request-refused")
                 .with("reason", reason)
@@ -264,7 +275,8 @@
 
     /**
      * Asks the owners of the queue's former pools, one after the other, until one knows the job: it carries out the
-     * request, or refuses it because the job belongs to another team. The result is empty if none does.
+     * request, or refuses it because the job belongs to another team. The result is empty if none does. If the wait is ended,
+     * the result says so, since the job may be in a pool that was not asked.
      */
     private CompletableFuture<Optional<JobReply>> askFormerOwners(
             String queue, JobRequest request, long deadlineMillis) {
@@ -292,7 +304,9 @@
         ownerCalls.ask(pools.next(), request, ownerTimeoutMillis(deadlineMillis), reply);
         context.onServiceThread(reply, (answer, failure) -> {
             if (answer != null
-                    && (answer.status() == JobReplyStatus.DONE || answer.status() == JobReplyStatus.FORBIDDEN)) {
+                    && (answer.status() == JobReplyStatus.DONE
+                            || answer.status() == JobReplyStatus.FORBIDDEN
+                            || OwnerCalls.isEnded(answer))) {
                 found.complete(Optional.of(answer));
             } else {
                 askNextFormerOwner(pools, request, deadlineMillis, found);
