Answer the operators' calls in progress before a stopping entry closes

Cause: the services that handle the calls of operators were closed before the operators' listener, which then closed its connections without an answer to the calls in progress. The caller of an apply did not learn that its outcome is unknown.

Change: the listener closes before the services. It waits for the calls in progress for at most 1 s, answers those that are left with 503 shutting-down and the outcome "unknown", refuses new calls on open connections with the outcome "refused", and then closes gracefully.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryInstance.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/EntryInstance.java
@@ -108,6 +108,7 @@
         duties.requests().endPending();
         awaitPending(endMillis);
         callers.closeGracefully(Duration.ofMillis(Math.max(verdictMillis, endMillis - clock.nowMillis())));
+        operators.close();
         duties.membership().deregister();
         duties.fleet().close();
         duties.claims().close();
@@ -115,7 +116,6 @@
         duties.membership().close();
         duties.requests().close();
         duties.network().close();
-        operators.close();
         targets.close();
         workers.close();
         instances.close();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
@@ -17,8 +17,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.trefoilpost.entry.log.EventLog;
 import org.trefoilpost.entry.log.LogEvent;
 import org.trefoilpost.entry.metrics.EntryMetrics;
@@ -30,12 +35,20 @@
 public final class OperatorServer implements HttpService, AutoCloseable {
     private static final EventLog LOG = EventLog.of(OperatorServer.class);
     private static final int MAX_BODY_BYTES = 1024 * 1024;
+    private static final String STOPPING = "shutting-down";
+    /** The longest wait for calls in progress at a close, in milliseconds. */
+    private static final long CALL_MILLIS = 1_000;
+    /** The longest wait for the answers to be written at a close, in milliseconds. */
+    private static final long WRITE_MILLIS = 500;
+
     private static final String REFUSALS_METRIC = "trefoilpost.operator.refused";
 
     private final String token;
     private final List<OperatorRoutes> publicRoutes;
     private final List<OperatorRoutes> authenticatedRoutes;
     private final EntryMetrics metrics;
+    private final Set<CompletableFuture<OperatorResponse>> pending = ConcurrentHashMap.newKeySet();
+    private volatile boolean closing;
     private HttpServerContext server;
 
     private OperatorServer(
@@ -85,16 +98,53 @@
 
     @Override
     public Single<HttpResponse> handle(HttpServiceContext context, HttpRequest request, HttpResponseFactory factory) {
-        return Single.fromStage(respond(request).exceptionally(OperatorServer::failureResponse))
-                .map(response -> toHttpResponse(response, context, factory));
+        CompletableFuture<OperatorResponse> answer =
+                closing ? refusedAtStop() : respond(request).exceptionally(OperatorServer::failureResponse);
+        pending.add(answer);
+        answer.whenComplete((value, failure) -> pending.remove(answer));
+        return Single.fromStage(answer).map(response -> toHttpResponse(response, context, factory));
     }
 
     /**
-     * Closes the server and its connections, without waiting.
+     * Waits for the calls in progress and answers those that are left; then closes the server and its connections. To
+     * be called before the services that handle the calls are closed.
      */
     @Override
     public void close() {
-        server.closeAsync().subscribe();
+        closing = true;
+        try {
+            awaitPending();
+            pending.forEach(answer -> answer.complete(unfinishedResponse()));
+            server.closeAsyncGracefully().toFuture().get(WRITE_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            LOG.warn(LogEvent.of("operator-listener-closed-hard").withFailure(e));
+            server.closeAsync().subscribe();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            server.closeAsync().subscribe();
+        }
+    }
+
+    private void awaitPending() throws InterruptedException, ExecutionException {
+        try {
+            CompletableFuture.allOf(pending.toArray(CompletableFuture[]::new)).get(CALL_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            LOG.info(LogEvent.of("operator-calls-unfinished").with("calls", pending.size()));
+        }
+    }
+
+    private CompletableFuture<OperatorResponse> refusedAtStop() {
+        metrics.count(REFUSALS_METRIC, STOPPING);
+        return CompletableFuture.completedFuture(stoppingResponse("refused", "the entry stops; ask another entry"));
+    }
+
+    private static OperatorResponse unfinishedResponse() {
+        return stoppingResponse("unknown", "the entry stops before the call is done; ask another entry for its result");
+    }
+
+    private static OperatorResponse stoppingResponse(String outcome, String detail) {
+        return OperatorResponse.problem(
+                503, STOPPING, detail, OperatorResponse.newObject().put("outcome", outcome));
     }
 
     private CompletableFuture<OperatorResponse> respond(HttpRequest request) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/EntryInstanceTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/EntryInstanceTest.java
@@ -83,6 +83,21 @@
         assertTrue(refused.headers().firstValue("Retry-After").isPresent());
     }
 
+    @Test
+    void answersAnOperatorsCallThatIsInProgress() throws Exception {
+        setFaults("{\"silent\":true}");
+        CompletableFuture<HttpResponse<String>> change = http.sendAsync(
+                HttpRequest.newBuilder(uri(entry.operatorEndpoint(), "/v1/configuration"))
+                        .PUT(HttpRequest.BodyPublishers.ofString(CONFIGURATION.replace("floor: 0", "floor: 1")))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        Thread.sleep(QUEUEING_MILLIS);
+        entry.close();
+        HttpResponse<String> answer = change.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertEquals(503, answer.statusCode());
+        assertTrue(answer.body().contains("\"outcome\":\"unknown\""), answer::body);
+    }
+
     private void setFaults(String faults) throws Exception {
         HttpRequest request = HttpRequest.newBuilder(uri(platform.endpoint(), "/standin/faults"))
                 .POST(HttpRequest.BodyPublishers.ofString(faults))
