Wait for all operators' calls at a close, though one of them is cancelled

Cause: an operator that disconnects while its entry closes cancels its call, which ended the wait for the calls of the others with a failure; the listener was then closed at once. Found by reading. Change: the wait is for the end of each call, however it ends.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
@@ -126,8 +126,12 @@
     }
 
     private void awaitPending() throws InterruptedException, ExecutionException {
+        // An operator that disconnects cancels its call, which must not end the wait for the others.
+        CompletableFuture<?>[] ends = pending.stream()
+                .map(answer -> answer.handle((response, failure) -> response))
+                .toArray(CompletableFuture[]::new);
         try {
-            CompletableFuture.allOf(pending.toArray(CompletableFuture[]::new)).get(CALL_MILLIS, TimeUnit.MILLISECONDS);
+            CompletableFuture.allOf(ends).get(CALL_MILLIS, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             LOG.info(LogEvent.of("operator-calls-unfinished").with("calls", pending.size()));
         }
