--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
@@ -4,8 +4,8 @@
  * The steps of a graceful stop, as times since it began.
  *
  * <p>At first the entry waits until it has left the balancer's rotation, and serves as before. Then it ends once each
- * request that it has read has an answer. Shortly before the process would be killed, the requests that are left get an answer that says that
- * they were not served, or that their outcome is unknown.
+ * request that it has read has an answer. Shortly before the process would be killed, the requests that are left get an
+ * answer that says that they were not served, or that their outcome is unknown.
  */
 public final class StopSchedule {
     /** Two probes a second apart without success end the rotation, and the second one needs some time to be answered. */
