Share the bookkeeping of open replies between the listeners

Cause: the listeners for callers and for operators each kept the replies that they owe at a stop, with the same wait for all of them in two copies. Change: OpenReplies keeps them, waits for those present and completes those that are left. A reply that a caller abandons still ends without ending the wait for the others, as its test shows. No change of behaviour is intended.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
@@ -17,13 +17,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.trefoilpost.entry.http.OpenReplies;
 import org.trefoilpost.entry.log.EventLog;
 import org.trefoilpost.entry.log.LogEvent;
 import org.trefoilpost.entry.metrics.EntryMetrics;
@@ -47,7 +46,7 @@
     private final List<OperatorRoutes> publicRoutes;
     private final List<OperatorRoutes> authenticatedRoutes;
     private final EntryMetrics metrics;
-    private final Set<CompletableFuture<OperatorResponse>> pending = ConcurrentHashMap.newKeySet();
+    private final OpenReplies<OperatorResponse> openReplies = new OpenReplies<>();
     private volatile boolean closing;
     private HttpServerContext server;
 
@@ -100,8 +99,7 @@
     public Single<HttpResponse> handle(HttpServiceContext context, HttpRequest request, HttpResponseFactory factory) {
         CompletableFuture<OperatorResponse> answer =
                 closing ? refusedAtStop() : respond(request).exceptionally(OperatorServer::failureResponse);
-        pending.add(answer);
-        answer.whenComplete((value, failure) -> pending.remove(answer));
+        openReplies.add(answer);
         return Single.fromStage(answer).map(response -> toHttpResponse(response, context, factory));
     }
 
@@ -113,8 +111,8 @@
     public void close() {
         closing = true;
         try {
-            awaitPending();
-            pending.forEach(answer -> answer.complete(unfinishedResponse()));
+            awaitOpenReplies();
+            openReplies.completeAll(OperatorServer::unfinishedResponse);
             server.closeAsyncGracefully().toFuture().get(WRITE_MILLIS, TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
             LOG.warn(LogEvent.of("operator-listener-closed-hard").withFailure(e));
@@ -125,15 +123,11 @@
         }
     }
 
-    private void awaitPending() throws InterruptedException, ExecutionException {
-        // An operator that disconnects cancels its call, which must not end the wait for the others.
-        CompletableFuture<?>[] ends = pending.stream()
-                .map(answer -> answer.handle((response, failure) -> response))
-                .toArray(CompletableFuture[]::new);
+    private void awaitOpenReplies() throws InterruptedException, ExecutionException {
         try {
-            CompletableFuture.allOf(ends).get(CALL_MILLIS, TimeUnit.MILLISECONDS);
+            openReplies.presentEnded().get(CALL_MILLIS, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
-            LOG.info(LogEvent.of("operator-calls-unfinished").with("calls", pending.size()));
+            LOG.info(LogEvent.of("operator-calls-unfinished").with("calls", openReplies.count()));
         }
     }
 
