Take a former owner that is not heard for one that may know the job

What callers saw: a GET or DELETE of a job in a former pool of its queue was answered 410 "no such job" while that pool had no owner or its owner was silent, and a repeated submit of the job was accepted by the present pool, so that it could run twice. Each former owner had the whole deadline anew, so an answer could come after the caller had gone. Cause: any reply but DONE and FORBIDDEN counted as "does not know the job"; the wait for an owner was a duration that each call began again. Ruled out: asking the former pools one after the other with a shared deadline, as a silent one would use up the time of the others; waiting for every former pool, as one that was removed from the configuration gets no owner again and its queue would be refused for ever. Change: only NO_JOB counts as not knowing. Former owners are asked at the same time until one deadline, which begins with the request. If one is not heard, a read or cancel is uncertain, or unavailable if it has certainly not reached that owner; a submit is refused as unavailable, since it was not passed on. A request whose deadline is over is not passed on any more. The check of a reason's text for the end of an entry is gone, as the general rule covers it. A log line says which former owner was not heard and why. Callers of OwnerCalls.ask in tests pass the same 3 s as a point in time; the configuration of TeamAccessTest names both of its pools, as it did not while a queue was moved between them.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -1,7 +1,5 @@
 package org.trefoilpost.entry.job;
 
-import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobSpec;
+import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.team.AccessDecision;
 import org.trefoilpost.decision.job.team.Caller;
@@ -22,7 +21,8 @@
  * reported as not carried out; its outcome is reported as uncertain.
  *
  * <p>When a queue is moved to another pool, its earlier jobs remain with the former pool. Requests about a job are
- * therefore sent to the owners of former pools too.
+ * therefore sent to the owners of former pools too. Only an owner that answers that there is no such job counts as not
+ * knowing it: one that is not heard may have it.
  */
 final class JobRequestRouter implements JobIngress {
     private static final long MIN_DEADLINE_MILLIS = 300;
@@ -34,6 +34,8 @@
     private static final long MAX_JOB_NAME_LENGTH = 64;
 
     private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 1_000;
+    /** Proposed to a caller whose job was not submitted because a former owner was not heard. */
+    private static final long UNHEARD_RETRY_AFTER_MILLIS = 1_000;
 
     private final JobContext context;
     private final OwnerCalls ownerCalls;
@@ -136,39 +138,53 @@
             return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.MALFORMED, fault.get()));
         }
         JobRequest request = new JobRequest.Submit(spec, caller);
+        long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        context.execute(() -> askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id(), caller), deadlineMillis)
-                .thenAccept(known -> {
-                    if (known.isPresent()) {
-                        reply.complete(
-                                known.get().status() == JobReplyStatus.DONE
-                                        ? JobReply.of(JobReplyStatus.DONE, "known")
-                                        : known.get());
+        context.execute(() -> askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id(), caller), endMillis)
+                .thenAccept(former -> {
+                    if (former.isPresent()) {
+                        reply.complete(unsubmitted(former.get()));
                     } else {
-                        askOwner(spec.queue(), spec.id(), request, deadlineMillis, reply);
+                        askOwner(spec.queue(), request, endMillis, reply);
                     }
                 }));
         return logOutcome("submit", spec.id(), recordForbidden("submit", spec.id(), caller, reply));
     }
 
+    /**
+     * Returns the reply to a submission that was not passed on because a former owner knows the job or may know it.
+     */
+    private static JobReply unsubmitted(JobReply former) {
+        return switch (former.status()) {
+            case DONE -> JobReply.of(JobReplyStatus.DONE, "known");
+            case FORBIDDEN -> former;
+            default ->
+                JobReply.refusal(
+                        JobReplyStatus.UNAVAILABLE,
+                        former.reason(),
+                        Math.max(UNHEARD_RETRY_AFTER_MILLIS, former.retryAfterMillis()));
+        };
+    }
+
     @Override
     public CompletableFuture<JobReply> cancel(String queue, String job, Caller caller, long deadlineMillis) {
         CompletableFuture<JobReply> reply =
-                askCurrentThenFormerOwners(queue, job, new JobRequest.Cancel(job, caller), deadlineMillis);
+                askCurrentThenFormerOwners(queue, new JobRequest.Cancel(job, caller), deadlineMillis);
         return logOutcome("cancel", job, recordForbidden("cancel", job, caller, reply));
     }
 
     @Override
     public CompletableFuture<JobReply> phase(String queue, String job, Caller caller, long deadlineMillis) {
         CompletableFuture<JobReply> reply =
-                askCurrentThenFormerOwners(queue, job, new JobRequest.Phase(job, caller), deadlineMillis);
+                askCurrentThenFormerOwners(queue, new JobRequest.Phase(job, caller), deadlineMillis);
         return recordForbidden("phase", job, caller, reply).thenApply(answer -> checkRead(queue, answer));
     }
 
     @Override
     public CompletableFuture<JobReply> queuedJobs(String queue, long deadlineMillis) {
+        long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        context.execute(() -> askOwner(queue, "", new JobRequest.QueuedJobs(queue), deadlineMillis, reply));
+        context.execute(() -> askOwner(queue, new JobRequest.QueuedJobs(queue), endMillis, reply));
         return reply.thenApply(answer -> checkRead(queue, answer));
     }
 
@@ -256,16 +272,17 @@
      * Asks the owner of the queue's pool, and if it does not know the job, the owners of the queue's former pools.
      */
     private CompletableFuture<JobReply> askCurrentThenFormerOwners(
-            String queue, String job, JobRequest request, long deadlineMillis) {
+            String queue, JobRequest.AboutJob request, long deadlineMillis) {
+        long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
         context.execute(() -> {
             CompletableFuture<JobReply> first = new CompletableFuture<>();
-            askOwner(queue, job, request, deadlineMillis, first);
+            askOwner(queue, request, endMillis, first);
             first.thenAccept(answer -> {
                 if (answer.status() != JobReplyStatus.NO_JOB) {
                     reply.complete(answer);
                 } else {
-                    context.execute(() -> askFormerOwners(queue, request, deadlineMillis)
+                    context.execute(() -> askFormerOwners(queue, request, endMillis)
                             .thenAccept(other -> reply.complete(other.orElse(answer))));
                 }
             });
@@ -274,65 +291,66 @@
     }
 
     /**
-     * Asks the owners of the queue's former pools, one after the other, until one knows the job: it carries out the
-     * request, or refuses it because the job belongs to another team. The result is empty if none does. If the wait is ended,
-     * the result says so, since the job may be in a pool that was not asked.
+     * Asks the owners of the queue's former pools at the same time.
+     *
+     * @return the reply for the caller, see {@link FormerOwnerReplies}
      */
     private CompletableFuture<Optional<JobReply>> askFormerOwners(
-            String queue, JobRequest request, long deadlineMillis) {
-        List<String> pools = new ArrayList<>(formerPools.getOrDefault(queue, Set.of()));
-        JobConfiguration current = configuration;
-        QueueConfig config = current == null ? null : current.queues().get(queue);
-        if (config != null) {
-            pools.remove(config.pool());
+            String queue, JobRequest.AboutJob request, long endMillis) {
+        List<String> pools = formerPoolsInService(queue, context.now());
+        FormerOwnerReplies replies = new FormerOwnerReplies(pools.size());
+        for (String pool : pools) {
+            CompletableFuture<JobReply> reply = new CompletableFuture<>();
+            ownerCalls.ask(pool, request, endMillis, reply);
+            context.onServiceThread(reply, (answer, failure) -> {
+                JobReply heard = failure == null ? answer : JobReply.of(JobReplyStatus.UNCERTAIN, "internal");
+                if (FormerOwnerReplies.isUnheard(heard)) {
+                    context.logDecision(Decision.failure("former-owner-unheard")
+                            .with("queue", queue)
+                            .with("pool", pool)
+                            .with("job", request.job())
+                            .with("status", heard.status().name())
+                            .with("reason", failure == null ? heard.reason() : failure.toString()));
+                }
+                replies.add(heard);
+            });
         }
-        CompletableFuture<Optional<JobReply>> found = new CompletableFuture<>();
-        askNextFormerOwner(pools.iterator(), request, deadlineMillis, false, found);
-        return found;
+        return replies.result();
     }
 
-    private void askNextFormerOwner(
-            Iterator<String> pools,
-            JobRequest request,
-            long deadlineMillis,
-            boolean mayHaveRun,
-            CompletableFuture<Optional<JobReply>> found) {
-        if (!pools.hasNext()) {
-            found.complete(Optional.empty());
-            return;
+    /**
+     * Returns the former pools of a queue that have an owner or get one. A pool that was removed from the configuration and
+     * has lost its owner runs no jobs, and nobody could answer for it.
+     */
+    private List<String> formerPoolsInService(String queue, Moment now) {
+        JobConfiguration current = configuration;
+        if (current == null) {
+            return List.of();
         }
-        CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        ownerCalls.ask(pools.next(), request, ownerTimeoutMillis(deadlineMillis), reply);
-        context.onServiceThread(reply, (answer, failure) -> {
-            if (answer != null
-                    && (answer.status() == JobReplyStatus.DONE
-                            || answer.status() == JobReplyStatus.FORBIDDEN
-                            || OwnerCalls.isEnded(answer))) {
-                found.complete(Optional.of(OwnerCalls.uncertainIfCallLost(answer, mayHaveRun)));
-            } else {
-                boolean uncertain = answer == null || answer.status() == JobReplyStatus.UNCERTAIN;
-                askNextFormerOwner(pools, request, deadlineMillis, mayHaveRun || uncertain, found);
-            }
-        });
+        QueueConfig config = current.queues().get(queue);
+        return formerPools.getOrDefault(queue, Set.of()).stream()
+                .filter(pool -> config == null || !pool.equals(config.pool()))
+                .filter(pool -> current.pools().contains(pool) || ownerCalls.mayHaveOwner(pool, now))
+                .toList();
     }
 
-    private void askOwner(
-            String queue, String job, JobRequest request, long deadlineMillis, CompletableFuture<JobReply> reply) {
+    private void askOwner(String queue, JobRequest request, long endMillis, CompletableFuture<JobReply> reply) {
         JobConfiguration current = configuration;
         QueueConfig config = current == null ? null : current.queues().get(queue);
         if (config == null) {
             reply.complete(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"));
         } else {
-            ownerCalls.ask(config.pool(), request, ownerTimeoutMillis(deadlineMillis), reply);
+            ownerCalls.ask(config.pool(), request, endMillis, reply);
         }
     }
 
     /**
-     * Returns how long an owner may take, so that the reply reaches the caller in time.
+     * Returns until when all owners together may take, on the steady clock in milliseconds, so that the reply reaches the
+     * caller in time.
      */
-    private static long ownerTimeoutMillis(long deadlineMillis) {
+    private static long ownerDeadlineMillis(long deadlineMillis, Moment now) {
         long bounded = Math.min(MAX_DEADLINE_MILLIS, Math.max(MIN_DEADLINE_MILLIS, deadlineMillis));
-        return bounded - Math.min(MAX_REPLY_MARGIN_MILLIS, bounded / REPLY_MARGIN_DIVISOR);
+        return now.steadyMillis() + bounded - Math.min(MAX_REPLY_MARGIN_MILLIS, bounded / REPLY_MARGIN_DIVISOR);
     }
 
     OwnerCalls ownerCalls() {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.OwnerWait;
 import org.trefoilpost.decision.job.PoolDemand;
 import org.trefoilpost.decision.job.PoolInstructions;
@@ -57,13 +58,14 @@
     }
 
     /**
-     * Sends a request to the owner of a pool, and retries it until the timeout.
+     * Sends a request to the owner of a pool, and retries it until the deadline.
      *
+     * @param deadlineMillis  when the wait for a reply ends, on the steady clock in milliseconds
      * @param reply  is completed with the owner's reply, or with a refusal or an uncertain outcome if there is none
      */
-    void ask(String pool, JobRequest request, long timeoutMillis, CompletableFuture<JobReply> reply) {
+    void ask(String pool, JobRequest request, long deadlineMillis, CompletableFuture<JobReply> reply) {
         long nowMillis = context.now().steadyMillis();
-        PendingRequest pending = new PendingRequest(pool, request, reply, nowMillis, nowMillis + timeoutMillis);
+        PendingRequest pending = new PendingRequest(pool, request, reply, nowMillis, deadlineMillis);
         unanswered.add(pending);
         unansweredCount = unanswered.size();
         reply.whenComplete((answer, failure) -> {
@@ -90,10 +92,14 @@
     }
 
     /**
-     * Returns whether a reply says that the wait for an owner was ended, so that no other owner is asked instead.
+     * Returns whether a pool that entries do not claim any more has an owner, or lost it so recently that the owner may
+     * renew its claim.
      */
-    static boolean isEnded(JobReply reply) {
-        return reply.reason().equals(ENTRY_STOPPING);
+    boolean mayHaveOwner(String pool, Moment now) {
+        long nowMillis = now.steadyMillis();
+        return localRunner.apply(pool).isPresent()
+                || liveEntries.owner(pool).isPresent()
+                || nowMillis - liveEntries.ownerlessSinceMillis(pool, nowMillis) < OwnerWait.maxMillis(true);
     }
 
     private void giveUp(PendingRequest pending) {
@@ -113,6 +119,11 @@
             giveUp(pending);
             return;
         }
+        if (context.now().steadyMillis() >= pending.deadlineMillis()) {
+            // A request that is passed on now would be carried out for a caller that no longer waits.
+            retryOrGiveUp(pending);
+            return;
+        }
         Optional<PoolRunner> runner = localRunner.apply(pending.pool());
         Optional<LiveEntries.Owner> owner = liveEntries.owner(pending.pool());
         if (runner.isPresent()) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
@@ -26,10 +27,18 @@
 
     private final Thread testThread = Thread.currentThread();
     private final TestService service = new TestService(new MemoryStore(), null, null, this::readClock);
+    /** The runners of the pools that this entry owns. */
+    private final Map<String, PoolRunner> runners = new ConcurrentHashMap<>();
+
     private final ConfigurationStatus status = new ConfigurationStatus(service.context());
     private final JobRequestRouter router = new JobRequestRouter(
             service.context(),
-            new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.empty(), () -> true),
+            new OwnerCalls(
+                    service.context(),
+                    new LiveEntries(),
+                    null,
+                    pool -> Optional.ofNullable(runners.get(pool)),
+                    () -> true),
             status);
 
     @BeforeEach
@@ -108,6 +117,70 @@
         assertEquals(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"), phase.join());
     }
 
+    /** Guards against NO_JOB for a job in a former pool whose owner is not heard. */
+    @Test
+    void jobThatAFormerOwnerMayHaveIsNotReportedMissing() {
+        moveQueue(Set.of("pool", "former"));
+        openEmptyPool("pool");
+        JobReply refusal = JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", 1_000);
+        assertEquals(refusal, await(router.phase("q", "1", Caller.UNIDENTIFIED, 3_000)));
+        assertEquals(refusal, await(router.cancel("q", "1", Caller.UNIDENTIFIED, 3_000)));
+        openEmptyPool("former");
+        JobReply missing = JobReply.of(JobReplyStatus.NO_JOB, "unknown-job");
+        assertEquals(missing, await(router.phase("q", "1", Caller.UNIDENTIFIED, 3_000)));
+        assertEquals(missing, await(router.cancel("q", "1", Caller.UNIDENTIFIED, 3_000)));
+    }
+
+    /** Guards against a former owner that uses the deadline anew, so that the caller no longer waits. */
+    @Test
+    void formerOwnersShareTheDeadlineWithTheOwner() {
+        moveQueue(Set.of("pool", "former"));
+        CompletableFuture<JobReply> reply = router.phase("q", "1", Caller.UNIDENTIFIED, 2_000);
+        advance(1_000);
+        assertFalse(reply.isDone(), "the queue's pool has no owner yet");
+        openEmptyPool("pool");
+        advance(900);
+        assertEquals(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", 1_000), reply.getNow(null));
+    }
+
+    /** Guards against a queue that is refused for ever because its former pool was removed. */
+    @Test
+    void formerPoolThatWasRemovedIsNotAwaited() {
+        moveQueue(Set.of("pool"));
+        openEmptyPool("pool");
+        assertEquals(
+                JobReplyStatus.UNAVAILABLE,
+                await(router.phase("q", "1", Caller.UNIDENTIFIED, 3_000)).status(),
+                "its owner may renew its claim");
+        CompletableFuture<JobReply> reply = router.phase("q", "1", Caller.UNIDENTIFIED, 3_000);
+        service.run(() -> {});
+        assertEquals(JobReply.of(JobReplyStatus.NO_JOB, "unknown-job"), reply.getNow(null));
+    }
+
+    private void moveQueue(Set<String> pools) {
+        service.run(() -> router.configure(configuration(1, "former", Set.of("former"))));
+        service.run(() -> router.configure(configuration(2, "pool", pools)));
+    }
+
+    private void openEmptyPool(String pool) {
+        runners.put(pool, new PoolRunner(pool, 1, service.context(), null, () -> {}));
+    }
+
+    private JobReply await(CompletableFuture<JobReply> reply) {
+        for (int i = 0; i < 30 && !reply.isDone(); i++) {
+            advance(100);
+        }
+        return reply.getNow(null);
+    }
+
+    private void advance(long millis) {
+        for (long passed = 0; passed < millis; passed += 100) {
+            clock.addAndGet(100);
+            status.confirmed(service.context().now());
+            service.runWithTimers(() -> {});
+        }
+    }
+
     private long readClock() {
         Runnable step = Thread.currentThread() == testThread ? atClockReading.getAndSet(null) : null;
         if (step != null) {
@@ -121,7 +194,11 @@
     }
 
     private static JobConfiguration configuration() {
-        QueueConfig queue = new QueueConfig("q", "host", "/q/", "pool", 0, 1, 1, 1_000, Optional.empty(), false);
-        return new JobConfiguration(1, Map.of("q", queue), Set.of("pool"), Set.of(), 1_000, Teams.NONE);
+        return configuration(1, "pool", Set.of("pool"));
+    }
+
+    private static JobConfiguration configuration(long version, String pool, Set<String> pools) {
+        QueueConfig queue = new QueueConfig("q", "host", "/q/", pool, 0, 1, 1, 1_000, Optional.empty(), false);
+        return new JobConfiguration(version, Map.of("q", queue), pools, Set.of(), 1_000, Teams.NONE);
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
@@ -11,6 +11,8 @@
 import org.trefoilpost.decision.job.team.Caller;
 
 class OwnerCallsTest {
+    private static final long DEADLINE_MILLIS = 3_000;
+
     @Test
     void refusalAfterLostCallIsUncertain() {
         for (JobReplyStatus refused : new JobReplyStatus[] {JobReplyStatus.REJECTED, JobReplyStatus.UNAVAILABLE}) {
@@ -44,7 +46,7 @@
                     },
                     () -> false);
             CompletableFuture<JobReply> reply = new CompletableFuture<>();
-            service.run(() -> calls.ask("pool", new JobRequest.QueuedJobs("queue"), 3_000, reply));
+            service.run(() -> ask(service, calls, new JobRequest.QueuedJobs("queue"), reply));
             assertEquals(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", 1_000), reply.join());
             assertTrue(attempts.get() <= 4, "attempts: " + attempts);
         }
@@ -59,7 +61,7 @@
                     new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.of(runner), () -> true);
             JobRequest failing = new JobRequest.Submit(null, Caller.UNIDENTIFIED);
             CompletableFuture<JobReply> reply = new CompletableFuture<>();
-            service.run(() -> calls.ask("pool", failing, 3_000, reply));
+            service.run(() -> ask(service, calls, failing, reply));
             assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "internal"), reply.getNow(null));
         }
     }
@@ -72,10 +74,10 @@
                     new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.empty(), () -> true);
             CompletableFuture<JobReply> waiting = new CompletableFuture<>();
             CompletableFuture<JobReply> later = new CompletableFuture<>();
-            service.run(() -> calls.ask("pool", new JobRequest.QueuedJobs("queue"), 3_000, waiting));
+            service.run(() -> ask(service, calls, new JobRequest.QueuedJobs("queue"), waiting));
             assertEquals(1, calls.unansweredCount());
             service.run(calls::endRequests);
-            service.run(() -> calls.ask("pool", new JobRequest.QueuedJobs("queue"), 3_000, later));
+            service.run(() -> ask(service, calls, new JobRequest.QueuedJobs("queue"), later));
             JobReply refusal = JobReply.refusal(JobReplyStatus.UNAVAILABLE, "entry-stopping", 1_000);
             assertEquals(refusal, waiting.getNow(null));
             assertEquals(refusal, later.getNow(null));
@@ -96,4 +98,26 @@
         pending.callLost();
         assertTrue(pending.mayHaveRun(), "the call was sent");
     }
+
+    /** Guards against a job that is passed on, and may run, when its caller no longer waits. */
+    @Test
+    void requestWhoseDeadlineIsOverIsNotPassedOn() {
+        try (TestService service = new TestService(new MemoryStore(), null, null, new UnusedFormats())) {
+            PoolRunner runner = new PoolRunner("pool", 1, service.context(), null, () -> {});
+            OwnerCalls calls =
+                    new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.of(runner), () -> true);
+            CompletableFuture<JobReply> reply = new CompletableFuture<>();
+            service.run(() -> calls.ask(
+                    "pool",
+                    new JobRequest.QueuedJobs("queue"),
+                    service.context().now().steadyMillis(),
+                    reply));
+            assertEquals(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", 1_000), reply.getNow(null));
+        }
+    }
+
+    private static void ask(
+            TestService service, OwnerCalls calls, JobRequest request, CompletableFuture<JobReply> reply) {
+        calls.ask("pool", request, service.context().now().steadyMillis() + DEADLINE_MILLIS, reply);
+    }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
@@ -114,6 +114,20 @@
         assertTrue(store.text(PoolStore.jobKey(POOL, JOB)).isEmpty());
     }
 
+    /** Guards against a second run of a job in the pool that its queue was moved to while its owner is not heard. */
+    @Test
+    void jobIsNotAcceptedAgainWhileItsFormerOwnerIsNotHeard() {
+        open(KEYS, POOL, FORMER_POOL);
+        service.run(() -> router.configure(configuration(1, FORMER_POOL)));
+        assertEquals(JobReplyStatus.DONE, submit(TEAM_A).status());
+        service.run(() -> router.configure(configuration(2, POOL)));
+        PoolRunner former = runners.remove(FORMER_POOL);
+        assertEquals(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", 1_000), submit(TEAM_A));
+        assertTrue(store.text(PoolStore.jobKey(POOL, JOB)).isEmpty());
+        runners.put(FORMER_POOL, former);
+        assertEquals("known", submit(TEAM_A).reason());
+    }
+
     /** Guards against a job whose team is lost with its owner. */
     @Test
     void teamOfAJobIsStoredAndReadByTheNextOwner() {
@@ -232,7 +246,7 @@
         teams.team(new TeamConfig("team-a", 1, ResourceAmount.NONE)).addKey("team-a", "key-a");
         teams.team(new TeamConfig("team-b", 1, ResourceAmount.NONE)).addKey("team-b", "key-b");
         return new JobConfiguration(
-                version, Map.of("q", closed, "open", open), Set.of(pool), Set.of(), 1_000, teams.build());
+                version, Map.of("q", closed, "open", open), Set.of(POOL, FORMER_POOL), Set.of(), 1_000, teams.build());
     }
 
     private JobReply submit(Caller caller) {
