Stop the product's program gracefully if it is told to stop while it starts

What callers saw: SIGTERM while an entry starts, also when its listeners are open already, ended the process at once with code 143; requests and calls of peers in progress lost their connection without an answer. Cause: the hook for the signal was registered after the listeners were open. Ruled out: a stop of an entry that is half started, as its duties are closed in an order that needs all of them; a start does not wait for the store, so it is short. Change: the hook is registered first. A start in progress is completed before the stop, and an entry that was told to stop before it starts does not start. A failed start keeps its exit code, 1. Result: MainTest stops a process as soon as its first listener, that for peers, is open.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/Main.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/Main.java
@@ -71,24 +71,30 @@
     }
 
     private static int serve(EntrySettings settings, PrintStream out, PrintStream err) throws InterruptedException {
-        EntryInstance entry;
+        EntryProgram program = new EntryProgram(settings);
+        CountDownLatch stopped = new CountDownLatch(1);
+        // Requests may arrive before the start is complete, so signals must be handled from before then.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(program, stopped), "shutdown"));
         try {
-            entry = EntryInstance.start(settings);
+            program.start()
+                    .ifPresent(entry -> out.println(
+                            "callers " + entry.callerEndpoint() + " operators " + entry.operatorEndpoint()));
         } catch (Exception e) {
             err.println("the entry could not start: " + e.getMessage());
             return EXIT_FAILED;
         }
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            entry.close();
-                            stopped.countDown();
-                            Runtime.getRuntime().halt(EXIT_OK);
-                        },
-                        "shutdown"));
-        out.println("callers " + entry.callerEndpoint() + " operators " + entry.operatorEndpoint());
         stopped.await();
         return EXIT_OK;
     }
+
+    /**
+     * Stops the entry and ends the process. After a failed start, the exit code remains that of the failure.
+     */
+    private static void stop(EntryProgram program, CountDownLatch stopped) {
+        boolean wasRunning = program.stop();
+        stopped.countDown();
+        if (wasRunning) {
+            Runtime.getRuntime().halt(EXIT_OK);
+        }
+    }
 }
