Wait until every worker serves again before a scenario uses the shared fleet

Cause: the scenario before it breaks answers off. Entries eject workers for that and send them probes only; the shared fleet was handed to the next scenario at once. When all three entries had ejected worker 1, no request reached it while it hung. Ruled out: a hang that is not noticed. Requests that reach the hanging worker are told may-have-run (deadline-passed), and the changes of dispatch since only concern the stop of an entry. No count is changed. New gauge trefoilpost.workers.ejected; a new scenario checks that it shows an ejection and the return of the worker. The tick times and ejected workers of all pools are gathered by PoolSet now (length of RequestDispatcher).

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/PoolSet.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -125,6 +127,44 @@
         return LoadSnapshot.of(inFlight, queued, own);
     }
 
+    /**
+     * Returns the time of the earliest tick that is due in a pool.
+     *
+     * @return the time in milliseconds, the largest long if no tick is due
+     */
+    long nextTickMillis() {
+        long next = Long.MAX_VALUE;
+        for (Pool pool : pools.values()) {
+            OptionalLong tick = pool.dispatcher().nextTickMillis();
+            next = tick.isPresent() ? Math.min(next, tick.getAsLong()) : next;
+        }
+        return next;
+    }
+
+    /**
+     * Returns the workers that the pools' routers ejected because of their failures.
+     *
+     * @return the identifiers of the ejected workers, not null
+     */
+    Set<WorkerId> ejectedWorkers() {
+        Set<WorkerId> ejected = new HashSet<>();
+        pools.values().forEach(pool -> ejected.addAll(pool.ejectedWorkers()));
+        return ejected;
+    }
+
+    /**
+     * Returns the number of workers that the pools' routers ejected because of their failures.
+     *
+     * @return the number, not negative
+     */
+    int ejectedCount() {
+        int count = 0;
+        for (Pool pool : pools.values()) {
+            count += pool.dispatcher().router().ejectedWorkers();
+        }
+        return count;
+    }
+
     /**
      * Drops removed pools without pending requests.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDispatcher.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/request/RequestDispatcher.java
@@ -3,11 +3,9 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.dispatch.AbandonAttempt;
@@ -53,12 +51,15 @@
     private long lastId;
     private long nextTimerMillis = Long.MAX_VALUE;
     private volatile int pendingRequests;
+    private volatile int ejectedCount;
     private volatile LoadSnapshot loads = LoadSnapshot.NONE;
 
     RequestDispatcher(RequestContext context, ServiceThread<RequestEvent> duty) {
         this.context = context;
         this.serviceThread = duty;
         this.pools = new PoolSet(context.dataCentre());
+        context.metrics()
+                .gauge("trefoilpost.workers.ejected", "Workers ejected because of their failures", () -> ejectedCount);
     }
 
     /**
@@ -208,9 +209,7 @@
      * @return the identifiers of the ejected workers, not null
      */
     Set<WorkerId> ejectedWorkers() {
-        Set<WorkerId> ejected = new HashSet<>();
-        pools.all().forEach(pool -> ejected.addAll(pool.ejectedWorkers()));
-        return ejected;
+        return pools.ejectedWorkers();
     }
 
     private void onCancelled(long id, long nowMillis) {
@@ -228,6 +227,7 @@
             execute(pool.dispatcher().tick(nowMillis), nowMillis);
         }
         pools.removeDrained();
+        ejectedCount = pools.ejectedCount();
     }
 
     private void onTimer(long nowMillis) {
@@ -237,6 +237,8 @@
     }
 
     private void execute(List<DispatchAction> actions, long nowMillis) {
+        // Before the actions, so that a caller who has its answer finds the ejections up to it in the metrics.
+        ejectedCount = pools.ejectedCount();
         for (DispatchAction action : actions) {
             execute(action, nowMillis);
         }
@@ -301,11 +303,7 @@
     }
 
     private void scheduleTimer() {
-        long next = Long.MAX_VALUE;
-        for (Pool pool : pools.all()) {
-            OptionalLong tick = pool.dispatcher().nextTickMillis();
-            next = tick.isPresent() ? Math.min(next, tick.getAsLong()) : next;
-        }
+        long next = pools.nextTickMillis();
         if (next < nextTimerMillis) {
             nextTimerMillis = next;
             serviceThread.schedule(next, RequestDispatcher::onTimer);
--- a/trefoilpost-verify/src/test/java/org/trefoilpost/verify/harness/Fleet.java
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/harness/Fleet.java
@@ -8,6 +8,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.trefoilpost.model.Endpoint;
 import org.trefoilpost.standins.platform.PlatformServer;
@@ -26,6 +29,7 @@
     public static final String TOKEN = "operators-only";
 
     private static final int PER_RACK = 4;
+    private static final int PROBES_PER_WORKER = 2;
 
     private final Path runLog;
     private final String pool;
@@ -129,6 +133,41 @@
         }
     }
 
+    /**
+     * Waits until every running entry sends requests to every worker and all of them are answered.
+     *
+     * <p>Requests are sent for this, because ejected workers are probed with requests only.
+     */
+    public void awaitEveryWorkerServes() {
+        for (EntryProcess entry : running()) {
+            Operator operator = Operator.at(entry);
+            Set<String> serving = new TreeSet<>();
+            List<CallerAnswer> latest = new ArrayList<>();
+            Waits.until(
+                    () -> entry.id() + " sends requests to all " + workers().size() + " workers: it sent some to "
+                            + serving + ", has ejected " + operator.ejectedWorkers() + ", and answered " + latest,
+                    () -> {
+                        latest.clear();
+                        latest.addAll(probe(entry));
+                        if (operator.ejectedWorkers() > 0 || !latest.stream().allMatch(CallerAnswer::isAnswered)) {
+                            serving.clear();
+                            return false;
+                        }
+                        latest.forEach(answer ->
+                                serving.add(answer.body().path("worker").asText()));
+                        return serving.size() == workers().size();
+                    });
+        }
+    }
+
+    private List<CallerAnswer> probe(EntryProcess entry) {
+        List<CompletableFuture<CallerAnswer>> sent = new ArrayList<>();
+        for (int i = 0; i < PROBES_PER_WORKER * workers().size(); i++) {
+            sent.add(CallerClient.send(entry, CallerRequest.to(pool)));
+        }
+        return sent.stream().map(CompletableFuture::join).toList();
+    }
+
     private int usable(Operator operator) {
         JsonNode report = operator.get("/v1/pools/" + pool);
         return report.path("usable").asInt();
--- a/trefoilpost-verify/src/test/java/org/trefoilpost/verify/harness/Operator.java
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/harness/Operator.java
@@ -10,6 +10,8 @@
  * An operator at one entry.
  */
 public final class Operator {
+    private static final Pattern EJECTED_WORKERS = Pattern.compile("(?m)^trefoilpost_workers_ejected ([0-9.]+)$");
+
     private final EntryProcess entry;
     private final String token;
 
@@ -126,4 +128,18 @@
         }
         return sum;
     }
+
+    /**
+     * Returns the number of workers that the entry has ejected because of their failures.
+     *
+     * @return the number, not negative
+     */
+    public int ejectedWorkers() {
+        String metrics = call("GET", "/metrics", "").body();
+        Matcher line = EJECTED_WORKERS.matcher(metrics);
+        if (!line.find()) {
+            throw new AssertionError("the metrics do not show the ejected workers: " + metrics);
+        }
+        return (int) Double.parseDouble(line.group(1));
+    }
 }
--- a/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/FleetSteps.java
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/FleetSteps.java
@@ -148,6 +148,21 @@
         world.fleet().awaitServing();
     }
 
+    @Then("every running entry has ejected {int} worker(s)")
+    public void awaitEjected(int count) {
+        for (EntryProcess entry : world.fleet().running()) {
+            Operator operator = Operator.at(entry);
+            Waits.until(
+                    () -> entry.id() + " has ejected " + count + " workers, not " + operator.ejectedWorkers(),
+                    () -> operator.ejectedWorkers() == count);
+        }
+    }
+
+    @Then("every running entry sends requests to every worker")
+    public void awaitEveryWorkerServes() {
+        world.fleet().awaitEveryWorkerServes();
+    }
+
     @Then("entry {int} is ready")
     public void ready(int number) {
         Operator operator = world.operator(number);
--- a/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/World.java
+++ b/trefoilpost-verify/src/test/java/org/trefoilpost/verify/steps/World.java
@@ -53,6 +53,7 @@
             shared.configure(1);
         }
         fleet = Optional.of(shared);
+        shared.awaitEveryWorkerServes();
     }
 
     void useOwn(Fleet own) {
--- a/trefoilpost-verify/src/test/resources/features/answers.feature
+++ b/trefoilpost-verify/src/test/resources/features/answers.feature
@@ -27,6 +27,13 @@
     Then every caller got one truthful verdict
     And no request ran more than once
 
+  Scenario: A worker that fails whatever it starts is ejected, and gets requests again when it answers
+    When worker 1 has the fault "'failFast':true"
+    And 240 callers send a request each that may be repeated
+    Then every running entry has ejected 1 worker
+    When worker 1 has the fault "'failFast':false"
+    Then every running entry sends requests to every worker
+
   Scenario: Every worker rejects what it gets
     When every worker has the fault "'rejectAll':true"
     And 40 callers send a request each that may not be repeated
