Guard the uncertain answer of requests in flight to another entry

Callers saw nothing yet: this closes a gap in the tests. When an entry ends, a request whose call to another entry has no answer yet must be UNCERTAIN, as its owner may carry it out.

OwnerCalls now takes the interface PeerCalls, which OwnerConnections implements, so that a test can leave a call unanswered. The case without an owner (UNAVAILABLE, retry after 1 s) is tested already by requestThatWaitsForAnOwnerIsRefusedWhenTheEntryEnds.

Other tests were not run.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -31,7 +31,7 @@
 
     private final JobContext context;
     private final LiveEntries liveEntries;
-    private final OwnerConnections connections;
+    private final PeerCalls peerCalls;
     private final Function<String, Optional<PoolRunner>> localRunner;
     private final BooleanSupplier storeServed;
     private final Set<PendingRequest> unanswered = new LinkedHashSet<>();
@@ -47,12 +47,12 @@
     OwnerCalls(
             JobContext context,
             LiveEntries liveEntries,
-            OwnerConnections connections,
+            PeerCalls peerCalls,
             Function<String, Optional<PoolRunner>> localRunner,
             BooleanSupplier storeServed) {
         this.context = context;
         this.liveEntries = liveEntries;
-        this.connections = connections;
+        this.peerCalls = peerCalls;
         this.localRunner = localRunner;
         this.storeServed = storeServed;
     }
@@ -148,7 +148,7 @@
         byte[] request = pending.request().encode();
         pending.passedTo(peer.name());
         context.onServiceThread(
-                connections.call(
+                peerCalls.call(
                         peer, pending.pool(), request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, remainingMillis))),
                 (answer, failure) -> {
                     if (failure == null && answer.isOwner()) {
@@ -285,7 +285,7 @@
             return CompletableFuture.failedFuture(new PeerCallException("pool " + pool + " has no owner", false));
         }
         byte[] request = new JobRequest.Instruct(instructions).encode();
-        return connections
+        return peerCalls
                 .call(owner.get().peer(), pool, request, CALL_TIMEOUT_MILLIS)
                 .thenApply(OwnerCalls::decodeDemand);
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
@@ -17,7 +17,7 @@
  * The connections to the entries that own pools, and to others for a time. A connection on which a ping is not answered
  * in time is replaced.
  */
-final class OwnerConnections {
+final class OwnerConnections implements PeerCalls {
     private static final long PING_INTERVAL_MILLIS = 700;
     private static final long PING_TIMEOUT_MILLIS = 900;
     private static final byte[] EMPTY_REQUEST = {};
@@ -108,12 +108,8 @@
                 });
     }
 
-    /**
-     * Calls the owner of a pool.
-     *
-     * @return the answer; fails if there is none within the timeout
-     */
-    CompletableFuture<PoolAnswer> call(LiveEntries.Peer peer, String pool, byte[] request, long timeoutMillis) {
+    @Override
+    public CompletableFuture<PoolAnswer> call(LiveEntries.Peer peer, String pool, byte[] request, long timeoutMillis) {
         return call(peer.name(), pool, request, timeoutMillis);
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.team.Caller;
@@ -85,6 +87,31 @@
         }
     }
 
+    /** Guards against a refusal that says "not carried out" of a request whose call to another entry is in flight. */
+    @Test
+    void requestInFlightToAnotherEntryIsUncertainWhenTheEntryEnds() {
+        try (TestService service = new TestService(new MemoryStore(), null, null, new UnusedFormats())) {
+            LiveEntries.Peer owner = new LiveEntries.Peer("entry-2", "127.0.0.1:2", "first", 750);
+            String key = LiveEntries.ownerKey("pool");
+            LiveEntries liveEntries = new LiveEntries();
+            liveEntries.change(key, Optional.of(new StorePort.Item(key, LiveEntries.encode(owner), 1, 1)), 0);
+            List<LiveEntries.Peer> called = new CopyOnWriteArrayList<>();
+            PeerCalls unanswered = (peer, pool, request, timeoutMillis) -> {
+                called.add(peer);
+                return new CompletableFuture<>();
+            };
+            OwnerCalls calls =
+                    new OwnerCalls(service.context(), liveEntries, unanswered, pool -> Optional.empty(), () -> true);
+            CompletableFuture<JobReply> reply = new CompletableFuture<>();
+            service.run(() -> ask(service, calls, new JobRequest.QueuedJobs("queue"), reply));
+            assertEquals(List.of(owner), called);
+            assertFalse(reply.isDone());
+            service.run(calls::endRequests);
+            assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "entry-stopping"), reply.getNow(null));
+            assertEquals(0, calls.unansweredCount());
+        }
+    }
+
     /** Guards against a refusal that says "not carried out" of a request that an owner has. */
     @Test
     void requestThatAnOwnerHasIsUncertainWhenTheEntryEnds() {
