--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -320,7 +320,7 @@
 
     /**
      * Returns the former pools of a queue that have an owner or get one. A pool that was removed from the configuration and
-     * has lost its owner runs no jobs, and nobody could answer for it.
+     * has lost its owner gets none again, so that nobody could answer for it; workers may run its jobs for a while.
      */
     private List<String> formerPoolsInService(String queue, Moment now) {
         JobConfiguration current = configuration;
