--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/OpenReplies.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/OpenReplies.java
@@ -35,12 +35,12 @@
     }
 
     /**
-     * Returns when the replies that are open at present have ended, also if some fail or are cancelled. Replies that are
-     * added later are not waited for.
+     * Returns when the replies that are open now have ended, also if some fail or are cancelled. Replies that are added
+     * later are not waited for.
      *
      * @return completes normally with the last of these replies, not null
      */
-    public CompletableFuture<Void> presentEnded() {
+    public CompletableFuture<Void> allEnded() {
         return CompletableFuture.allOf(open.stream()
                 .map(reply -> reply.handle((value, failure) -> value))
                 .toArray(CompletableFuture[]::new));
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
@@ -125,7 +125,7 @@
 
     private void awaitOpenReplies() throws InterruptedException, ExecutionException {
         try {
-            openReplies.presentEnded().get(CALL_MILLIS, TimeUnit.MILLISECONDS);
+            openReplies.allEnded().get(CALL_MILLIS, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             LOG.info(LogEvent.of("operator-calls-unfinished").with("calls", openReplies.count()));
         }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/http/OpenRepliesTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/http/OpenRepliesTest.java
@@ -26,7 +26,7 @@
         CompletableFuture<String> cancelled = added();
         CompletableFuture<String> failed = added();
         CompletableFuture<String> slow = added();
-        CompletableFuture<Void> ended = replies.presentEnded();
+        CompletableFuture<Void> ended = replies.allEnded();
         cancelled.cancel(true);
         failed.completeExceptionally(new IllegalStateException("failed"));
         assertFalse(ended.isDone());
@@ -37,7 +37,7 @@
     @Test
     void laterRepliesAreNotWaitedFor() {
         CompletableFuture<String> present = added();
-        CompletableFuture<Void> ended = replies.presentEnded();
+        CompletableFuture<Void> ended = replies.allEnded();
         added();
         present.complete("done");
         assertTrue(ended.isDone());
