Let a pool whose workers rejected everything take requests again

Callers saw: an entry refuses every request of a pool with no-worker, for as long as requests come, though all workers are live and none is ejected. Cause: a worker that rejects a request while it has no other is taken for one without slots, for 30 ms to 1.9 s. The end of that time was noticed only by the choice of a worker, the end of an attempt or a peer's report of attempts. With no slot left in the pool, requests are refused or stay queued before a worker is chosen, so the limits of all workers stayed. Likewise an ejected worker is probed only by a request that gets as far as the choice of a worker; with no other worker in service, none did. Class of fault: a state that only traffic ends, which keeps out the traffic. Ruled out: workers missing from the request path after a change of the configuration; configuration and members reach it in order, through one queue. Change: limits end before the slots are counted; a due probe counts as one slot if there is no other; queued requests are looked at again when the next limit or back-off ends. The scenario of workers that reject everything ends with a check that all of them serve again.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/dispatch/PoolDispatcher.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/dispatch/PoolDispatcher.java
@@ -55,6 +55,8 @@
     private final TimerQueue retries = new TimerQueue();
     private final TimerQueue deadlines = new TimerQueue();
     private RetryBudget retryBudget;
+    /** When the router expects that a worker takes requests again. */
+    private long workersChangeMillis = Long.MAX_VALUE;
 
     PoolDispatcher(PoolDispatcherBuilder builder) {
         this.ownDataCentre = Objects.requireNonNull(builder.ownDataCentre, "ownDataCentre");
@@ -165,10 +167,11 @@
      * @return the actions, not null
      */
     public List<DispatchAction> submit(DispatchRequest request, long nowMillis) {
-        if (router.usableSlots() == 0) {
+        int slots = router.usableSlots(nowMillis);
+        if (slots == 0) {
             return List.of(refusal(request.id(), RefusalReason.NO_WORKER));
         }
-        admission.limit(concurrencyShare.limit(router.usableSlots(), nowMillis));
+        admission.limit(concurrencyShare.limit(slots, nowMillis));
         List<DispatchAction> actions = new ArrayList<>();
         pending.put(request.id(), PendingRequest.of(request));
         deadlines.add(request.deadlineMillis(), request.id());
@@ -271,20 +274,21 @@
         if (expiry.isPresent()) {
             next = Math.min(next, expiry.getAsLong());
         }
+        if (admission.queued() > 0) {
+            next = Math.min(next, workersChangeMillis);
+        }
         return next == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(next);
     }
 
     private List<DispatchAction> startQueued(long nowMillis) {
         List<DispatchAction> actions = new ArrayList<>();
-        admission.limit(concurrencyShare.limit(router.usableSlots(), nowMillis));
+        admission.limit(concurrencyShare.limit(router.usableSlots(nowMillis), nowMillis));
         deliverRefusals(admission.expire(nowMillis), actions);
         Optional<AdmissionRequest> next = admission.poll(nowMillis);
-        while (next.isPresent()) {
-            if (!startAttempt(pending.get(next.get().id()), nowMillis, actions)) {
-                return actions;
-            }
+        while (next.isPresent() && startAttempt(pending.get(next.get().id()), nowMillis, actions)) {
             next = admission.poll(nowMillis);
         }
+        workersChangeMillis = router.nextChangeMillis(nowMillis);
         return actions;
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/OutlierEjector.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/OutlierEjector.java
@@ -31,18 +31,29 @@
         return ejected;
     }
 
+    /** Returns when the next probe is due, the largest long if none is scheduled. */
+    long nextProbeMillis() {
+        return probes.isEmpty() ? Long.MAX_VALUE : probes.peek().probeAtMillis();
+    }
+
+    /** Returns the ejected candidate to probe, or null if no probe is due or the request excludes the worker. */
+    Candidate dueProbe(RouteRequest request, long nowMillis) {
+        Candidate candidate = dueProbe(nowMillis);
+        return candidate != null && request.allows(candidate.worker()) ? candidate : null;
+    }
+
     /**
-     * Returns the ejected candidate to probe, or null if no probe is due or the request excludes the worker.
+     * Returns the ejected candidate to probe, or null if no probe is due.
      *
      * <p>Probes of workers that are full or leaving are scheduled again.
      */
-    Candidate dueProbe(RouteRequest request, long nowMillis) {
+    Candidate dueProbe(long nowMillis) {
         Ejection next = probes.peek();
         while (next != null && next.probeAtMillis() <= nowMillis) {
             Candidate candidate = next.candidate();
             boolean free = candidate.estimatedInFlight() < candidate.estimatedSlots();
             if (free && !candidate.leaving()) {
-                return request.allows(candidate.worker()) ? candidate : null;
+                return candidate;
             }
             probes.remove();
             scheduleProbe(candidate, nowMillis);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PoolRouter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/PoolRouter.java
@@ -175,6 +175,31 @@
         }
     }
 
+    /**
+     * Returns the slots that requests may use now. If no worker takes new work, an ejected worker that is due for a
+     * probe counts as one slot.
+     *
+     * @param nowMillis  the present time in milliseconds
+     * @return the slots, not negative
+     */
+    public int usableSlots(long nowMillis) {
+        expire(nowMillis);
+        return usableSlots() == 0 && ejector.dueProbe(nowMillis) != null ? 1 : usableSlots();
+    }
+
+    /**
+     * Returns when the next slot limit of a rejection or the next back-off of an ejected worker ends.
+     *
+     * @param nowMillis  the present time in milliseconds
+     * @return the time in milliseconds, later than the present, the largest long if nothing ends
+     */
+    public long nextChangeMillis(long nowMillis) {
+        expire(nowMillis);
+        long limitEnd = slotLimitExpiries.isEmpty() ? Long.MAX_VALUE : slotLimitExpiries.peek().untilMillis;
+        long probe = ejector.nextProbeMillis();
+        return probe > nowMillis ? Math.min(limitEnd, probe) : limitEnd;
+    }
+
     /**
      * Returns the estimated slots of the workers that take new work.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/dispatch/PoolDispatcherTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/dispatch/PoolDispatcherTest.java
@@ -41,6 +41,8 @@
     private static final PoolName POOL = PoolName.of("pricing");
     private static final DataCentreName OWN_DATA_CENTRE = DataCentreName.of("dc-1");
     private static final int SLOTS = 2;
+    /** A time at which all limits and back-offs that began before 1 s have ended. */
+    private static final long LATER_MILLIS = 100_000;
 
     private final Map<Long, Verdict> verdicts = new HashMap<>();
     private final Map<Long, StartAttempt> inFlight = new HashMap<>();
@@ -69,6 +71,50 @@
         assertEquals(VerdictKind.ANSWERED, verdicts.get(1L).kind());
     }
 
+    @Test
+    void poolThatRejectedEverythingTakesRequestsAgainWhenTheLimitsEnd() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 2);
+        rejectAtEveryWorker(dispatcher);
+        apply(dispatcher.submit(request(10, false, LATER_MILLIS + 1_000), LATER_MILLIS));
+        assertTrue(inFlight.containsKey(10L), () -> "refused with " + verdicts.get(10L));
+    }
+
+    @Test
+    void requestQueuedBeforeEverythingWasRejectedStartsWhenTheLimitsEnd() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 1);
+        for (long id = 1; id <= SLOTS + 1; id++) {
+            apply(dispatcher.submit(request(id, false, LATER_MILLIS), 0));
+        }
+        end(dispatcher, 1, AttemptResult.notStarted(), 1);
+        end(dispatcher, 2, AttemptResult.notStarted(), 1);
+        assertFalse(inFlight.containsKey(3L));
+        long nextMillis = dispatcher.nextTickMillis().orElseThrow();
+        while (nextMillis < LATER_MILLIS && !inFlight.containsKey(3L)) {
+            apply(dispatcher.tick(nextMillis));
+            nextMillis = dispatcher.nextTickMillis().orElse(LATER_MILLIS);
+        }
+        assertTrue(inFlight.containsKey(3L), () -> "ended with " + verdicts.get(3L));
+    }
+
+    @Test
+    void ejectedWorkerIsProbedWhenNoOtherWorkerTakesRequests() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 4);
+        ejectOneWorker(dispatcher);
+        LeavingRegister leaving = LeavingRegister.empty();
+        for (int i = 0; i < 4; i++) {
+            WorkerId worker = WorkerId.of("w-" + i);
+            leaving = dispatcher.router().ejected(worker) ? leaving : leaving.withCordon(worker, 1, true);
+        }
+        dispatcher.mergeLeaving(leaving);
+        apply(dispatcher.submit(request(1_000, false, LATER_MILLIS + 1_000), LATER_MILLIS));
+        assertTrue(inFlight.containsKey(1_000L), () -> "refused with " + verdicts.get(1_000L));
+        apply(dispatcher.submit(request(1_001, false, LATER_MILLIS + 1_000), LATER_MILLIS));
+        assertEquals(RefusalReason.NO_WORKER, verdicts.get(1_001L).refusal().orElseThrow());
+        end(dispatcher, 1_000, AttemptResult.answered(), LATER_MILLIS + 5);
+        apply(dispatcher.submit(request(1_002, false, LATER_MILLIS + 1_000), LATER_MILLIS + 5));
+        assertTrue(inFlight.containsKey(1_002L), () -> "refused with " + verdicts.get(1_002L));
+    }
+
     @Test
     void neverRetriesAnUnrepeatableRequestThatMayHaveRun() {
         PoolDispatcher dispatcher = dispatcher(new Random(1), 4);
@@ -169,6 +215,28 @@
         possibleRuns.forEach((id, runs) -> assertTrue(runs <= 1 || repeatable.contains(id)));
     }
 
+    /** Submits a request for each slot of two workers and rejects all of them; they end with their deadline. */
+    private void rejectAtEveryWorker(PoolDispatcher dispatcher) {
+        for (long id = 1; id <= 2 * SLOTS; id++) {
+            apply(dispatcher.submit(request(id, false, 500), 0));
+        }
+        for (long id = 1; id <= 2 * SLOTS; id++) {
+            end(dispatcher, id, AttemptResult.notStarted(), 490);
+        }
+        apply(dispatcher.tick(500));
+        assertEquals(0, dispatcher.router().usableSlots());
+        assertEquals(0, dispatcher.pendingRequests());
+    }
+
+    /** Fails the requests that reach worker w-0 until it is ejected. */
+    private void ejectOneWorker(PoolDispatcher dispatcher) {
+        for (long id = 1; dispatcher.router().ejectedWorkers() == 0; id++) {
+            apply(dispatcher.submit(request(id, false, LATER_MILLIS), id));
+            boolean failing = inFlight.get(id).worker().id().equals(WorkerId.of("w-0"));
+            end(dispatcher, id, failing ? AttemptResult.serverError() : AttemptResult.answered(), id);
+        }
+    }
+
     private void endOne(PoolDispatcher dispatcher, Random random, long nowMillis) {
         if (inFlight.isEmpty()) {
             return;
--- a/trefoilpost-verify/src/test/resources/features/answers.feature
+++ b/trefoilpost-verify/src/test/resources/features/answers.feature
@@ -30,6 +30,7 @@
     And no request ran more than once
 
   Scenario: A worker that fails whatever it starts is ejected, and gets requests again when it answers
+    Given every running entry sends requests to every worker
     When worker 1 has the fault "'failFast':true"
     And 240 callers send a request each that may be repeated
     Then every running entry has ejected 1 worker
@@ -42,3 +43,5 @@
     Then every caller got one truthful verdict
     And at least 40 callers were told "not-run"
     And no request ran more than once
+    When every worker has the fault "'rejectAll':false"
+    Then every running entry sends requests to every worker
