Leave a slot of an idle worker beside the safety margin

Callers would see: an entry queues the requests of a pool and refuses them with deadline-unreachable, for good, though the pool's workers are free. Cause: each rejection widens the margin that is kept for attempts of peers, by 0.2 up to 3 slots, and only answers narrow it. With workers of 1, 2 or 3 slots the margin can take all of them, after 3, 8 or 13 rejections without an answer between; then no request is started, so no answer comes. Ruled out: slot limits, back-offs and the retry budget; in the test all of them have ended. Change: the margin is at most the worker's slots less one. Workers with 4 slots or more are chosen as before. Result: the new test of PoolDispatcherTest failed (deadline-unreachable after 20 rejections by a worker of 2 slots) and passes; the tests of PoolDispatcherTest, PoolRouterTest and ConnectionLimitPolicyTest pass.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Candidate.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/routing/Candidate.java
@@ -137,7 +137,9 @@
 
     /** Returns the slots assumed to be used by peers, including the safety margin. */
     int peerInFlightWithMargin() {
-        return (int) Math.round(meanPeerInFlight() + capacity.marginSlots());
+        // Only answers narrow the margin, so it leaves a slot of an idle worker for the attempts that get them.
+        double margin = Math.min(capacity.marginSlots(), Math.max(0, totalSlots - 1));
+        return (int) Math.round(meanPeerInFlight() + margin);
     }
 
     CapacityEstimate capacity() {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/dispatch/PoolDispatcherTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/dispatch/PoolDispatcherTest.java
@@ -44,6 +44,8 @@
     /** A time at which all limits and back-offs that began before 1 s have ended. */
     private static final long LATER_MILLIS = 100_000;
 
+    private static final int REJECTIONS_IN_A_ROW = 20;
+
     private final Map<Long, Verdict> verdicts = new HashMap<>();
     private final Map<Long, StartAttempt> inFlight = new HashMap<>();
     private final Set<Long> cancelled = new HashSet<>();
@@ -96,6 +98,25 @@
         assertTrue(inFlight.containsKey(3L), () -> "ended with " + verdicts.get(3L));
     }
 
+    /** Guards against a safety margin for the attempts of peers that leaves no slot to the attempts that would narrow it. */
+    @Test
+    void poolThatRejectedManyRequestsInARowTakesRequestsAgain() {
+        PoolDispatcher dispatcher = dispatcher(new Random(1), 1);
+        long nowMillis = 0;
+        for (long id = 1; id <= REJECTIONS_IN_A_ROW; id++) {
+            nowMillis += LATER_MILLIS;
+            apply(dispatcher.submit(request(id, false, nowMillis + 500), nowMillis));
+            if (inFlight.containsKey(id)) {
+                end(dispatcher, id, AttemptResult.notStarted(), nowMillis + 1);
+            }
+            apply(dispatcher.tick(nowMillis + 500));
+            assertEquals(0, dispatcher.pendingRequests());
+        }
+        nowMillis += LATER_MILLIS;
+        apply(dispatcher.submit(request(1_000, false, nowMillis + 500), nowMillis));
+        assertTrue(inFlight.containsKey(1_000L), "a request that is not started at an idle worker");
+    }
+
     @Test
     void ejectedWorkerIsProbedWhenNoOtherWorkerTakesRequests() {
         PoolDispatcher dispatcher = dispatcher(new Random(1), 4);
