Ask an idle worker that refuses a start as late for its clock

Callers would see: jobs wait although workers are idle, since each start is refused with reason late. Cause: the end of a run's lease is reckoned from the worker's clock as its last status showed it. A suspension of the entry, which the steady clock does not count, makes that too early; once the suspensions since the last status add up to the lease, the worker refuses every start. Workers with runs give a new status within a second. An idle one is not asked: the refusal only made its next hold urgent, and workers without runs get none. So only a run would bring the clock that a start needs. Class of fault: a state that only traffic ends, which keeps out the traffic. Change: after such a refusal the worker is asked for its status.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -85,12 +85,20 @@
             case OTHER_LIFE -> workerLosses.workerEnded(worker, "other-life", now);
             case NO_ROOM -> worker.suspectUntilMillis = nowMillis + NO_ROOM_PAUSE_MILLIS;
             case BAD_TICKET -> run.task.step.tickets.remove(worker.id);
-            case LEASE_PASSED -> worker.holdUrgent = true;
+            case LEASE_PASSED -> askForClock(worker);
             case REFUSED -> worker.suspectUntilMillis = nowMillis + REFUSAL_PAUSE_MILLIS;
             default -> state.placementDue = true;
         }
     }
 
+    /**
+     * Has a hold sent to a worker, also to an idle one: a clock that was read before a suspension of this process is late.
+     */
+    private static void askForClock(PoolWorker worker) {
+        worker.answerWanted = true;
+        worker.holdUrgent = true;
+    }
+
     /**
      * Handles the outcome of a stop.
      */
