Answer the requests that have arrived before the callers' listener closes

Callers would see, at the product's own interface: an entry that stops closes the connection of a request that it has read, or that arrives just after the connection was opened, without an answer. A graceful close takes a connection without a request in progress for idle, and reads and discards what arrives on it while its thread is busy. FrontServer behaves as before. Ruled out: a second entry in the bookkeeping for each request of a connection; a connection is kept once, until it is closed (ServerConnectionsTest). Closing a connection whose request has been read in part; such a request is answered (FrontServerTest, split in the headers, before the body and before its last byte). Not changed: the operators' listener closes in the former way.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.trefoilpost.entry.http.ServerConnections;
 import org.trefoilpost.entry.log.EventLog;
 import org.trefoilpost.entry.log.LogEvent;
 import org.trefoilpost.entry.metrics.EntryMetrics;
@@ -38,10 +39,13 @@
 public final class CallerServer implements StreamingHttpService, AutoCloseable {
     private static final EventLog LOG = EventLog.of(CallerServer.class);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    /** How long the first request of a new connection may take to arrive. */
+    private static final long FIRST_REQUEST_MILLIS = 50;
 
     private final RequestGateway gateway;
     private final EntryMetrics metrics;
     private final MillisClock clock;
+    private final ServerConnections connections = new ServerConnections();
     private volatile boolean closing;
     private HttpServerContext server;
 
@@ -66,6 +70,7 @@
         CallerServer callerServer = new CallerServer(gateway, metrics, clock);
         callerServer.server = HttpServers.forAddress(new InetSocketAddress(listen.host(), listen.port()))
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .transportObserver(callerServer.connections.observer())
                 .listenStreamingAndAwait(callerServer);
         return callerServer;
     }
@@ -84,12 +89,13 @@
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
         long arrivalMillis = clock.nowMillis();
+        connections.requestRead(context);
         return Single.defer(() -> process(context, request, factory, arrivalMillis))
                 .onErrorResume(failure -> Single.succeeded(rejectionResponse(failure, factory, arrivalMillis)));
     }
 
     /**
-     * Stops accepting connections and waits until the requests in flight are answered; then closes.
+     * Stops accepting connections and waits until the requests that have arrived are answered; then closes.
      *
      * <p>If the wait times out, fails or is interrupted, the remaining connections are closed at once.
      *
@@ -98,7 +104,7 @@
     public void closeGracefully(Duration grace) {
         closing = true;
         try {
-            server.closeAsyncGracefully().toFuture().get(grace.toMillis(), TimeUnit.MILLISECONDS);
+            connections.closeGracefully(server, FIRST_REQUEST_MILLIS).get(grace.toMillis(), TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
             LOG.warn(LogEvent.of("caller-listener-closed-hard").withFailure(e));
             close();
--- a/platform/src/main/java/org/trefoilpost/platform/NewConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/NewConnections.java
@@ -1,4 +1,4 @@
-package org.trefoilpost.platform;
+package org.trefoilpost.entry.http;
 
 import io.servicetalk.transport.api.ConnectionObserver;
 import io.servicetalk.transport.api.TransportObserver;
--- a/platform/src/main/java/org/trefoilpost/platform/UsedConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/UsedConnections.java
@@ -1,4 +1,4 @@
-package org.trefoilpost.platform;
+package org.trefoilpost.entry.http;
 
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.transport.api.ConnectionContext;
@@ -26,6 +26,10 @@
         }
     }
 
+    int count() {
+        return open.size();
+    }
+
     /**
      * Closes each connection gracefully, once what has arrived on it was read: input that is unread when the close
      * begins is discarded, and the thread of the connection may be behind with reading.
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/caller/CallerServerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/caller/CallerServerTest.java
@@ -15,10 +15,12 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -26,6 +28,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.trefoilpost.entry.metrics.EntryMetrics;
@@ -47,12 +50,23 @@
     private static final int MAX_BODY_BYTES = 1_000;
     private static final Duration WAIT = Duration.ofSeconds(20);
 
+    private static final byte[] GET_REQUEST =
+            "GET /pricing/x HTTP/1.1\r\nHost: entry\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final String BODY = "\r\n\r\nok";
+    /** As long as a request takes to arrive after its connection. */
+    private static final long FIRST_REQUEST_DELAY_MILLIS = 10;
+
+    /** Long enough for a close to be waiting for the thread of a connection. */
+    private static final long CLOSE_DELAY_MILLIS = 300;
+
     private final EntryMetrics metrics = EntryMetrics.create();
     private final AtomicInteger submitted = new AtomicInteger();
     private final HttpClient http = HttpClient.newHttpClient();
     private CompletableFuture<RequestOutcome> outcome = new CompletableFuture<>();
     private Optional<RefusalReason> closed = Optional.empty();
     private CallerRequest last;
+    private volatile Thread thread;
+    private volatile CountDownLatch held = new CountDownLatch(0);
     private CallerServer server;
 
     @BeforeEach
@@ -190,6 +204,66 @@
         closing.get(WAIT.toSeconds(), TimeUnit.SECONDS);
     }
 
+    /** Guards against discarding a request that arrives while its thread is busy, just before its idle connection is closed. */
+    @Test
+    @Timeout(20)
+    void answersARequestThatHasArrivedOnAnIdleConnectionBeforeTheClose() throws Exception {
+        Map<Thread, Socket> connections = new HashMap<>();
+        Socket idle = usedConnection();
+        while (connections.putIfAbsent(thread, idle) == null) {
+            idle = usedConnection();
+        }
+        Socket busy = connections.get(thread);
+        int before = submitted.get();
+        held = new CountDownLatch(1);
+        busy.getOutputStream().write(GET_REQUEST);
+        await(() -> submitted.get() > before);
+        idle.getOutputStream().write(GET_REQUEST);
+        CompletableFuture<Void> closing = CompletableFuture.runAsync(() -> server.closeGracefully(WAIT));
+        Thread.sleep(CLOSE_DELAY_MILLIS);
+        held.countDown();
+        for (Socket connection : List.of(busy, idle)) {
+            String response = new String(connection.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(response.startsWith("HTTP/1.1 201 "), response);
+        }
+        idle.close();
+        for (Socket connection : connections.values()) {
+            connection.close();
+        }
+        closing.get(WAIT.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    /** Guards against closing a connection as idle between its opening and the arrival of its first request. */
+    @Test
+    @Timeout(20)
+    void answersTheFirstRequestOfAConnectionThatWasJustOpened() throws Exception {
+        Socket opened = connect();
+        // A request over a later connection is read only once the earlier one has been accepted.
+        usedConnection().close();
+        CompletableFuture<Void> closing = CompletableFuture.runAsync(() -> server.closeGracefully(WAIT));
+        Thread.sleep(FIRST_REQUEST_DELAY_MILLIS);
+        opened.getOutputStream().write(GET_REQUEST);
+        String response = new String(opened.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertTrue(response.startsWith("HTTP/1.1 201 "), response);
+        opened.close();
+        closing.get(WAIT.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    /** Returns a connection over which one request has been answered. */
+    private Socket usedConnection() throws IOException {
+        Socket connection = connect();
+        connection.getOutputStream().write(GET_REQUEST);
+        StringBuilder response = new StringBuilder();
+        while (!response.toString().endsWith(BODY)) {
+            response.append((char) connection.getInputStream().read());
+        }
+        return connection;
+    }
+
+    private Socket connect() throws IOException {
+        return new Socket("127.0.0.1", server.endpoint().port());
+    }
+
     private static void await(BooleanSupplier condition) throws InterruptedException {
         long endNanos = System.nanoTime() + WAIT.toNanos();
         while (!condition.getAsBoolean()) {
@@ -232,7 +306,13 @@
         @Override
         public CompletableFuture<RequestOutcome> submit(CallerRequest request) {
             last = request;
+            thread = Thread.currentThread();
             submitted.incrementAndGet();
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                return CompletableFuture.failedFuture(e);
+            }
             return outcome;
         }
     }
