Replace a connection to another entry that stays silent after it was opened

Callers would see: an entry answers requests of a pool with no-owner until the owner changes, though the owner is alive and other entries reach it. Cause: a connection between entries counts as established when the accepting entry has sent its challenge. If the connection goes silent between the two, nothing ends it: pings are sent over established connections only, connecting again is done only after a failure, and nothing is written that could fail. Class of fault: a state that only traffic ends, which keeps out the traffic. Change: a connection without a challenge after 2 s is closed and counted; the link then connects again as after any other failure. Result: the new test of PeerNetworkTest failed (no second connection within 20 s) and passes; PeerNetworkTest, OwnerCallsTest, JobRequestRouterTest and RelayedStoreTest pass.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerLink.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerLink.java
@@ -22,10 +22,13 @@
 
 /**
  * The connecting end of the connection to one peer. Reconnects after a fixed delay whenever an attempt fails or the
- * connection is lost.
+ * connection is lost or stays silent.
  */
 final class PeerLink implements AutoCloseable {
     private static final long RECONNECT_DELAY_MILLIS = 200;
+    /** The longest wait for the challenge of a peer that has accepted a connection. */
+    private static final long CHALLENGE_TIMEOUT_MILLIS = 2_000;
+
     private static final int MAX_OPEN_CALLS = 1_024;
 
     private final EntryId self;
@@ -177,6 +180,14 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
+            channel.eventLoop().schedule(this::closeUnlessChallenged, CHALLENGE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private void closeUnlessChallenged() {
+            if (connection != this && channel.isActive()) {
+                metrics.count("trefoilpost.peer.connections.closed", "no-challenge");
+                channel.close();
+            }
         }
 
         @Override
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.DataOutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutionException;
@@ -70,6 +72,19 @@
         assertFalse(client.isRefused(EntryId.of("e-9")), "a peer that is not known");
     }
 
+    /** Guards against waiting for ever for a peer whose connection went silent before the peer sent its challenge. */
+    @Test
+    void connectsAgainIfAConnectionStaysSilent() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            silent.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            client.connect(ONE, Endpoint.of("127.0.0.1", silent.getLocalPort()));
+            Socket first = silent.accept();
+            silent.accept().close();
+            assertEquals(-1, first.getInputStream().read(), "the silent connection is closed");
+            first.close();
+        }
+    }
+
     @Test
     void rejectsAWrongSecret() throws Exception {
         PeerNetwork intruder = PeerNetwork.start(
