Know the jobs of a queue's former pools from the store

Callers saw: a queue is moved by a configuration that lacks its former pool, and the owner of that pool ends. 1.4 s later a read of a job there is answered 410, and the job, submitted again, is stored in the present pool too, while a worker may still run it. An entry that was started after a move answers so at once, also if the former pool is still configured. Cause: entries claimed configured pools only, and knew the former pools of a queue only from the moves that they had seen themselves. A former pool without an owner that nobody claims was left out, as it would refuse the queue for ever; that took "nobody can answer" for "there is no such job". Ruled out: keeping the former pools in memory of all entries, as those started later lack them; asking the owners of all pools, as each submission would wait for each of them; reading the jobs' keys for each request, as a job that is being stored by an owner is not there yet. Change: the change that stores or removes jobs of a pool also keeps the names of their queues, in one key for the pool beside the claims that all entries follow. Entries claim each pool that has such a key, configured or not, and ask the owners of all pools that name the queue. So the jobs have an owner until the last one is removed, and the key goes with it. An entry takes requests once it has read these keys, not as soon as it has a configuration. Jobs that a former version has stored are named with the first change of their next owner.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Commit.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Commit.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * An atomic change of the stored jobs of a pool.
@@ -9,8 +10,10 @@
  * @param number  the sequence number of the change, increasing
  * @param puts  the documents to write by job identifier, may be empty, not null
  * @param removed  the identifiers of the jobs whose documents are removed, may be empty, not null
+ * @param queues  the names of the queues that have stored jobs in the pool once the change is made, may be empty, not
+ *     null
  */
-public record Commit(long number, Map<String, byte[]> puts, List<String> removed) {
+public record Commit(long number, Map<String, byte[]> puts, List<String> removed, Set<String> queues) {
     /** The maximum number of documents written and removed by one change. */
     public static final int MAX_DOCUMENTS = 28;
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 
 /**
@@ -21,6 +23,9 @@
     private final Map<PoolWorker, Long> coveredEnds = new HashMap<>();
     private final Map<JobState, WrittenJob> writtenJobs = new LinkedHashMap<>();
     private List<String> removedJobs = List.of();
+    /** The queues that have stored jobs once the last commit is stored. */
+    private Set<String> storedQueues = Set.of();
+
     private long lastNumber;
     private long lastSentMillis = Long.MIN_VALUE / 2;
     private long lastExpiryCheckMillis;
@@ -126,8 +131,25 @@
         removedJobs = expired;
         inFlight = true;
         lastSentMillis = nowMillis;
+        storedQueues = queuesAfter(batch, expired);
         lastNumber++;
-        state.actions.commit(new Commit(lastNumber, puts, expired));
+        state.actions.commit(new Commit(lastNumber, puts, expired, Set.copyOf(storedQueues)));
+    }
+
+    /**
+     * Returns the queues that have stored jobs once a commit is stored. Only the first commit and those that remove jobs
+     * require a look at all jobs.
+     */
+    private Set<String> queuesAfter(List<JobState> written, List<String> removed) {
+        Set<String> queues = new TreeSet<>(storedQueues);
+        if (lastNumber == 0 || !removed.isEmpty()) {
+            queues.clear();
+            state.jobs.values().stream()
+                    .filter(job -> job.stored && !removed.contains(job.spec.id()))
+                    .forEach(job -> queues.add(job.spec.queue()));
+        }
+        written.forEach(job -> queues.add(job.spec.queue()));
+        return queues;
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.trefoilpost.decision.job.Decision;
@@ -20,9 +21,11 @@
  * <p>A request names its job, so it can safely be sent again. A request that may have reached an owner is never
  * reported as not carried out; its outcome is reported as uncertain.
  *
- * <p>When a queue is moved to another pool, its earlier jobs remain with the former pool. Requests about a job are
- * therefore sent to the owners of former pools too. Only an owner that answers that there is no such job counts as not
- * knowing it: one that is not heard may have it.
+ * <p>When a queue is moved to another pool, its earlier jobs remain with the former pool, even if that pool leaves the
+ * configuration. Requests about a job are therefore sent to the owners of former pools too: of those for which the store
+ * names the queue, and of those from which this entry has seen the queue move, as the latest changes of the store may not
+ * have arrived. Only an owner that answers that there is no such job counts as not knowing it: one that is not heard may
+ * have it.
  */
 final class JobRequestRouter implements JobIngress {
     private static final long MIN_DEADLINE_MILLIS = 300;
@@ -320,7 +323,7 @@
 
     /**
      * Returns the former pools of a queue that have an owner or get one. A pool that was removed from the configuration and
-     * has lost its owner gets none again, so that nobody could answer for it; workers may run its jobs for a while.
+     * for which no jobs are stored gets none again once it has lost its owner.
      */
     private List<String> formerPoolsInService(String queue, Moment now) {
         JobConfiguration current = configuration;
@@ -328,7 +331,9 @@
             return List.of();
         }
         QueueConfig config = current.queues().get(queue);
-        return formerPools.getOrDefault(queue, Set.of()).stream()
+        Set<String> pools = new TreeSet<>(formerPools.getOrDefault(queue, Set.of()));
+        pools.addAll(ownerCalls.poolsWithJobsOf(queue));
+        return pools.stream()
                 .filter(pool -> config == null || !pool.equals(config.pool()))
                 .filter(pool -> current.pools().contains(pool) || ownerCalls.mayHaveOwner(pool, now))
                 .toList();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -198,7 +198,6 @@
      * that took effect without an answer. A claim with which it has lost the pool is released.
      */
     private void takeOwnClaims() {
-        long nowMillis = context.now().steadyMillis();
         liveEntries.owners().forEach((pool, owner) -> {
             if (!owner.peer().equals(ownership.self()) || configuration == null) {
                 return;
@@ -206,18 +205,16 @@
             if (owner.token() > lostTokens.getOrDefault(pool, 0L)) {
                 takeOwnership(pool, owner.token());
             } else {
-                ownership.release(pool, owner.token(), nowMillis);
+                ownership.release(pool, owner.token(), context.now().steadyMillis());
             }
         });
     }
 
     private void checkForProcessPause(Moment now) {
-        long wallAdvanceMillis = now.wallMillis() - lastMoment.wallMillis();
-        long steadyAdvanceMillis = now.steadyMillis() - lastMoment.steadyMillis();
         if (StoreConfirmation.isDiverged(lastMoment, now)) {
             context.logDecision(Decision.failure("clocks-disagree")
-                    .with("wallAdvanceMillis", wallAdvanceMillis)
-                    .with("steadyAdvanceMillis", steadyAdvanceMillis));
+                    .with("wallAdvanceMillis", now.wallMillis() - lastMoment.wallMillis())
+                    .with("steadyAdvanceMillis", now.steadyMillis() - lastMoment.steadyMillis()));
             runners.values().forEach(PoolRunner::invalidateOwnerConfirmation);
             fleetRunner.invalidateOwnerConfirmation();
             operatorEntries.suspended();
@@ -229,6 +226,7 @@
         Set<String> pools = new TreeSet<>();
         if (configuration != null && registry.isLoaded() && liveMirror.isLoaded() && !leaving) {
             pools.addAll(configuration.pools());
+            pools.addAll(liveEntries.poolsWithJobs());
             pools.add(FleetRunner.MACHINES_CLAIM);
             // A claim that has lapsed is renewed; a new claim in its place would hide what happened in between.
             claimHolders().stream().filter(ClaimHolder::isLapsed).forEach(holder -> pools.remove(holder.pool()));
@@ -305,7 +303,10 @@
         @Override
         public void configured(JobConfiguration next) {
             configuration = next;
-            router.configure(next);
+            // Without the live entries the former pools of the queues are not known.
+            if (liveMirror.isLoaded()) {
+                router.configure(next);
+            }
             runners.values().forEach(runner -> runner.configure(next.queues(), next.teams()));
             fleetRunner.configure(next);
         }
@@ -335,6 +336,7 @@
         @Override
         public void reloaded() {
             liveEntries.replace(liveMirror.items().values(), context.now().steadyMillis());
+            Optional.ofNullable(configuration).ifPresent(router::configure);
         }
 
         @Override
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
@@ -3,26 +3,34 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.trefoilpost.model.Endpoint;
 
 /**
- * The live entries, and the owner of each pool, as registered in the store.
+ * The live entries, the owner of each pool, and the queues of the jobs that are stored for each pool, as registered in the
+ * store.
  */
 final class LiveEntries {
-    /** The prefix of the keys of live entries and of owners. */
+    /** The prefix of the keys of live entries, of owners and of pools' queues. */
     static final String KEY_PREFIX = "trefoilpost/live/";
 
     private static final String ENTRY_KEY_PREFIX = KEY_PREFIX + "entry/";
     private static final String OWNER_KEY_PREFIX = KEY_PREFIX + "pool/";
+    private static final String QUEUES_KEY_PREFIX = KEY_PREFIX + "queues/";
     private static final String SEPARATOR = "\n";
     private static final int VALUE_PARTS = 4;
 
     private final Map<String, Peer> entries = new TreeMap<>();
     private final Map<String, Owner> owners = new HashMap<>();
+    /** The queues of the stored jobs by pool; a pool without stored jobs is missing. */
+    private final Map<String, Set<String>> queuesOfPools = new TreeMap<>();
+
     private final Map<String, Long> ownerlessSinceMillis = new HashMap<>();
     /** Since when each owned pool was known to have no owner before its present claim, as far as that is known. */
     private final Map<String, Long> ownerlessBeforeClaimMillis = new HashMap<>();
@@ -40,6 +48,17 @@
         return OWNER_KEY_PREFIX + pool;
     }
 
+    /**
+     * Returns the key of the queues that have stored jobs in a pool. It is written and removed together with the jobs.
+     */
+    static String queuesKey(String pool) {
+        return QUEUES_KEY_PREFIX + pool;
+    }
+
+    static byte[] encode(Set<String> queues) {
+        return String.join(SEPARATOR, new TreeSet<>(queues)).getBytes(StandardCharsets.UTF_8);
+    }
+
     static byte[] encode(Peer peer) {
         return String.join(SEPARATOR, peer.name(), peer.address(), peer.incarnation(), Long.toString(peer.cpuMillis()))
                 .getBytes(StandardCharsets.UTF_8);
@@ -53,6 +72,7 @@
         completeSinceMillis = nowMillis;
         entries.clear();
         owners.clear();
+        queuesOfPools.clear();
         ownerlessBeforeClaimMillis.clear();
         items.forEach(item -> put(item, nowMillis));
         previousOwners.keySet().stream()
@@ -71,11 +91,17 @@
         } else if (key.startsWith(OWNER_KEY_PREFIX)) {
             owners.remove(key.substring(OWNER_KEY_PREFIX.length()));
             ownerlessSinceMillis.put(key.substring(OWNER_KEY_PREFIX.length()), nowMillis);
+        } else if (key.startsWith(QUEUES_KEY_PREFIX)) {
+            queuesOfPools.remove(key.substring(QUEUES_KEY_PREFIX.length()));
         }
     }
 
     private void put(StorePort.Item item, long nowMillis) {
         String[] parts = new String(item.value(), StandardCharsets.UTF_8).split(SEPARATOR, -1);
+        if (item.key().startsWith(QUEUES_KEY_PREFIX)) {
+            queuesOfPools.put(item.key().substring(QUEUES_KEY_PREFIX.length()), Set.copyOf(List.of(parts)));
+            return;
+        }
         if (parts.length != VALUE_PARTS) {
             return;
         }
@@ -122,6 +148,23 @@
         return owners;
     }
 
+    /**
+     * Returns the pools for which jobs are stored, whether they are configured or not.
+     */
+    Set<String> poolsWithJobs() {
+        return queuesOfPools.keySet();
+    }
+
+    /**
+     * Returns the pools for which jobs of a queue are stored.
+     */
+    List<String> poolsWithJobsOf(String queue) {
+        return queuesOfPools.entrySet().stream()
+                .filter(pool -> pool.getValue().contains(queue))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /**
      * Returns when a pool lost its owner, on the steady clock in milliseconds. If that is not known, it is set to the
      * present time.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -92,12 +92,20 @@
     }
 
     /**
-     * Returns whether a pool that entries do not claim any more has an owner, or lost it so recently that the owner may
-     * renew its claim.
+     * Returns the pools for which jobs of a queue are stored.
+     */
+    List<String> poolsWithJobsOf(String queue) {
+        return liveEntries.poolsWithJobsOf(queue);
+    }
+
+    /**
+     * Returns whether a pool that is not configured has an owner or may get one: as long as jobs are stored for it, and
+     * while an owner that has only just lost its claim may renew it.
      */
     boolean mayHaveOwner(String pool, Moment now) {
         long nowMillis = now.steadyMillis();
-        return localRunner.apply(pool).isPresent()
+        return liveEntries.poolsWithJobs().contains(pool)
+                || localRunner.apply(pool).isPresent()
                 || liveEntries.owner(pool).isPresent()
                 || nowMillis - liveEntries.ownerlessSinceMillis(pool, nowMillis) < OwnerWait.maxMillis(true);
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -13,7 +14,7 @@
 import org.trefoilpost.decision.job.Decision;
 
 /**
- * Stores a pool's jobs.
+ * Stores a pool's jobs, and the queues that these jobs belong to.
  *
  * <p>Every commit is conditional on the revisions of the owner's key and of the pool's counter key, which each commit
  * and each claim writes. So a commit of an earlier owner never takes effect after a take-over, and a commit whose answer was lost can
@@ -38,6 +39,9 @@
     private long token;
     private long counterRevision;
     private PendingCommit pending;
+    /** The queues as last stored, empty until this owner has stored them. */
+    private Optional<Set<String>> storedQueues = Optional.empty();
+
     private boolean awaitsClaim;
     private int failedAttempts;
     /** Counts the calls, so that only the latest one is repeated when it fails. */
@@ -211,6 +215,7 @@
     private void complete(PendingCommit attempt, long revision, long confirmedMillis) {
         counterRevision = revision;
         pending = null;
+        storedQueues = Optional.of(attempt.commit.queues());
         awaitsClaim = false;
         failedAttempts = 0;
         attempt.committed.accept(attempt.commit, confirmedMillis);
@@ -245,8 +250,13 @@
         List<StorePort.Put> puts = new ArrayList<>();
         puts.add(new StorePort.Put(counterKey(pool), attempt.marker.getBytes(StandardCharsets.UTF_8), 0));
         commit.puts().forEach((job, bytes) -> puts.add(new StorePort.Put(jobKey(pool, job), bytes, 0)));
-        List<String> removedKeys =
-                commit.removed().stream().map(job -> jobKey(pool, job)).toList();
+        List<String> removedKeys = new ArrayList<>();
+        commit.removed().forEach(job -> removedKeys.add(jobKey(pool, job)));
+        if (commit.queues().isEmpty()) {
+            removedKeys.add(LiveEntries.queuesKey(pool));
+        } else if (!storedQueues.equals(Optional.of(commit.queues()))) {
+            puts.add(new StorePort.Put(LiveEntries.queuesKey(pool), LiveEntries.encode(commit.queues()), 0));
+        }
         return new StorePort.Change(expected, puts, removedKeys);
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -164,7 +164,7 @@
     }
 
     private void commit() {
-        Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of());
+        Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of(), Set.of("q"));
         service.run(() -> poolStore.commit(
                 commit,
                 now().steadyMillis(),
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/LiveEntriesTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/LiveEntriesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -65,6 +66,24 @@
         assertEquals(OptionalLong.empty(), liveEntries.ownerlessBeforeClaimMillis("pool", 10));
     }
 
+    @Test
+    void poolsAreFoundByTheQueuesOfTheirJobs() {
+        liveEntries.replace(List.of(queues("a", Set.of("q", "r")), queues("b", Set.of("q"))), 0);
+        assertEquals(List.of("a", "b"), liveEntries.poolsWithJobsOf("q"));
+        liveEntries.change(LiveEntries.queuesKey("a"), Optional.of(queues("a", Set.of("r"))), 0);
+        assertEquals(List.of("b"), liveEntries.poolsWithJobsOf("q"));
+        assertEquals(Set.of("a", "b"), liveEntries.poolsWithJobs());
+        liveEntries.change(LiveEntries.queuesKey("b"), Optional.empty(), 0);
+        assertEquals(Set.of("a"), liveEntries.poolsWithJobs());
+        assertTrue(liveEntries.entries().isEmpty());
+        liveEntries.replace(List.of(), 0);
+        assertEquals(Set.of(), liveEntries.poolsWithJobs());
+    }
+
+    private static StorePort.Item queues(String pool, Set<String> queues) {
+        return new StorePort.Item(LiveEntries.queuesKey(pool), LiveEntries.encode(queues), 1, 0);
+    }
+
     private static StorePort.Item claim(String key, long revision) {
         return new StorePort.Item(key, LiveEntries.encode(READABLE), revision, 1);
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
@@ -46,6 +46,7 @@
 
     private final MemoryStore store = new MemoryStore();
     private final Map<String, PoolRunner> runners = new HashMap<>();
+    private final LiveEntries liveEntries = new LiveEntries();
     private final AtomicBoolean confirmed = new AtomicBoolean(true);
     private ConfigurationStatus status;
     private TestService service;
@@ -128,6 +129,45 @@
         assertEquals("known", submit(TEAM_A).reason());
     }
 
+    /** Guards against a job that is unknown, and accepted again, while the pool that has it is in no configuration. */
+    @Test
+    void jobOfAPoolThatWasRemovedIsKnownWhileItIsStored() {
+        open(KEYS, POOL, FORMER_POOL);
+        service.run(() -> router.configure(configuration(1, FORMER_POOL)));
+        assertEquals(JobReplyStatus.DONE, submit(TEAM_A).status());
+        service.run(() -> router.configure(configuration(2, POOL, Set.of(POOL))));
+        runners.remove(FORMER_POOL).close();
+        service.run(this::readLiveEntries);
+        assertNotAcceptedUntilClaimed();
+    }
+
+    /** Guards against an entry that asks former owners only if it has seen the queue move. */
+    @Test
+    void jobOfAFormerPoolIsKnownToAnEntryStartedAfterTheMove() {
+        open(KEYS, POOL, FORMER_POOL);
+        service.run(() -> router.configure(configuration(1, FORMER_POOL)));
+        assertEquals(JobReplyStatus.DONE, submit(TEAM_A).status());
+        runners.remove(FORMER_POOL).close();
+        startRouter(configuration(2, POOL, Set.of(POOL)));
+        service.run(this::readLiveEntries);
+        assertNotAcceptedUntilClaimed();
+    }
+
+    /** Sends requests twice, as an owner that has only just ended is waited for in any case. */
+    private void assertNotAcceptedUntilClaimed() {
+        JobReply refusal = JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", 1_000);
+        for (int i = 0; i < 2; i++) {
+            assertEquals(refusal, await(router.phase("q", JOB, TEAM_A, DEADLINE_MILLIS)));
+            assertEquals(refusal, submit(TEAM_A));
+        }
+        openRunner(FORMER_POOL);
+        assertEquals(
+                JobReplyStatus.DONE,
+                await(router.phase("q", JOB, TEAM_A, DEADLINE_MILLIS)).status());
+        assertEquals("known", submit(TEAM_A).reason());
+        assertTrue(store.text(PoolStore.jobKey(POOL, JOB)).isEmpty());
+    }
+
     /** Guards against a job whose team is lost with its owner. */
     @Test
     void teamOfAJobIsStoredAndReadByTheNextOwner() {
@@ -196,19 +236,29 @@
     private void open(TeamPolicy policy, String... pools) {
         runners.clear();
         service = new TestService(store, new Worker(), new OneWorkerPerPool(), MillisClock.steady(), policy);
+        startRouter(configuration(1, POOL));
+        for (String pool : pools) {
+            openRunner(pool);
+        }
+    }
+
+    private void startRouter(JobConfiguration configuration) {
         OwnerCalls calls = new OwnerCalls(
                 service.context(),
-                new LiveEntries(),
+                liveEntries,
                 null,
                 pool -> Optional.ofNullable(runners.get(pool)).filter(PoolRunner::isOpen),
                 () -> true);
         status = new ConfigurationStatus(service.context());
         service.run(this::confirmRepeatedly);
         router = new JobRequestRouter(service.context(), calls, status);
-        service.run(() -> router.configure(configuration(1, POOL)));
-        for (String pool : pools) {
-            openRunner(pool);
-        }
+        service.run(() -> router.configure(configuration));
+    }
+
+    private void readLiveEntries() {
+        liveEntries.replace(
+                store.range(LiveEntries.KEY_PREFIX, "").join().items(),
+                service.context().now().steadyMillis());
     }
 
     private void confirmRepeatedly() {
@@ -240,13 +290,16 @@
     }
 
     private static JobConfiguration configuration(long version, String pool) {
+        return configuration(version, pool, Set.of(POOL, FORMER_POOL));
+    }
+
+    private static JobConfiguration configuration(long version, String pool, Set<String> pools) {
         QueueConfig closed = new QueueConfig("q", "host", "/q/", pool, 0, 3, 1, 1_000, Optional.empty(), false);
         QueueConfig open = new QueueConfig("open", "host", "/open/", pool, 0, 3, 1, 1_000, Optional.empty(), true);
         Teams.Builder teams = Teams.builder();
         teams.team(new TeamConfig("team-a", 1, ResourceAmount.NONE)).addKey("team-a", "key-a");
         teams.team(new TeamConfig("team-b", 1, ResourceAmount.NONE)).addKey("team-b", "key-b");
-        return new JobConfiguration(
-                version, Map.of("q", closed, "open", open), Set.of(POOL, FORMER_POOL), Set.of(), 1_000, teams.build());
+        return new JobConfiguration(version, Map.of("q", closed, "open", open), pools, Set.of(), 1_000, teams.build());
     }
 
     private JobReply submit(Caller caller) {
