--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RecordedActions.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RecordedActions.java
@@ -1,24 +1,31 @@
 package org.trefoilpost.decision.job;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 
 /**
- * Records orders instead of sending them, and the number of the latest commit, and ignores all other actions.
+ * Records orders and commits instead of sending them, and ignores all other actions.
  */
 final class RecordedActions implements PoolActions {
     private final List<WorkerOrder> sent;
-    private OptionalLong openCommit = OptionalLong.empty();
+    private final List<Commit> commits = new ArrayList<>();
+    private int takenCommits;
 
     RecordedActions(List<WorkerOrder> sent) {
         this.sent = sent;
     }
 
-    /** Returns the number of the commit since the last call, empty if there was none. */
+    /** Returns the last commit, which must exist. */
+    Commit lastCommit() {
+        return commits.get(commits.size() - 1);
+    }
+
+    /** Returns the number of the latest commit since the last call, empty if there was none. */
     OptionalLong takeCommit() {
-        OptionalLong taken = openCommit;
-        openCommit = OptionalLong.empty();
-        return taken;
+        boolean isNew = takenCommits < commits.size();
+        takenCommits = commits.size();
+        return isNew ? OptionalLong.of(lastCommit().number()) : OptionalLong.empty();
     }
 
     @Override
@@ -31,7 +38,7 @@
 
     @Override
     public void commit(Commit commit) {
-        openCommit = OptionalLong.of(commit.number());
+        commits.add(commit);
     }
 
     @Override
