Let tasks under suspicion use the workers that no other task needs

Cause: at most a third of the workers was used for tasks under suspicion, however many were idle. A crash puts a dozen tasks under suspicion, nearly all of them innocent, and each takes a worker until it ends. They ask for no machines, so a pool without other work shrinks to a few workers, of which one or two were used. Workers that had gone silent under such a task counted, too, towards what was used of the others. The class: a fixed share of a resource that protects others also where the others need nothing.

By reading only: a start or hold without an outcome (each has a timeout), crashes that are never stored, runs that stay on a worker that has ended.

Change: such tasks may use the workers that the running and waiting tasks of the others do not need, less one for tasks that arrive, and the share in any case. PoolSize is moved out of PoolDemandCalculator, unchanged.

Check: WaitingJobCheck, with the rule's bounds (from 14 s after the load on, 3 s without a run while there is room for the task twice over and under half of the capacity is in use; 6 s more for long-running tasks), in all scenarios of PoolScenario.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/IsolatedPlacer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/IsolatedPlacer.java
@@ -9,13 +9,16 @@
 
 /**
  * Places tasks under which workers have crashed apart from the tasks of other jobs, so that the next crash shows which task
- * causes it and the others lose nothing. The number of workers used for this is limited, so that several such tasks do not
- * take the whole pool.
+ * causes it and the others lose nothing. The number of workers used for this is limited while the other tasks need workers,
+ * so that several such tasks do not take the whole pool.
  */
 final class IsolatedPlacer {
-    /** One of so many workers, rounded up, may be used at a time. */
+    /** One of so many workers, rounded up, may be used at a time however many the other tasks need. */
     private static final int WORKERS_PER_ISOLATED = 3;
 
+    /** The number of workers that are left to tasks which arrive, even if no other task needs one. */
+    private static final int WORKERS_FOR_ARRIVALS = 1;
+
     /** How long a gang waits for workers that meet the isolation of its tasks. */
     private static final long GANG_PATIENCE_MILLIS = 2_000;
 
@@ -40,15 +43,16 @@
      * workers that are kept free for the others to the reserved ones.
      *
      * @param tasks  the tasks that wait and could start
+     * @param othersDemand  the resources that the other tasks which could start ask for
      */
-    void place(List<JobTaskState> tasks, Set<PoolWorker> reserved, Moment now) {
+    void place(List<JobTaskState> tasks, ResourceAmount othersDemand, Set<PoolWorker> reserved, Moment now) {
         if (tasks.isEmpty()) {
             return;
         }
         List<JobTaskState> ordered = new ArrayList<>(tasks);
         ordered.sort(Comparator.comparingInt((JobTaskState task) -> task.crashRecord.crashes())
                 .thenComparingLong(task -> task.crashedMillis));
-        int available = availableWorkers(now.steadyMillis());
+        int available = availableWorkers(othersDemand, now.steadyMillis());
         for (JobTaskState task : ordered) {
             if (!task.runs.isEmpty() || isUnstored(task)) {
                 continue;
@@ -97,14 +101,37 @@
         return nowMillis - worker.lastAnswerMillis <= CrashEvidence.RECENT_MILLIS;
     }
 
-    private int availableWorkers(long nowMillis) {
-        int accepting = 0;
+    /**
+     * Returns how many more workers may be used: those that the other tasks do not need, so that tasks do not wait beside
+     * idle workers, and a share of all in any case. Workers that have gone silent under such a task count towards the share.
+     */
+    private int availableWorkers(ResourceAmount othersDemand, long nowMillis) {
+        PoolSize accepting = PoolSize.NONE;
+        ResourceAmount needed = othersDemand;
         int onProbation = 0;
+        int acceptingOnProbation = 0;
         for (PoolWorker worker : state.workers.values()) {
-            accepting += worker.acceptsWork(nowMillis) ? 1 : 0;
             onProbation += worker.isOnProbation() ? 1 : 0;
+            if (worker.acceptsWork(nowMillis)) {
+                acceptingOnProbation += worker.isOnProbation() ? 1 : 0;
+                accepting = accepting.plusWorker(worker.registration.capacity());
+                needed = needed.plus(settledUse(worker));
+            }
+        }
+        int share = (accepting.workers() + WORKERS_PER_ISOLATED - 1) / WORKERS_PER_ISOLATED;
+        int neededWorkers = Math.max(WORKERS_FOR_ARRIVALS, (int) Math.ceil(accepting.machinesFor(needed)));
+        return Math.max(share - onProbation, accepting.workers() - neededWorkers - acceptingOnProbation);
+    }
+
+    /**
+     * Returns what the runs of a worker use that are not on probation.
+     */
+    private static ResourceAmount settledUse(PoolWorker worker) {
+        ResourceAmount used = ResourceAmount.NONE;
+        for (Run run : worker.runs.values()) {
+            used = run.isOnProbation() ? used : used.plus(run.reserved());
         }
-        return (accepting + WORKERS_PER_ISOLATED - 1) / WORKERS_PER_ISOLATED - onProbation;
+        return used;
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -63,7 +63,7 @@
         List<ResourceAmount> unplacedDemands = new ArrayList<>();
         reservedWorkers.clear();
         state.teamGate.beginRound();
-        isolatedPlacer.place(isolatedTasks(candidates, now), reservedWorkers, now);
+        isolatedPlacer.place(isolatedTasks(candidates, now), othersDemand(candidates, now), reservedWorkers, now);
         for (Candidate candidate : candidates) {
             placeStep(candidate.step, unplacedDemands, now);
         }
@@ -83,6 +83,18 @@
         return isolated;
     }
 
+    /**
+     * Returns the resources that the tasks which may start on any worker ask for.
+     */
+    private ResourceAmount othersDemand(List<Candidate> candidates, Moment now) {
+        ResourceAmount demand = ResourceAmount.NONE;
+        for (Candidate candidate : candidates) {
+            long startable = countStartable(candidate.step, now.steadyMillis());
+            demand = demand.plus(candidate.step.spec.reservedDemand().times(startable));
+        }
+        return demand;
+    }
+
     private void sort(List<Candidate> candidates, Moment now) {
         Comparator<Candidate> byPriority = Comparator.comparingInt(Candidate::rank)
                 .thenComparingInt(candidate -> candidate.step.occurrence.job.queue.priority());
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
@@ -7,9 +7,6 @@
  * Computes how many machines a pool needs.
  */
 final class PoolDemandCalculator {
-    /** Share of a machine that placements use before further tasks no longer fit. */
-    private static final double USABLE_MACHINE_SHARE = 0.85;
-
     private static final long REFUSED_DEMAND_WINDOW_MILLIS = 800;
     /**
      * The most machines for work at hand, as a multiple of those for the work that arrives. When demand rises, far more work
@@ -47,8 +44,7 @@
         Map<String, PoolDemand.WorkerUsage> workers = new HashMap<>();
         ResourceAmount used = ResourceAmount.NONE;
         ResourceAmount longRunning = ResourceAmount.NONE;
-        ResourceAmount capacity = ResourceAmount.NONE;
-        int listedWorkers = 0;
+        PoolSize size = PoolSize.NONE;
         for (PoolWorker worker : state.workers.values()) {
             boolean hasLongRunning = false;
             for (Run run : worker.runs.values()) {
@@ -59,8 +55,7 @@
             }
             used = used.plus(worker.usedResources);
             if (worker.listed) {
-                capacity = capacity.plus(worker.registration.capacity());
-                listedWorkers++;
+                size = size.plusWorker(worker.registration.capacity());
             }
             workers.put(
                     worker.id,
@@ -70,7 +65,6 @@
                             worker.fenced && WorkerEvacuator.isEmpty(worker),
                             worker.acceptsWork(now.steadyMillis())));
         }
-        PoolSize size = new PoolSize(capacity, listedWorkers);
         double needed = neededMachines(used, longRunning, size, now);
         return new PoolDemand(Math.max(needed, machinesForTaskLimits()), workers);
     }
@@ -138,21 +132,4 @@
      * @param widestStep  those of the step that asks for the most processors
      */
     private record WaitingDemand(ResourceAmount total, ResourceAmount widestStep) {}
-
-    /**
-     * The capacity of the workers that the registry lists.
-     */
-    private record PoolSize(ResourceAmount capacity, int workers) {
-        /**
-         * Returns how many workers of the mean size an amount fills.
-         */
-        double machinesFor(ResourceAmount amount) {
-            if (workers == 0 || capacity.cpuMillis() == 0 || capacity.memoryMb() == 0) {
-                return amount.cpuMillis() > 0 ? 1 : 0;
-            }
-            double cpuShare = (double) amount.cpuMillis() / capacity.cpuMillis();
-            double memoryShare = (double) amount.memoryMb() / capacity.memoryMb();
-            return Math.max(cpuShare, memoryShare) * workers / USABLE_MACHINE_SHARE;
-        }
-    }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/IsolatedPlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/IsolatedPlacerTest.java
@@ -96,6 +96,23 @@
         assertEquals(4 * 8, runsOf(other).size(), "eight starts in flight for each of the other workers");
     }
 
+    /** Guards against suspects that wait for each other beside workers which nobody needs. */
+    @Test
+    void suspectsUseTheWorkersThatNoOtherTaskNeeds() {
+        for (int i = 0; i < 6; i++) {
+            worker("w" + i);
+        }
+        List<JobState> suspects = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+            suspects.add(job(1, SMALL, TWO_CRASHES));
+        }
+        place(NOW, suspects.toArray(JobState[]::new));
+        assertEquals(5, suspects.stream().filter(job -> !runsOf(job).isEmpty()).count());
+        JobState arriving = job(1, SMALL, CrashRecord.NONE);
+        place(NOW.plus(10), arriving);
+        assertEquals(1, runsOf(arriving).size(), "a worker is left to tasks that arrive");
+    }
+
     /** Guards against a suspect that waits for a worker which long-running tasks fill for good. */
     @Test
     void workerThatLongRunningTasksFillIsNotReserved() {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -347,6 +347,7 @@
     }
 
     void cancel(String job) {
+        checks.cancelRequested(job);
         if (!owner().isStopped()) {
             owner().scheduler().cancel(job, time.moment());
         }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -289,6 +289,10 @@
                         <= formerClosedRunNumbers.getOrDefault(order.task().text(), 0);
     }
 
+    boolean isRunning(TaskId task) {
+        return runs.containsKey(task.text());
+    }
+
     ResourceAmount used() {
         ResourceAmount used = ResourceAmount.NONE;
         for (ActiveRun run : runs.values()) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
@@ -34,7 +34,10 @@
     private final Set<String> acceptedJobs = new HashSet<>();
     private final Set<String> refusedJobs = new HashSet<>();
     private final Map<String, Long> cancelledMillis = new HashMap<>();
+    private final Set<String> cancelRequests = new HashSet<>();
+    private final Set<String> endedJobs = new HashSet<>();
     private final Map<String, Set<String>> runningWorkers = new HashMap<>();
+    private final Map<String, Long> lastStartMillis = new HashMap<>();
     private final Set<String> completedTasks = new HashSet<>();
     private final Map<String, Integer> failedRuns = new HashMap<>();
     private final Set<String> acknowledgedCompletions = new HashSet<>();
@@ -95,6 +98,17 @@
         refusedJobs.add(job);
     }
 
+    /**
+     * Records that a caller asks to cancel a job.
+     */
+    void cancelRequested(String job) {
+        cancelRequests.add(job);
+    }
+
+    boolean isCancelRequested(String job) {
+        return cancelRequests.contains(job);
+    }
+
     /**
      * Records that a caller was informed that a job is cancelled.
      *
@@ -123,6 +137,7 @@
             addViolation("TWICE " + task.text() + " started after its completion was acknowledged");
         }
         others.add(worker);
+        lastStartMillis.put(task.text(), time.nowMillis());
         checkStepOrder(job, task);
         if (acknowledgedFailures.getOrDefault(task.text(), 0) >= maxAttempts.get(task.job())) {
             addViolation("BUDGET " + task.text());
@@ -173,6 +188,17 @@
         }
     }
 
+    /**
+     * Returns when a run of a task last started, {@link Long#MIN_VALUE} if none did.
+     */
+    long lastStartMillis(TaskId task) {
+        return lastStartMillis.getOrDefault(task.text(), Long.MIN_VALUE);
+    }
+
+    boolean isCompleted(TaskId task) {
+        return completedTasks.contains(task.text());
+    }
+
     /**
      * Records that a task crashes the worker on which it runs.
      */
@@ -203,6 +229,7 @@
      * @param job  the identifier of the job, not null
      */
     public void jobShownCompleted(String job) {
+        endedJobs.add(job);
         JobSpec spec = jobs.get(job);
         for (int step = 0; step < spec.steps().size(); step++) {
             for (int i = 0; i < spec.steps().get(step).count(); i++) {
@@ -220,6 +247,7 @@
      * @param job  the identifier of the job, not null
      */
     public void jobShownFailed(String job) {
+        endedJobs.add(job);
         boolean attemptsExhausted = failedRuns.entrySet().stream()
                 .anyMatch(entry -> entry.getKey().startsWith(job + '.') && entry.getValue() >= maxAttempts.get(job));
         boolean crashesWorkers = crashesByTask.entrySet().stream()
@@ -268,6 +296,13 @@
         return cancelledMillis.containsKey(job);
     }
 
+    /**
+     * Returns whether a caller was informed that a job has completed or failed.
+     */
+    boolean isShownEnded(String job) {
+        return endedJobs.contains(job);
+    }
+
     /**
      * Returns the number of runs that workers started.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
@@ -24,6 +24,8 @@
     /** The shortest time in which a process ends and starts again. */
     private static final int MIN_RESTART_MILLIS = 250;
 
+    /** Time after the load from which no job may wait while most of the capacity is free. */
+    private static final long FINISH_MILLIS = 14_000;
     /** Time without faults after which all accepted jobs must have ended. */
     private static final long SETTLE_MILLIS = 60_000;
 
@@ -263,6 +265,7 @@
         if (platform.owner().isStopped()) {
             platform.startOwner();
         }
+        time.schedule(FINISH_MILLIS, new WaitingJobCheck(platform)::start);
         time.runFor(SETTLE_MILLIS);
         checkAllEnded();
         return new Result(
