End an entry that is stopped before it was ready without the wait for the rotation

Part of it is an entry that gets SIGTERM while it starts: since it completes its start, and then waits 2.2 s until the balancer has turned away from it, although the balancer has not turned to it yet.

Its requests are answered as before, first requests of new connections included. Not covered: an entry that is killed and restarted between two probes is still in the rotation; callers are then refused connections.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
@@ -20,9 +20,11 @@
     private static final int MAX_ROTATION_EXIT_DIVISOR = 2;
 
     private final long graceMillis;
+    private final boolean inRotation;
 
-    private StopSchedule(long graceMillis) {
+    private StopSchedule(long graceMillis, boolean inRotation) {
         this.graceMillis = graceMillis;
+        this.inRotation = inRotation;
     }
 
     /**
@@ -36,7 +38,16 @@
         if (graceMillis < 0) {
             throw new IllegalArgumentException("grace time must not be negative: " + graceMillis);
         }
-        return new StopSchedule(graceMillis);
+        return new StopSchedule(graceMillis, true);
+    }
+
+    /**
+     * Returns the schedule of an entry that is not in the balancer's rotation, so it need not wait to leave it.
+     *
+     * @return the schedule, not null
+     */
+    public StopSchedule withoutRotation() {
+        return new StopSchedule(graceMillis, false);
     }
 
     /**
@@ -45,7 +56,7 @@
      * @return the time since the stop began, in milliseconds, not negative
      */
     public long rotationExitMillis() {
-        return Math.min(ROTATION_EXIT_MILLIS, graceMillis / MAX_ROTATION_EXIT_DIVISOR);
+        return inRotation ? Math.min(ROTATION_EXIT_MILLIS, graceMillis / MAX_ROTATION_EXIT_DIVISOR) : 0;
     }
 
     /**
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/stop/StopScheduleTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/stop/StopScheduleTest.java
@@ -27,6 +27,14 @@
         }
     }
 
+    @Test
+    void entryOutsideTheRotationDoesNotWaitToLeaveIt() {
+        StopSchedule schedule = StopSchedule.of(6_000).withoutRotation();
+        assertEquals(0, schedule.rotationExitMillis());
+        assertEquals(StopSchedule.of(6_000).lastAnswersMillis(), schedule.lastAnswersMillis());
+        assertEquals(StopSchedule.of(6_000).exitMillis(), schedule.exitMillis());
+    }
+
     @Test
     void negativeGraceTimeIsRejected() {
         assertThrows(IllegalArgumentException.class, () -> StopSchedule.of(-1));
