Serve connections that wait to be accepted before the product's callers' listener closes

Callers saw (by reading, now by a test): while an entry of the product stops, a connection that the system has established and the program has not accepted is reset, with the request on it.

The close waited for connections that were accepted, on each of their threads; those that wait for a busy thread to accept them, or were accepted during that wait, were not counted. Ruled out as a remedy: a further pass over all threads, as the thread that accepts hands each connection to another one, on which it is new again after the pass.

Change: ServerConnections has the mechanism of the platform's CallerConnections: one thread accepts, reads and begins the close. The passes over used connections (UsedConnections, NewConnections) go. The test of ServerConnections that counted used connections now counts unused ones, the only ones that are kept: one entry while three requests are sent over another connection, none once it ends. The listener now has one thread instead of sharing those of the process; the effect on throughput was not measured.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/caller/CallerServer.java
@@ -45,7 +45,7 @@
     private final RequestGateway gateway;
     private final EntryMetrics metrics;
     private final MillisClock clock;
-    private final ServerConnections connections = new ServerConnections();
+    private final ServerConnections connections;
     private volatile boolean closing;
     private HttpServerContext server;
 
@@ -53,6 +53,7 @@
         this.gateway = gateway;
         this.metrics = metrics;
         this.clock = clock;
+        this.connections = ServerConnections.of("callers", clock);
     }
 
     /**
@@ -70,6 +71,7 @@
         CallerServer callerServer = new CallerServer(gateway, metrics, clock);
         callerServer.server = HttpServers.forAddress(new InetSocketAddress(listen.host(), listen.port()))
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .ioExecutor(callerServer.connections.thread())
                 .transportObserver(callerServer.connections.observer())
                 .listenStreamingAndAwait(callerServer);
         return callerServer;
@@ -89,13 +91,13 @@
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
         long arrivalMillis = clock.nowMillis();
-        connections.requestRead(context);
         return Single.defer(() -> process(context, request, factory, arrivalMillis))
                 .onErrorResume(failure -> Single.succeeded(rejectionResponse(failure, factory, arrivalMillis)));
     }
 
     /**
-     * Stops accepting connections and waits until the requests that have arrived are answered; then closes.
+     * Accepts the connections that are waiting, then stops accepting and waits until the requests that have arrived are
+     * answered; then closes.
      *
      * <p>If the wait times out, fails or is interrupted, the remaining connections are closed at once.
      *
@@ -107,9 +109,9 @@
             connections.closeGracefully(server, FIRST_REQUEST_MILLIS).get(grace.toMillis(), TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
             LOG.warn(LogEvent.of("caller-listener-closed-hard").withFailure(e));
-            close();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
             close();
         }
     }
@@ -119,7 +121,7 @@
      */
     @Override
     public void close() {
-        server.closeAsync().subscribe();
+        connections.close(server);
     }
 
     private Single<StreamingHttpResponse> process(
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/ServerConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/ServerConnections.java
@@ -1,60 +1,144 @@
 package org.trefoilpost.entry.http;
 
 import io.servicetalk.http.api.HttpServerContext;
-import io.servicetalk.transport.api.ConnectionContext;
+import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.api.TransportObserver;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.trefoilpost.entry.runtime.MillisClock;
 
 /**
- * The connections of a listener, which it closes without losing the requests that have arrived on them.
+ * The connections of a listener. One thread accepts all of them, reads from them and begins their close, so nothing that has
+ * arrived when the thread last looked for input is lost by the close.
  *
  * <p>Safe for use by several threads.
  */
 public final class ServerConnections {
-    private final NewConnections newConnections = new NewConnections();
-    private final UsedConnections usedConnections = new UsedConnections();
+    /** Long enough for the thread to look for what has arrived. */
+    private static final long READ_PASS_MILLIS = 1;
+
+    private final IoExecutor thread;
+    private final Set<CompletableFuture<Void>> unused = ConcurrentHashMap.newKeySet();
+    private final MillisClock clock;
+    private volatile boolean closing;
+
+    private ServerConnections(String threadName, MillisClock clock) {
+        this.thread = NettyIoExecutors.createIoExecutor(1, threadName);
+        this.clock = clock;
+    }
+
+    /**
+     * Starts the thread of a listener.
+     *
+     * @param threadName  the start of the thread's name, not null
+     * @param clock  the clock in milliseconds, not null
+     * @return the connections, none yet, not null
+     */
+    public static ServerConnections of(String threadName, MillisClock clock) {
+        return new ServerConnections(threadName, clock);
+    }
 
     /**
-     * Returns the observer of the listener's transport, to be set when the listener is built.
+     * Returns the thread that the listener is to use, to be set when the listener is built.
+     *
+     * @return the thread, not null
+     */
+    public IoExecutor thread() {
+        return thread;
+    }
+
+    /**
+     * Returns an observer of the listener's transport that adds each connection, to be set when the listener is built.
      *
      * @return the observer, not null
      */
     public TransportObserver observer() {
-        return newConnections;
+        return (localAddress, remoteAddress) -> {
+            CompletableFuture<Void> used = new CompletableFuture<>();
+            add(used);
+            return new FirstReadObserver(used);
+        };
+    }
+
+    /**
+     * Adds a connection that was accepted. To be called by the observer of the listener's transport, if that is another one.
+     *
+     * @param used  completes once something has been read from the connection, or it has ended, not null
+     */
+    public void add(CompletableFuture<Void> used) {
+        unused.add(used);
+        used.whenComplete((ignored, failure) -> unused.remove(used));
     }
 
     /**
-     * Records that a request has been read. To be called for each request, before it is handled.
+     * Returns whether the close of the listener has begun.
      *
-     * @param connection  the connection of the request, not null
+     * @return true from the time on when no connection is accepted
      */
-    public void requestRead(ConnectionContext connection) {
-        usedConnections.add(connection);
+    public boolean isClosing() {
+        return closing;
     }
 
     /**
-     * Returns the number of open connections over which a request has been read.
+     * Returns the number of open connections from which nothing has been read.
      */
-    int usedCount() {
-        return usedConnections.count();
+    int unusedCount() {
+        return unused.size();
     }
 
     /**
-     * Waits for the first requests of the connections that were opened just now, since connections without a request are
-     * closed, and for what has arrived on the others to be read. Then accepts no new connections and closes once the
-     * requests in flight are answered.
+     * Accepts the connections that are waiting, and waits for the first request of each new one, since connections
+     * without a request are closed as idle. Then closes the listener gracefully, right after its thread has looked for input:
+     * what is unread when the close begins is discarded.
      *
      * @param server  the listener, not null
      * @param firstRequestMillis  how long to wait for first requests, in milliseconds
      * @return completes once all connections are closed, not null
      */
     public CompletableFuture<Void> closeGracefully(HttpServerContext server, long firstRequestMillis) {
-        // Closing on the thread that reads a first request would close its connection before the request is handled.
-        return newConnections
-                .allUsed()
-                .completeOnTimeout(null, firstRequestMillis, TimeUnit.MILLISECONDS)
-                .thenComposeAsync(ignored -> usedConnections.closeGracefully())
-                .thenCompose(ignored -> server.closeAsyncGracefully().toCompletionStage());
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        // The time for first requests starts once the thread has accepted what was waiting; it may have been behind.
+        afterReadPass(closed, () -> closeOnceUsed(server, clock.nowMillis() + firstRequestMillis, closed));
+        return closed;
+    }
+
+    /**
+     * Closes the listener and its connections at once, and ends their thread.
+     *
+     * @param server  the listener, not null
+     */
+    public void close(HttpServerContext server) {
+        server.closeAsync().concat(thread.closeAsync()).subscribe();
+    }
+
+    /**
+     * Closes the listener if it has no new connection, else waits for their first requests until the given time at most.
+     */
+    private void closeOnceUsed(HttpServerContext server, long untilMillis, CompletableFuture<Void> closed) {
+        long remainingMillis = untilMillis - clock.nowMillis();
+        if (unused.isEmpty() || remainingMillis <= 0) {
+            closing = true;
+            server.closeAsyncGracefully()
+                    .afterOnError(closed::completeExceptionally)
+                    .subscribe(() -> closed.complete(null));
+            return;
+        }
+        CompletableFuture.allOf(unused.toArray(CompletableFuture[]::new))
+                .completeOnTimeout(null, remainingMillis, TimeUnit.MILLISECONDS)
+                .thenRunAsync(() -> afterReadPass(closed, () -> closeOnceUsed(server, untilMillis, closed)));
+    }
+
+    /**
+     * Runs a step on the thread after it has looked for connections and input that were there before this call.
+     */
+    private void afterReadPass(CompletableFuture<Void> closed, Runnable step) {
+        // The timer must start on the thread itself: one that ends while the thread is busy fires before the next read.
+        thread.submit(() -> {})
+                .concat(thread.timer(READ_PASS_MILLIS, TimeUnit.MILLISECONDS))
+                .afterOnError(closed::completeExceptionally)
+                .subscribe(step);
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/caller/CallerServerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/caller/CallerServerTest.java
@@ -15,6 +15,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,7 @@
 
 class CallerServerTest {
     private static final int MAX_BODY_BYTES = 1_000;
+    private static final int NEW_CONNECTIONS = 64;
     private static final Duration WAIT = Duration.ofSeconds(20);
 
     private static final byte[] GET_REQUEST =
@@ -249,6 +251,53 @@
         closing.get(WAIT.toSeconds(), TimeUnit.SECONDS);
     }
 
+    /**
+     * Guards against losing requests over connections that are established and wait to be accepted as the close begins,
+     * because the threads are behind.
+     */
+    @Test
+    @Timeout(30)
+    void answersConnectionsThatWaitToBeAcceptedBeforeTheClose() throws Exception {
+        List<Socket> busy = keepAllThreadsBusy();
+        List<Socket> waiting = new ArrayList<>();
+        for (int i = 0; i < NEW_CONNECTIONS; i++) {
+            Socket connection = connect();
+            connection.getOutputStream().write(GET_REQUEST);
+            waiting.add(connection);
+        }
+        CompletableFuture<Void> closing = CompletableFuture.runAsync(() -> server.closeGracefully(WAIT));
+        Thread.sleep(CLOSE_DELAY_MILLIS);
+        held.countDown();
+        for (Socket connection : waiting) {
+            String response = new String(connection.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(response.startsWith("HTTP/1.1 201 "), response);
+            connection.close();
+        }
+        for (Socket connection : busy) {
+            connection.close();
+        }
+        closing.get(WAIT.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    /**
+     * Keeps each thread busy with a request until requests are no longer held.
+     *
+     * @return the connections of the requests, not null
+     */
+    private List<Socket> keepAllThreadsBusy() throws Exception {
+        held = new CountDownLatch(1);
+        List<Socket> connections = new ArrayList<>();
+        int known;
+        do {
+            known = submitted.get();
+            Socket connection = connect();
+            connection.getOutputStream().write(GET_REQUEST);
+            connections.add(connection);
+            Thread.sleep(CLOSE_DELAY_MILLIS);
+        } while (submitted.get() > known);
+        return connections;
+    }
+
     /** Returns a connection over which one request has been answered. */
     private Socket usedConnection() throws IOException {
         Socket connection = connect();
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/http/ServerConnectionsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/http/ServerConnectionsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.trefoilpost.entry.runtime.MillisClock;
 
 class ServerConnectionsTest {
     private static final byte[] GET_REQUEST = "GET / HTTP/1.1\r\nHost: any\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -23,36 +24,38 @@
     private static final int REQUESTS = 3;
     private static final long FIRST_REQUEST_MILLIS = 20;
 
-    private final ServerConnections connections = new ServerConnections();
+    private final ServerConnections connections = ServerConnections.of("test", MillisClock.steady());
     private HttpServerContext server;
 
     @BeforeEach
     void start() throws Exception {
         server = HttpServers.forAddress(new InetSocketAddress("127.0.0.1", 0))
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .ioExecutor(connections.thread())
                 .transportObserver(connections.observer())
-                .listenAndAwait((context, request, factory) -> {
-                    connections.requestRead(context);
-                    return Single.succeeded(factory.ok().setHeader("content-length", "0"));
-                });
+                .listenAndAwait((context, request, factory) ->
+                        Single.succeeded(factory.ok().setHeader("content-length", "0")));
     }
 
     @AfterEach
     void stop() {
-        server.closeAsync().subscribe();
+        connections.close(server);
     }
 
-    /** Guards against keeping an object for each request as long as its connection is open. */
+    /** Guards against keeping an object for each request, or for each connection after its first request or its end. */
     @Test
     @Timeout(20)
-    void connectionIsKeptOnceAndUntilItIsClosed() throws Exception {
-        try (Socket caller = connect()) {
-            for (int i = 0; i < REQUESTS; i++) {
-                request(caller);
-                assertEquals(1, connections.usedCount());
+    void connectionIsKeptOnceAndUntilItIsUsedOrClosed() throws Exception {
+        try (Socket unused = connect()) {
+            assertTrue(unused.isConnected());
+            try (Socket caller = connect()) {
+                for (int i = 0; i < REQUESTS; i++) {
+                    request(caller);
+                    assertEquals(1, connections.unusedCount());
+                }
             }
         }
-        while (connections.usedCount() > 0) {
+        while (connections.unusedCount() > 0) {
             Thread.sleep(1);
         }
     }
@@ -69,7 +72,7 @@
                 connection.close();
             }
             closed.get();
-            assertEquals(0, connections.usedCount());
+            assertEquals(0, connections.unusedCount());
         }
     }
 
