Serve calls of new connections before the operators' interface closes

Operators saw (by reading, now by a test): while an entry of the product stops, a connection to the operators' interface that waits to be accepted is reset, and one that was just opened is closed before its first call arrives.

Cause: the close waited for the calls that had been read only. A connection without a call counts as idle, and one that is not accepted is not seen. Ruled out: the refusal of calls during the stop (503 "shutting-down"), which is given to each call that is read.

Change: the interface uses ServerConnections, as the callers' listeners do: its one thread accepts what waits, first calls have 50 ms, and the close begins right after the thread has looked for input. The wait for answers to be written, 500 ms, includes these 50 ms, so a stop takes no longer. Tests start the interface with routes of their own and a longer wait.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/operator/OperatorServer.java
@@ -23,9 +23,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.trefoilpost.entry.http.OpenReplies;
+import org.trefoilpost.entry.http.ServerConnections;
 import org.trefoilpost.entry.log.EventLog;
 import org.trefoilpost.entry.log.LogEvent;
 import org.trefoilpost.entry.metrics.EntryMetrics;
+import org.trefoilpost.entry.runtime.MillisClock;
 import org.trefoilpost.model.Endpoint;
 
 /**
@@ -37,6 +39,8 @@
     private static final String STOPPING = "shutting-down";
     /** The longest wait for calls in progress at a close, in milliseconds. */
     private static final long CALL_MILLIS = 1_000;
+    /** How long the first call of a new connection may take to arrive, in milliseconds. */
+    private static final long FIRST_CALL_MILLIS = 50;
     /** The longest wait for the answers to be written at a close, in milliseconds. */
     private static final long WRITE_MILLIS = 500;
 
@@ -47,6 +51,7 @@
     private final List<OperatorRoutes> authenticatedRoutes;
     private final EntryMetrics metrics;
     private final OpenReplies<OperatorResponse> openReplies = new OpenReplies<>();
+    private final ServerConnections connections;
     private volatile boolean closing;
     private HttpServerContext server;
 
@@ -54,11 +59,13 @@
             String token,
             List<OperatorRoutes> publicRoutes,
             List<OperatorRoutes> authenticatedRoutes,
-            EntryMetrics metrics) {
+            EntryMetrics metrics,
+            MillisClock clock) {
         this.token = token;
         this.publicRoutes = publicRoutes;
         this.authenticatedRoutes = authenticatedRoutes;
         this.metrics = metrics;
+        this.connections = ServerConnections.of("operators", clock);
     }
 
     /**
@@ -77,10 +84,31 @@
                 new ConfigurationRoutes(services),
                 new PoolRoutes(services),
                 new PlanRoutes(services));
-        OperatorServer operatorServer =
-                new OperatorServer(token, publicRoutes, authenticatedRoutes, services.metrics());
+        return start(
+                listen,
+                new OperatorServer(token, publicRoutes, authenticatedRoutes, services.metrics(), services.clock()));
+    }
+
+    /**
+     * Starts a server whose operations need no token.
+     *
+     * @param listen  the address to listen on, not null
+     * @param routes  the operations, not null
+     * @param metrics  the metrics to update, not null
+     * @param clock  the clock in milliseconds, not null
+     * @return the server, not null
+     * @throws Exception if the server cannot listen on the address
+     */
+    static OperatorServer start(Endpoint listen, List<OperatorRoutes> routes, EntryMetrics metrics, MillisClock clock)
+            throws Exception {
+        return start(listen, new OperatorServer("", routes, List.of(), metrics, clock));
+    }
+
+    private static OperatorServer start(Endpoint listen, OperatorServer operatorServer) throws Exception {
         operatorServer.server = HttpServers.forAddress(new InetSocketAddress(listen.host(), listen.port()))
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .ioExecutor(operatorServer.connections.thread())
+                .transportObserver(operatorServer.connections.observer())
                 .listenAndAwait(operatorServer);
         return operatorServer;
     }
@@ -104,22 +132,32 @@
     }
 
     /**
-     * Waits for the calls in progress and answers those that are left; then closes the server and its connections. To
-     * be called before the services that handle the calls are closed.
+     * Waits for the calls in progress and answers those that are left, and those of the connections that wait to be
+     * accepted or were opened just now; then closes the server and its connections. To be called before the services that
+     * handle the calls are closed.
      */
     @Override
     public void close() {
+        close(WRITE_MILLIS);
+    }
+
+    /**
+     * Closes the server as {@link #close()} does.
+     *
+     * @param writeMillis  the longest wait for the answers to be written, in milliseconds
+     */
+    void close(long writeMillis) {
         closing = true;
         try {
             awaitOpenReplies();
             openReplies.completeAll(OperatorServer::unfinishedResponse);
-            server.closeAsyncGracefully().toFuture().get(WRITE_MILLIS, TimeUnit.MILLISECONDS);
+            connections.closeGracefully(server, FIRST_CALL_MILLIS).get(writeMillis, TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
             LOG.warn(LogEvent.of("operator-listener-closed-hard").withFailure(e));
-            server.closeAsync().subscribe();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            server.closeAsync().subscribe();
+        } finally {
+            connections.close(server);
         }
     }
 
