Remove ended jobs as fast as their retention ends

Callers would see: an owner that takes ever more memory, and takes longer to load its jobs after each change of owner. Cause: ended jobs are looked for every 5 s, and at most 10 are removed each time, so 2 a second for a pool. A pool in which more jobs end keeps the rest for ever, in memory and in the store, and the names of their queues with them. Change: when a commit removes as many jobs as it may, the next one looks for further ones. The look ends with the last one that can be removed. Not ruled out: that removals, up to 10 of the 28 documents of a commit, delay other writes after a long backlog. Result: the new test of JobWriterTest failed before (15 of 25 jobs left after three commits, 1 of 1 run). It has not been run with the change, nor have the formatter, the linter and other tests.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
@@ -93,17 +93,24 @@
         if (now.steadyMillis() - lastExpiryCheckMillis < EXPIRY_CHECK_INTERVAL_MILLIS) {
             return expired;
         }
-        lastExpiryCheckMillis = now.steadyMillis();
         for (JobState job : state.jobs.values()) {
-            boolean retentionOver = now.wallMillis() - job.endedWallMillis > state.timeouts.endedJobRetentionMillis();
-            boolean endStored = job.phase.ended() && job.stored && !job.dirty && !hasRuns(job);
-            if (endStored && retentionOver && expired.size() < MAX_REMOVALS_PER_COMMIT) {
+            if (isExpired(job, now)) {
                 expired.add(job.spec.id());
+                if (expired.size() == MAX_REMOVALS_PER_COMMIT) {
+                    // The next commit removes further ones.
+                    return expired;
+                }
             }
         }
+        lastExpiryCheckMillis = now.steadyMillis();
         return expired;
     }
 
+    private boolean isExpired(JobState job, Moment now) {
+        boolean retentionOver = now.wallMillis() - job.endedWallMillis > state.timeouts.endedJobRetentionMillis();
+        return retentionOver && job.phase.ended() && job.stored && !job.dirty && !hasRuns(job);
+    }
+
     private static boolean hasRuns(JobState job) {
         return job.openOccurrences().stream()
                 .flatMap(occurrence -> Stream.of(occurrence.steps))
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
@@ -16,6 +16,9 @@
     /** Exceeds the interval of the checks for jobs to remove. */
     private static final long CHECK_MILLIS = 6_000;
 
+    /** More than two commits remove. */
+    private static final int ENDED_JOBS = 25;
+
     private static final String JOB_A = "0000000000000001";
     private static final String JOB_B = "0000000000000002";
 
@@ -63,6 +66,25 @@
         assertEquals(Set.of(), removal.queues());
     }
 
+    /** Guards against ended jobs that are removed more slowly than others end, and so take ever more memory. */
+    @Test
+    void successiveCommitsRemoveAllJobsWhoseRetentionIsOver() {
+        open();
+        for (int i = 1; i <= ENDED_JOBS; i++) {
+            String job = String.format("%016x", i);
+            submit("a", job);
+            commit();
+            scheduler.cancel(job, now);
+            commit();
+        }
+        assertEquals(ENDED_JOBS, stored.size());
+        advance(RETENTION_MILLIS + CHECK_MILLIS);
+        commit();
+        commit();
+        commit();
+        assertEquals(Set.of(), stored.keySet());
+    }
+
     private void open() {
         actions = new RecordedActions(new ArrayList<>());
         scheduler = new PoolScheduler("pool", new PoolTimeouts(5_000, RETENTION_MILLIS, 2_000), actions);
