Close a connection to another entry whose link was closed before its challenge

Cause: closing a link closes its established connection. One that is being established has no challenge yet, so it is not closed; when the challenge arrives it counts as established, though nobody has the link any more. Change: a connection that gets its challenge after its link was closed is closed. It has not been run with the change, nor have the formatter, the linter and other tests.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerLink.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/peer/PeerLink.java
@@ -195,6 +195,10 @@
             if (message instanceof Challenge challenge) {
                 send(source, Hello.of(self, secret.sign(challenge.nonce(), self)));
                 connection = this;
+                if (closed) {
+                    // The link was closed while it had no connection to close.
+                    source.close();
+                }
             } else if (message instanceof PeerReply reply) {
                 CompletableFuture<PeerReply> waiting = openCalls.get(reply.callId());
                 if (waiting == null) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/peer/PeerNetworkTest.java
@@ -85,6 +85,20 @@
         }
     }
 
+    /** Guards against a connection that remains for ever because its link was closed before the peer sent its challenge. */
+    @Test
+    void closesAConnectionThatIsEstablishedAfterItsLinkWasClosed() throws Exception {
+        try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            peer.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            client.connect(ONE, Endpoint.of("127.0.0.1", peer.getLocalPort()));
+            try (Socket accepted = peer.accept()) {
+                client.disconnect(ONE);
+                writeFrame(accepted, PeerCodec.encode(Challenge.of(new byte[16])));
+                readUntilClosed(accepted);
+            }
+        }
+    }
+
     @Test
     void rejectsAWrongSecret() throws Exception {
         PeerNetwork intruder = PeerNetwork.start(
@@ -143,14 +157,27 @@
 
     private void sendRaw(int length, byte[] frame) throws Exception {
         try (Socket socket = new Socket("127.0.0.1", server.endpoint().port())) {
-            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
-            out.writeInt(length);
-            out.write(frame);
-            out.flush();
-            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-            while (socket.getInputStream().read() >= 0) {
-                // Skips the challenge, then waits until the server closes the connection.
-            }
+            write(socket, length, frame);
+            // Skips the challenge, then waits until the server closes the connection.
+            readUntilClosed(socket);
+        }
+    }
+
+    private static void writeFrame(Socket socket, byte[] frame) throws Exception {
+        write(socket, frame.length, frame);
+    }
+
+    private static void write(Socket socket, int length, byte[] frame) throws Exception {
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        out.writeInt(length);
+        out.write(frame);
+        out.flush();
+    }
+
+    private static void readUntilClosed(Socket socket) throws Exception {
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+        while (socket.getInputStream().read() >= 0) {
+            // Skips what the other end sends.
         }
     }
 
