--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/operator/OperatorServerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/operator/OperatorServerTest.java
@@ -61,6 +61,8 @@
             Thread.sleep(FIRST_CALL_DELAY_MILLIS);
             opened.getOutputStream().write(GET_REQUEST);
             assertAnswered(opened);
+            // The close waits for the end of open connections.
+            opened.close();
             closing.get();
         }
     }
