--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/operator/OperatorServerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/operator/OperatorServerTest.java
@@ -54,17 +54,17 @@
     @Test
     @Timeout(20)
     void answersTheFirstCallOfAConnectionThatWasJustOpened() throws Exception {
+        CompletableFuture<Void> closing;
         try (Socket opened = connect()) {
             // A call over a later connection is read only once the earlier one has been accepted.
             usedConnection().close();
-            CompletableFuture<Void> closing = CompletableFuture.runAsync(() -> server.close(LONG_WAIT_MILLIS));
+            closing = CompletableFuture.runAsync(() -> server.close(LONG_WAIT_MILLIS));
             Thread.sleep(FIRST_CALL_DELAY_MILLIS);
             opened.getOutputStream().write(GET_REQUEST);
             assertAnswered(opened);
-            // The close waits for the end of open connections.
-            opened.close();
-            closing.get();
         }
+        // The close waits for the end of open connections.
+        closing.get();
     }
 
     /**
