Take only an IP address and a port from 1 on for a worker's address

Cause: an entry whose address has a name for its host was decoded as text that any "x:80" passed, so the entry named a worker; the client for that address is built on the service's thread with the first order, and failed there ("Invalid resolved address: no-such-host, expected IP-address"). That ended the round of decisions in progress, and left the worker's hold in flight for ever.

Change: Endpoint accepts what its documentation says, an IP address, and no name; a worker's address is a type of its own, which also has no port 0, and is decoded once: by the format of the registry and by that of the stored jobs. A run that a stored job has on a worker without such an address is left out at a take-over, as no order can have reached that worker; the job is kept. Entries that other entries read of each other are decoded with Endpoint, so that a name there is no longer looked up on the service's thread.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
@@ -130,10 +130,11 @@
         packer.packArrayHeader(task.runs.size() + task.unreportedRuns.size());
         for (Run run : task.runs) {
             packer.packInt(run.number).packString(run.worker.id);
-            packer.packString(run.worker.registration.address());
+            packer.packString(run.worker.registration.address().toString());
         }
         for (RunLocation run : task.unreportedRuns) {
-            packer.packInt(run.run()).packString(run.worker()).packString(run.address());
+            packer.packInt(run.run()).packString(run.worker());
+            packer.packString(run.address().toString());
         }
     }
 
@@ -181,7 +182,10 @@
         int count = unpacker.unpackArrayHeader();
         for (int i = 0; i < count; i++) {
             int run = unpacker.unpackInt();
-            task.unreportedRuns.add(new RunLocation(task.id, run, unpacker.unpackString(), unpacker.unpackString()));
+            String worker = unpacker.unpackString();
+            // No order reaches a worker without a usable address, so such a run never started.
+            WorkerAddress.parse(unpacker.unpackString())
+                    .ifPresent(address -> task.unreportedRuns.add(new RunLocation(task.id, run, worker, address)));
         }
         runLocations.addAll(task.unreportedRuns);
     }
@@ -234,9 +238,9 @@
     /**
      * A run that was started on a worker.
      *
-     * @param address  the worker's address as {@code host:port}
+     * @param address  the worker's address
      */
-    record RunLocation(TaskId task, int run, String worker, String address) {}
+    record RunLocation(TaskId task, int run, String worker, WorkerAddress address) {}
 
     /**
      * A decoded job and the workers on which its runs were started.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
@@ -9,7 +9,7 @@
  * @param id  the identifier of the worker, which a restart keeps only on platforms that send {@code born}, not null
  * @param machine  the machine that the worker runs on, empty if it is not known, not null
  * @param pool  the pool that the worker belongs to, not null
- * @param address  the worker's address as {@code host:port}, not null
+ * @param address  the worker's address, not null
  * @param dataCentre  the worker's data centre, not null
  * @param labels  the worker's labels, its rack last, not null
  * @param capacity  the worker's resources, not null
@@ -20,7 +20,7 @@
         String id,
         String machine,
         String pool,
-        String address,
+        WorkerAddress address,
         String dataCentre,
         List<String> labels,
         ResourceAmount capacity,
@@ -31,6 +31,7 @@
      */
     public RegisteredWorker {
         Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(address, "address");
         labels = List.copyOf(labels);
     }
 
@@ -40,7 +41,7 @@
      * @param id  the identifier of the worker, not null
      * @param machine  the machine that the worker runs on, empty if it is not known, not null
      * @param pool  the pool that the worker belongs to, not null
-     * @param address  the worker's address as {@code host:port}, not null
+     * @param address  the worker's address, not null
      * @param dataCentre  the worker's data centre, not null
      * @param labels  the worker's labels, its rack last, not null
      * @param capacity  the worker's resources, not null
@@ -50,7 +51,7 @@
             String id,
             String machine,
             String pool,
-            String address,
+            WorkerAddress address,
             String dataCentre,
             List<String> labels,
             ResourceAmount capacity,
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerOrder.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerOrder.java
@@ -16,9 +16,9 @@
     /**
      * Returns the worker's address.
      *
-     * @return the address as {@code host:port}, not null
+     * @return the address, not null
      */
-    String address();
+    WorkerAddress address();
 
     /**
      * Starts a run of a task.
@@ -34,7 +34,7 @@
      */
     record Start(
             String worker,
-            String address,
+            WorkerAddress address,
             TaskId task,
             int run,
             String text,
@@ -51,7 +51,7 @@
      * @param task  the task's name, not null
      * @param run  the number of the run
      */
-    record Stop(String worker, String address, String task, int run) implements WorkerOrder {}
+    record Stop(String worker, WorkerAddress address, String task, int run) implements WorkerOrder {}
 
     /**
      * Renews the worker's lease, acknowledges run ends, and asks for the worker's status.
@@ -62,7 +62,7 @@
      * @param lastEnd  the number of the last run end that is stored, which acknowledges it and earlier ones
      * @param waitMillis  how long the worker may wait for a run end before it answers, in milliseconds
      */
-    record Hold(String worker, String address, Optional<Long> leaseUntilMillis, long lastEnd, long waitMillis)
+    record Hold(String worker, WorkerAddress address, Optional<Long> leaseUntilMillis, long lastEnd, long waitMillis)
             implements WorkerOrder {}
 
     /**
@@ -74,5 +74,5 @@
      * @param run  the number of the run
      * @param percent  the share of full speed, 0 to 100
      */
-    record Pace(String worker, String address, TaskId task, int run, int percent) implements WorkerOrder {}
+    record Pace(String worker, WorkerAddress address, TaskId task, int run, int percent) implements WorkerOrder {}
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/AdmissionTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/AdmissionTest.java
@@ -173,7 +173,8 @@
     }
 
     private static RegisteredWorker registration(int number, ResourceAmount capacity) {
-        return new RegisteredWorker("w" + number, "", "pool", "w:80", "dc", List.of("a", "r"), capacity, false);
+        return new RegisteredWorker(
+                "w" + number, "", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("a", "r"), capacity, false);
     }
 
     private SubmitResult submit(boolean storeReachable) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/IsolatedPlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/IsolatedPlacerTest.java
@@ -269,8 +269,8 @@
     }
 
     private PoolWorker worker(String id) {
-        PoolWorker worker = new PoolWorker(
-                new RegisteredWorker(id, "", "pool", id + ":80", "dc", List.of("a", "r"), WORKER, false));
+        PoolWorker worker = new PoolWorker(new RegisteredWorker(
+                id, "", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("a", "r"), WORKER, false));
         worker.fenced = true;
         state.workers.put(id, worker);
         return worker;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HexFormat;
@@ -41,7 +42,14 @@
         step.tasks[1].lastRunNumber = 3;
         step.tasks[1].checkpoint = "saved";
         PoolWorker worker = new PoolWorker(new RegisteredWorker(
-                "w", "", "pool", "w:80", "dc", List.of(), new ResourceAmount(9_000, 900, 0), false));
+                "w",
+                "",
+                "pool",
+                WorkerAddress.of("10.0.0.1", 80),
+                "dc",
+                List.of(),
+                new ResourceAmount(9_000, 900, 0),
+                false));
         worker.add(new Run(step.tasks[1], 3, worker, RunPhase.RUNNING, NOW.steadyMillis()));
         JobDocumentCodec.DecodedJob loaded = JobDocumentCodec.decode(JobDocumentCodec.encode(job), NOW.plus(5_000));
         JobStepState read = loaded.job().occurrences.get(0).steps[0];
@@ -53,7 +61,8 @@
         assertTrue(read.tasks[1].mayHaveUnseenRun);
         assertEquals(NOW.steadyMillis(), loaded.job().submittedMillis);
         assertEquals(
-                List.of(new JobDocumentCodec.RunLocation(step.tasks[1].id, 3, "w", "w:80")), loaded.runLocations());
+                List.of(new JobDocumentCodec.RunLocation(step.tasks[1].id, 3, "w", WorkerAddress.of("10.0.0.1", 80))),
+                loaded.runLocations());
         byte[] writtenAgain = JobDocumentCodec.encode(loaded.job());
         assertEquals(
                 loaded.runLocations(),
@@ -61,6 +70,21 @@
                 "kept until the worker reports or ends");
     }
 
+    /** Guards against a take-over that fails on a worker whose address cannot be called. */
+    @Test
+    void runOnAWorkerWithoutAUsableAddressIsLeftOutAndTheJobIsRead() {
+        JobState job = job();
+        JobTaskState task = job.occurrences.get(0).steps[0].tasks[1];
+        task.lastRunNumber = 3;
+        task.unreportedRuns.add(new JobDocumentCodec.RunLocation(task.id, 3, "w", WorkerAddress.of("10.0.0.1", 80)));
+        String text = new String(JobDocumentCodec.encode(job), StandardCharsets.ISO_8859_1);
+        byte[] odd = text.replace("10.0.0.1:80", "nowhere:080").getBytes(StandardCharsets.ISO_8859_1);
+        JobDocumentCodec.DecodedJob loaded = JobDocumentCodec.decode(odd, NOW);
+        assertEquals(List.of(), loaded.runLocations());
+        assertEquals(3, loaded.job().occurrences.get(0).steps[0].tasks[1].lastRunNumber);
+        assertTrue(loaded.job().occurrences.get(0).steps[0].tasks[1].mayHaveUnseenRun);
+    }
+
     @Test
     void configurationOfARemovedQueueIsKept() {
         PoolState state =
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
@@ -90,7 +90,14 @@
         scheduler = new PoolScheduler("pool", new PoolTimeouts(5_000, RETENTION_MILLIS, 2_000), actions);
         scheduler.configure(Map.of("a", queue("a"), "b", queue("b")), Teams.NONE);
         RegisteredWorker worker = new RegisteredWorker(
-                "w", "", "pool", "w:80", "dc", List.of(), new ResourceAmount(10_000, 10_000, 0), false);
+                "w",
+                "",
+                "pool",
+                WorkerAddress.of("10.0.0.1", 80),
+                "dc",
+                List.of(),
+                new ResourceAmount(10_000, 10_000, 0),
+                false);
         scheduler.open(Map.copyOf(stored), List.of(worker), 0, now);
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
@@ -183,8 +183,8 @@
     }
 
     private PoolWorker worker(String id, ResourceAmount size, String rack) {
-        PoolWorker worker =
-                new PoolWorker(new RegisteredWorker(id, "", "pool", id + ":80", "dc", List.of("a", rack), size, false));
+        PoolWorker worker = new PoolWorker(new RegisteredWorker(
+                id, "", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("a", rack), size, false));
         worker.fenced = true;
         state.workers.put(id, worker);
         return worker;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RunStatisticsTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RunStatisticsTest.java
@@ -83,8 +83,8 @@
 
     private PoolWorker worker(String id) {
         ResourceAmount size = new ResourceAmount(32_000, 131_072, 0);
-        PoolWorker worker =
-                new PoolWorker(new RegisteredWorker(id, "", "pool", id + ":80", "dc", List.of("r"), size, false));
+        PoolWorker worker = new PoolWorker(new RegisteredWorker(
+                id, "", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("r"), size, false));
         state.workers.put(id, worker);
         return worker;
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/TeamAdmissionTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/TeamAdmissionTest.java
@@ -124,7 +124,8 @@
     private void openWorkers(int count) {
         List<RegisteredWorker> listed = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            listed.add(new RegisteredWorker("w" + i, "", "pool", "w:80", "dc", List.of("a", "r"), SIZE, false));
+            listed.add(new RegisteredWorker(
+                    "w" + i, "", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("a", "r"), SIZE, false));
         }
         scheduler.updateWorkers(listed, NOW);
         for (int i = 0; i < count; i++) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/TeamOrderTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/TeamOrderTest.java
@@ -124,7 +124,14 @@
                 .team(new TeamConfig("b", 1, ResourceAmount.NONE))
                 .build();
         worker = new PoolWorker(new RegisteredWorker(
-                "w1", "", "pool", "w1:80", "dc", List.of("a", "r1"), new ResourceAmount(8_000, 8_000, 0), false));
+                "w1",
+                "",
+                "pool",
+                WorkerAddress.of("10.0.0.1", 80),
+                "dc",
+                List.of("a", "r1"),
+                new ResourceAmount(8_000, 8_000, 0),
+                false));
         worker.fenced = true;
         state.workers.put(worker.id, worker);
         for (int i = 0; i < teamsAndTasks.length; i += 2) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerCrashesTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerCrashesTest.java
@@ -243,8 +243,8 @@
     }
 
     private PoolWorker worker(String id, boolean draining) {
-        PoolWorker worker = new PoolWorker(
-                new RegisteredWorker(id, "", "pool", id + ":80", "dc", List.of("a", "r"), SIZE, draining));
+        PoolWorker worker = new PoolWorker(new RegisteredWorker(
+                id, "", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("a", "r"), SIZE, draining));
         worker.fenced = true;
         state.workers.put(id, worker);
         return worker;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerEvacuatorTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerEvacuatorTest.java
@@ -76,8 +76,8 @@
     }
 
     private PoolWorker worker(String id) {
-        PoolWorker worker =
-                new PoolWorker(new RegisteredWorker(id, "", "pool", id + ":80", "dc", List.of("r"), SIZE, false));
+        PoolWorker worker = new PoolWorker(new RegisteredWorker(
+                id, "", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("r"), SIZE, false));
         worker.fenced = true;
         worker.recordClock(0, NOW.steadyMillis());
         state.workers.put(id, worker);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
@@ -388,7 +388,8 @@
     }
 
     private static RegisteredWorker registration(long born) {
-        return new RegisteredWorker("w", "m", "pool", "w:80", "dc", List.of("r"), SIZE, false, born);
+        return new RegisteredWorker(
+                "w", "m", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("r"), SIZE, false, born);
     }
 
     private void register(long born) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -24,6 +24,7 @@
 import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.SubmitResult;
 import org.trefoilpost.decision.job.TaskId;
+import org.trefoilpost.decision.job.WorkerAddress;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.team.Teams;
 
@@ -225,7 +226,16 @@
 
     private RegisteredWorker report(String id) {
         long born = sendsBorn ? time.moment().wallMillis() : 0;
-        return new RegisteredWorker(id, "m-" + id, "pool", id + ":80", "dc", List.of("a", "r1"), CAPACITY, false, born);
+        return new RegisteredWorker(
+                id,
+                "m-" + id,
+                "pool",
+                WorkerAddress.of("10.0.0.1", 80),
+                "dc",
+                List.of("a", "r1"),
+                CAPACITY,
+                false,
+                born);
     }
 
     /**
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TeamPools.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TeamPools.java
@@ -17,6 +17,7 @@
 import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.ResourceAmount;
 import org.trefoilpost.decision.job.StepSpec;
+import org.trefoilpost.decision.job.WorkerAddress;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.team.TeamConfig;
 import org.trefoilpost.decision.job.team.Teams;
@@ -68,7 +69,14 @@
             for (int worker = 1; worker <= workersPerPool; worker++) {
                 String id = pool + "w" + worker;
                 RegisteredWorker report = new RegisteredWorker(
-                        id, "m-" + id, pool, id + ":80", "dc", List.of("a", "r1"), WORKER_CAPACITY, false);
+                        id,
+                        "m-" + id,
+                        pool,
+                        WorkerAddress.of("10.0.0.1", 80),
+                        "dc",
+                        List.of("a", "r1"),
+                        WORKER_CAPACITY,
+                        false);
                 workers.put(id, new EmulatedWorker(time, checks, random, report));
             }
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerPort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerPort.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.job.OrderResult;
+import org.trefoilpost.decision.job.WorkerAddress;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.WorkerRunStatus;
 
@@ -22,9 +23,9 @@
     /**
      * Closes the connections to the address of a worker that has left the registry.
      *
-     * @param address  the address as {@code host:port}, not null
+     * @param address  the address, not null
      */
-    void closeConnections(String address);
+    void closeConnections(WorkerAddress address);
 
     /**
      * A worker's answer to an order.
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/LiveEntriesTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/LiveEntriesTest.java
@@ -20,7 +20,8 @@
 
     @Test
     void entryWithAnUnreadableAddressIsSkipped() {
-        liveEntries.replace(List.of(item(READABLE), item(UNREADABLE)), 0);
+        LiveEntries.Peer named = new LiveEntries.Peer("entry-4", "no-such-host:80", "first", 750);
+        liveEntries.replace(List.of(item(READABLE), item(UNREADABLE), item(named)), 0);
         assertEquals(List.of(READABLE), List.copyOf(liveEntries.entries()));
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SilentStoreConnectionTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SilentStoreConnectionTest.java
@@ -12,6 +12,7 @@
 import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.ResourceAmount;
 import org.trefoilpost.decision.job.WatchTimes;
+import org.trefoilpost.decision.job.WorkerAddress;
 
 /**
  * Plays connections to the store that go silent without being reset, in virtual time: what is written meanwhile must still
@@ -211,8 +212,8 @@
         public Optional<RegisteredWorker> worker(StorePort.Item item) {
             boolean draining = new String(item.value(), StandardCharsets.UTF_8).equals(NEW);
             ResourceAmount capacity = new ResourceAmount(1_000, 1_000, 0);
-            return Optional.of(
-                    new RegisteredWorker("w", "m", "pool", "127.0.0.1:1", "hall", List.of(), capacity, draining));
+            return Optional.of(new RegisteredWorker(
+                    "w", "m", "pool", WorkerAddress.of("127.0.0.1", 1), "hall", List.of(), capacity, draining));
         }
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
@@ -21,6 +21,7 @@
 import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.ResourceAmount;
 import org.trefoilpost.decision.job.StepSpec;
+import org.trefoilpost.decision.job.WorkerAddress;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.WorkerRunStatus;
 import org.trefoilpost.decision.job.team.Caller;
@@ -351,7 +352,7 @@
         }
 
         @Override
-        public void closeConnections(String address) {
+        public void closeConnections(WorkerAddress address) {
             // No connections are kept.
         }
     }
@@ -362,8 +363,8 @@
         public Optional<RegisteredWorker> worker(StorePort.Item item) {
             String pool = new String(item.value(), StandardCharsets.UTF_8);
             ResourceAmount capacity = new ResourceAmount(16_000, 16_000, 0);
-            return Optional.of(
-                    new RegisteredWorker(pool, "m", pool, "127.0.0.1:1", "hall", List.of(), capacity, false));
+            return Optional.of(new RegisteredWorker(
+                    pool, "m", pool, WorkerAddress.of("127.0.0.1", 1), "hall", List.of(), capacity, false));
         }
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamStoreTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamStoreTest.java
@@ -18,6 +18,7 @@
 import org.trefoilpost.decision.job.ResourceAmount;
 import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.WatchTimes;
+import org.trefoilpost.decision.job.WorkerAddress;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.WorkerRunStatus;
 import org.trefoilpost.decision.job.team.PoolGrant;
@@ -273,7 +274,7 @@
         }
 
         @Override
-        public void closeConnections(String address) {
+        public void closeConnections(WorkerAddress address) {
             // No connections are kept.
         }
     }
@@ -282,7 +283,8 @@
         @Override
         public Optional<RegisteredWorker> worker(StorePort.Item item) {
             ResourceAmount capacity = new ResourceAmount(16_000, 16_000, 0);
-            return Optional.of(new RegisteredWorker("w", "m", POOL, "127.0.0.1:1", "hall", List.of(), capacity, false));
+            return Optional.of(new RegisteredWorker(
+                    "w", "m", POOL, WorkerAddress.of("127.0.0.1", 1), "hall", List.of(), capacity, false));
         }
     }
 }
