Treat a call that fails before it returns like one that fails

Cause: the ports of the job service return futures, and their callers handle failed ones, but a call that threw instead ended the handler on the service's thread: the rest of a round of decisions, with the commit to the store, was left out, and the call counted as in flight from then on. The address of a worker was one such cause; a body that cannot be encoded is another.

Change: the job service makes each of its calls, to workers, the store, the machine and the advice service and other entries, in one place that turns what is thrown into a failed future. The store that is reached through other entries makes its calls the same way, as it also continues on other threads, where a call that threw left its own caller without any outcome.

A step of TestService.run that throws now fails the test instead of leaving it waiting.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/ConfigurationPeers.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/ConfigurationPeers.java
@@ -85,7 +85,7 @@
     private void ask(LiveEntries.Peer peer) {
         Moment sent = context.now();
         byte[] request = ConfigurationMessages.encodeRequest(operatorEntries.version());
-        context.onServiceThread(connections.call(peer, "", request, CALL_TIMEOUT_MILLIS), (answer, failure) -> {
+        context.call(() -> connections.call(peer, "", request, CALL_TIMEOUT_MILLIS), (answer, failure) -> {
             if (failure == null && answer.isOwner()) {
                 ConfigurationMessages.decodeAnswer(answer.reply()).ifPresent(decoded -> take(peer, sent, decoded));
             }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/EndedOwners.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/EndedOwners.java
@@ -60,7 +60,7 @@
                 .with("entry", owner.peer().name())
                 .with("incarnation", owner.peer().incarnation())
                 .with("lease", owner.lease()));
-        context.onServiceThread(context.store().endLease(owner.lease()), (done, failure) -> {
+        context.call(() -> context.store().endLease(owner.lease()), (done, failure) -> {
             if (failure != null) {
                 endedLeases.remove(owner.lease());
             }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
+import java.util.function.Supplier;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.PoolInstructions;
@@ -185,7 +186,7 @@
 
     private void loadState() {
         long callOwnership = ownership;
-        context.onServiceThread(context.store().range(WAVE_KEY_PREFIX, ""), (page, failure) -> {
+        context.call(() -> context.store().range(WAVE_KEY_PREFIX, ""), (page, failure) -> {
             if (ownership != callOwnership || plan == null) {
                 return;
             }
@@ -223,7 +224,7 @@
         }
         confirmationInFlight = true;
         long callOwnership = ownership;
-        context.onServiceThread(context.store().read(LiveEntries.ownerKey(MACHINES_CLAIM)), (item, failure) -> {
+        context.call(() -> context.store().read(LiveEntries.ownerKey(MACHINES_CLAIM)), (item, failure) -> {
             confirmationInFlight = false;
             if (ownership != callOwnership || plan == null || failure != null) {
                 return;
@@ -253,7 +254,7 @@
         listInFlight = true;
         long callOwnership = ownership;
         long requestedMillis = context.now().steadyMillis();
-        context.onServiceThread(context.ports().machines().list(), (machines, failure) -> {
+        context.call(() -> context.ports().machines().list(), (machines, failure) -> {
             listInFlight = false;
             if (ownership == callOwnership && plan != null) {
                 if (failure == null) {
@@ -273,7 +274,7 @@
             return;
         }
         long callOwnership = ownership;
-        context.onServiceThread(ownerCalls.instruct(pool, instructions), (demand, failure) -> {
+        context.call(() -> ownerCalls.instruct(pool, instructions), (demand, failure) -> {
             poolsWithCallInFlight.remove(pool);
             if (ownership == callOwnership && plan != null && failure == null) {
                 plan.load(pool, instructions.evacuating(), demand, context.now());
@@ -283,12 +284,12 @@
 
     @Override
     public void beginUpkeep(String machine, long wave) {
-        reportOutcome(machine, context.ports().machines().beginUpkeep(machine, wave, orderAuthority()));
+        reportOutcome(machine, () -> context.ports().machines().beginUpkeep(machine, wave, orderAuthority()));
     }
 
     @Override
     public void move(String machine, String pool) {
-        reportOutcome(machine, context.ports().machines().move(machine, pool, orderAuthority()));
+        reportOutcome(machine, () -> context.ports().machines().move(machine, pool, orderAuthority()));
     }
 
     private MachinePort.Authority orderAuthority() {
@@ -296,9 +297,9 @@
         return new MachinePort.Authority(context.settings().name(), token, () -> window.includes(context.now()));
     }
 
-    private void reportOutcome(String machine, CompletableFuture<MachinePort.Outcome> call) {
+    private void reportOutcome(String machine, Supplier<CompletableFuture<MachinePort.Outcome>> call) {
         long callOwnership = ownership;
-        context.onServiceThread(call, (outcome, failure) -> {
+        context.call(call, (outcome, failure) -> {
             if (ownership == callOwnership && plan != null) {
                 plan.orderAnswered(
                         machine,
@@ -318,8 +319,9 @@
                 new StorePort.Put(WAVE_KEY_PREFIX + wave, state.getBytes(StandardCharsets.UTF_8), 0),
                 new StorePort.Put(formats.waveStatusKey(wave), formats.waveStatus(wave, completed), 0));
         long callOwnership = ownership;
-        context.onServiceThread(
-                context.store().commit(new StorePort.Change(expected, puts, List.of())), (storedRevision, failure) -> {
+        context.call(
+                () -> context.store().commit(new StorePort.Change(expected, puts, List.of())),
+                (storedRevision, failure) -> {
                     if (ownership != callOwnership || plan == null) {
                         return;
                     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
@@ -3,8 +3,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
+import org.trefoilpost.entry.runtime.AsyncCalls;
 import org.trefoilpost.entry.runtime.MillisClock;
 import org.trefoilpost.entry.runtime.ServiceThread;
 
@@ -84,6 +86,14 @@
         eventLoop.schedule(clock.nowMillis() + delayMillis, task);
     }
 
+    /**
+     * Makes a call, and passes its outcome to a consumer like {@link #onServiceThread}. A call that fails before it returns
+     * is passed on as one that fails, never thrown.
+     */
+    <T> void call(Supplier<CompletableFuture<T>> call, BiConsumer<T, Throwable> consumer) {
+        onServiceThread(AsyncCalls.start(call), consumer);
+    }
+
     /**
      * Passes the outcome of a call to a consumer on the service's thread. A failure is passed without the
      * {@link CompletionException} around it.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -137,7 +137,7 @@
         if (runner.isPresent()) {
             pending.reachedOwner();
             pending.passedTo("this entry");
-            context.onServiceThread(serve(runner.get(), pending.request()), (answer, failure) -> {
+            context.call(() -> serve(runner.get(), pending.request()), (answer, failure) -> {
                 if (failure != null || answer.reason().equals("owner-changed")) {
                     retryOrGiveUp(pending);
                 } else {
@@ -155,8 +155,8 @@
         long remainingMillis = pending.deadlineMillis() - context.now().steadyMillis();
         byte[] request = pending.request().encode();
         pending.passedTo(peer.name());
-        context.onServiceThread(
-                peerCalls.call(
+        context.call(
+                () -> peerCalls.call(
                         peer, pending.pool(), request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, remainingMillis))),
                 (answer, failure) -> {
                     if (failure == null && answer.isOwner()) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerConnections.java
@@ -95,8 +95,8 @@
         if (!network.connectedPeers().contains(entry)) {
             return;
         }
-        context.onServiceThread(
-                network.call(entry, id -> PoolCall.of(id, "", EMPTY_REQUEST), PING_TIMEOUT_MILLIS),
+        context.call(
+                () -> network.call(entry, id -> PoolCall.of(id, "", EMPTY_REQUEST), PING_TIMEOUT_MILLIS),
                 (reply, failure) -> {
                     if (failure != null && peer.equals(connectedPeers.get(peer.name()))) {
                         context.logDecision(Decision.failure("dependency-lost")
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
@@ -109,7 +109,7 @@
         if (endingLease == 0) {
             done.run();
         } else {
-            context.onServiceThread(context.store().endLease(endingLease), (value, failure) -> done.run());
+            context.call(() -> context.store().endLease(endingLease), (value, failure) -> done.run());
         }
     }
 
@@ -124,7 +124,7 @@
     }
 
     private void obtainLease() {
-        context.onServiceThread(context.store().grantLease(LEASE_TTL_MILLIS), (granted, failure) -> {
+        context.call(() -> context.store().grantLease(LEASE_TTL_MILLIS), (granted, failure) -> {
             leaseCallAnswered(failure);
             // Another call may have obtained a lease meanwhile; an unused one expires.
             if (failure == null && !leaving && lease == 0) {
@@ -153,8 +153,8 @@
     private void register() {
         long callLease = lease;
         StorePort.Put put = new StorePort.Put(LiveEntries.entryKey(self.name()), LiveEntries.encode(self), callLease);
-        context.onServiceThread(
-                context.store().commit(new StorePort.Change(Map.of(), List.of(put), List.of())),
+        context.call(
+                () -> context.store().commit(new StorePort.Change(Map.of(), List.of(put), List.of())),
                 (revision, failure) -> {
                     if (failure == null && lease == callLease) {
                         registered = true;
@@ -171,7 +171,7 @@
 
     private void renewLease(long nowMillis) {
         long callLease = lease;
-        context.onServiceThread(context.store().renewLease(callLease), (renewed, failure) -> {
+        context.call(() -> context.store().renewLease(callLease), (renewed, failure) -> {
             leaseCallAnswered(failure);
             if (failure == null && lease == callLease) {
                 nextLeaseCallMillis = Math.max(nextLeaseCallMillis, nowMillis + RENEWAL_INTERVAL_MILLIS);
@@ -209,7 +209,7 @@
         String key = LiveEntries.ownerKey(pool);
         StorePort.Change change =
                 new StorePort.Change(Map.of(key, 0L), claimPuts(pool, CLAIM_MARKER + self.incarnation()), List.of());
-        context.onServiceThread(context.store().commit(change), (revision, failure) -> {
+        context.call(() -> context.store().commit(change), (revision, failure) -> {
             claimsInFlight.remove(pool);
             if (failure == null && lease == callLease) {
                 listener.poolClaimed(pool, revision);
@@ -249,7 +249,7 @@
         nextRenewalMillis.put(pool, nowMillis + RETRY_DELAY_MILLIS);
         String key = LiveEntries.ownerKey(pool);
         StorePort.Change change = new StorePort.Change(Map.of(key, token), List.of(), List.of(key));
-        context.onServiceThread(context.store().commit(change), (revision, failure) -> {
+        context.call(() -> context.store().commit(change), (revision, failure) -> {
             claimsInFlight.remove(pool);
             context.logDecision(Decision.of("claim-released")
                     .with("pool", pool)
@@ -274,8 +274,8 @@
         Map<String, Long> expected =
                 Map.of(LiveEntries.ownerKey(pool), 0L, PoolStore.counterKey(pool), holder.counterRevision());
         List<StorePort.Put> puts = claimPuts(pool, renewalMarkerPrefix(pool) + lastRenewalNumber);
-        context.onServiceThread(
-                context.store().commit(new StorePort.Change(expected, puts, List.of())), (revision, failure) -> {
+        context.call(
+                () -> context.store().commit(new StorePort.Change(expected, puts, List.of())), (revision, failure) -> {
                     claimsInFlight.remove(pool);
                     if (!holder.isLapsed()) {
                         return;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -235,7 +235,7 @@
         }
         ownerCheckInFlight = true;
         lastOwnerCheckMillis = nowMillis;
-        context.onServiceThread(context.store().read(LiveEntries.ownerKey(pool)), (item, failure) -> {
+        context.call(() -> context.store().read(LiveEntries.ownerKey(pool)), (item, failure) -> {
             ownerCheckInFlight = false;
             if (failure != null || closed) {
                 return;
@@ -335,7 +335,7 @@
     @Override
     public void send(WorkerOrder order) {
         long sentMillis = context.now().steadyMillis();
-        context.onServiceThread(context.ports().workers().send(order, token), (answer, failure) -> {
+        context.call(() -> context.ports().workers().send(order, token), (answer, failure) -> {
             if (closed) {
                 return;
             }
@@ -355,7 +355,7 @@
 
     @Override
     public void requestAdvice(AdviceRequest request) {
-        context.onServiceThread(context.ports().advice().requestAdvice(request), (advice, failure) -> {
+        context.call(() -> context.ports().advice().requestAdvice(request), (advice, failure) -> {
             if (closed) {
                 return;
             }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -124,7 +124,7 @@
             Consumer<Map<String, byte[]>> loaded,
             BooleanSupplier cancelled) {
         String prefix = JOB_KEY_PREFIX + pool + '/';
-        context.onServiceThread(context.store().range(prefix, after), (page, failure) -> {
+        context.call(() -> context.store().range(prefix, after), (page, failure) -> {
             if (cancelled.getAsBoolean()) {
                 return;
             }
@@ -180,7 +180,7 @@
         long sentMillis = context.now().steadyMillis();
         callNumber++;
         long number = callNumber;
-        context.onServiceThread(context.store().commit(toChange(attempt)), (revision, failure) -> {
+        context.call(() -> context.store().commit(toChange(attempt)), (revision, failure) -> {
             if (attempt != pending || attempt.cancelled.getAsBoolean()) {
                 return;
             }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/SilentWorkerCheck.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/SilentWorkerCheck.java
@@ -34,7 +34,7 @@
         }
         listInFlight = true;
         lastListMillis = nowMillis;
-        context.onServiceThread(context.ports().machines().list(), (machines, failure) -> {
+        context.call(() -> context.ports().machines().list(), (machines, failure) -> {
             listInFlight = false;
             if (failure == null) {
                 Set<String> workersOnMachines = new HashSet<>();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -123,7 +123,7 @@
      * @param after  the key after which the page begins, empty for the first page
      */
     private void readPage(ItemRead itemRead, String after) {
-        context.onServiceThread(context.store().range(prefix, after), (page, failure) -> {
+        context.call(() -> context.store().range(prefix, after), (page, failure) -> {
             if (itemRead != currentRead) {
                 return;
             }
@@ -190,7 +190,7 @@
         WatchTimes usualTimes = watchTimes.afterUnanswered(unansweredWatches);
         WatchTimes times = confirmSoon && listener.needsConfirmation() ? usualTimes.withShortWait() : usualTimes;
         WatchCall call = new WatchCall(watchNumber, revision, context.now(), times);
-        context.onServiceThread(context.store().watch(prefix, call.fromRevision, times), (changes, failure) -> {
+        context.call(() -> context.store().watch(prefix, call.fromRevision, times), (changes, failure) -> {
             if (call.number != watchNumber) {
                 return;
             }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/TeamStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/TeamStore.java
@@ -129,7 +129,7 @@
                 List.of(new StorePort.Put(key, TeamGrantsCodec.encode(grants), 0)),
                 List.of());
         long sentMillis = nowMillis();
-        context.onServiceThread(context.store().commit(change), (revision, failure) -> {
+        context.call(() -> context.store().commit(change), (revision, failure) -> {
             if (closed) {
                 return;
             }
@@ -165,7 +165,7 @@
 
     @Override
     public void read(String team) {
-        context.onServiceThread(context.store().read(teamKey(team)), (item, failure) -> {
+        context.call(() -> context.store().read(teamKey(team)), (item, failure) -> {
             if (closed) {
                 return;
             }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/relay/RelayedStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/relay/RelayedStore.java
@@ -12,6 +12,7 @@
 import org.trefoilpost.decision.store.StorePath;
 import org.trefoilpost.entry.job.StoreFailure;
 import org.trefoilpost.entry.job.StorePort;
+import org.trefoilpost.entry.runtime.AsyncCalls;
 import org.trefoilpost.entry.runtime.MillisClock;
 
 /**
@@ -167,7 +168,7 @@
             return;
         }
         String peer = peers.next();
-        relay.send(peer, encoded, call.timeoutMillis()).whenComplete((reply, failure) -> {
+        AsyncCalls.start(() -> relay.send(peer, encoded, call.timeoutMillis())).whenComplete((reply, failure) -> {
             if (failure != null) {
                 notPassedOn(peer);
                 String message = "no answer of entry " + peer + ": " + failure.getMessage();
@@ -240,7 +241,7 @@
                 path.sent(clock.nowMillis());
             }
         }
-        return call.sendTo(direct).whenComplete((value, failure) -> {
+        return AsyncCalls.start(() -> call.sendTo(direct)).whenComplete((value, failure) -> {
             if (failure == null || isAnswer(toStoreFailure(failure).kind())) {
                 answered();
             } else {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -92,6 +92,33 @@
         tickUntil(cancelled::isDone);
     }
 
+    /** Guards against an order that fails before it is sent, and ends the round of decisions before the commit. */
+    @Test
+    void jobIsStoredThoughEachOrderFailsBeforeItIsSent() {
+        tickUntil(() -> worker.answered > 0);
+        worker.failing = true;
+        CompletableFuture<JobReply> submitted = submit();
+        tickUntil(submitted::isDone);
+        assertEquals(JobReplyStatus.DONE, submitted.join().status());
+        int failed = worker.failed;
+        tickUntil(() -> worker.failed > failed + 1);
+        worker.failing = false;
+        int answered = worker.answered;
+        tickUntil(() -> worker.answered > answered);
+    }
+
+    /** Guards against a store call that fails before it is sent, and keeps the pool from ever committing again. */
+    @Test
+    void commitThatFailsBeforeItIsSentIsSentAgain() {
+        store.failing = true;
+        CompletableFuture<JobReply> submitted = submit();
+        tickUntil(() -> store.failed > 1);
+        assertFalse(submitted.isDone());
+        store.failing = false;
+        tickUntil(submitted::isDone);
+        assertEquals(JobReplyStatus.DONE, submitted.join().status());
+    }
+
     private CompletableFuture<JobReply> submit() {
         StepSpec step = StepSpec.builder()
                 .tasks(1, new ResourceAmount(1_000, 128, 0))
@@ -123,6 +150,8 @@
     private static final class LateStore extends MemoryStore {
         private final List<Runnable> heldAnswers = new ArrayList<>();
         private boolean holding;
+        private volatile boolean failing;
+        private volatile int failed;
 
         void holdAnswers(boolean hold) {
             holding = hold;
@@ -140,6 +169,10 @@
 
         @Override
         public CompletableFuture<Long> commit(Change change) {
+            if (failing) {
+                failed++;
+                throw new IllegalStateException("cannot be sent");
+            }
             CompletableFuture<Long> answer = super.commit(change);
             if (!holding) {
                 return answer;
@@ -159,9 +192,17 @@
     /** A worker that starts and stops what it is told to. */
     private static final class Worker implements WorkerPort {
         private final List<WorkerRunStatus.Running> running = new ArrayList<>();
+        private volatile boolean failing;
+        private volatile int failed;
+        private volatile int answered;
 
         @Override
         public CompletableFuture<Answer> send(WorkerOrder order, long fencingToken) {
+            if (failing) {
+                failed++;
+                throw new IllegalArgumentException("cannot be sent");
+            }
+            answered++;
             if (order instanceof WorkerOrder.Start start) {
                 running.add(new WorkerRunStatus.Running(start.task().text(), start.run(), "", 100, 0));
             } else if (order instanceof WorkerOrder.Stop stop) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -76,7 +76,12 @@
     void run(Runnable step) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         context.execute(() -> {
-            step.run();
+            try {
+                step.run();
+            } catch (RuntimeException e) {
+                done.completeExceptionally(e);
+                throw e;
+            }
             context.execute(() -> context.execute(() -> context.execute(() -> done.complete(true))));
         });
         done.join();
