Keep the service's thread running after an error in a handler

Cause: ServiceThread survived a RuntimeException of a handler, but an Error, such as a stack overflow from deeply nested input or an array too large for the heap, ended the thread. The process went on without it: connections were accepted, and every request waited for an answer that nothing would give.

Change: an Error is logged like an exception, and the next event is handled. Ending the process instead was ruled out: one message could then end one process after another, while what the handler left undone is repeated by the retries and ticks as after an exception.

Failed before: ServiceThreadTest.handlesFurtherEventsAfterAnError (the thread ended: Exception in thread "duty-test" java.lang.StackOverflowError); after it RAN 5, failed 0.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/runtime/ServiceThread.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/runtime/ServiceThread.java
@@ -167,11 +167,23 @@
         return handled;
     }
 
+    /**
+     * Handles an event. Errors do not end the thread either, as every request to the service waits for it: most are the
+     * consequence of one event, such as a stack that is too small for its nesting, or an array too large for the heap.
+     */
     private void handle(E event) {
         try {
             handler.handle(event, clock.nowMillis());
-        } catch (RuntimeException e) {
-            LOG.error(LogEvent.of("duty-handler-failed").with("duty", name).withFailure(e));
+        } catch (RuntimeException | Error e) {
+            logFailure(e);
+        }
+    }
+
+    private void logFailure(Throwable failure) {
+        try {
+            LOG.error(LogEvent.of("duty-handler-failed").with("duty", name).withFailure(failure));
+        } catch (RuntimeException | Error e) {
+            // Without memory for a log line, the failure goes unlogged, but the thread goes on.
         }
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/runtime/ServiceThreadTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/runtime/ServiceThreadTest.java
@@ -66,6 +66,27 @@
         assertEquals(threads * each, handled.get());
     }
 
+    /** Guards against a thread that ends with an error, so that all later requests wait for ever. */
+    @Test
+    void handlesFurtherEventsAfterAnError() throws Exception {
+        CountDownLatch handled = new CountDownLatch(1);
+        serviceThread.start((event, now) -> event.run());
+        serviceThread.post(ServiceThreadTest::recurseEndlessly);
+        serviceThread.post(() -> {
+            throw new OutOfMemoryError("Requested array size exceeds VM limit");
+        });
+        serviceThread.post(() -> {
+            throw new AssertionError("unexpected state");
+        });
+        serviceThread.post(handled::countDown);
+        assertTrue(handled.await(WAIT_SECONDS, TimeUnit.SECONDS));
+    }
+
+    @SuppressWarnings("InfiniteRecursion")
+    private static int recurseEndlessly() {
+        return 1 + recurseEndlessly();
+    }
+
     @Test
     void firesTimersInOrderAndContinuesAfterAHandlerFails() throws Exception {
         List<String> fired = new ArrayList<>();
