Add the tasks of a job's steps without overflow

Symptom: a job of two steps with 10,000 and 2,147,483,647 tasks has no fault, so the owner of its pool creates two billion task states: the process runs out of memory, and the next owner that is asked the same does too.

Cause: JobSpec.fault adds the counts in an int, and a sum that overflows is below the limit.

Ruled out: a single count beyond the limit, which is refused; a count beyond an int in the body, which is a fault of the decoding and is changed separately.

Change: the sum is a long.

Evidence: JobSpecTest.taskCountsAreAddedWithoutOverflow failed before ("count ==> expected: <true> but was: <false>") and passes. Found by reading; not seen on a deployment.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -70,10 +70,11 @@
         if (text.getBytes(StandardCharsets.UTF_8).length > MAX_TEXT_BYTES) {
             return Optional.of("the job text has more than " + MAX_TEXT_BYTES + " bytes");
         }
-        int tasks = 0;
+        long tasks = 0;
         for (int i = 0; i < steps.size(); i++) {
             StepSpec step = steps.get(i);
-            if (step.count() < 1 || (tasks += step.count()) > MAX_TASKS) {
+            tasks += step.count();
+            if (step.count() < 1 || tasks > MAX_TASKS) {
                 return Optional.of("step " + i + " has " + step.count() + " tasks, expected at least 1 and at most "
                         + MAX_TASKS + " in all steps");
             }
