Bound the resources and durations that a job may declare

Symptom: a task that asks for thousandths of a core, megabytes or milliseconds had no fault. Sums of the demand of the waiting and refused jobs overflow with it, on which admission and the number of machines rest; so one such job affects all others of its pool, in particular where the pool has no worker at the moment and nothing is compared with a capacity.

Cause: JobSpec.fault compared only the numbers of tasks and steps.

Ruled out: 400 for a task that is merely larger than the workers of its pool: whether it fits changes with the workers, so that stays the decision of the pool's owner.

Change: at most 1,000,000,000 of each resource a task, and a year for a declared duration and a target. With 10,000 tasks a job, sums of 900,000 such jobs fit in 64 bits.

Evidence: JobSpecTest.amountsThatNoPoolCanServeAreFaults failed before (expected: <true> but was: <false>) and passes.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -23,6 +23,12 @@
     /** The maximum number of tasks in an occurrence of a job. */
     public static final int MAX_TASKS = 10_000;
 
+    /** The maximum of each resource that a task may ask for, so that sums over all jobs of a pool do not overflow. */
+    public static final long MAX_TASK_RESOURCE = 1_000_000_000;
+
+    /** The maximum of a declared duration and of a target in milliseconds, about a year. */
+    public static final long MAX_DURATION_MILLIS = 31_536_000_000L;
+
     /**
      * Constructs a specification without validating it; see {@link #fault()}.
      */
@@ -83,10 +89,24 @@
                     return Optional.of("step " + i + " follows step " + earlier + ", which is not an earlier step");
                 }
             }
+            Optional<String> excess = excess(step);
+            if (excess.isPresent()) {
+                return Optional.of("step " + i + " " + excess.get());
+            }
         }
         return Optional.empty();
     }
 
+    private static Optional<String> excess(StepSpec step) {
+        ResourceAmount demand = step.demand();
+        if (!demand.fitsIn(new ResourceAmount(MAX_TASK_RESOURCE, MAX_TASK_RESOURCE, MAX_TASK_RESOURCE))) {
+            return Optional.of("asks for more than " + MAX_TASK_RESOURCE + " of a resource for a task");
+        }
+        return Math.max(step.estimateMillis(), step.targetMillis()) > MAX_DURATION_MILLIS
+                ? Optional.of("has a duration or a target of more than " + MAX_DURATION_MILLIS + " ms")
+                : Optional.empty();
+    }
+
     /**
      * Returns whether a step of this job runs until the job is cancelled.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobSpecTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobSpecTest.java
@@ -20,6 +20,28 @@
         }
     }
 
+    /** Guards against amounts whose sums over the jobs of a pool overflow. */
+    @Test
+    void amountsThatNoPoolCanServeAreFaults() {
+        assertEquals(
+                Optional.empty(),
+                job(step(1).estimateMillis(JobSpec.MAX_DURATION_MILLIS).build()).fault());
+        for (StepSpec step : List.of(
+                StepSpec.builder()
+                        .tasks(1, new ResourceAmount(Long.MAX_VALUE, 0, 0))
+                        .build(),
+                StepSpec.builder()
+                        .tasks(1, new ResourceAmount(0, Long.MAX_VALUE, 0))
+                        .build(),
+                StepSpec.builder()
+                        .tasks(1, new ResourceAmount(0, 0, Long.MAX_VALUE))
+                        .build(),
+                step(1).estimateMillis(Long.MAX_VALUE).build(),
+                step(1).service("", Long.MAX_VALUE, 0).build())) {
+            assertTrue(job(step).fault().isPresent());
+        }
+    }
+
     private static StepSpec.Builder step(int count) {
         return StepSpec.builder().tasks(count, SMALL);
     }
