Keep no worker free on which long-running tasks leave no room for the task that waits

Symptom: a task that could start waits without end beside idle workers.

Cause: for a step that is long-running, or has waited for 0.7 s, the placer keeps the worker with the most free memory free, up to two, as long as the task would fit its whole capacity. Long-running tasks on it do not end, so the room never comes; every step that comes later in the order is refused there in each round. The workers with the most free memory are those on which the others would fit.

Ruled out: a shorter reservation, or fewer workers: the room that short tasks leave is what a reservation waits for, and the rule that keeps it from small tasks stays as it is.

Change: a worker is eligible only if the task fits what its long-running tasks leave, as IsolatedPlacer has it already.

Evidence: PlacerTest.noWorkerIsReservedWhoseLongRunningTasksLeaveNoRoom failed before ("a small task starts beside them ==> expected: <3> but was: <2>"; the state is one that does not change) and passes with PlacerTest, IsolatedPlacerTest and WorkerCrashTest.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/IsolatedPlacer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/IsolatedPlacer.java
@@ -186,7 +186,7 @@
                     && !reserved.contains(worker)
                     && !worker.isOnProbation()
                     && worker.isBelowTaskLimit(task.step)
-                    && task.step.spec.reservedDemand().fitsIn(capacityForOthers(worker));
+                    && task.step.spec.reservedDemand().fitsIn(worker.capacityBesideLongRunning());
             if (eligible && (best == null || isSooner(task, worker, best))) {
                 best = worker;
             }
@@ -194,17 +194,6 @@
         return best != null && reserved.add(best);
     }
 
-    /**
-     * Returns the capacity that long-running tasks leave.
-     */
-    private static ResourceAmount capacityForOthers(PoolWorker worker) {
-        ResourceAmount available = worker.registration.capacity();
-        for (Run run : worker.runs.values()) {
-            available = run.task.step.spec.longRunning() ? available.minus(run.reserved()) : available;
-        }
-        return available;
-    }
-
     /**
      * Returns whether a worker will meet the isolation of a task sooner than another.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -224,7 +224,8 @@
 
     /**
      * Reserves a worker for a step that is long-running or has waited for {@link #STARVATION_MILLIS}, so that smaller
-     * tasks do not keep taking the free capacity first.
+     * tasks do not keep taking the free capacity first. Not one on which other long-running tasks leave no room, as that
+     * would stay idle.
      */
     private void reserveIfStarving(JobStepState step, ResourceAmount demand, Moment now) {
         boolean starving = step.spec.longRunning() || now.steadyMillis() - step.readyMillis > STARVATION_MILLIS;
@@ -236,7 +237,7 @@
             boolean eligible = worker.suits(step.spec, now.steadyMillis())
                     && !reservedWorkers.contains(worker)
                     && worker.isBelowTaskLimit(step)
-                    && demand.fitsIn(worker.registration.capacity());
+                    && demand.fitsIn(worker.capacityBesideLongRunning());
             if (eligible
                     && (bestWorker == null
                             || worker.freeResources().memoryMb()
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -294,6 +294,17 @@
         return registration.capacity().minus(usedResources);
     }
 
+    /**
+     * Returns the capacity that the long-running tasks leave.
+     */
+    ResourceAmount capacityBesideLongRunning() {
+        ResourceAmount available = registration.capacity();
+        for (Run run : runs.values()) {
+            available = run.task.step.spec.longRunning() ? available.minus(run.reserved()) : available;
+        }
+        return available;
+    }
+
     void add(Run run) {
         runs.put(key(run.task.id.text(), run.number), run);
         run.task.runs.add(run);
@@ -379,12 +390,6 @@
     }
 
     int countTasksOf(JobStepState step) {
-        int count = 0;
-        for (Run run : runs.values()) {
-            if (run.task.step == step) {
-                count++;
-            }
-        }
-        return count;
+        return (int) runs.values().stream().filter(run -> run.task.step == step).count();
     }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
@@ -61,6 +61,29 @@
         assertEquals(longRunning.spec.id(), startedJobs().get(8));
     }
 
+    /** Guards against workers that stay idle for a task that cannot start there before other long-running tasks are cancelled. */
+    @Test
+    void noWorkerIsReservedWhoseLongRunningTasksLeaveNoRoom() {
+        worker("w1", new ResourceAmount(32_000, 64_000, 0), "r1");
+        worker("w2", new ResourceAmount(32_000, 64_000, 0), "r1");
+        job(
+                step(2, new ResourceAmount(2_000, 30_000, 0))
+                        .placement("", "", 1)
+                        .longRunning(true)
+                        .build(),
+                0);
+        place(NOW);
+        assertEquals(2, sent.size());
+        job(step(1, LARGE).placement("", "", 1).longRunning(true).build(), 0);
+        job(step(1, LARGE).placement("", "", 1).longRunning(true).build(), 0);
+        place(NOW.plus(1_000));
+        assertEquals(2, sent.size(), "the large tasks fit nowhere");
+        JobState small = job(step(1, SMALL).build(), 0);
+        place(NOW.plus(2_000));
+        assertEquals(3, sent.size(), "a small task starts beside them");
+        assertEquals(small.spec.id(), startedJobs().get(2));
+    }
+
     @Test
     void fullWorkersAreFilledFirst() {
         worker("w1", new ResourceAmount(32_000, 64_000, 0), "r1");
