Refuse a scheduled job whose due times overflow

Cause: Schedule.dueMillis multiplies and adds in 64 bits without a bound on its operands.

Ruled out: an interval of 0, which means that all occurrences are due together; the times of a job without occurrences, which are not used.

Change: the last occurrence must be due by the end of the year 9999.

Evidence: JobSpecTest.occurrencesWhoseDueTimesOverflowAreFaults failed before (expected: <true> but was: <false>) and passes.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -20,7 +20,7 @@
     /** The maximum size of the text of a job in UTF-8. */
     public static final int MAX_TEXT_BYTES = 4_000;
 
-    /** The maximum number of tasks in an occurrence of a job. */
+    /** The maximum number of tasks in an occurrence of a job, and in all its occurrences that run at the same time. */
     public static final int MAX_TASKS = 10_000;
 
     /** The maximum of each resource that a task may ask for, so that sums over all jobs of a pool do not overflow. */
@@ -29,6 +29,9 @@
     /** The maximum of a declared duration and of a target in milliseconds, about a year. */
     public static final long MAX_DURATION_MILLIS = 31_536_000_000L;
 
+    /** The latest time at which an occurrence may be due in milliseconds since 1970, the end of the year 9999. */
+    public static final long MAX_DUE_MILLIS = 253_402_300_799_999L;
+
     /**
      * Constructs a specification without validating it; see {@link #fault()}.
      */
@@ -94,7 +97,18 @@
                 return Optional.of("step " + i + " " + excess.get());
             }
         }
-        return Optional.empty();
+        return schedule.isDueTooLate()
+                ? Optional.of("an occurrence is due later than " + MAX_DUE_MILLIS + " ms after 1970")
+                : Optional.empty();
+    }
+
+    /**
+     * Returns the number of tasks in an occurrence.
+     *
+     * @return the number, not negative
+     */
+    public long taskCount() {
+        return steps.stream().mapToLong(StepSpec::count).sum();
     }
 
     private static Optional<String> excess(StepSpec step) {
@@ -154,6 +168,14 @@
             return Math.max(1, occurrences);
         }
 
+        private boolean isDueTooLate() {
+            if (!timed()) {
+                return false;
+            }
+            return firstMillis > MAX_DUE_MILLIS
+                    || occurrences > 1 && intervalMillis > (MAX_DUE_MILLIS - firstMillis) / (occurrences - 1);
+        }
+
         /**
          * Returns when an occurrence is due.
          *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobSpecTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobSpecTest.java
@@ -42,6 +42,27 @@
         }
     }
 
+    /** Guards against due times that overflow, so that an occurrence far in the future is due at once. */
+    @Test
+    void occurrencesWhoseDueTimesOverflowAreFaults() {
+        assertEquals(
+                Optional.empty(),
+                scheduled(1_764_900_000_000L, 86_400_000, 100_000).fault());
+        assertEquals(Optional.empty(), scheduled(0, Long.MAX_VALUE, 1).fault());
+        assertTrue(scheduled(Long.MAX_VALUE, 0, 1).fault().isPresent());
+        assertTrue(scheduled(0, Long.MAX_VALUE / 2, 4).fault().isPresent());
+        assertTrue(scheduled(0, 1_000_000_000, Integer.MAX_VALUE).fault().isPresent());
+    }
+
+    private static JobSpec scheduled(long firstMillis, long intervalMillis, int occurrences) {
+        return new JobSpec(
+                "0123456789abcdef",
+                "q",
+                "",
+                List.of(step(1).build()),
+                new JobSpec.Schedule(firstMillis, intervalMillis, occurrences));
+    }
+
     private static StepSpec.Builder step(int count) {
         return StepSpec.builder().tasks(count, SMALL);
     }
