Open occurrences that are due together in parts

Symptom: a job with repeatCount and intervalMs 0, or a firstRunMs long past, takes the memory of the process that owns its pool, at acceptance and again at each take-over; its document would exceed what the store takes.

Cause: JobState.openDueOccurrences creates the state of every occurrence that is due in one loop.

Ruled out: a bound on repeatCount: many occurrences over a long time are legitimate, and cost nothing before they are due.

The next tick after one has ended opens the next, in order; a single occurrence is always opened.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -47,10 +47,14 @@
     }
 
     /**
-     * Creates the occurrences that have become due.
+     * Creates the occurrences that have become due. If together they have more tasks than one may have, the others wait until
+     * earlier ones have ended.
      */
     void openDueOccurrences(Moment now) {
-        while (!phase.ended() && nextOccurrence < spec.schedule().count() && isDue(nextOccurrence, now)) {
+        while (!phase.ended()
+                && nextOccurrence < spec.schedule().count()
+                && isDue(nextOccurrence, now)
+                && mayOpenAnother()) {
             OccurrenceState occurrence = new OccurrenceState(this, nextOccurrence);
             occurrences.put(nextOccurrence, occurrence);
             occurrence.advance(now.steadyMillis());
@@ -62,6 +66,10 @@
         return !spec.schedule().timed() || spec.schedule().dueMillis(number) <= now.wallMillis();
     }
 
+    private boolean mayOpenAnother() {
+        return occurrences.isEmpty() || (occurrences.size() + 1) * spec.taskCount() <= JobSpec.MAX_TASKS;
+    }
+
     /**
      * Removes an occurrence whose tasks have all completed.
      */
