Reject a damaged job document instead of failing the load of its pool

Symptom: an entry that takes over a pool with one damaged document keeps the claim and never opens the pool: requests wait for an owner until their deadline, and no job of the pool runs, at any entry that claims it.

Cause: the decoder creates the state of the steps from counts and step numbers that it has not checked. NegativeArraySizeException and ArrayIndexOutOfBoundsException are not the IllegalArgumentException by which the take-over passes over a document, and a count of two billion would take the process's memory.

Ruled out: documents of the present program, which only contain checked jobs; so this takes damage, or another version.

Change: JobSpecCodec rejects specifications whose steps cannot be those of a job, by the check that submitted jobs pass. The bounds on amounts, which are new, do not count there, so that jobs accepted before stay readable.

Evidence: JobDocumentCodecTest.damagedDocumentIsDecodedOrRejected (each of the first 200 bytes set to each value) failed before with NegativeArraySizeException: -13053 and passes, with JobSpecTest.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -79,6 +79,25 @@
         if (text.getBytes(StandardCharsets.UTF_8).length > MAX_TEXT_BYTES) {
             return Optional.of("the job text has more than " + MAX_TEXT_BYTES + " bytes");
         }
+        Optional<String> structuralFault = structuralFault();
+        if (structuralFault.isPresent()) {
+            return structuralFault;
+        }
+        for (int i = 0; i < steps.size(); i++) {
+            Optional<String> excess = excess(steps.get(i));
+            if (excess.isPresent()) {
+                return Optional.of("step " + i + " " + excess.get());
+            }
+        }
+        return schedule.isDueTooLate()
+                ? Optional.of("an occurrence is due later than " + MAX_DUE_MILLIS + " ms after 1970")
+                : Optional.empty();
+    }
+
+    /**
+     * Returns a fault of the steps that prevents the creation of their state, empty if there is none.
+     */
+    Optional<String> structuralFault() {
         long tasks = 0;
         for (int i = 0; i < steps.size(); i++) {
             StepSpec step = steps.get(i);
@@ -92,14 +111,8 @@
                     return Optional.of("step " + i + " follows step " + earlier + ", which is not an earlier step");
                 }
             }
-            Optional<String> excess = excess(step);
-            if (excess.isPresent()) {
-                return Optional.of("step " + i + " " + excess.get());
-            }
         }
-        return schedule.isDueTooLate()
-                ? Optional.of("an occurrence is due later than " + MAX_DUE_MILLIS + " ms after 1970")
-                : Optional.empty();
+        return Optional.empty();
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpecCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpecCodec.java
@@ -85,6 +85,11 @@
         }
     }
 
+    /**
+     * Reads a specification without its team.
+     *
+     * @throws IllegalArgumentException if the steps cannot be those of a job
+     */
     static JobSpec unpack(MessageUnpacker unpacker) throws IOException {
         String id = unpacker.unpackString();
         String queue = unpacker.unpackString();
@@ -96,7 +101,12 @@
         for (int i = 0; i < count; i++) {
             steps.add(unpackStep(unpacker));
         }
-        return new JobSpec(id, queue, text, steps, schedule);
+        JobSpec spec = new JobSpec(id, queue, text, steps, schedule);
+        Optional<String> fault = spec.structuralFault();
+        if (fault.isPresent()) {
+            throw new IllegalArgumentException("malformed job specification: " + fault.get());
+        }
+        return spec;
     }
 
     private static void packStep(MessageBufferPacker packer, StepSpec step) throws IOException {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
@@ -147,6 +147,35 @@
         assertThrows(IllegalArgumentException.class, () -> JobDocumentCodec.decode(newer, NOW));
     }
 
+    /** Guards against a damaged document that keeps the new owner of its pool from loading the others. */
+    @Test
+    void damagedDocumentIsDecodedOrRejected() {
+        StepSpec first =
+                StepSpec.builder().tasks(2, new ResourceAmount(1_000, 100, 0)).build();
+        StepSpec second = StepSpec.builder()
+                .tasks(300, new ResourceAmount(1_000, 100, 0))
+                .after(List.of(0))
+                .build();
+        JobState job = new JobState(
+                new JobSpec("0123456789abcdef", "q", "text", List.of(first, second), JobSpec.Schedule.ONCE),
+                QUEUE,
+                NOW);
+        job.openDueOccurrences(NOW);
+        byte[] whole = JobDocumentCodec.encode(job);
+        int headerBytes = 200;
+        for (int position = 0; position < headerBytes; position++) {
+            for (int value = 0; value < 256; value++) {
+                byte[] damaged = whole.clone();
+                damaged[position] = (byte) value;
+                try {
+                    assertNotNull(JobDocumentCodec.decode(damaged, NOW));
+                } catch (IllegalArgumentException e) {
+                    assertNotNull(e.getMessage());
+                }
+            }
+        }
+    }
+
     @Test
     void unreadableDocumentDoesNotPreventLoadingOthers() {
         PoolState state =
