--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -20,9 +20,18 @@
     /** The maximum size of the text of a job in UTF-8. */
     public static final int MAX_TEXT_BYTES = 4_000;
 
-    /** The maximum number of tasks in an occurrence of a job. */
+    /** The maximum number of tasks in an occurrence of a job, and in all its occurrences that run at the same time. */
     public static final int MAX_TASKS = 10_000;
 
+    /** The maximum of each resource that a task may ask for, so that sums over all jobs of a pool do not overflow. */
+    public static final long MAX_TASK_RESOURCE = 1_000_000_000;
+
+    /** The maximum of a declared duration and of a target in milliseconds, about a year. */
+    public static final long MAX_DURATION_MILLIS = 31_536_000_000L;
+
+    /** The latest time at which an occurrence may be due in milliseconds since 1970, the end of the year 9999. */
+    public static final long MAX_DUE_MILLIS = 253_402_300_799_999L;
+
     /**
      * Constructs a specification without validating it; see {@link #fault()}.
      */
@@ -70,10 +79,30 @@
         if (text.getBytes(StandardCharsets.UTF_8).length > MAX_TEXT_BYTES) {
             return Optional.of("the job text has more than " + MAX_TEXT_BYTES + " bytes");
         }
-        int tasks = 0;
+        Optional<String> structuralFault = structuralFault();
+        if (structuralFault.isPresent()) {
+            return structuralFault;
+        }
+        for (int i = 0; i < steps.size(); i++) {
+            Optional<String> excess = excess(steps.get(i));
+            if (excess.isPresent()) {
+                return Optional.of("step " + i + " " + excess.get());
+            }
+        }
+        return schedule.isDueTooLate()
+                ? Optional.of("an occurrence is due later than " + MAX_DUE_MILLIS + " ms after 1970")
+                : Optional.empty();
+    }
+
+    /**
+     * Returns a fault of the steps that prevents the creation of their state, empty if there is none.
+     */
+    Optional<String> structuralFault() {
+        long tasks = 0;
         for (int i = 0; i < steps.size(); i++) {
             StepSpec step = steps.get(i);
-            if (step.count() < 1 || (tasks += step.count()) > MAX_TASKS) {
+            tasks += step.count();
+            if (step.count() < 1 || tasks > MAX_TASKS) {
                 return Optional.of("step " + i + " has " + step.count() + " tasks, expected at least 1 and at most "
                         + MAX_TASKS + " in all steps");
             }
@@ -86,6 +115,25 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the number of tasks in an occurrence.
+     *
+     * @return the number, not negative
+     */
+    public long taskCount() {
+        return steps.stream().mapToLong(StepSpec::count).sum();
+    }
+
+    private static Optional<String> excess(StepSpec step) {
+        ResourceAmount demand = step.demand();
+        if (!demand.fitsIn(new ResourceAmount(MAX_TASK_RESOURCE, MAX_TASK_RESOURCE, MAX_TASK_RESOURCE))) {
+            return Optional.of("asks for more than " + MAX_TASK_RESOURCE + " of a resource for a task");
+        }
+        return Math.max(step.estimateMillis(), step.targetMillis()) > MAX_DURATION_MILLIS
+                ? Optional.of("has a duration or a target of more than " + MAX_DURATION_MILLIS + " ms")
+                : Optional.empty();
+    }
+
     /**
      * Returns whether a step of this job runs until the job is cancelled.
      *
@@ -133,6 +181,14 @@
             return Math.max(1, occurrences);
         }
 
+        private boolean isDueTooLate() {
+            if (!timed()) {
+                return false;
+            }
+            return firstMillis > MAX_DUE_MILLIS
+                    || occurrences > 1 && intervalMillis > (MAX_DUE_MILLIS - firstMillis) / (occurrences - 1);
+        }
+
         /**
          * Returns when an occurrence is due.
          *
