Keep one part's failure from ending a tick or the following of a list

Cause: the tick of the job service ran its parts one after the other, and the failure of one, such as a pool's round of decisions, left out the pools after it, the machines, the claims and the readiness, in each tick for as long as it failed. Within a pool it left out the commit, so that accepted jobs were not stored and their callers not answered, and the check of the ownership. A mirror caught the exceptions of its listener, but not a stack overflow, nor the failure of a callback after a read; either ended its watch, so that the entry no longer followed the list.

Change: each part, each pool and each claim runs on its own; a failure is logged as part-failed with the part's name. A pool's changed jobs are stored also when its decisions about orders fail. A mirror treats each call of its listener and of callbacks alike.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -350,12 +350,20 @@
     }
 
     /**
-     * Makes all decisions that are due.
+     * Makes all decisions that are due. A failure among those about orders does not keep changed jobs from being stored.
      *
      * @param permission  the orders that this owner may give, not null
      * @param now  the present time, not null
      */
     public void tick(OrderPermission permission, Moment now) {
+        try {
+            decideOrders(permission, now);
+        } finally {
+            jobWriter.commitIfDue(now);
+        }
+    }
+
+    private void decideOrders(OrderPermission permission, Moment now) {
         for (JobState job : new ArrayList<>(state.openJobs.values())) {
             int openedBefore = job.nextOccurrence;
             job.openDueOccurrences(now);
@@ -373,7 +381,6 @@
             }
             throttle.tickIfDue(now);
         }
-        jobWriter.commitIfDue(now);
     }
 
     private void stopStalled(Moment now) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
@@ -72,6 +72,19 @@
         return new Moment(steadyMillis, wallMillis);
     }
 
+    /**
+     * Runs one part of a handler. Its failure is logged, and does not keep the other parts from running.
+     *
+     * @param part  what the part does, for the log
+     */
+    void runPart(String part, Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            logDecision(Decision.failure("part-failed").with("part", part).with("failure", e.toString()));
+        }
+    }
+
     /**
      * Runs a task on the service's thread. May be called on any thread.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -134,7 +134,7 @@
         context.execute(() -> {
             leaving = true;
             router.setReady(false);
-            new ArrayList<>(runners.values()).forEach(PoolRunner::close);
+            forEachRunner(PoolRunner::close);
             runners.clear();
             fleetRunner.close();
             ownership.leave(done);
@@ -169,18 +169,33 @@
 
     private void tickParts() {
         Moment now = context.now();
-        checkForProcessPause(now);
-        ownership.tick(claimablePools(), now.steadyMillis());
-        connections.tick(liveEntries, context.settings().name(), now.steadyMillis());
-        configurationPeers.tick(liveEntries, now.steadyMillis());
-        endedOwners.tick(liveEntries, now.steadyMillis());
-        new ArrayList<>(runners.values()).forEach(PoolRunner::tick);
-        fleetRunner.tick(now);
-        takeOwnClaims();
-        renewLapsedClaims(now);
+        long nowMillis = now.steadyMillis();
+        context.runPart("pause check", () -> checkForProcessPause(now));
+        context.runPart("claims", () -> ownership.tick(claimablePools(), nowMillis));
+        context.runPart(
+                "connections",
+                () -> connections.tick(liveEntries, context.settings().name(), nowMillis));
+        context.runPart("configuration inquiry", () -> configurationPeers.tick(liveEntries, nowMillis));
+        context.runPart("ended owners", () -> endedOwners.tick(liveEntries, nowMillis));
+        forEachRunner(PoolRunner::tick);
+        context.runPart("machines", () -> fleetRunner.tick(now));
+        context.runPart("own claims", this::takeOwnClaims);
+        context.runPart("lapsed claims", () -> renewLapsedClaims(now));
         router.setReady(!leaving && configuration != null && liveMirror.isLoaded());
     }
 
+    /**
+     * Runs a step for each pool that this entry owns; a failure for one pool does not affect the others.
+     */
+    private void forEachRunner(Consumer<PoolRunner> step) {
+        List.copyOf(runners.values())
+                .forEach(runner -> context.runPart("pool " + runner.pool(), () -> step.accept(runner)));
+    }
+
+    private void forEachClaim(Consumer<ClaimHolder> step) {
+        claimHolders().forEach(holder -> context.runPart("claim " + holder.pool(), () -> step.accept(holder)));
+    }
+
     private List<ClaimHolder> claimHolders() {
         List<ClaimHolder> holders = new ArrayList<>(runners.values());
         if (fleetRunner.token() != 0) {
@@ -190,7 +205,11 @@
     }
 
     private void renewLapsedClaims(Moment now) {
-        claimHolders().stream().filter(ClaimHolder::isLapsed).forEach(holder -> ownership.renewClaim(holder, now));
+        forEachClaim(holder -> {
+            if (holder.isLapsed()) {
+                ownership.renewClaim(holder, now);
+            }
+        });
     }
 
     /**
@@ -215,7 +234,7 @@
             context.logDecision(Decision.failure("clocks-disagree")
                     .with("wallAdvanceMillis", now.wallMillis() - lastMoment.wallMillis())
                     .with("steadyAdvanceMillis", now.steadyMillis() - lastMoment.steadyMillis()));
-            runners.values().forEach(PoolRunner::invalidateOwnerConfirmation);
+            forEachRunner(PoolRunner::invalidateOwnerConfirmation);
             fleetRunner.invalidateOwnerConfirmation();
             operatorEntries.suspended();
         }
@@ -239,7 +258,7 @@
     }
 
     private void registryChanged() {
-        runners.values().forEach(runner -> runner.updateWorkers(registry.workersOfPool(runner.pool())));
+        forEachRunner(runner -> runner.updateWorkers(registry.workersOfPool(runner.pool())));
     }
 
     private void takeOwnership(String pool, long token) {
@@ -307,7 +326,7 @@
             if (liveMirror.isLoaded()) {
                 router.configure(next);
             }
-            runners.values().forEach(runner -> runner.configure(next.queues(), next.teams()));
+            forEachRunner(runner -> runner.configure(next.queues(), next.teams()));
             fleetRunner.configure(next);
         }
 
@@ -325,7 +344,7 @@
         public void watchUnanswered() {
             liveMirror.watchAgain();
             registry.watchAgain();
-            runners.values().forEach(PoolRunner::sendCommitAgain);
+            forEachRunner(PoolRunner::sendCommitAgain);
         }
     }
 
@@ -346,9 +365,9 @@
 
         @Override
         public void changesApplied() {
-            takeOwnClaims();
+            context.runPart("own claims", JobService.this::takeOwnClaims);
             fleetRunner.ownersChanged(liveEntries);
-            claimHolders().forEach(this::checkClaim);
+            forEachClaim(this::checkClaim);
         }
 
         private void checkClaim(ClaimHolder holder) {
@@ -377,7 +396,7 @@
 
         @Override
         public void allClaimsLapsed() {
-            claimHolders().forEach(ClaimHolder::claimLapsed);
+            forEachClaim(ClaimHolder::claimLapsed);
         }
 
         @Override
@@ -386,7 +405,7 @@
             operatorEntries.watchAgain();
             liveMirror.watchAgain();
             registry.watchAgain();
-            runners.values().forEach(PoolRunner::sendCommitAgain);
+            forEachRunner(PoolRunner::sendCommitAgain);
         }
 
         @Override
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -200,7 +200,10 @@
         }
         Moment now = context.now();
         boolean ownerConfirmed = now.steadyMillis() - ownerConfirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
-        scheduler.tick(OrderPermission.of(ownerConfirmed, registry.areCapacitiesKnown(now)), now);
+        // Without decisions, callers are still answered and the ownership is still checked.
+        context.runPart(
+                "decisions for pool " + pool,
+                () -> scheduler.tick(OrderPermission.of(ownerConfirmed, registry.areCapacitiesKnown(now)), now));
         if (!store.isReachable(now.steadyMillis())) {
             refuseUnsentJobs();
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -162,7 +162,7 @@
         confirmed(itemRead.start);
         List<Runnable> callbacks = List.copyOf(refreshCallbacks);
         refreshCallbacks.clear();
-        callbacks.forEach(Runnable::run);
+        callbacks.forEach(callback -> notifyListener("a refresh", callback));
         if (!watching || watchDelayed) {
             watch();
         }
@@ -244,14 +244,14 @@
                 .with("failure", String.valueOf(failure.getMessage())));
         if (waitedMillis >= call.times.timeoutMillis()) {
             unansweredWatches++;
-            listener.watchUnanswered();
+            notifyListener("a watch without an answer", listener::watchUnanswered);
         }
         context.schedule(Math.max(0, RETRY_DELAY_MILLIS - waitedMillis), () -> continueWatching(call));
     }
 
     private void confirmed(Moment moment) {
         confirmedMillis = Math.max(confirmedMillis, moment.steadyMillis());
-        listener.confirmed(moment);
+        notifyListener("a confirmation", () -> listener.confirmed(moment));
     }
 
     private long confirmedAgeMillis() {
@@ -279,7 +279,7 @@
     private void notifyListener(String subject, Runnable call) {
         try {
             call.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             context.logDecision(Decision.failure("change-not-applied")
                     .with("prefix", prefix)
                     .with("subject", subject)
@@ -289,7 +289,9 @@
     }
 
     private void storeAnswered() {
-        contact.answered(confirmedAgeMillis()).ifPresent(listener::answersAgain);
+        contact.answered(confirmedAgeMillis())
+                .ifPresent(silenceMillis ->
+                        notifyListener("an answer after a silence", () -> listener.answersAgain(silenceMillis)));
     }
 
     /**
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoreMirrorTest.java
@@ -74,6 +74,33 @@
         assertEquals(List.of("p/good", "p/later"), listener.changedKeys);
     }
 
+    /** Guards against an entry that stops following a list with an item that a listener overflows the stack on. */
+    @Test
+    void changeThatOverflowsTheStackDoesNotEndTheWatch() {
+        listener.overflowingKey = "p/deep";
+        answerWatch(0, 12, item("deep", "1", 11), item("good", "1", 12));
+        assertEquals(List.of("p/good"), listener.changedKeys);
+        assertEquals(2, store.watches.size(), "the watch goes on");
+    }
+
+    /** Guards against a pool that fails to be opened after a read, and keeps others from it and from the watch. */
+    @Test
+    void callbackThatFailsAfterARefreshDoesNotEndTheWatchOrOtherCallbacks() {
+        List<String> refreshed = new ArrayList<>();
+        service.run(() -> {
+            mirror.refresh(() -> {
+                throw new IllegalStateException("cannot open");
+            });
+            mirror.refresh(() -> refreshed.add("second"));
+        });
+        service.run(() -> store.watches
+                .get(0)
+                .completeExceptionally(new StoreFailure(StoreFailure.Kind.HISTORY_DROPPED, "gone", List.of())));
+        answerRead(2, 20, item("b", "1", 19));
+        assertEquals(List.of("second"), refreshed);
+        assertEquals(2, store.watches.size(), "the watch goes on");
+    }
+
     @Test
     void reloadThatAListenerFailsOnDoesNotEndTheWatch() {
         listener.failOnReload = true;
@@ -161,6 +188,7 @@
     private static final class RecordingListener implements StoreMirror.Listener {
         private final List<String> changedKeys = new ArrayList<>();
         private String failingKey = "";
+        private String overflowingKey = "";
         private boolean failOnReload;
 
         @Override
@@ -175,6 +203,9 @@
             if (key.equals(failingKey)) {
                 throw new IllegalStateException("cannot apply " + key);
             }
+            if (key.equals(overflowingKey)) {
+                throw new StackOverflowError();
+            }
             changedKeys.add(key);
         }
 
