Answer a request also when a step towards its reply fails

Cause: a request is answered by the last of several steps on the service's thread (ask the former owners, ask the owner, try again, handle the reply). If a step threw, the exception was logged as duty-handler-failed, or kept by the CompletableFuture that nobody reads, and the caller had no answer until it gave up; the entry that was called by another one did not answer either, so the call used its whole timeout. An Error ended the service's thread, so that no request was answered from then on.

Ruled out: a failure inside the call of a local runner, which was answered before (requestOnWhichALocalOwnerFailsIsUncertain).

Change: CallerRequest runs the steps between the arrival of a request and its reply, OwnerCalls those of a call to an owner, and a failure of a step is the reply: uncertain, as the request may have been carried out in part.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -142,16 +142,16 @@
         }
         JobRequest request = new JobRequest.Submit(spec, caller);
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        context.execute(() -> askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id(), caller), endMillis)
-                .thenAccept(former -> {
+        CallerRequest open = new CallerRequest(context, "submit", spec.id());
+        open.begin(() ->
+                open.then(askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id(), caller), endMillis), former -> {
                     if (former.isPresent()) {
-                        reply.complete(unsubmitted(former.get()));
+                        open.complete(unsubmitted(former.get()));
                     } else {
-                        askOwner(spec.queue(), request, endMillis, reply);
+                        open.then(askOwner(spec.queue(), request, endMillis), open::complete);
                     }
                 }));
-        return logOutcome("submit", spec.id(), recordForbidden("submit", spec.id(), caller, reply));
+        return logOutcome("submit", spec.id(), recordForbidden("submit", spec.id(), caller, open.reply()));
     }
 
     /**
@@ -186,9 +186,9 @@
     @Override
     public CompletableFuture<JobReply> queuedJobs(String queue, long deadlineMillis) {
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        context.execute(() -> askOwner(queue, new JobRequest.QueuedJobs(queue), endMillis, reply));
-        return reply.thenApply(answer -> checkRead(queue, answer));
+        CallerRequest open = new CallerRequest(context, "count", queue);
+        open.begin(() -> open.then(askOwner(queue, new JobRequest.QueuedJobs(queue), endMillis), open::complete));
+        return open.reply().thenApply(answer -> checkRead(queue, answer));
     }
 
     /**
@@ -277,20 +277,15 @@
     private CompletableFuture<JobReply> askCurrentThenFormerOwners(
             String queue, JobRequest.AboutJob request, long deadlineMillis) {
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        context.execute(() -> {
-            CompletableFuture<JobReply> first = new CompletableFuture<>();
-            askOwner(queue, request, endMillis, first);
-            first.thenAccept(answer -> {
-                if (answer.status() != JobReplyStatus.NO_JOB) {
-                    reply.complete(answer);
-                } else {
-                    context.execute(() -> askFormerOwners(queue, request, endMillis)
-                            .thenAccept(other -> reply.complete(other.orElse(answer))));
-                }
-            });
-        });
-        return reply;
+        CallerRequest open = new CallerRequest(context, request.getClass().getSimpleName(), request.job());
+        open.begin(() -> open.then(askOwner(queue, request, endMillis), answer -> {
+            if (answer.status() != JobReplyStatus.NO_JOB) {
+                open.complete(answer);
+            } else {
+                open.then(askFormerOwners(queue, request, endMillis), other -> open.complete(other.orElse(answer)));
+            }
+        }));
+        return open.reply();
     }
 
     /**
@@ -339,14 +334,19 @@
                 .toList();
     }
 
-    private void askOwner(String queue, JobRequest request, long endMillis, CompletableFuture<JobReply> reply) {
+    /**
+     * Asks the owner of the queue's pool.
+     */
+    private CompletableFuture<JobReply> askOwner(String queue, JobRequest request, long endMillis) {
         JobConfiguration current = configuration;
         QueueConfig config = current == null ? null : current.queues().get(queue);
+        CompletableFuture<JobReply> reply = new CompletableFuture<>();
         if (config == null) {
             reply.complete(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"));
         } else {
             ownerCalls.ask(config.pool(), request, endMillis, reply);
         }
+        return reply;
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -8,7 +8,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.OwnerWait;
 import org.trefoilpost.decision.job.PoolDemand;
@@ -72,7 +71,18 @@
             unanswered.remove(pending);
             unansweredCount = unanswered.size();
         });
-        attempt(pending);
+        run(pending, () -> attempt(pending));
+    }
+
+    /**
+     * Runs a step towards the reply of a request. If the step fails, that is the reply, as nothing else would complete it.
+     */
+    private void run(PendingRequest pending, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            pending.reply().complete(failed(pending.request(), e));
+        }
     }
 
     /**
@@ -137,13 +147,9 @@
         if (runner.isPresent()) {
             pending.reachedOwner();
             pending.passedTo("this entry");
-            context.onServiceThread(serve(runner.get(), pending.request()), (answer, failure) -> {
-                if (failure != null || answer.reason().equals("owner-changed")) {
-                    retryOrGiveUp(pending);
-                } else {
-                    complete(pending, answer);
-                }
-            });
+            context.onServiceThread(
+                    serve(runner.get(), pending.request()),
+                    (answer, failure) -> run(pending, () -> served(pending, answer, failure)));
         } else if (owner.isPresent()) {
             forward(pending, owner.get().peer());
         } else {
@@ -158,24 +164,41 @@
         context.onServiceThread(
                 peerCalls.call(
                         peer, pending.pool(), request, Math.max(1, Math.min(CALL_TIMEOUT_MILLIS, remainingMillis))),
-                (answer, failure) -> {
-                    if (failure == null && answer.isOwner()) {
-                        JobReply reply = decode(answer.reply());
-                        if (reply.reason().equals("owner-changed")) {
-                            pending.reachedOwner();
-                            retryOrGiveUp(pending);
-                        } else {
-                            complete(pending, reply);
-                        }
-                        return;
-                    }
-                    boolean notSent = failure instanceof PeerCallException call && !call.possiblySent();
-                    boolean lost = failure != null && !notSent;
-                    if (lost) {
-                        pending.callLost();
-                    }
-                    retryOrGiveUp(pending);
-                });
+                (answer, failure) -> run(pending, () -> answered(pending, answer, failure)));
+    }
+
+    /**
+     * Handles the reply of this entry's own runner.
+     */
+    private void served(PendingRequest pending, JobReply reply, Throwable failure) {
+        if (failure != null || reply.reason().equals("owner-changed")) {
+            retryOrGiveUp(pending);
+        } else {
+            complete(pending, reply);
+        }
+    }
+
+    /**
+     * Handles the answer of another entry.
+     */
+    private void answered(PendingRequest pending, PoolAnswer answer, Throwable failure) {
+        if (failure == null && answer.isOwner()) {
+            // Fails on a status of a newer program that this one does not know.
+            JobReply reply = JobReplyCodec.decode(answer.reply());
+            if (reply.reason().equals("owner-changed")) {
+                pending.reachedOwner();
+                retryOrGiveUp(pending);
+            } else {
+                complete(pending, reply);
+            }
+            return;
+        }
+        boolean notSent = failure instanceof PeerCallException call && !call.possiblySent();
+        boolean lost = failure != null && !notSent;
+        if (lost) {
+            pending.callLost();
+        }
+        retryOrGiveUp(pending);
     }
 
     private void complete(PendingRequest pending, JobReply reply) {
@@ -200,7 +223,7 @@
                         pending.deadlineMillis(),
                         pending.startMillis() + OwnerWait.maxMillis(storeServed.getAsBoolean()));
         if (nowMillis + RETRY_DELAY_MILLIS < endMillis) {
-            context.schedule(RETRY_DELAY_MILLIS, () -> attempt(pending));
+            context.schedule(RETRY_DELAY_MILLIS, () -> run(pending, () -> attempt(pending)));
         } else if (pending.mayHaveReachedOwner()) {
             pending.reply().complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"));
         } else {
@@ -214,26 +237,17 @@
     private CompletableFuture<JobReply> serve(PoolRunner runner, JobRequest request) {
         try {
             return serveUnguarded(runner, request);
-        } catch (RuntimeException e) {
-            return CompletableFuture.completedFuture(internalFailure(e));
+        } catch (RuntimeException | Error e) {
+            return CompletableFuture.completedFuture(failed(request, e));
         }
     }
 
     /**
      * Logs a failure, and returns the reply to the request: it may have been carried out in part.
      */
-    private JobReply internalFailure(RuntimeException failure) {
-        context.logDecision(Decision.failure("request-failed").with("failure", failure.toString()));
-        return JobReply.of(JobReplyStatus.UNCERTAIN, "internal");
-    }
-
-    private JobReply decode(byte[] reply) {
-        try {
-            return JobReplyCodec.decode(reply);
-        } catch (RuntimeException e) {
-            // A newer program may send a status that this one does not know.
-            return internalFailure(e);
-        }
+    private JobReply failed(JobRequest request, Throwable failure) {
+        context.logDecision(RequestFailures.describe(request, failure));
+        return RequestFailures.REPLY;
     }
 
     private CompletableFuture<JobReply> serveUnguarded(PoolRunner runner, JobRequest request) {
@@ -268,14 +282,28 @@
      *     cannot decode the request
      */
     void answerPeerCall(String pool, byte[] bytes, BiConsumer<Boolean, byte[]> answer) {
-        Optional<PoolRunner> runner = localRunner.apply(pool);
         Optional<JobRequest> request = JobRequest.decode(bytes);
-        if (runner.isEmpty() || request.isEmpty()) {
+        if (request.isEmpty()) {
+            answer.accept(false, new byte[0]);
+            return;
+        }
+        try {
+            answerUnguarded(pool, request.get(), answer);
+        } catch (RuntimeException | Error e) {
+            answer.accept(true, JobReplyCodec.encode(failed(request.get(), e)));
+        }
+    }
+
+    private void answerUnguarded(String pool, JobRequest request, BiConsumer<Boolean, byte[]> answer) {
+        Optional<PoolRunner> runner = localRunner.apply(pool);
+        if (runner.isEmpty()) {
             answer.accept(false, new byte[0]);
-        } else if (request.get() instanceof JobRequest.Instruct instruct) {
+        } else if (request instanceof JobRequest.Instruct instruct) {
             answer.accept(true, JobReplyCodec.encode(runner.get().instruct(instruct.instructions())));
         } else {
-            serve(runner.get(), request.get()).thenAccept(reply -> answer.accept(true, JobReplyCodec.encode(reply)));
+            serve(runner.get(), request)
+                    .exceptionally(failure -> failed(request, failure))
+                    .thenAccept(reply -> answer.accept(true, JobReplyCodec.encode(reply)));
         }
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -14,7 +15,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.QueueConfig;
+import org.trefoilpost.decision.job.ResourceAmount;
+import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.team.Caller;
 import org.trefoilpost.decision.job.team.Teams;
 
@@ -30,15 +34,13 @@
     /** The runners of the pools that this entry owns. */
     private final Map<String, PoolRunner> runners = new ConcurrentHashMap<>();
 
+    /** What the search for the runner of a pool fails with. */
+    private final Map<String, Throwable> failures = new ConcurrentHashMap<>();
+
     private final ConfigurationStatus status = new ConfigurationStatus(service.context());
     private final JobRequestRouter router = new JobRequestRouter(
             service.context(),
-            new OwnerCalls(
-                    service.context(),
-                    new LiveEntries(),
-                    null,
-                    pool -> Optional.ofNullable(runners.get(pool)),
-                    () -> true),
+            new OwnerCalls(service.context(), new LiveEntries(), null, this::localRunner, () -> true),
             status);
 
     @BeforeEach
@@ -157,6 +159,28 @@
         assertEquals(JobReply.of(JobReplyStatus.NO_JOB, "unknown-job"), reply.getNow(null));
     }
 
+    /** Guards against requests that nobody answers after a step for them has failed. */
+    @Test
+    void requestIsUncertainIfAStepForItFails() {
+        moveQueue(Set.of("pool"));
+        openEmptyPool("pool");
+        JobReply internal = JobReply.of(JobReplyStatus.UNCERTAIN, "internal");
+        for (Throwable failure : List.of(new IllegalStateException("test"), new StackOverflowError())) {
+            failures.put("former", failure);
+            assertEquals(internal, await(router.submit(job(), Caller.UNIDENTIFIED, 3_000)));
+            assertEquals(internal, await(router.phase("q", "1", Caller.UNIDENTIFIED, 3_000)));
+            assertEquals(internal, await(router.cancel("q", "1", Caller.UNIDENTIFIED, 3_000)));
+        }
+    }
+
+    private static JobSpec job() {
+        StepSpec step = StepSpec.builder()
+                .tasks(1, new ResourceAmount(1_000, 128, 0))
+                .estimateMillis(100)
+                .build();
+        return new JobSpec("1", "q", "text", List.of(step), JobSpec.Schedule.ONCE);
+    }
+
     private void moveQueue(Set<String> pools) {
         service.run(() -> router.configure(configuration(1, "former", Set.of("former"))));
         service.run(() -> router.configure(configuration(2, "pool", pools)));
@@ -166,6 +190,16 @@
         runners.put(pool, new PoolRunner(pool, 1, service.context(), null, () -> {}));
     }
 
+    private Optional<PoolRunner> localRunner(String pool) {
+        Throwable failure = failures.get(pool);
+        if (failure instanceof Error error) {
+            throw error;
+        } else if (failure != null) {
+            throw (RuntimeException) failure;
+        }
+        return Optional.ofNullable(runners.get(pool));
+    }
+
     private JobReply await(CompletableFuture<JobReply> reply) {
         for (int i = 0; i < 30 && !reply.isDone(); i++) {
             advance(100);
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.team.Caller;
 
@@ -143,6 +144,93 @@
         }
     }
 
+    /** Guards against requests that nobody answers after a step towards their owner has failed. */
+    @Test
+    void requestIsUncertainIfAStepTowardsItsOwnerFails() {
+        try (TestService service = new TestService(new MemoryStore(), null, null, new UnusedFormats())) {
+            for (Throwable failure : List.of(new IllegalStateException("test"), new StackOverflowError())) {
+                OwnerCalls calls = new OwnerCalls(
+                        service.context(), new LiveEntries(), null, pool -> failingRunner(failure), () -> true);
+                CompletableFuture<JobReply> reply = new CompletableFuture<>();
+                service.run(() -> runUnchecked(() -> ask(service, calls, new JobRequest.QueuedJobs("queue"), reply)));
+                assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "internal"), reply.getNow(null));
+                assertEquals(0, calls.unansweredCount());
+            }
+        }
+    }
+
+    /** Guards against requests that nobody answers after a retry for them has failed. */
+    @Test
+    void requestIsUncertainIfARetryFails() {
+        AtomicLong clock = new AtomicLong(1_000_000);
+        try (TestService service = new TestService(new MemoryStore(), null, new UnusedFormats(), clock::get)) {
+            AtomicInteger attempts = new AtomicInteger();
+            OwnerCalls calls = new OwnerCalls(
+                    service.context(),
+                    new LiveEntries(),
+                    null,
+                    pool -> attempts.incrementAndGet() > 1
+                            ? failingRunner(new IllegalStateException("test"))
+                            : Optional.empty(),
+                    () -> true);
+            CompletableFuture<JobReply> reply = new CompletableFuture<>();
+            service.run(() -> ask(service, calls, new JobRequest.QueuedJobs("queue"), reply));
+            assertFalse(reply.isDone());
+            clock.addAndGet(100);
+            service.runWithTimers(() -> {});
+            assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "internal"), reply.getNow(null));
+        }
+    }
+
+    /** Guards against requests that nobody answers after the answer of another entry could not be handled. */
+    @Test
+    void requestIsUncertainIfTheAnswerOfAnotherEntryCannotBeHandled() {
+        try (TestService service = new TestService(new MemoryStore(), null, null, new UnusedFormats())) {
+            LiveEntries.Peer owner = new LiveEntries.Peer("entry-2", "127.0.0.1:2", "first", 750);
+            String key = LiveEntries.ownerKey("pool");
+            LiveEntries liveEntries = new LiveEntries();
+            liveEntries.change(key, Optional.of(new StorePort.Item(key, LiveEntries.encode(owner), 1, 1)), 0);
+            PeerCalls withoutAnswer = (peer, pool, request, timeoutMillis) -> CompletableFuture.completedFuture(null);
+            OwnerCalls calls =
+                    new OwnerCalls(service.context(), liveEntries, withoutAnswer, pool -> Optional.empty(), () -> true);
+            CompletableFuture<JobReply> reply = new CompletableFuture<>();
+            service.run(() -> ask(service, calls, new JobRequest.QueuedJobs("queue"), reply));
+            assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "internal"), reply.getNow(null));
+        }
+    }
+
+    /** Guards against entries that wait for an answer until their timeout, since the called entry has failed on the call. */
+    @Test
+    void callOfAnotherEntryIsAnsweredIfItFails() {
+        try (TestService service = new TestService(new MemoryStore(), null, null, new UnusedFormats())) {
+            for (Throwable failure : List.of(new IllegalStateException("test"), new StackOverflowError())) {
+                OwnerCalls calls = new OwnerCalls(
+                        service.context(), new LiveEntries(), null, pool -> failingRunner(failure), () -> true);
+                List<JobReply> replies = new CopyOnWriteArrayList<>();
+                byte[] request = new JobRequest.QueuedJobs("queue").encode();
+                service.run(() -> runUnchecked(() -> calls.answerPeerCall(
+                        "pool", request, (owner, bytes) -> replies.add(JobReplyCodec.decode(bytes)))));
+                assertEquals(List.of(JobReply.of(JobReplyStatus.UNCERTAIN, "internal")), replies);
+            }
+        }
+    }
+
+    private static Optional<PoolRunner> failingRunner(Throwable failure) {
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        throw (RuntimeException) failure;
+    }
+
+    /** Keeps a failure from the test's thread, as the service's thread would. */
+    private static void runUnchecked(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error ignored) {
+            // The reply is what is checked.
+        }
+    }
+
     private static void ask(
             TestService service, OwnerCalls calls, JobRequest request, CompletableFuture<JobReply> reply) {
         calls.ask("pool", request, service.context().now().steadyMillis() + DEADLINE_MILLIS, reply);
