End the wait for the owner of a pool at the request's deadline

Cause: only a call to another entry had a timeout. A job that its own entry owns waits for the store, and its request with it, for as long as the commit takes or the entry keeps the pool; its caller, which stops waiting before, got no answer.

Result: OwnerCallsTest.requestIsAnsweredAtItsDeadlineIfItsOwnerIsSilent failed before (no reply), passes.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -71,6 +71,8 @@
             unanswered.remove(pending);
             unansweredCount = unanswered.size();
         });
+        // Not each step has a limit of its own: a job that waits for the store has none.
+        context.schedule(Math.max(0, deadlineMillis - nowMillis), () -> endWait(pending));
         run(pending, () -> attempt(pending));
     }
 
@@ -224,13 +226,22 @@
                         pending.startMillis() + OwnerWait.maxMillis(storeServed.getAsBoolean()));
         if (nowMillis + RETRY_DELAY_MILLIS < endMillis) {
             context.schedule(RETRY_DELAY_MILLIS, () -> run(pending, () -> attempt(pending)));
-        } else if (pending.mayHaveReachedOwner()) {
-            pending.reply().complete(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"));
         } else {
-            pending.reply().complete(JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", RETRY_AFTER_MILLIS));
+            endWait(pending);
         }
     }
 
+    /**
+     * Answers a request whose owner has not been heard in time, unless it has its answer.
+     */
+    private static void endWait(PendingRequest pending) {
+        pending.reply()
+                .complete(
+                        pending.mayHaveRun()
+                                ? JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent")
+                                : JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", RETRY_AFTER_MILLIS));
+    }
+
     /**
      * Carries out a request in the runner of a pool that this entry owns.
      */
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
@@ -215,6 +215,30 @@
         }
     }
 
+    /** Guards against requests that wait for their owner for longer than their callers do. */
+    @Test
+    void requestIsAnsweredAtItsDeadlineIfItsOwnerIsSilent() {
+        AtomicLong clock = new AtomicLong(1_000_000);
+        try (TestService service = new TestService(new MemoryStore(), null, new UnusedFormats(), clock::get)) {
+            LiveEntries.Peer owner = new LiveEntries.Peer("entry-2", "127.0.0.1:2", "first", 750);
+            String key = LiveEntries.ownerKey("pool");
+            LiveEntries liveEntries = new LiveEntries();
+            liveEntries.change(key, Optional.of(new StorePort.Item(key, LiveEntries.encode(owner), 1, 1)), 0);
+            PeerCalls silent = (peer, pool, request, timeoutMillis) -> new CompletableFuture<>();
+            OwnerCalls calls =
+                    new OwnerCalls(service.context(), liveEntries, silent, pool -> Optional.empty(), () -> true);
+            CompletableFuture<JobReply> reply = new CompletableFuture<>();
+            service.run(() -> ask(service, calls, new JobRequest.QueuedJobs("queue"), reply));
+            clock.addAndGet(DEADLINE_MILLIS - 1);
+            service.runWithTimers(() -> {});
+            assertFalse(reply.isDone());
+            clock.addAndGet(1);
+            service.runWithTimers(() -> {});
+            assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"), reply.getNow(null));
+            assertEquals(0, calls.unansweredCount());
+        }
+    }
+
     private static Optional<PoolRunner> failingRunner(Throwable failure) {
         if (failure instanceof Error error) {
             throw error;
