Answer requests in time though the service's thread is behind, blocked or ended

Cause: all deadlines of a request were timers of the service's thread. While that thread is behind or blocked, or after it has ended, no request had an answer, whatever its deadline, and no line of the log told so.

Change: a request has a limit of its own, between the end of the owners' time and that of its caller. If the thread has not begun it by then, it is refused with 503 and never begun, so the refusal is true; else it is uncertain.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
@@ -22,6 +22,7 @@
     private final MillisClock wallClock;
     private final DecisionLog log;
     private final JobMetrics metrics;
+    private volatile long lastTaskMillis;
 
     JobContext(
             JobServiceSettings settings,
@@ -38,6 +39,7 @@
         this.wallClock = wallClock;
         this.log = log;
         this.metrics = metrics;
+        this.lastTaskMillis = clock.nowMillis();
     }
 
     JobServiceSettings settings() {
@@ -74,14 +76,21 @@
      * Runs a task on the service's thread. May be called on any thread.
      */
     void execute(Runnable task) {
-        eventLoop.post(task);
+        eventLoop.post(() -> begin(task));
+    }
+
+    /**
+     * Returns for how long the service's thread has begun no task, in milliseconds. May be called on any thread.
+     */
+    long quietMillis() {
+        return clock.nowMillis() - lastTaskMillis;
     }
 
     /**
      * Runs a task on the service's thread after a delay. Must be called on the service's thread.
      */
     void schedule(long delayMillis, Runnable task) {
-        eventLoop.schedule(clock.nowMillis() + delayMillis, task);
+        eventLoop.schedule(clock.nowMillis() + delayMillis, () -> begin(task));
     }
 
     /**
@@ -89,7 +98,7 @@
      * {@link CompletionException} around it.
      */
     <T> void onServiceThread(CompletableFuture<T> call, BiConsumer<T, Throwable> consumer) {
-        call.whenComplete((value, failure) -> eventLoop.post(() -> consumer.accept(value, unwrap(failure))));
+        call.whenComplete((value, failure) -> execute(() -> consumer.accept(value, unwrap(failure))));
     }
 
     /**
@@ -100,6 +109,11 @@
         log.write(decision);
     }
 
+    private void begin(Runnable task) {
+        lastTaskMillis = clock.nowMillis();
+        task.run();
+    }
+
     private static Throwable unwrap(Throwable failure) {
         return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -59,6 +59,7 @@
         context.metrics().gauge("trefoilpost.jobs.configuration.version", this::configurationVersion);
         context.metrics().gauge("trefoilpost.jobs.configuration.age.millis", configurationStatus::displayedAgeMillis);
         context.metrics().gauge("trefoilpost.jobs.requests.unanswered", ownerCalls::unansweredCount);
+        context.metrics().gauge("trefoilpost.jobs.service.quiet.millis", context::quietMillis);
     }
 
     /**
@@ -142,7 +143,7 @@
         }
         JobRequest request = new JobRequest.Submit(spec, caller);
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CallerRequest open = new CallerRequest(context, "submit", spec.id());
+        CallerRequest open = new CallerRequest(context, "submit", spec.id(), replyLimitMillis(deadlineMillis));
         open.begin(() ->
                 open.then(askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id(), caller), endMillis), former -> {
                     if (former.isPresent()) {
@@ -172,21 +173,21 @@
     @Override
     public CompletableFuture<JobReply> cancel(String queue, String job, Caller caller, long deadlineMillis) {
         CompletableFuture<JobReply> reply =
-                askCurrentThenFormerOwners(queue, new JobRequest.Cancel(job, caller), deadlineMillis);
+                askCurrentThenFormerOwners("cancel", queue, new JobRequest.Cancel(job, caller), deadlineMillis);
         return logOutcome("cancel", job, recordForbidden("cancel", job, caller, reply));
     }
 
     @Override
     public CompletableFuture<JobReply> phase(String queue, String job, Caller caller, long deadlineMillis) {
         CompletableFuture<JobReply> reply =
-                askCurrentThenFormerOwners(queue, new JobRequest.Phase(job, caller), deadlineMillis);
+                askCurrentThenFormerOwners("phase", queue, new JobRequest.Phase(job, caller), deadlineMillis);
         return recordForbidden("phase", job, caller, reply).thenApply(answer -> checkRead(queue, answer));
     }
 
     @Override
     public CompletableFuture<JobReply> queuedJobs(String queue, long deadlineMillis) {
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CallerRequest open = new CallerRequest(context, "count", queue);
+        CallerRequest open = new CallerRequest(context, "count", queue, replyLimitMillis(deadlineMillis));
         open.begin(() -> open.then(askOwner(queue, new JobRequest.QueuedJobs(queue), endMillis), open::complete));
         return open.reply().thenApply(answer -> checkRead(queue, answer));
     }
@@ -275,9 +276,9 @@
      * Asks the owner of the queue's pool, and if it does not know the job, the owners of the queue's former pools.
      */
     private CompletableFuture<JobReply> askCurrentThenFormerOwners(
-            String queue, JobRequest.AboutJob request, long deadlineMillis) {
+            String kind, String queue, JobRequest.AboutJob request, long deadlineMillis) {
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CallerRequest open = new CallerRequest(context, request.getClass().getSimpleName(), request.job());
+        CallerRequest open = new CallerRequest(context, kind, request.job(), replyLimitMillis(deadlineMillis));
         open.begin(() -> open.then(askOwner(queue, request, endMillis), answer -> {
             if (answer.status() != JobReplyStatus.NO_JOB) {
                 open.complete(answer);
@@ -354,8 +355,23 @@
      * caller in time.
      */
     private static long ownerDeadlineMillis(long deadlineMillis, Moment now) {
-        long bounded = Math.min(MAX_DEADLINE_MILLIS, Math.max(MIN_DEADLINE_MILLIS, deadlineMillis));
-        return now.steadyMillis() + bounded - Math.min(MAX_REPLY_MARGIN_MILLIS, bounded / REPLY_MARGIN_DIVISOR);
+        return now.steadyMillis() + bounded(deadlineMillis) - replyMarginMillis(deadlineMillis);
+    }
+
+    /**
+     * Returns the time within which a request has its reply even if this entry does not handle it in time. Between the end
+     * of the owners' time and that of the caller.
+     */
+    private static long replyLimitMillis(long deadlineMillis) {
+        return bounded(deadlineMillis) - replyMarginMillis(deadlineMillis) / 2;
+    }
+
+    private static long bounded(long deadlineMillis) {
+        return Math.min(MAX_DEADLINE_MILLIS, Math.max(MIN_DEADLINE_MILLIS, deadlineMillis));
+    }
+
+    private static long replyMarginMillis(long deadlineMillis) {
+        return Math.min(MAX_REPLY_MARGIN_MILLIS, bounded(deadlineMillis) / REPLY_MARGIN_DIVISOR);
     }
 
     OwnerCalls ownerCalls() {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -10,11 +10,14 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.ResourceAmount;
@@ -173,6 +176,35 @@
         }
     }
 
+    /** Guards against requests without an answer while the service's thread is behind or blocked, or after it has ended. */
+    @Test
+    @Timeout(20)
+    void requestThatTheServicesThreadDoesNotBeginIsRefusedInTime() {
+        router.configure(configuration());
+        CountDownLatch blocked = new CountDownLatch(1);
+        service.context().execute(() -> awaitUnchecked(blocked));
+        JobReply refusal = JobReply.refusal(JobReplyStatus.UNAVAILABLE, "service-behind", 1_000);
+        for (CompletableFuture<JobReply> reply : List.of(
+                router.submit(job(), Caller.UNIDENTIFIED, 300),
+                router.phase("q", "1", Caller.UNIDENTIFIED, 300),
+                router.cancel("q", "1", Caller.UNIDENTIFIED, 300),
+                router.queuedJobs("q", 300))) {
+            assertEquals(
+                    refusal, reply.completeOnTimeout(null, 5, TimeUnit.SECONDS).join());
+        }
+        blocked.countDown();
+        service.run(() -> {});
+        assertEquals(0, router.unansweredCount(), "a refused request is not begun");
+    }
+
+    private static void awaitUnchecked(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static JobSpec job() {
         StepSpec step = StepSpec.builder()
                 .tasks(1, new ResourceAmount(1_000, 128, 0))
