Let the soak check each way in which an accepted job or a request can be lost

The soak only noticed a request without an answer around SIGTERM in runs without other faults, and a job that had not ended a minute after the last fault. A 410 for an accepted job that a later 200 follows, a job shown as cancelled, a job that stands still beside free workers, SIGHUP, moved queues and killed owners went unnoticed or did not occur.

Ruled out: a second check of jobs that stand still; WaitingJobCheck of the emulator now takes its workers from an interface and serves both. The wait of a long-running task counts from the end of its last run, as before also from the time at which it could run.

Change: InvariantChecker judges 410 later than 3 s after the acceptance and cancelled without a cancel, in all soaks, whatever the fault.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -30,7 +30,7 @@
 /**
  * Emulates a pool on the platform, its callers, and the faults injected into it.
  */
-final class EmulatedPlatform {
+final class EmulatedPlatform implements WaitingJobCheck.Site {
     static final ResourceAmount CAPACITY = new ResourceAmount(16_000, 32_768, 0);
     static final PoolTimeouts TIMEOUTS = new PoolTimeouts(5_000, 120_000, 2_000);
 
@@ -194,7 +194,28 @@
         return workers.get(id);
     }
 
-    List<EmulatedWorker> livingWorkers() {
+    @Override
+    public boolean isCalm() {
+        return true;
+    }
+
+    @Override
+    public boolean countsWhenFull() {
+        return false;
+    }
+
+    @Override
+    public boolean isExempt(String job) {
+        return isCrashing(job);
+    }
+
+    @Override
+    public List<List<EmulatedWorker>> pools(JobSpec job) {
+        return List.of(livingWorkers());
+    }
+
+    @Override
+    public List<EmulatedWorker> livingWorkers() {
         return workers.values().stream().filter(EmulatedWorker::isAlive).toList();
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
@@ -21,6 +21,12 @@
     /** Maximum time after a caller was informed of a cancellation in which tasks of the job may still start. */
     private static final long MAX_CANCEL_DELAY_MILLIS = 3_000;
 
+    /** Time after the answer to its caller from which an accepted job must be known everywhere. */
+    private static final long VISIBLE_MILLIS = 3_000;
+
+    /** How long the state of a job is kept at least. */
+    private static final long STATE_RETENTION_MILLIS = 120_000;
+
     /** Workers that a task may crash before its further starts are counted. */
     private static final int CRASHES_UNTIL_COUNTED = 3;
 
@@ -31,13 +37,14 @@
     private final EmulatorTime time;
     private final Map<String, JobSpec> jobs = new HashMap<>();
     private final Map<String, Integer> maxAttempts = new HashMap<>();
-    private final Set<String> acceptedJobs = new HashSet<>();
+    private final Map<String, Long> acceptedMillis = new HashMap<>();
     private final Set<String> refusedJobs = new HashSet<>();
     private final Map<String, Long> cancelledMillis = new HashMap<>();
     private final Set<String> cancelRequests = new HashSet<>();
     private final Set<String> endedJobs = new HashSet<>();
     private final Map<String, Set<String>> runningWorkers = new HashMap<>();
     private final Map<String, Long> lastStartMillis = new HashMap<>();
+    private final Map<String, Long> lastEndMillis = new HashMap<>();
     private final Set<String> completedTasks = new HashSet<>();
     private final Map<String, Integer> failedRuns = new HashMap<>();
     private final Set<String> acknowledgedCompletions = new HashSet<>();
@@ -86,7 +93,7 @@
      * @param job  the identifier of the job, not null
      */
     public void jobAccepted(String job) {
-        acceptedJobs.add(job);
+        acceptedMillis.putIfAbsent(job, time.nowMillis());
     }
 
     /**
@@ -100,8 +107,10 @@
 
     /**
      * Records that a caller asks to cancel a job.
+     *
+     * @param job  the identifier of the job, not null
      */
-    void cancelRequested(String job) {
+    public void cancelRequested(String job) {
         cancelRequests.add(job);
     }
 
@@ -118,6 +127,10 @@
         cancelledMillis.putIfAbsent(job, time.nowMillis());
     }
 
+    JobSpec spec(String job) {
+        return jobs.get(job);
+    }
+
     void runStarted(String worker, WorkerOrder.Start order, ResourceAmount capacity, ResourceAmount used) {
         starts++;
         TaskId task = order.task();
@@ -147,7 +160,7 @@
             addViolation("BUDGET " + task.text() + " started again after it has crashed "
                     + crashesByTask.get(task.text()) + " workers");
         }
-        if (refusedJobs.contains(task.job()) && !acceptedJobs.contains(task.job())) {
+        if (refusedJobs.contains(task.job()) && !acceptedMillis.containsKey(task.job())) {
             addViolation("REFUSED " + task.text());
         }
         Long since = cancelledMillis.get(task.job());
@@ -181,6 +194,7 @@
 
     void runEnded(String worker, TaskId task, int run, String how) {
         runningWorkers.getOrDefault(task.text(), new HashSet<>()).remove(worker);
+        lastEndMillis.put(task.text(), time.nowMillis());
         if (how.equals(RunEnd.DONE.name())) {
             completedTasks.add(task.text());
         } else if (how.equals(RunEnd.FAILED.name())) {
@@ -195,6 +209,14 @@
         return lastStartMillis.getOrDefault(task.text(), Long.MIN_VALUE);
     }
 
+    /**
+     * Returns since when a task may have been without a run: from the end of its last one, or from the answer that its job
+     * is accepted.
+     */
+    long idleSinceMillis(TaskId task) {
+        return lastEndMillis.getOrDefault(task.text(), acceptedMillis.getOrDefault(task.job(), Long.MIN_VALUE));
+    }
+
     boolean isCompleted(TaskId task) {
         return completedTasks.contains(task.text());
     }
@@ -248,17 +270,57 @@
      */
     public void jobShownFailed(String job) {
         endedJobs.add(job);
+        if (!mayHaveFailed(job)) {
+            addViolation(
+                    "LOST " + job + " is reported as failed, but no task has used up its attempts or crashed workers");
+        }
+    }
+
+    private boolean mayHaveFailed(String job) {
         boolean attemptsExhausted = failedRuns.entrySet().stream()
                 .anyMatch(entry -> entry.getKey().startsWith(job + '.') && entry.getValue() >= maxAttempts.get(job));
         boolean crashesWorkers = crashesByTask.entrySet().stream()
                 .anyMatch(
                         entry -> entry.getKey().startsWith(job + '.') && entry.getValue() >= MIN_CRASHES_OF_FAILED_JOB);
-        if (!attemptsExhausted && !crashesWorkers) {
-            addViolation(
-                    "LOST " + job + " is reported as failed, but no task has used up its attempts or crashed workers");
+        return attemptsExhausted || crashesWorkers;
+    }
+
+    /**
+     * Checks that a caller has asked to cancel a job that is reported as cancelled.
+     *
+     * @param job  the identifier of the job, not null
+     */
+    public void jobShownCancelled(String job) {
+        if (!cancelRequests.contains(job)) {
+            addViolation("LOST " + job + " is reported as cancelled, but nobody asked for it");
+        }
+    }
+
+    /**
+     * Checks that a job that is reported as unknown was not accepted before, or may have been cancelled or forgotten.
+     *
+     * @param job  the identifier of the job, not null
+     * @param askedMillis  when the caller asked, in milliseconds on the clock of the emulation
+     * @param asked  the name of the process that was asked, not null
+     */
+    public void jobShownUnknown(String job, long askedMillis, String asked) {
+        long knownMillis = askedMillis - acceptedMillis.getOrDefault(job, askedMillis);
+        if (!cancelRequests.contains(job) && knownMillis > VISIBLE_MILLIS && knownMillis < STATE_RETENTION_MILLIS) {
+            addViolation("LOST " + job + " is unknown to " + asked + ", " + knownMillis + " ms after it was accepted");
         }
     }
 
+    /**
+     * Returns whether the owner of a job knows that a task of it has failed as often as allowed.
+     *
+     * @param job  the identifier of the job, not null
+     * @return true if the job has failed
+     */
+    public boolean hasFailed(String job) {
+        return acknowledgedFailures.entrySet().stream()
+                .anyMatch(entry -> entry.getKey().startsWith(job + '.') && entry.getValue() >= maxAttempts.get(job));
+    }
+
     /**
      * Adds a violation.
      *
@@ -283,7 +345,7 @@
      * @return the identifiers of the jobs, not null
      */
     public Set<String> acceptedJobs() {
-        return acceptedJobs;
+        return acceptedMillis.keySet();
     }
 
     /**
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
@@ -265,7 +265,7 @@
         if (platform.owner().isStopped()) {
             platform.startOwner();
         }
-        time.schedule(FINISH_MILLIS, new WaitingJobCheck(platform)::start);
+        time.schedule(FINISH_MILLIS, new WaitingJobCheck(time, platform.checks(), platform)::start);
         time.runFor(SETTLE_MILLIS);
         checkAllEnded();
         return new Result(
