Ask every pool of a queue that is moved while a request about a job is under way

What callers saw: 410 for an accepted job, in place of its state.

Cause: the router asks the owner of the queue's pool and then, if that does not know the job, the owners of the queue's former pools, of which it leaves out the queue's pool. It read the configuration again for the second step. If the queue was moved back to the job's pool while the first owner was asked, that pool was left out of the former ones, and the owner that had the job was never asked. A cancel is lost the same way, and a submission asks the former pools first and then passes the job to a pool into which the queue was moved meanwhile, without asking the one that it left: a job that is submitted again could be stored twice.

The two steps of the GET are not logged, so that it was this race is likely, not shown; the tests show the mechanism.

Ruled out: the live entries were not loaded (they were, at 05.052, and the router has no configuration before); the owner of pool d does not know the job (it had ended there, kept for 120 s, and later reads found it).

Change: a request remembers the pool whose owner it asks and leaves out only that one; the queue's present pool counts like a former one if it differs. A submission begins again if the queue was moved while it asked.

Result: JobRequestRouterTest failed before in both new tests (NO_JOB in place of UNAVAILABLE; pools asked: former and next, not the one that was left). JobRequestRouterTest, TeamAccessTest, OwnerCallsTest, FormerOwnerRepliesTest and JobServiceTest pass, 32 tests.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -143,15 +143,24 @@
         JobRequest request = new JobRequest.Submit(spec, caller);
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        context.execute(() -> askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id(), caller), endMillis)
+        context.execute(() -> submit(request, spec, caller, endMillis, reply));
+        return logOutcome("submit", spec.id(), recordForbidden("submit", spec.id(), caller, reply));
+    }
+
+    private void submit(
+            JobRequest request, JobSpec spec, Caller caller, long endMillis, CompletableFuture<JobReply> reply) {
+        Optional<String> pool = poolOf(spec.queue());
+        askFormerOwners(spec.queue(), pool, new JobRequest.Phase(spec.id(), caller), endMillis)
                 .thenAccept(former -> {
                     if (former.isPresent()) {
                         reply.complete(unsubmitted(former.get()));
+                    } else if (!poolOf(spec.queue()).equals(pool)) {
+                        // The queue has been moved meanwhile, and nobody has asked the owner of the pool that it left.
+                        submit(request, spec, caller, endMillis, reply);
                     } else {
                         askOwner(spec.queue(), request, endMillis, reply);
                     }
-                }));
-        return logOutcome("submit", spec.id(), recordForbidden("submit", spec.id(), caller, reply));
+                });
     }
 
     /**
@@ -280,12 +289,13 @@
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
         context.execute(() -> {
             CompletableFuture<JobReply> first = new CompletableFuture<>();
+            Optional<String> asked = poolOf(queue);
             askOwner(queue, request, endMillis, first);
             first.thenAccept(answer -> {
                 if (answer.status() != JobReplyStatus.NO_JOB) {
                     reply.complete(answer);
                 } else {
-                    context.execute(() -> askFormerOwners(queue, request, endMillis)
+                    context.execute(() -> askFormerOwners(queue, asked, request, endMillis)
                             .thenAccept(other -> reply.complete(other.orElse(answer))));
                 }
             });
@@ -296,11 +306,12 @@
     /**
      * Asks the owners of the queue's former pools at the same time.
      *
+     * @param present  the pool whose owner is asked before or after them; the queue may have been moved since
      * @return the reply for the caller, see {@link FormerOwnerReplies}
      */
     private CompletableFuture<Optional<JobReply>> askFormerOwners(
-            String queue, JobRequest.AboutJob request, long endMillis) {
-        List<String> pools = formerPoolsInService(queue, context.now());
+            String queue, Optional<String> present, JobRequest.AboutJob request, long endMillis) {
+        List<String> pools = formerPoolsInService(queue, present, context.now());
         FormerOwnerReplies replies = new FormerOwnerReplies(pools.size());
         for (String pool : pools) {
             CompletableFuture<JobReply> reply = new CompletableFuture<>();
@@ -322,33 +333,41 @@
     }
 
     /**
-     * Returns the former pools of a queue that have an owner or get one. A pool that was removed from the configuration and
-     * for which no jobs are stored gets none again once it has lost its owner.
+     * Returns the pools in which a queue's jobs may be, other than a present one, that have an owner or get one. A pool that
+     * was removed from the configuration and for which no jobs are stored gets none again once it has lost its owner.
      */
-    private List<String> formerPoolsInService(String queue, Moment now) {
+    private List<String> formerPoolsInService(String queue, Optional<String> present, Moment now) {
         JobConfiguration current = configuration;
         if (current == null) {
             return List.of();
         }
-        QueueConfig config = current.queues().get(queue);
         Set<String> pools = new TreeSet<>(formerPools.getOrDefault(queue, Set.of()));
         pools.addAll(ownerCalls.poolsWithJobsOf(queue));
+        poolOf(queue).ifPresent(pools::add);
+        present.ifPresent(pools::remove);
         return pools.stream()
-                .filter(pool -> config == null || !pool.equals(config.pool()))
                 .filter(pool -> current.pools().contains(pool) || ownerCalls.mayHaveOwner(pool, now))
                 .toList();
     }
 
     private void askOwner(String queue, JobRequest request, long endMillis, CompletableFuture<JobReply> reply) {
-        JobConfiguration current = configuration;
-        QueueConfig config = current == null ? null : current.queues().get(queue);
-        if (config == null) {
+        Optional<String> pool = poolOf(queue);
+        if (pool.isEmpty()) {
             reply.complete(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"));
         } else {
-            ownerCalls.ask(config.pool(), request, endMillis, reply);
+            ownerCalls.ask(pool.get(), request, endMillis, reply);
         }
     }
 
+    /**
+     * Returns the pool to which the configuration in force sends a queue, empty if it has no such queue.
+     */
+    private Optional<String> poolOf(String queue) {
+        return Optional.ofNullable(configuration)
+                .map(current -> current.queues().get(queue))
+                .map(QueueConfig::pool);
+    }
+
     /**
      * Returns until when all owners together may take, on the steady clock in milliseconds, so that the reply reaches the
      * caller in time.
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -14,7 +15,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.QueueConfig;
+import org.trefoilpost.decision.job.ResourceAmount;
+import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.team.Caller;
 import org.trefoilpost.decision.job.team.Teams;
 
@@ -30,15 +34,12 @@
     /** The runners of the pools that this entry owns. */
     private final Map<String, PoolRunner> runners = new ConcurrentHashMap<>();
 
+    private final Set<String> askedPools = ConcurrentHashMap.newKeySet();
+
     private final ConfigurationStatus status = new ConfigurationStatus(service.context());
     private final JobRequestRouter router = new JobRequestRouter(
             service.context(),
-            new OwnerCalls(
-                    service.context(),
-                    new LiveEntries(),
-                    null,
-                    pool -> Optional.ofNullable(runners.get(pool)),
-                    () -> true),
+            new OwnerCalls(service.context(), new LiveEntries(), null, this::findRunner, () -> true),
             status);
 
     @BeforeEach
@@ -157,6 +158,43 @@
         assertEquals(JobReply.of(JobReplyStatus.NO_JOB, "unknown-job"), reply.getNow(null));
     }
 
+    /** Guards against NO_JOB for a job in the pool to which the queue was moved back while another owner was asked. */
+    @Test
+    void jobOfAQueueThatIsMovedBackMeanwhileIsNotReportedMissing() {
+        Set<String> pools = Set.of("pool", "former");
+        moveQueue(pools);
+        CompletableFuture<JobReply> phase = router.phase("q", "1", Caller.UNIDENTIFIED, 3_000);
+        CompletableFuture<JobReply> cancel = router.cancel("q", "1", Caller.UNIDENTIFIED, 3_000);
+        advance(100);
+        service.run(() -> router.configure(configuration(3, "former", pools)));
+        openEmptyPool("pool");
+        JobReply refusal = JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", 1_000);
+        assertEquals(refusal, await(phase));
+        assertEquals(refusal, await(cancel));
+    }
+
+    /** Guards against a job that is stored twice, as its queue is moved while the owners of former pools are asked. */
+    @Test
+    void ownerOfThePoolThatAQueueLeavesMeanwhileIsAskedBeforeASubmission() {
+        Set<String> pools = Set.of("pool", "former", "next");
+        moveQueue(pools);
+        StepSpec step =
+                StepSpec.builder().tasks(1, new ResourceAmount(100, 64, 0)).build();
+        JobSpec job = new JobSpec("1", "q", "text", List.of(step), JobSpec.Schedule.ONCE);
+        CompletableFuture<JobReply> reply = router.submit(job, Caller.UNIDENTIFIED, 3_000);
+        advance(100);
+        service.run(() -> router.configure(configuration(3, "next", pools)));
+        openEmptyPool("former");
+        await(reply);
+        assertTrue(askedPools.contains("pool"), "asked " + askedPools);
+        assertFalse(askedPools.contains("next"), "asked " + askedPools);
+    }
+
+    private Optional<PoolRunner> findRunner(String pool) {
+        askedPools.add(pool);
+        return Optional.ofNullable(runners.get(pool));
+    }
+
     private void moveQueue(Set<String> pools) {
         service.run(() -> router.configure(configuration(1, "former", Set.of("former"))));
         service.run(() -> router.configure(configuration(2, "pool", pools)));
