--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -144,17 +144,24 @@
         JobRequest request = new JobRequest.Submit(spec, caller);
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
         CallerRequest open = new CallerRequest(context, "submit", spec.id(), replyLimitMillis(deadlineMillis));
-        open.begin(() ->
-                open.then(askFormerOwners(spec.queue(), new JobRequest.Phase(spec.id(), caller), endMillis), former -> {
-                    if (former.isPresent()) {
-                        open.complete(unsubmitted(former.get()));
-                    } else {
-                        open.then(askOwner(spec.queue(), request, endMillis), open::complete);
-                    }
-                }));
+        open.begin(() -> submit(open, request, spec, caller, endMillis));
         return logOutcome("submit", spec.id(), recordForbidden("submit", spec.id(), caller, open.reply()));
     }
 
+    private void submit(CallerRequest open, JobRequest request, JobSpec spec, Caller caller, long endMillis) {
+        Optional<String> pool = poolOf(spec.queue());
+        open.then(askFormerOwners(spec.queue(), pool, new JobRequest.Phase(spec.id(), caller), endMillis), former -> {
+            if (former.isPresent()) {
+                open.complete(unsubmitted(former.get()));
+            } else if (!poolOf(spec.queue()).equals(pool)) {
+                // The queue has been moved meanwhile, and nobody has asked the owner of the pool that it left.
+                submit(open, request, spec, caller, endMillis);
+            } else {
+                open.then(askOwner(spec.queue(), request, endMillis), open::complete);
+            }
+        });
+    }
+
     /**
      * Returns the reply to a submission that was not passed on because a former owner knows the job or may know it.
      */
@@ -279,24 +286,30 @@
             String kind, String queue, JobRequest.AboutJob request, long deadlineMillis) {
         long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
         CallerRequest open = new CallerRequest(context, kind, request.job(), replyLimitMillis(deadlineMillis));
-        open.begin(() -> open.then(askOwner(queue, request, endMillis), answer -> {
-            if (answer.status() != JobReplyStatus.NO_JOB) {
-                open.complete(answer);
-            } else {
-                open.then(askFormerOwners(queue, request, endMillis), other -> open.complete(other.orElse(answer)));
-            }
-        }));
+        open.begin(() -> {
+            Optional<String> asked = poolOf(queue);
+            open.then(askOwner(queue, request, endMillis), answer -> {
+                if (answer.status() != JobReplyStatus.NO_JOB) {
+                    open.complete(answer);
+                } else {
+                    open.then(
+                            askFormerOwners(queue, asked, request, endMillis),
+                            other -> open.complete(other.orElse(answer)));
+                }
+            });
+        });
         return open.reply();
     }
 
     /**
      * Asks the owners of the queue's former pools at the same time.
      *
+     * @param present  the pool whose owner is asked before or after them; the queue may have been moved since
      * @return the reply for the caller, see {@link FormerOwnerReplies}
      */
     private CompletableFuture<Optional<JobReply>> askFormerOwners(
-            String queue, JobRequest.AboutJob request, long endMillis) {
-        List<String> pools = formerPoolsInService(queue, context.now());
+            String queue, Optional<String> present, JobRequest.AboutJob request, long endMillis) {
+        List<String> pools = formerPoolsInService(queue, present, context.now());
         FormerOwnerReplies replies = new FormerOwnerReplies(pools.size());
         for (String pool : pools) {
             CompletableFuture<JobReply> reply = new CompletableFuture<>();
@@ -318,19 +331,19 @@
     }
 
     /**
-     * Returns the former pools of a queue that have an owner or get one. A pool that was removed from the configuration and
-     * for which no jobs are stored gets none again once it has lost its owner.
+     * Returns the pools in which a queue's jobs may be, other than a present one, that have an owner or get one. A pool that
+     * was removed from the configuration and for which no jobs are stored gets none again once it has lost its owner.
      */
-    private List<String> formerPoolsInService(String queue, Moment now) {
+    private List<String> formerPoolsInService(String queue, Optional<String> present, Moment now) {
         JobConfiguration current = configuration;
         if (current == null) {
             return List.of();
         }
-        QueueConfig config = current.queues().get(queue);
         Set<String> pools = new TreeSet<>(formerPools.getOrDefault(queue, Set.of()));
         pools.addAll(ownerCalls.poolsWithJobsOf(queue));
+        poolOf(queue).ifPresent(pools::add);
+        present.ifPresent(pools::remove);
         return pools.stream()
-                .filter(pool -> config == null || !pool.equals(config.pool()))
                 .filter(pool -> current.pools().contains(pool) || ownerCalls.mayHaveOwner(pool, now))
                 .toList();
     }
@@ -339,17 +352,25 @@
      * Asks the owner of the queue's pool.
      */
     private CompletableFuture<JobReply> askOwner(String queue, JobRequest request, long endMillis) {
-        JobConfiguration current = configuration;
-        QueueConfig config = current == null ? null : current.queues().get(queue);
+        Optional<String> pool = poolOf(queue);
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        if (config == null) {
+        if (pool.isEmpty()) {
             reply.complete(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"));
         } else {
-            ownerCalls.ask(config.pool(), request, endMillis, reply);
+            ownerCalls.ask(pool.get(), request, endMillis, reply);
         }
         return reply;
     }
 
+    /**
+     * Returns the pool to which the configuration in force sends a queue, empty if it has no such queue.
+     */
+    private Optional<String> poolOf(String queue) {
+        return Optional.ofNullable(configuration)
+                .map(current -> current.queues().get(queue))
+                .map(QueueConfig::pool);
+    }
+
     /**
      * Returns until when all owners together may take, on the steady clock in milliseconds, so that the reply reaches the
      * caller in time.
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -40,6 +40,8 @@
     /** What the search for the runner of a pool fails with. */
     private final Map<String, Throwable> failures = new ConcurrentHashMap<>();
 
+    private final Set<String> askedPools = ConcurrentHashMap.newKeySet();
+
     private final ConfigurationStatus status = new ConfigurationStatus(service.context());
     private final JobRequestRouter router = new JobRequestRouter(
             service.context(),
@@ -162,6 +164,35 @@
         assertEquals(JobReply.of(JobReplyStatus.NO_JOB, "unknown-job"), reply.getNow(null));
     }
 
+    /** Guards against NO_JOB for a job in the pool to which the queue was moved back while another owner was asked. */
+    @Test
+    void jobOfAQueueThatIsMovedBackMeanwhileIsNotReportedMissing() {
+        Set<String> pools = Set.of("pool", "former");
+        moveQueue(pools);
+        CompletableFuture<JobReply> phase = router.phase("q", "1", Caller.UNIDENTIFIED, 3_000);
+        CompletableFuture<JobReply> cancel = router.cancel("q", "1", Caller.UNIDENTIFIED, 3_000);
+        advance(100);
+        service.run(() -> router.configure(configuration(3, "former", pools)));
+        openEmptyPool("pool");
+        JobReply refusal = JobReply.refusal(JobReplyStatus.UNAVAILABLE, "no-owner", 1_000);
+        assertEquals(refusal, await(phase));
+        assertEquals(refusal, await(cancel));
+    }
+
+    /** Guards against a job that is stored twice, as its queue is moved while the owners of former pools are asked. */
+    @Test
+    void ownerOfThePoolThatAQueueLeavesMeanwhileIsAskedBeforeASubmission() {
+        Set<String> pools = Set.of("pool", "former", "next");
+        moveQueue(pools);
+        CompletableFuture<JobReply> reply = router.submit(job(), Caller.UNIDENTIFIED, 3_000);
+        advance(100);
+        service.run(() -> router.configure(configuration(3, "next", pools)));
+        openEmptyPool("former");
+        await(reply);
+        assertTrue(askedPools.contains("pool"), "asked " + askedPools);
+        assertFalse(askedPools.contains("next"), "asked " + askedPools);
+    }
+
     /** Guards against requests that nobody answers after a step for them has failed. */
     @Test
     void requestIsUncertainIfAStepForItFails() {
@@ -223,6 +254,7 @@
     }
 
     private Optional<PoolRunner> localRunner(String pool) {
+        askedPools.add(pool);
         Throwable failure = failures.get(pool);
         if (failure instanceof Error error) {
             throw error;
