Look for input again before a close if the thread was behind

What callers saw: connections that a stopping entry ended without an answer to a request that had been sent 284 to 565 ms before.

Cause: the close of the listener begins 1 ms after the thread has begun to look for input, on the thread itself, but the thread handles all that it has found before. While it does, requests arrive on idle connections, and new connections with a request each. The close discards and resets these. Also, the 50 ms for first requests may pass while the thread accepts connections, and those were then closed although nothing had been read from them yet.

Evidence: entry-9 logs listener-closing at 03:05:43.257 and reads and refuses requests until 44.389; eight connections accepted at about 44.48, sent at 44.13 to 44.40, end at 44.66 with the whole request read (bytesRead 148 to 420), 0 to 34 ms after the read for seven of them, without a line for the request, and "stopped" counts no open request: the close read and discarded them. In entry-1 a connection with two answered requests ends at 50.939, 518 ms after its last read; a third request was sent on it at 50.662.

Ruled out: a request that was handled and left (openRequests 0 at the end); a request that crosses the close of an idle connection on its way (277 to 565 ms on one machine); the kill after the grace time (1.1 to 1.5 s had passed).

Change: the close begins only after a look for input that took under 10 ms and has read from every connection accepted before; else the thread looks again, for 500 ms longer than for first requests at most.

Result: ServerConnectionsTest, the new test failed before ("the connection ended"), passes since; FrontServerCloseTest passes, 5 tests. What remains: a request that arrives within the look of under 10 ms before the close, and a thread that is behind for over 500 ms.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/ServerConnections.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/http/ServerConnections.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.trefoilpost.entry.runtime.MillisClock;
 
 /**
@@ -20,6 +22,12 @@
     /** Long enough for the thread to look for what has arrived. */
     private static final long READ_PASS_MILLIS = 1;
 
+    /** A thread that needs longer was busy meanwhile, and has not seen what arrived since. */
+    private static final long LONG_READ_PASS_MILLIS = 10;
+
+    /** How long the close waits for a thread that is behind, after the time for first requests. */
+    private static final long MAX_BEHIND_MILLIS = 500;
+
     private final IoExecutor thread;
     private final Set<CompletableFuture<Void>> unused = ConcurrentHashMap.newKeySet();
     private final MillisClock clock;
@@ -101,7 +109,10 @@
     public CompletableFuture<Void> closeGracefully(HttpServerContext server, long firstRequestMillis) {
         CompletableFuture<Void> closed = new CompletableFuture<>();
         // The time for first requests starts once the thread has accepted what was waiting; it may have been behind.
-        afterReadPass(closed, () -> closeOnceUsed(server, clock.nowMillis() + firstRequestMillis, closed));
+        afterReadPass(closed, upToDate -> {
+            long untilMillis = clock.nowMillis() + firstRequestMillis;
+            closeOnceUsed(server, untilMillis, upToDate, closed);
+        });
         return closed;
     }
 
@@ -116,29 +127,44 @@
 
     /**
      * Closes the listener if it has no new connection, else waits for their first requests until the given time at most.
+     * Waits longer for a thread that is behind, so that the requests which have arrived are read before the close.
      */
-    private void closeOnceUsed(HttpServerContext server, long untilMillis, CompletableFuture<Void> closed) {
+    private void closeOnceUsed(
+            HttpServerContext server, long untilMillis, boolean upToDate, CompletableFuture<Void> closed) {
         long remainingMillis = untilMillis - clock.nowMillis();
-        if (unused.isEmpty() || remainingMillis <= 0) {
+        boolean mayClose = unused.isEmpty() || remainingMillis <= 0;
+        if (mayClose && (upToDate || remainingMillis <= -MAX_BEHIND_MILLIS)) {
             closing = true;
             server.closeAsyncGracefully()
                     .afterOnError(closed::completeExceptionally)
                     .subscribe(() -> closed.complete(null));
-            return;
+        } else if (mayClose) {
+            afterReadPass(closed, nowUpToDate -> closeOnceUsed(server, untilMillis, nowUpToDate, closed));
+        } else {
+            CompletableFuture.allOf(unused.toArray(CompletableFuture[]::new))
+                    .completeOnTimeout(null, remainingMillis, TimeUnit.MILLISECONDS)
+                    .thenRunAsync(() -> afterReadPass(
+                            closed, nowUpToDate -> closeOnceUsed(server, untilMillis, nowUpToDate, closed)));
         }
-        CompletableFuture.allOf(unused.toArray(CompletableFuture[]::new))
-                .completeOnTimeout(null, remainingMillis, TimeUnit.MILLISECONDS)
-                .thenRunAsync(() -> afterReadPass(closed, () -> closeOnceUsed(server, untilMillis, closed)));
     }
 
     /**
      * Runs a step on the thread after it has looked for connections and input that were there before this call.
+     *
+     * @param step  receives whether the thread has also looked for most of what has arrived since: it was not busy for long,
+     *     and has read from each connection that is open
      */
-    private void afterReadPass(CompletableFuture<Void> closed, Runnable step) {
+    private void afterReadPass(CompletableFuture<Void> closed, Consumer<Boolean> step) {
+        AtomicLong beginMillis = new AtomicLong();
+        Set<CompletableFuture<Void>> accepted = ConcurrentHashMap.newKeySet();
         // The timer must start on the thread itself: one that ends while the thread is busy fires before the next read.
-        thread.submit(() -> {})
+        thread.submit(() -> {
+                    beginMillis.set(clock.nowMillis());
+                    accepted.addAll(unused);
+                })
                 .concat(thread.timer(READ_PASS_MILLIS, TimeUnit.MILLISECONDS))
                 .afterOnError(closed::completeExceptionally)
-                .subscribe(step);
+                .subscribe(() -> step.accept(
+                        clock.nowMillis() - beginMillis.get() < LONG_READ_PASS_MILLIS && accepted.containsAll(unused)));
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/http/ServerConnectionsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/http/ServerConnectionsTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,11 +21,18 @@
 
 class ServerConnectionsTest {
     private static final byte[] GET_REQUEST = "GET / HTTP/1.1\r\nHost: any\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] HOLD_REQUEST =
+            "GET /hold HTTP/1.1\r\nHost: any\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final long BUSY_MILLIS = 200;
     private static final String END_OF_HEADERS = "\r\n\r\n";
     private static final int REQUESTS = 3;
     private static final long FIRST_REQUEST_MILLIS = 20;
 
     private final ServerConnections connections = ServerConnections.of("test", MillisClock.steady());
+    /** The requests that keep the thread busy, and the permits to answer them. */
+    private final Semaphore held = new Semaphore(0);
+
+    private final Semaphore release = new Semaphore(0);
     private HttpServerContext server;
 
     @BeforeEach
@@ -33,8 +41,13 @@
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .ioExecutor(connections.thread())
                 .transportObserver(connections.observer())
-                .listenAndAwait((context, request, factory) ->
-                        Single.succeeded(factory.ok().setHeader("content-length", "0")));
+                .listenAndAwait((context, request, factory) -> {
+                    if (request.path().equals("/hold")) {
+                        held.release();
+                        release.acquireUninterruptibly();
+                    }
+                    return Single.succeeded(factory.ok().setHeader("content-length", "0"));
+                });
     }
 
     @AfterEach
@@ -76,15 +89,51 @@
         }
     }
 
+    /** Guards against discarding what arrives while the thread is busy between its last look for input and the close. */
+    @Test
+    @Timeout(20)
+    void requestsThatArriveWhileTheThreadIsBehindAreAnsweredBeforeTheClose() throws Exception {
+        try (Socket first = connect();
+                Socket second = connect();
+                Socket idle = connect()) {
+            for (Socket connection : List.of(first, second, idle)) {
+                request(connection);
+            }
+            first.getOutputStream().write(HOLD_REQUEST);
+            held.acquire();
+            connections.closeGracefully(server, FIRST_REQUEST_MILLIS);
+            second.getOutputStream().write(HOLD_REQUEST);
+            release.release();
+            // The thread has begun to look for input once more, and has found this request.
+            held.acquire();
+            try (Socket late = connect()) {
+                idle.getOutputStream().write(GET_REQUEST);
+                late.getOutputStream().write(GET_REQUEST);
+                Thread.sleep(BUSY_MILLIS);
+                release.release();
+                readResponse(idle);
+                readResponse(late);
+            }
+        } finally {
+            release.release(REQUESTS);
+        }
+    }
+
     private Socket connect() throws Exception {
         return new Socket("127.0.0.1", ((InetSocketAddress) server.listenAddress()).getPort());
     }
 
     private static void request(Socket caller) throws Exception {
         caller.getOutputStream().write(GET_REQUEST);
+        readResponse(caller);
+    }
+
+    private static void readResponse(Socket caller) throws Exception {
         StringBuilder response = new StringBuilder();
         while (!response.toString().endsWith(END_OF_HEADERS)) {
-            response.append((char) caller.getInputStream().read());
+            int next = caller.getInputStream().read();
+            assertTrue(next >= 0, () -> "the connection ended after: " + response);
+            response.append((char) next);
         }
         assertTrue(response.toString().startsWith("HTTP/1.1 200 "), response::toString);
     }
