Move the answers to other entries out of the job service

The answers to other entries' calls are a class of their own now, and the stop of stalled runs is with the other changes to runs.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -25,7 +25,6 @@
             SubmitResult.refused(JobSubmissions.UNAVAILABLE_RETRY_AFTER_MILLIS, "store-unavailable");
 
     private final PoolState state;
-    private final OrderSender orderSender;
     private final JobEnds jobEnds;
     private final RunTracker runTracker;
     private final Placer placer;
@@ -36,7 +35,6 @@
     private final WorkerRestarts restarts;
     private final WorkerEvacuator evacuator;
     private final BestEffortThrottle throttle;
-    private final RunStatistics runStatistics;
     private final PoolTakeover takeover;
     private final JobSubmissions submissions;
     private final PoolDemandCalculator demandCalculator;
@@ -50,8 +48,8 @@
      */
     public PoolScheduler(String pool, PoolTimeouts timeouts, PoolActions actions) {
         this.state = new PoolState(pool, timeouts, actions);
-        this.runStatistics = new RunStatistics(state);
-        this.orderSender = new OrderSender(state);
+        RunStatistics runStatistics = new RunStatistics(state);
+        OrderSender orderSender = new OrderSender(state);
         this.jobEnds = new JobEnds(state, orderSender);
         WorkerLosses workerLosses = new WorkerLosses(state, jobEnds);
         this.runTracker = new RunTracker(state, orderSender, runStatistics, workerLosses, jobEnds);
@@ -372,7 +370,7 @@
         takeover.activateIfDue(now);
         if (permission.allowsOrders()) {
             holdScheduler.tick(now);
-            stopStalled(now);
+            runTracker.stopStalled(now);
             if (state.active && permission.allowsStarts()) {
                 evacuator.tick(now);
                 state.teamGate.observe(now);
@@ -383,15 +381,6 @@
         }
     }
 
-    private void stopStalled(Moment now) {
-        for (PoolWorker worker : state.workers.values()) {
-            for (Run run : runStatistics.stalledRuns(worker, now.steadyMillis())) {
-                orderSender.stop(run, "no-progress", now);
-                runStatistics.blameStall(worker, now.steadyMillis());
-            }
-        }
-    }
-
     /**
      * Returns the number of machines that the pool needs, and the usage of its workers.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -320,6 +320,18 @@
         }
     }
 
+    /**
+     * Stops the runs that make no progress.
+     */
+    void stopStalled(Moment now) {
+        for (PoolWorker worker : state.workers.values()) {
+            for (Run run : runStatistics.stalledRuns(worker, now.steadyMillis())) {
+                orderSender.stop(run, "no-progress", now);
+                runStatistics.blameStall(worker, now.steadyMillis());
+            }
+        }
+    }
+
     private static boolean isStoppedBeforeStart(Run run, PoolWorker worker) {
         return run.stopAnswered && run.stopAnsweredMillis <= worker.holdSentMillis;
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -13,11 +13,7 @@
 import org.trefoilpost.decision.job.StoreConfirmation;
 import org.trefoilpost.decision.job.WatchTimes;
 import org.trefoilpost.entry.metrics.EntryMetrics;
-import org.trefoilpost.entry.peer.PeerMessage;
 import org.trefoilpost.entry.peer.PeerNetwork;
-import org.trefoilpost.entry.peer.PeerReply;
-import org.trefoilpost.entry.peer.PoolAnswer;
-import org.trefoilpost.entry.peer.PoolCall;
 import org.trefoilpost.entry.relay.RelayedStore;
 import org.trefoilpost.entry.runtime.MillisClock;
 import org.trefoilpost.entry.runtime.ServiceThread;
@@ -52,6 +48,7 @@
     private OwnerConnections connections;
     private ConfigurationPeers configurationPeers;
     private EndedOwners endedOwners;
+    private PeerRequests peerRequests;
     private JobConfiguration configuration;
     private Moment lastMoment;
     private boolean leaving;
@@ -75,13 +72,14 @@
                 EntryId.of(settings.name()),
                 Endpoint.parse(settings.peerAddress()),
                 "",
-                this::messageReceived,
+                (from, message, reply) -> context.execute(() -> peerRequests.received(message, reply)),
                 peerMetrics);
         this.connections = new OwnerConnections(context, network);
         store.attach(new PeerStoreRelay(context, liveEntries, connections), context::logDecision);
         this.configurationPeers = new ConfigurationPeers(context, operatorEntries, connections);
         this.endedOwners = new EndedOwners(context, peer -> network.isRefused(EntryId.of(peer.name())));
         OwnerCalls ownerCalls = new OwnerCalls(context, liveEntries, connections, this::openRunner, store::isServed);
+        this.peerRequests = new PeerRequests(configurationPeers, store, ownerCalls);
         this.router = new JobRequestRouter(context, ownerCalls, operatorEntries.status());
         this.fleetRunner = new FleetRunner(
                 context, ownerCalls, token -> lostTokens.merge(FleetRunner.MACHINES_CLAIM, token, Math::max));
@@ -294,27 +292,6 @@
         }
     }
 
-    private void messageReceived(EntryId from, PeerMessage message, Consumer<PeerReply> reply) {
-        if (message instanceof PoolCall call) {
-            context.execute(() -> answerPoolCall(call, reply));
-        }
-    }
-
-    private void answerPoolCall(PoolCall call, Consumer<PeerReply> reply) {
-        // A call without a pool asks for the configuration, or only tests the connection.
-        if (call.pool().isEmpty()) {
-            reply.accept(configurationPeers.answer(call.callId(), call.request()));
-        } else if (call.pool().equals(PeerStoreRelay.POOL)) {
-            PeerStoreRelay.answer(store, call, reply);
-        } else {
-            router.ownerCalls()
-                    .answerPeerCall(
-                            call.pool(),
-                            call.request(),
-                            (owner, bytes) -> reply.accept(PoolAnswer.of(call.callId(), owner, bytes)));
-        }
-    }
-
     /**
      * Applies the configurations and waves that operators write.
      */
