Confirm a job through its queue's former owner only once it is stored

Symptom: a caller is told 200 for a job that never runs and is unknown (410) afterwards; another one is shown the state of a job that does not exist a moment later.

Cause: before a job is submitted, the owners of the pools that its queue has left are asked for its phase, and an owner that has accepted the job but not stored it answers that it knows it. This was taken for an acceptance. The owner may withdraw the job, when the store does not answer, or be replaced before its commit.

Ruled out: submissions to the present owner, which wait for the commit also if the job is known (JobSubmissions).

Change: the phase of a job that waits for its first commit is answered when the commit is stored, as unknown if the job is withdrawn, and as that of a changed owner if the pool is given up, so that the next owner is asked.

Evidence: SubmissionTest.submissionIsNotConfirmedByAFormerOwnerThatHasNotStoredTheJob failed before ("answered with JobReply[status=DONE, reason=known, ...]"), as did .phaseOfAJobIsReportedWhenItIsStored; both pass, with OwnerCallsTest, JobRequestRouterTest and PoolRunnerTest.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -245,7 +245,7 @@
         } else if (request instanceof JobRequest.Cancel cancel) {
             return runner.cancel(cancel.job());
         } else if (request instanceof JobRequest.Phase phase) {
-            return CompletableFuture.completedFuture(runner.phase(phase.job()));
+            return runner.phase(phase.job());
         } else if (request instanceof JobRequest.QueuedJobs queuedJobs) {
             return CompletableFuture.completedFuture(runner.queuedJobs(queuedJobs.queue()));
         }
