Refuse a job whose identifier cannot be part of a key or a task's name

Symptom: one submission stops a pool: no job is accepted any more, no end of a run is stored, and each next owner is stopped by the next attempt of the caller.

Cause: any text of up to 64 characters without a slash was taken for an identifier. In UTF-8 that may have 192 bytes, so the document's key has more than the 200 bytes that the store takes. The store refuses the whole commit, which the pool repeats until another entry claims it. An identifier with a dot is stored, but its tasks' names are not recognised after a take-over.

Ruled out: the identifiers of the sheets, 16 hexadecimal digits, whose keys are far shorter.

Change: an identifier has 1 to 64 letters, digits, hyphens and underscores; another one is refused with 400, at once.

Evidence: SubmissionTest.jobWithANameThatIsNoKeyDoesNotKeepOthersFromBeingStored failed before (the other job had no answer in 5 s), with a store that refuses such keys; JobSpecTest.identifierThatIsNoPartOfAKeyOrATaskNameIsAFault failed before. Not run against the platform's own store.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobSpec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * A job as specified by the caller.
@@ -32,6 +33,9 @@
     /** The latest time at which an occurrence may be due in milliseconds since 1970, the end of the year 9999. */
     public static final long MAX_DUE_MILLIS = 253_402_300_799_999L;
 
+    /** What can be part of a key of the store and of the name of a task. */
+    private static final Pattern ID = Pattern.compile("[A-Za-z0-9_-]{1,64}");
+
     /**
      * Constructs a specification without validating it; see {@link #fault()}.
      */
@@ -73,6 +77,9 @@
      * @return a description of the first fault, empty if there is none, not null
      */
     public Optional<String> fault() {
+        if (!ID.matcher(id).matches()) {
+            return Optional.of("the job's identifier must have 1 to 64 letters, digits, hyphens and underscores");
+        }
         if (steps.isEmpty()) {
             return Optional.of("the job has no steps");
         }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobSpecTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobSpecTest.java
@@ -54,6 +54,22 @@
         assertTrue(scheduled(0, 1_000_000_000, Integer.MAX_VALUE).fault().isPresent());
     }
 
+    /** Guards against identifiers with which a job's key is refused by the store, or its tasks' names are not understood. */
+    @Test
+    void identifierThatIsNoPartOfAKeyOrATaskNameIsAFault() {
+        StepSpec step = step(1).build();
+        for (String id : List.of("0123456789abcdef", "A-b_9", "x".repeat(64))) {
+            assertEquals(Optional.empty(), named(id, step).fault(), id);
+        }
+        for (String id : List.of("", "a.b", "a b", "a\n", "\u4e00", "x".repeat(65))) {
+            assertTrue(named(id, step).fault().isPresent(), id);
+        }
+    }
+
+    private static JobSpec named(String id, StepSpec step) {
+        return new JobSpec(id, "q", "", List.of(step), JobSpec.Schedule.ONCE);
+    }
+
     private static JobSpec scheduled(long firstMillis, long intervalMillis, int occurrences) {
         return new JobSpec(
                 "0123456789abcdef",
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +36,7 @@
     private static final long DEADLINE_MILLIS = 9_000;
     private static final long WAIT_MILLIS = 5_000;
 
-    private final MemoryStore store = new MemoryStore();
+    private final PlatformLikeStore store = new PlatformLikeStore();
     private final TestService service = new TestService(store, new IdleWorker(), null, new OneWorkerFormats());
     private final Map<String, PoolRunner> runners = new HashMap<>();
     private final ConfigurationStatus status = new ConfigurationStatus(service.context());
@@ -100,6 +101,15 @@
         assertEquals("known", storedPhase.join().reason());
     }
 
+    /** Guards against a job whose key the store does not take, so that its pool stores nothing any more. */
+    @Test
+    void jobWithANameThatIsNoKeyDoesNotKeepOthersFromBeingStored() {
+        submit("\u4e00".repeat(64));
+        CompletableFuture<JobReply> other = submit("0000000000000001");
+        tickUntil(other::isDone);
+        assertEquals(JobReply.of(JobReplyStatus.DONE, "stored"), other.join());
+    }
+
     private void openPool(String pool, WorkerRegistry registry) {
         StorePort.Put owner = new StorePort.Put(LiveEntries.ownerKey(pool), new byte[0], 0);
         StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(pool), new byte[0], 0);
@@ -147,6 +157,19 @@
                 version, Map.of("q", queue), Set.of(FORMER_POOL, POOL), Set.of(), 1_000, Teams.NONE);
     }
 
+    /** A store that refuses keys of more than 200 bytes. */
+    private static final class PlatformLikeStore extends MemoryStore {
+        @Override
+        public CompletableFuture<Long> commit(Change change) {
+            boolean refused =
+                    change.puts().stream().anyMatch(put -> put.key().getBytes(StandardCharsets.UTF_8).length > 200);
+            return refused
+                    ? CompletableFuture.failedFuture(
+                            new StoreFailure(StoreFailure.Kind.REFUSED, "store answered with status 400", List.of()))
+                    : super.commit(change);
+        }
+    }
+
     /** A worker that has no runs and carries out nothing. */
     private static final class IdleWorker implements WorkerPort {
         @Override
