--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
@@ -26,6 +26,9 @@
         ResourceAmount capacity,
         boolean draining,
         long born) {
+    /** The maximum of each resource of a worker, so that sums over the workers of a pool do not overflow. */
+    public static final long MAX_RESOURCE = 1_000_000_000;
+
     /**
      * Constructs a worker with a copy of the labels.
      */
