Load the progress of the other waves if that of one cannot be read

Symptom: an entry that claims the machines carries out no wave and moves no machine for as long as it owns them, as do the next ones.

Cause: the numbers in the keys and values of the stored progress are parsed while it is loaded; one that is none fails the handler, which is not repeated, so the plan never counts as loaded and each tick skips it.

Change: progress that cannot be read is logged as wave-state-unreadable and passed over.

Evidence: FleetRunnerTest.waveIsCarriedOutBesideProgressThatCannotBeRead failed before (expected: <[m1, m2]> but was: <[]> after 10 s) and passes.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -194,18 +194,27 @@
                 context.schedule(RETRY_DELAY_MILLIS, this::loadState);
                 return;
             }
-            for (StorePort.Item item : page.items()) {
-                plan.load(
-                        Long.parseLong(item.key().substring(WAVE_KEY_PREFIX.length())),
-                        new String(item.value(), StandardCharsets.UTF_8),
-                        item.revision());
-            }
+            page.items().forEach(this::loadWave);
             stateLoaded = true;
             plan.configure(configuration.pools(), configuration.sparePools());
             passWavesToPlan();
         });
     }
 
+    private void loadWave(StorePort.Item item) {
+        try {
+            plan.load(
+                    Long.parseLong(item.key().substring(WAVE_KEY_PREFIX.length())),
+                    new String(item.value(), StandardCharsets.UTF_8),
+                    item.revision());
+        } catch (NumberFormatException e) {
+            context.logDecision(Decision.failure("wave-state-unreadable")
+                    .with("key", item.key())
+                    .with("bytes", item.value().length)
+                    .with("failure", String.valueOf(e.getMessage())));
+        }
+    }
+
     void tick(Moment now) {
         if (plan != null && stateLoaded) {
             plan.tick(!lapsed && orderWindow.includes(now), now);
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -98,6 +98,21 @@
         assertEquals(List.of("m1"), machines.maintained);
     }
 
+    /** Guards against an owner that gives no orders as long as it owns the machines, since one stored wave is unreadable. */
+    @Test
+    void waveIsCarriedOutBesideProgressThatCannotBeRead() throws InterruptedException {
+        runner.close();
+        store.put("trefoilpost/wave/first", "m1\nm2\nfalse");
+        store.put("trefoilpost/wave/99999999999999999999", "");
+        store.put("trefoilpost/wave/2", "m1\nm2\nsoon\nfalse");
+        store.put("trefoilpost/wave/3", "");
+        JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1, Teams.NONE);
+        service.run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
+        request(1, "m1", "m2");
+        tickUntil(() -> store.text(WAVE_KEY).endsWith("true"));
+        assertEquals(List.of("m1", "m2"), machines.maintained);
+    }
+
     private void request(int atOnce, String... names) {
         service.run(() -> runner.addWave(new UpkeepWave(1, List.of(names), WITHIN_MILLIS, atOnce)));
     }
