Give up a pool whose jobs cannot be loaded

Symptom: an entry claims a pool and never opens it. It renews its lease, so nobody else claims the pool; requests get no owner, and no job of the pool runs, for as long as the entry lives.

Cause: an exception in the handling of a loaded page, or in PoolScheduler.open, ends the chain of the load on the service's thread. It is logged as duty-handler-failed, the runner stays neither open nor closed, and the claim stays.

Ruled out: a store that fails or refuses, which is asked again; a lease that ends meanwhile, with which the pool is given up already.

Change: PoolStore.load reports the failure, and the runner gives the pool up. JobService then releases the claim, and entries claim the pool by rank and load it anew, 0.15 s later at the earliest.

Evidence: PoolRunnerTest.poolWhoseLoadFailsIsGivenUp failed before (expected: <1> but was: <0>) and passes, with PoolStoreTest, ClaimRenewalTest and JobServiceTest. No load that failed so was seen on a deployment.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -141,18 +141,16 @@
     }
 
     private void load() {
-        store.load(
-                documents -> {
-                    if (!closed) {
-                        Moment now = context.now();
-                        long registryCompleteMillis = registry.reconnectedMillis() + REGISTRY_SETTLE_MILLIS;
-                        scheduler.open(documents, registry.workersOfPool(pool), registryCompleteMillis, now);
-                        scheduler.instruct(instructions);
-                        open = true;
-                        tick();
-                    }
-                },
-                () -> closed);
+        store.load(this::open, failure -> loseOwnership("load-failed: " + failure), () -> closed);
+    }
+
+    private void open(Map<String, byte[]> documents) {
+        Moment now = context.now();
+        long registryCompleteMillis = registry.reconnectedMillis() + REGISTRY_SETTLE_MILLIS;
+        scheduler.open(documents, registry.workersOfPool(pool), registryCompleteMillis, now);
+        scheduler.instruct(instructions);
+        open = true;
+        tick();
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -110,41 +110,46 @@
     }
 
     /**
-     * Reads the pool's jobs, and retries until that succeeds or is cancelled.
+     * Reads the pool's jobs, and retries until the store answers or the load is cancelled.
      *
      * @param loaded  receives the documents by job identifier
+     * @param unusable  receives the failure if the answer cannot be used, or {@code loaded} has failed
      */
-    void load(Consumer<Map<String, byte[]>> loaded, BooleanSupplier cancelled) {
-        readPage("", new LinkedHashMap<>(), loaded, cancelled);
+    void load(Consumer<Map<String, byte[]>> loaded, Consumer<RuntimeException> unusable, BooleanSupplier cancelled) {
+        readPage(new Load(loaded, unusable, cancelled), "");
     }
 
-    private void readPage(
-            String after,
-            Map<String, byte[]> documents,
-            Consumer<Map<String, byte[]>> loaded,
-            BooleanSupplier cancelled) {
+    private void readPage(Load load, String after) {
         String prefix = JOB_KEY_PREFIX + pool + '/';
         context.onServiceThread(context.store().range(prefix, after), (page, failure) -> {
-            if (cancelled.getAsBoolean()) {
+            if (load.cancelled.getAsBoolean()) {
                 return;
             }
             if (failure != null) {
-                context.schedule(RETRY_DELAY_MILLIS, () -> readPage(after, documents, loaded, cancelled));
+                context.schedule(RETRY_DELAY_MILLIS, () -> readPage(load, after));
                 return;
             }
-            String last = after;
-            for (StorePort.Item item : page.items()) {
-                documents.put(item.key().substring(prefix.length()), item.value());
-                last = item.key();
-            }
-            if (page.hasMore() && !last.equals(after)) {
-                readPage(last, documents, loaded, cancelled);
-            } else {
-                loaded.accept(documents);
+            try {
+                pageRead(load, after, prefix, page);
+            } catch (RuntimeException e) {
+                load.unusable.accept(e);
             }
         });
     }
 
+    private void pageRead(Load load, String after, String prefix, StorePort.Page page) {
+        String last = after;
+        for (StorePort.Item item : page.items()) {
+            load.documents.put(item.key().substring(prefix.length()), item.value());
+            last = item.key();
+        }
+        if (page.hasMore() && !last.equals(after)) {
+            readPage(load, last);
+        } else {
+            load.loaded.accept(load.documents);
+        }
+    }
+
     /**
      * Stores a commit, and retries until its outcome is known or it is cancelled. There is at most one commit at a time.
      *
@@ -260,6 +265,19 @@
         return new StorePort.Change(expected, puts, removedKeys);
     }
 
+    /**
+     * A load of the pool's jobs, with the documents read so far.
+     */
+    private record Load(
+            Map<String, byte[]> documents,
+            Consumer<Map<String, byte[]>> loaded,
+            Consumer<RuntimeException> unusable,
+            BooleanSupplier cancelled) {
+        Load(Consumer<Map<String, byte[]>> loaded, Consumer<RuntimeException> unusable, BooleanSupplier cancelled) {
+            this(new LinkedHashMap<>(), loaded, unusable, cancelled);
+        }
+    }
+
     /**
      * A commit whose outcome is not known yet.
      */
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -35,6 +35,7 @@
     private final LateStore store = new LateStore();
     private final Worker worker = new Worker();
     private final TestService service = new TestService(store, worker, null, new OneWorkerFormats());
+    private int ownershipsLost;
     private PoolRunner runner;
 
     @BeforeEach
@@ -43,12 +44,24 @@
         store.put("servers/w", "registered");
         QueueConfig queue = new QueueConfig("q", "host", "/q/", POOL, 0, 3, 1, 1_000, Optional.empty(), false);
         WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
-        runner = new PoolRunner(POOL, token, service.context(), registry, () -> {});
+        runner = new PoolRunner(POOL, token, service.context(), registry, () -> ownershipsLost++);
         service.run(registry::start);
         service.run(() -> runner.start(Map.of("q", queue), Teams.NONE));
         tickUntil(() -> runner.isOpen());
     }
 
+    /** Guards against a pool that an entry owns and never opens, because its load has failed unexpectedly. */
+    @Test
+    void poolWhoseLoadFailsIsGivenUp() {
+        WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
+        service.run(registry::start);
+        PoolRunner next = new PoolRunner(POOL, 2, service.context(), registry, () -> ownershipsLost++);
+        store.addUnreadableItem(PoolStore.jobKey(POOL, JOB));
+        service.run(() -> next.start(Map.of(), Teams.NONE));
+        assertFalse(next.isOpen());
+        assertEquals(1, ownershipsLost);
+    }
+
     private static StorePort.Change claim() {
         StorePort.Put owner = new StorePort.Put(LiveEntries.ownerKey(POOL), new byte[0], 0);
         StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(POOL), new byte[0], 0);
@@ -122,6 +135,20 @@
     private static final class LateStore extends MemoryStore {
         private final List<Runnable> heldAnswers = new ArrayList<>();
         private boolean holding;
+        private Optional<String> unreadableKey = Optional.empty();
+
+        /** Adds an item that no reader expects, as it has no value at all. */
+        void addUnreadableItem(String key) {
+            unreadableKey = Optional.of(key);
+        }
+
+        @Override
+        public CompletableFuture<Page> range(String prefix, String after) {
+            return unreadableKey.filter(key -> key.startsWith(prefix)).isPresent()
+                    ? CompletableFuture.completedFuture(
+                            new Page(List.of(new Item(unreadableKey.get(), null, 1, 0)), false, revision()))
+                    : super.range(prefix, after);
+        }
 
         void holdAnswers(boolean hold) {
             holding = hold;
