Measure the retention of an ended job on the steady clock, from when its end was stored

Symptom: GET of a job that ended less than status_s ago is answered 410.

Cause: an ended job is removed once the wall clock of its owner is past the decided end by the retention. If that clock steps forward, all ended jobs of the pool are removed at once; if the store takes long to store an end, which callers see only then, the time is missing.

Ruled out: the 15 s that the retention adds to status_s cover an outage of the store, not a step of the clock; the end's time in the document, which only the next owner needs.

Change: an owner counts from the stored end on its steady clock. Only for ends that it has loaded it relies on its wall clock, once, at the load; wall clocks of entries that differ by more than those 15 s still shorten or lengthen the retention there.

Evidence: in JobWriterTest, wallClockThatStepsDoesNotShortenTheRetention and retentionBeginsWhenTheEndIsStored failed before (expected: <[]> but was: <[]>, the removed job) and pass, with JobDocumentCodecTest.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
@@ -75,6 +75,7 @@
         job.submittedWallMillis = submittedWallMillis;
         job.submittedMillis = now.steadyMillis() - Math.max(0, now.wallMillis() - submittedWallMillis);
         job.endedWallMillis = endedWallMillis;
+        job.endStoredMillis = now.steadyMillis() - Math.max(0, now.wallMillis() - endedWallMillis);
         job.nextOccurrence = nextOccurrence;
         job.endedOccurrences = endedOccurrences;
         job.stored = true;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -19,6 +19,8 @@
     long submittedMillis;
     long submittedWallMillis;
     long endedWallMillis;
+    /** When the end of the job was stored, or as long ago as the store says; only for a job whose end is stored. */
+    long endStoredMillis;
     /** The time after its submission within which this owner expected to complete the job when it accepted it. */
     OptionalLong objectiveMillis = OptionalLong.empty();
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
@@ -67,6 +67,7 @@
         removedJobs.forEach(state.jobs::remove);
         writtenJobs.forEach((job, written) -> {
             boolean phaseChanged = !job.stored || job.storedPhase != written.phase;
+            job.endStoredMillis = phaseChanged ? now.steadyMillis() : job.endStoredMillis;
             job.stored = true;
             job.storedPhase = written.phase;
             job.storedCrashChanges = written.crashChanges;
@@ -107,7 +108,7 @@
     }
 
     private boolean isExpired(JobState job, Moment now) {
-        boolean retentionOver = now.wallMillis() - job.endedWallMillis > state.timeouts.endedJobRetentionMillis();
+        boolean retentionOver = now.steadyMillis() - job.endStoredMillis > state.timeouts.endedJobRetentionMillis();
         return retentionOver && job.phase.ended() && job.stored && !job.dirty && !hasRuns(job);
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
@@ -66,6 +66,39 @@
         assertEquals(Set.of(), removal.queues());
     }
 
+    /** Guards against jobs that callers are told do not exist, because the clock of their owner was set. */
+    @Test
+    void wallClockThatStepsDoesNotShortenTheRetention() {
+        open();
+        submit("a", JOB_A);
+        commit();
+        scheduler.cancel(JOB_A, now);
+        commit();
+        now = new Moment(now.steadyMillis(), now.wallMillis() + 10 * RETENTION_MILLIS);
+        advance(CHECK_MILLIS);
+        scheduler.tick(OrderPermission.of(false, false), now);
+        assertEquals(Optional.of(JobPhase.CANCELLED), scheduler.phase(JOB_A));
+        assertEquals(List.of(), actions.lastCommit().removed());
+    }
+
+    /** Guards against an end that is shown for less than the retention, as the store took long to store it. */
+    @Test
+    void retentionBeginsWhenTheEndIsStored() {
+        open();
+        submit("a", JOB_A);
+        commit();
+        scheduler.cancel(JOB_A, now);
+        advance(1_000);
+        scheduler.tick(OrderPermission.of(false, false), now);
+        Commit end = actions.lastCommit();
+        advance(RETENTION_MILLIS);
+        scheduler.commitStored(end.number(), now);
+        advance(CHECK_MILLIS);
+        scheduler.tick(OrderPermission.of(false, false), now);
+        assertEquals(Optional.of(JobPhase.CANCELLED), scheduler.phase(JOB_A));
+        assertEquals(List.of(), actions.lastCommit().removed());
+    }
+
     /** Guards against ended jobs that are removed more slowly than others end, and so take ever more memory. */
     @Test
     void successiveCommitsRemoveAllJobsWhoseRetentionIsOver() {
