Keep the wait for the first commit of a job with the replies that await it

Change: AwaitedReplies knows which submissions wait for the store, so it also holds back the other replies about such a job, and PoolScheduler needs no method for it. The choice of the owner in JobRequestRouter is shorter.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -194,17 +194,6 @@
         return job != null && job.stored && job.storedPhase == job.phase;
     }
 
-    /**
-     * Returns whether a job was accepted but is not stored in any phase yet.
-     *
-     * @param id  the job's identifier, not null
-     * @return false if the job is stored or not known
-     */
-    public boolean awaitsFirstCommit(String id) {
-        JobState job = state.jobs.get(id);
-        return job != null && !job.stored;
-    }
-
     /**
      * Returns the phase of a job to report to callers: an end is reported only once it is stored.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AwaitedReplies.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AwaitedReplies.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.trefoilpost.decision.job.JobPhase;
 
 /**
@@ -23,6 +24,19 @@
         return add(submissions, job);
     }
 
+    /**
+     * Returns a reply about a job. While the job is not stored it may be withdrawn, or lost with the ownership, so the reply
+     * then waits until that is known.
+     *
+     * @param current  supplies the reply about the job as it is now
+     */
+    CompletableFuture<JobReply> afterSubmission(String job, Supplier<JobReply> current) {
+        return submissions.containsKey(job)
+                ? addSubmission(job)
+                        .thenApply(outcome -> outcome.status() == JobReplyStatus.UNCERTAIN ? outcome : current.get())
+                : CompletableFuture.completedFuture(current.get());
+    }
+
     /**
      * Adds a reply to the cancellation of a job.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -352,13 +352,11 @@
      * Asks the owner of the queue's pool.
      */
     private CompletableFuture<JobReply> askOwner(String queue, JobRequest request, long endMillis) {
-        Optional<String> pool = poolOf(queue);
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
-        if (pool.isEmpty()) {
-            reply.complete(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"));
-        } else {
-            ownerCalls.ask(pool.get(), request, endMillis, reply);
-        }
+        poolOf(queue)
+                .ifPresentOrElse(
+                        pool -> ownerCalls.ask(pool, request, endMillis, reply),
+                        () -> reply.complete(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue")));
         return reply;
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -299,21 +299,13 @@
                 : whenStored(awaitedReplies.addCancellation(job));
     }
 
-    /**
-     * Returns the phase of a job, once the job is stored: until then it may be withdrawn, as if it had never been submitted.
-     */
     CompletableFuture<JobReply> phase(String job) {
-        return scheduler.awaitsFirstCommit(job)
-                ? whenStored(awaitedReplies.addSubmission(job))
-                        .thenApply(reply -> reply.status() == JobReplyStatus.UNCERTAIN ? reply : phaseNow(job))
-                : CompletableFuture.completedFuture(phaseNow(job));
-    }
-
-    private JobReply phaseNow(String job) {
-        return scheduler
-                .phase(job)
-                .map(JobReply::ofPhase)
-                .orElseGet(() -> JobReply.of(JobReplyStatus.NO_JOB, "unknown-job"));
+        return awaitedReplies.afterSubmission(
+                job,
+                () -> scheduler
+                        .phase(job)
+                        .map(JobReply::ofPhase)
+                        .orElseGet(() -> JobReply.of(JobReplyStatus.NO_JOB, "unknown-job")));
     }
 
     JobReply queuedJobs(String queue) {
