Do not refuse a submission as never carried out while a former owner may store the job

Symptom: a repeated submission is answered 503, which says that the job was not accepted and never runs; the job is stored and run.

Cause: a submission is not passed on if a former owner of its queue may know the job. The reply was "unavailable" also where that owner's reply was uncertain: it has accepted the job in an earlier attempt and waits for the store, or its reply was lost.

Ruled out: a former pool without an owner, for which the reply stays 503: nothing was asked, as for a pool of its own without one.

Change: the uncertain reply is passed on as 504, after which the caller sends the job again.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -168,7 +168,7 @@
     private static JobReply unsubmitted(JobReply former) {
         return switch (former.status()) {
             case DONE -> JobReply.of(JobReplyStatus.DONE, "known");
-            case FORBIDDEN -> former;
+            case FORBIDDEN, UNCERTAIN -> former;
             default ->
                 JobReply.refusal(
                         JobReplyStatus.UNAVAILABLE,
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
@@ -79,6 +79,21 @@
         assertTrue(store.revisionOf(PoolStore.jobKey(POOL, "0000000000000002")) > 0);
     }
 
+    /** Guards against a refusal of a job that a former owner has accepted in an earlier attempt, and stores later. */
+    @Test
+    void submissionIsUncertainIfAFormerOwnerMayYetStoreTheJob() {
+        store.silent(true);
+        submit("0000000000000001");
+        tick();
+        service.run(() -> router.configure(configuration(2, POOL)));
+        CompletableFuture<JobReply> again = router.submit(spec("0000000000000001"), Caller.UNIDENTIFIED, 600);
+        tickUntil(again::isDone);
+        assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"), again.join());
+        store.silent(false);
+        service.run(() -> runners.get(FORMER_POOL).sendCommitAgain());
+        tickUntil(() -> store.revisionOf(PoolStore.jobKey(FORMER_POOL, "0000000000000001")) > 0);
+    }
+
     /** Guards against a job that is shown although it is not stored, and may be withdrawn. */
     @Test
     void phaseOfAJobIsReportedWhenItIsStored() {
@@ -140,7 +155,7 @@
 
     private void tick() {
         status.confirmed(service.context().now());
-        service.run(() -> runners.values().forEach(PoolRunner::tick));
+        service.runWithTimers(() -> runners.values().forEach(PoolRunner::tick));
     }
 
     private void tickUntil(BooleanSupplier condition) {
