Tell callers on open connections before an entry that is not in the rotation closes them

Cause: an entry that is stopped before a readiness probe succeeded closes its listener at once. Its callers' connections, which the platform opens also to entries that are not ready while too few others are, were closed within 10 ms of the SIGTERM, before any answer could ask for it, so requests that followed one another crossed the close.

Change: a stop waits until the connections that have been used have ended, at most until 1 s after the SIGTERM. In the rotation, where it takes 2.2 s anyway, nothing changes; without callers neither.

A request that crosses the close of a connection that is idle for all of the stop is still cut; HTTP/1.1 has no means against it.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/stop/StopSchedule.java
@@ -11,6 +11,9 @@
     /** Two probes a second apart without success end the rotation, and the second one needs some time to be answered. */
     private static final long ROTATION_EXIT_MILLIS = 2_200;
 
+    /** Callers that use their connections all the time send a request, and get its answer, within this time. */
+    private static final long ANNOUNCEMENT_MILLIS = 1_000;
+
     /** The time before the kill that is kept for the answers to the requests that are given up. */
     private static final long LAST_ANSWERS_MILLIS = 1_000;
 
@@ -59,6 +62,16 @@
         return inRotation ? Math.min(ROTATION_EXIT_MILLIS, graceMillis / MAX_ROTATION_EXIT_DIVISOR) : 0;
     }
 
+    /**
+     * Returns until when callers on open connections may be told, by the answers to their next requests, that their
+     * connections close. Not only callers that the balancer sends have connections.
+     *
+     * @return the time since the stop began, in milliseconds, not negative
+     */
+    public long announcementMillis() {
+        return Math.min(ANNOUNCEMENT_MILLIS, graceMillis / MAX_ROTATION_EXIT_DIVISOR);
+    }
+
     /**
      * Returns when the requests that are still without an answer get one.
      *
