End a job that the store cannot hold instead of blocking its pool

Cause: a document of more than the 1,048,576 bytes that the store accepts as a value was sent with the commit and refused with 413; the commit was repeated for ever, and no job of the pool was stored any more. A job of 10,000 tasks reaches this size with the checkpoints and locations of its runs. An exception while one job was encoded came after others had been marked as written, so that these were neither stored nor ever written again.

Change: all documents of a commit are encoded before any job is marked. A job whose document is too large or cannot be encoded is ended as failed, with the reason in the log, and its short document is stored with the others.

Failed before (without the check of the size): JobWriterTest.jobThatIsTooLargeForTheStoreFailsAndOthersAreStored, a document over the limit in the commit; after it JobWriterTest and JobDocumentCodecTest pass (RAN 14, failed 0). The block itself was not played with processes; the same retries are those of the refused key.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Commit.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Commit.java
@@ -16,4 +16,7 @@
 public record Commit(long number, Map<String, byte[]> puts, List<String> removed, Set<String> queues) {
     /** The maximum number of documents written and removed by one change. */
     public static final int MAX_DOCUMENTS = 28;
+
+    /** The maximum size of a document. */
+    public static final int MAX_DOCUMENT_BYTES = 1_048_576;
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobEnds.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobEnds.java
@@ -40,6 +40,20 @@
         stopAll(job, "job-failed", now);
     }
 
+    /**
+     * Ends a job as failed because it can no longer be stored as it is, and stops its runs.
+     *
+     * @param cause  why it cannot be stored, for the log
+     */
+    void failUnstorable(JobState job, String cause, Moment now) {
+        state.end(job, JobPhase.FAILED, now);
+        state.actions.logDecision(Decision.failure("job-failed")
+                .with("job", job.spec.id())
+                .with("reason", "not-storable")
+                .with("cause", cause));
+        stopAll(job, "job-failed", now);
+    }
+
     private void stopAll(JobState job, String reason, Moment now) {
         for (OccurrenceState occurrence : job.openOccurrences()) {
             for (JobStepState step : occurrence.steps) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
@@ -20,6 +20,7 @@
     private static final int MAX_REMOVALS_PER_COMMIT = 10;
 
     private final PoolState state;
+    private final JobEnds jobEnds;
     private final Map<PoolWorker, Long> coveredEnds = new HashMap<>();
     private final Map<JobState, WrittenJob> writtenJobs = new LinkedHashMap<>();
     private List<String> removedJobs = List.of();
@@ -31,8 +32,9 @@
     private long lastExpiryCheckMillis;
     private boolean inFlight;
 
-    JobWriter(PoolState state) {
+    JobWriter(PoolState state, JobEnds jobEnds) {
         this.state = state;
+        this.jobEnds = jobEnds;
     }
 
     /**
@@ -51,7 +53,7 @@
         boolean due = dirtyJobs.stream()
                 .anyMatch(job -> job.urgent || nowMillis - job.dirtySinceMillis >= MAX_COMMIT_DELAY_MILLIS);
         if (due || !expired.isEmpty()) {
-            send(dirtyJobs, expired, nowMillis);
+            send(dirtyJobs, expired, now);
         }
     }
 
@@ -118,14 +120,14 @@
                 .anyMatch(task -> !task.runs.isEmpty());
     }
 
-    private void send(List<JobState> dirtyJobs, List<String> expired, long nowMillis) {
+    private void send(List<JobState> dirtyJobs, List<String> expired, Moment now) {
         dirtyJobs.sort(
                 Comparator.comparing((JobState job) -> !job.urgent).thenComparingLong(job -> job.dirtySinceMillis));
         List<JobState> batch = dirtyJobs.subList(0, Math.min(dirtyJobs.size(), Commit.MAX_DOCUMENTS - expired.size()));
         Map<String, byte[]> puts = new LinkedHashMap<>();
+        batch.forEach(job -> puts.put(job.spec.id(), encode(job, now)));
         writtenJobs.clear();
         for (JobState job : batch) {
-            puts.put(job.spec.id(), JobDocumentCodec.encode(job));
             writtenJobs.put(job, new WrittenJob(job.phase, job.crashChanges));
             job.dirty = false;
             state.dirtyJobs.remove(job);
@@ -137,12 +139,31 @@
         }
         removedJobs = expired;
         inFlight = true;
-        lastSentMillis = nowMillis;
+        lastSentMillis = now.steadyMillis();
         storedQueues = queuesAfter(batch, expired);
         lastNumber++;
         state.actions.commit(new Commit(lastNumber, puts, expired, Set.copyOf(storedQueues)));
     }
 
+    /**
+     * Encodes a job. One whose document the store would refuse is ended as failed, as it would keep all others from being
+     * stored; the document of an ended job is short.
+     */
+    private byte[] encode(JobState job, Moment now) {
+        String cause;
+        try {
+            byte[] document = JobDocumentCodec.encode(job);
+            if (job.phase.ended() || document.length <= Commit.MAX_DOCUMENT_BYTES) {
+                return document;
+            }
+            cause = document.length + " bytes, at most " + Commit.MAX_DOCUMENT_BYTES + " are stored";
+        } catch (RuntimeException e) {
+            cause = e.toString();
+        }
+        jobEnds.failUnstorable(job, cause, now);
+        return JobDocumentCodec.encode(job);
+    }
+
     /**
      * Returns the queues that have stored jobs once a commit is stored. Only the first commit and those that remove jobs
      * require a look at all jobs.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -57,7 +57,7 @@
         this.advice = new PlacementAdvice(state);
         this.placer = new Placer(state, orderSender, startDeadlines, advice);
         this.admission = new Admission(state, runStatistics, startDeadlines);
-        this.jobWriter = new JobWriter(state);
+        this.jobWriter = new JobWriter(state, jobEnds);
         this.holdScheduler = new HoldScheduler(state, orderSender, workerLosses);
         this.restarts = new WorkerRestarts(state, workerLosses);
         this.evacuator = new WorkerEvacuator(state, orderSender);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.decision.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -85,6 +86,44 @@
         assertEquals(Set.of(), stored.keySet());
     }
 
+    /** Guards against a job too large for the store, whose refusal keeps all jobs of the pool from being stored. */
+    @Test
+    void jobThatIsTooLargeForTheStoreFailsAndOthersAreStored() {
+        open();
+        submit("a", JOB_A);
+        JobSpec large = new JobSpec(
+                JOB_B,
+                "b",
+                "",
+                List.of(StepSpec.builder()
+                        .tasks(JobSpec.MAX_TASKS, new ResourceAmount(1, 0, 0))
+                        .estimateMillis(1_000)
+                        .build()),
+                JobSpec.Schedule.ONCE);
+        commit();
+        stored.put(JOB_B, document(large, "c".repeat(Commit.MAX_DOCUMENT_BYTES / JobSpec.MAX_TASKS)));
+        open();
+        scheduler.statusReceived(
+                "w",
+                new WorkerRunStatus(
+                        1, List.of(new WorkerRunStatus.Running(JOB_B + ".0.0.0", 1, "saved", 50, 0)), List.of()),
+                now);
+        scheduler.cancel(JOB_A, now);
+        Commit commit = commit();
+        assertEquals(Set.of(JOB_A, JOB_B), commit.puts().keySet());
+        commit.puts().forEach((job, bytes) -> assertTrue(bytes.length <= Commit.MAX_DOCUMENT_BYTES, job));
+        assertEquals(Optional.of(JobPhase.FAILED), scheduler.phase(JOB_B));
+    }
+
+    private byte[] document(JobSpec spec, String checkpoint) {
+        JobState job = new JobState(spec, queue(spec.queue()), now);
+        job.openDueOccurrences(now);
+        for (JobTaskState task : job.occurrences.get(0).steps[0].tasks) {
+            task.checkpoint = checkpoint;
+        }
+        return JobDocumentCodec.encode(job);
+    }
+
     private void open() {
         actions = new RecordedActions(new ArrayList<>());
         scheduler = new PoolScheduler("pool", new PoolTimeouts(5_000, RETENTION_MILLIS, 2_000), actions);
