Check the identifier of a job in one place

Cause: two branches refused identifiers that make no key, one in the router and one in JobSpec.fault, which the router calls. Change: the router's check goes; that of JobSpec.fault is as strict (letters, digits, hyphens and underscores, 1 to 64 of them).

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -7,7 +7,6 @@
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.regex.Pattern;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.Moment;
@@ -36,8 +35,6 @@
     private static final long REPLY_MARGIN_DIVISOR = 5;
 
     private static final long MAX_JOB_NAME_LENGTH = 64;
-    /** What keys of the store and the names of tasks can contain, a job identifier as part of them. */
-    private static final Pattern JOB_NAME = Pattern.compile("[0-9A-Za-z_-]+");
 
     private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 1_000;
     /** Proposed to a caller whose job was not submitted because a former owner was not heard. */
@@ -139,8 +136,7 @@
     @Override
     public CompletableFuture<JobReply> submit(JobSpec untagged, Caller caller, long deadlineMillis) {
         JobSpec spec = untagged.withTeam(caller.team());
-        Optional<String> fault =
-                JOB_NAME.matcher(spec.id()).matches() ? spec.fault() : Optional.of("malformed-job-name");
+        Optional<String> fault = spec.fault();
         if (fault.isPresent()) {
             recordRefusal("malformed-job", spec.id() + ": " + fault.get());
             return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.MALFORMED, fault.get()));
