--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/stop/StopScheduleTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/stop/StopScheduleTest.java
@@ -21,6 +21,8 @@
         for (long graceMillis = 0; graceMillis <= 20_000; graceMillis += 50) {
             StopSchedule schedule = StopSchedule.of(graceMillis);
             assertTrue(schedule.rotationExitMillis() >= 0, schedule.toString());
+            assertTrue(schedule.announcementMillis() >= 0, schedule.toString());
+            assertTrue(schedule.announcementMillis() <= schedule.lastAnswersMillis(), schedule.toString());
             assertTrue(schedule.rotationExitMillis() <= schedule.lastAnswersMillis(), schedule.toString());
             assertTrue(schedule.lastAnswersMillis() <= schedule.exitMillis(), schedule.toString());
             assertTrue(schedule.exitMillis() <= graceMillis, schedule.toString());
@@ -31,6 +33,7 @@
     void entryOutsideTheRotationDoesNotWaitToLeaveIt() {
         StopSchedule schedule = StopSchedule.of(6_000).withoutRotation();
         assertEquals(0, schedule.rotationExitMillis());
+        assertEquals(1_000, schedule.announcementMillis());
         assertEquals(StopSchedule.of(6_000).lastAnswersMillis(), schedule.lastAnswersMillis());
         assertEquals(StopSchedule.of(6_000).exitMillis(), schedule.exitMillis());
     }
