Share the idle workers and the settings of the job service's tests

Cause: five test classes of the job service wrote the same settings, the same format with one worker and the same idle worker again. Change: IdleWorkers, OneWorkerFormats and TestService.settings; no check is changed. LimitedKeyStore is the name of the store that refuses long keys.

--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobServiceTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobServiceTest.java
@@ -13,9 +13,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
-import org.trefoilpost.decision.job.CapacityBound;
-import org.trefoilpost.decision.job.ConfigurationBound;
-import org.trefoilpost.decision.job.PoolTimeouts;
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.WatchTimes;
 import org.trefoilpost.decision.job.team.TeamPolicy;
@@ -31,7 +28,8 @@
         LateStore store = new LateStore();
         JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
         JobPorts ports = new JobPorts(store, null, null, null, new OneQueueFormats());
-        try (JobService service = JobService.start(settings(), ports, metrics, EntryMetrics.create())) {
+        try (JobService service = JobService.start(
+                TestService.settings("127.0.0.1:0", TeamPolicy.NONE), ports, metrics, EntryMetrics.create())) {
             assertTrue(store.configurationRead.await(WAIT_MILLIS, TimeUnit.MILLISECONDS));
             assertFalse(isConfigured(service));
             store.liveEntries.complete(new StorePort.Page(List.of(), false, store.revision()));
@@ -47,19 +45,6 @@
         return service.ingress().route("host", "/q/1").configured();
     }
 
-    private static JobServiceSettings settings() {
-        return new JobServiceSettings(
-                "entry-1",
-                "127.0.0.1:0",
-                new PoolTimeouts(5_000, 120_000, 2_000),
-                64,
-                true,
-                1_000,
-                new ConfigurationBound(2_000),
-                new CapacityBound(3_000, 1_500),
-                TeamPolicy.NONE);
-    }
-
     /** A store that has a configuration, answers reads of the live entries late and those of the workers never. */
     private static final class LateStore extends MemoryStore {
         private final CompletableFuture<Page> liveEntries = new CompletableFuture<>();
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolIsolationTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolIsolationTest.java
@@ -18,11 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.trefoilpost.decision.job.CapacityBound;
-import org.trefoilpost.decision.job.ConfigurationBound;
 import org.trefoilpost.decision.job.JobSpec;
-import org.trefoilpost.decision.job.OrderResult;
-import org.trefoilpost.decision.job.PoolTimeouts;
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.ResourceAmount;
@@ -30,7 +26,6 @@
 import org.trefoilpost.decision.job.WatchTimes;
 import org.trefoilpost.decision.job.WorkerAddress;
 import org.trefoilpost.decision.job.WorkerOrder;
-import org.trefoilpost.decision.job.WorkerRunStatus;
 import org.trefoilpost.decision.job.team.Caller;
 import org.trefoilpost.decision.job.team.TeamPolicy;
 import org.trefoilpost.decision.job.team.Teams;
@@ -61,7 +56,8 @@
         store.put("servers/" + SOUND_POOL, "registered");
         JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
         JobPorts ports = new JobPorts(store, workers, machines, null, new TwoPoolFormats());
-        service = JobService.start(settings(), ports, metrics, EntryMetrics.create());
+        service = JobService.start(
+                TestService.settings("127.0.0.1:0", TeamPolicy.NONE), ports, metrics, EntryMetrics.create());
     }
 
     @AfterEach
@@ -103,19 +99,6 @@
                 .get(DEADLINE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private static JobServiceSettings settings() {
-        return new JobServiceSettings(
-                "entry-1",
-                "127.0.0.1:0",
-                new PoolTimeouts(5_000, 120_000, 2_000),
-                64,
-                true,
-                1_000,
-                new ConfigurationBound(2_000),
-                new CapacityBound(3_000, 1_500),
-                TeamPolicy.NONE);
-    }
-
     /** A store whose watches bring all items written since. */
     private static final class WatchedStore extends MemoryStore {
         private static final long EMPTY_ANSWER_MILLIS = 20;
@@ -136,7 +119,7 @@
     }
 
     /** Answers the orders to the sound pool's worker, and returns no future for the others. */
-    private static final class BreakingPort implements WorkerPort {
+    private static final class BreakingPort extends IdleWorkers {
         private final AtomicInteger broken = new AtomicInteger();
 
         @Override
@@ -145,15 +128,7 @@
                 broken.incrementAndGet();
                 return null;
             }
-            Optional<WorkerRunStatus> status = order instanceof WorkerOrder.Hold
-                    ? Optional.of(new WorkerRunStatus(System.nanoTime() / 1_000_000, List.of(), List.of()))
-                    : Optional.empty();
-            return CompletableFuture.completedFuture(new Answer(OrderResult.OK, status));
-        }
-
-        @Override
-        public void closeConnections(WorkerAddress address) {
-            // No connections are kept.
+            return super.send(order, fencingToken);
         }
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -17,7 +17,6 @@
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.OrderResult;
 import org.trefoilpost.decision.job.QueueConfig;
-import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.ResourceAmount;
 import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.WorkerAddress;
@@ -35,7 +34,7 @@
 
     private final LateStore store = new LateStore();
     private final Worker worker = new Worker();
-    private final TestService service = new TestService(store, worker, null, new OneWorkerFormats());
+    private final TestService service = new TestService(store, worker, null, new OneWorkerFormats(POOL));
     private int ownershipsLost;
     private PoolRunner runner;
 
@@ -246,13 +245,4 @@
             // No connections are kept.
         }
     }
-
-    private static final class OneWorkerFormats extends UnusedFormats {
-        @Override
-        public Optional<RegisteredWorker> worker(StorePort.Item item) {
-            ResourceAmount capacity = new ResourceAmount(16_000, 16_000, 0);
-            return Optional.of(new RegisteredWorker(
-                    "w", "m", POOL, WorkerAddress.of("127.0.0.1", 1), "hall", List.of(), capacity, false));
-        }
-    }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
@@ -16,14 +16,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.JobSpec;
-import org.trefoilpost.decision.job.OrderResult;
 import org.trefoilpost.decision.job.QueueConfig;
-import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.ResourceAmount;
 import org.trefoilpost.decision.job.StepSpec;
-import org.trefoilpost.decision.job.WorkerAddress;
-import org.trefoilpost.decision.job.WorkerOrder;
-import org.trefoilpost.decision.job.WorkerRunStatus;
 import org.trefoilpost.decision.job.team.Caller;
 import org.trefoilpost.decision.job.team.Teams;
 
@@ -36,8 +31,9 @@
     private static final long DEADLINE_MILLIS = 9_000;
     private static final long WAIT_MILLIS = 5_000;
 
-    private final PlatformLikeStore store = new PlatformLikeStore();
-    private final TestService service = new TestService(store, new IdleWorker(), null, new OneWorkerFormats());
+    private final LimitedKeyStore store = new LimitedKeyStore();
+    private final TestService service =
+            new TestService(store, new IdleWorkers(), null, new OneWorkerFormats(FORMER_POOL));
     private final Map<String, PoolRunner> runners = new HashMap<>();
     private final ConfigurationStatus status = new ConfigurationStatus(service.context());
     private final OwnerCalls ownerCalls = new OwnerCalls(
@@ -173,7 +169,7 @@
     }
 
     /** A store that refuses keys of more than 200 bytes. */
-    private static final class PlatformLikeStore extends MemoryStore {
+    private static final class LimitedKeyStore extends MemoryStore {
         @Override
         public CompletableFuture<Long> commit(Change change) {
             boolean refused =
@@ -184,29 +180,4 @@
                     : super.commit(change);
         }
     }
-
-    /** A worker that has no runs and carries out nothing. */
-    private static final class IdleWorker implements WorkerPort {
-        @Override
-        public CompletableFuture<Answer> send(WorkerOrder order, long fencingToken) {
-            Optional<WorkerRunStatus> status = order instanceof WorkerOrder.Hold
-                    ? Optional.of(new WorkerRunStatus(System.nanoTime() / 1_000_000, List.of(), List.of()))
-                    : Optional.empty();
-            return CompletableFuture.completedFuture(new Answer(OrderResult.OK, status));
-        }
-
-        @Override
-        public void closeConnections(WorkerAddress address) {
-            // No connections are kept.
-        }
-    }
-
-    private static final class OneWorkerFormats extends UnusedFormats {
-        @Override
-        public Optional<RegisteredWorker> worker(StorePort.Item item) {
-            ResourceAmount capacity = new ResourceAmount(16_000, 16_000, 0);
-            return Optional.of(new RegisteredWorker(
-                    "w", "m", FORMER_POOL, WorkerAddress.of("127.0.0.1", 1), "hall", List.of(), capacity, false));
-        }
-    }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamStoreTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamStoreTest.java
@@ -14,7 +14,6 @@
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.OrderResult;
 import org.trefoilpost.decision.job.QueueConfig;
-import org.trefoilpost.decision.job.RegisteredWorker;
 import org.trefoilpost.decision.job.ResourceAmount;
 import org.trefoilpost.decision.job.StepSpec;
 import org.trefoilpost.decision.job.WatchTimes;
@@ -54,7 +53,7 @@
     }
 
     private void open(TeamPolicy policy, Teams teams) {
-        service = new TestService(store, worker, new OneWorkerFormats(), policy);
+        service = new TestService(store, worker, new OneWorkerFormats(POOL), policy);
         StorePort.Put owner = new StorePort.Put(LiveEntries.ownerKey(POOL), new byte[0], 0);
         StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(POOL), new byte[0], 0);
         token = store.commit(new StorePort.Change(Map.of(), List.of(owner, counter), List.of()))
@@ -278,13 +277,4 @@
             // No connections are kept.
         }
     }
-
-    private static final class OneWorkerFormats extends UnusedFormats {
-        @Override
-        public Optional<RegisteredWorker> worker(StorePort.Item item) {
-            ResourceAmount capacity = new ResourceAmount(16_000, 16_000, 0);
-            return Optional.of(new RegisteredWorker(
-                    "w", "m", POOL, WorkerAddress.of("127.0.0.1", 1), "hall", List.of(), capacity, false));
-        }
-    }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -49,14 +49,20 @@
     private TestService(JobPorts ports, MillisClock clock, MillisClock wallClock, TeamPolicy policy) {
         this.thread = ServiceThread.of("jobs-test", 256, clock);
         JobMetrics metrics = new JobMetrics(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
-        this.context = new JobContext(settings(policy), ports, thread, clock, wallClock, log, metrics);
+        this.context = new JobContext(settings("127.0.0.1:1", policy), ports, thread, clock, wallClock, log, metrics);
         thread.start((event, nowMillis) -> event.run());
     }
 
-    private static JobServiceSettings settings(TeamPolicy policy) {
+    /**
+     * Returns the settings of an entry.
+     *
+     * @param peerAddress  the address for other entries, not null
+     * @param policy  the policy for teams, not null
+     */
+    static JobServiceSettings settings(String peerAddress, TeamPolicy policy) {
         return new JobServiceSettings(
                 "entry-1",
-                "127.0.0.1:1",
+                peerAddress,
                 new PoolTimeouts(5_000, 120_000, 2_000),
                 64,
                 true,
