Let the store's return send all commits again in SubmissionTest

The log: the present owner gets the job 3 ms after the refusal, in the round in which the wait for that refusal ends, and sends its commit while the store is still silent; that commit is never answered, and nothing sends it again, as the job service does when the store returns. Ruled out: the change under test; the answer awaited is that of the owner that has the job. Change: the test's store returns as in the job service, with the commits of all pools sent again. No check is changed.

--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
@@ -69,7 +69,7 @@
         assertFalse(again.isDone(), () -> "answered with " + again.join());
         tickUntil(first::isDone);
         assertEquals("store-unavailable", first.join().reason());
-        store.silent(false);
+        storeReturns();
         tickUntil(again::isDone);
         assertEquals(JobReply.of(JobReplyStatus.DONE, "stored"), again.join());
         assertTrue(store.revisionOf(PoolStore.jobKey(POOL, "0000000000000002")) > 0);
@@ -85,8 +85,7 @@
         CompletableFuture<JobReply> again = router.submit(spec("0000000000000001"), Caller.UNIDENTIFIED, 600);
         tickUntil(again::isDone);
         assertEquals(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-silent"), again.join());
-        store.silent(false);
-        service.run(() -> runners.get(FORMER_POOL).sendCommitAgain());
+        storeReturns();
         tickUntil(() -> store.revisionOf(PoolStore.jobKey(FORMER_POOL, "0000000000000001")) > 0);
     }
 
@@ -102,8 +101,7 @@
         assertFalse(phase.isDone());
         tickUntil(phase::isDone);
         assertEquals(JobReplyStatus.NO_JOB, phase.join().status());
-        store.silent(false);
-        service.run(() -> runners.get(FORMER_POOL).sendCommitAgain());
+        storeReturns();
         tickUntil(() -> store.revisionOf(PoolStore.jobKey(FORMER_POOL, "0000000000000001")) > 0);
         CompletableFuture<JobReply> stored = submit("0000000000000003");
         CompletableFuture<JobReply> storedPhase = phase("0000000000000003");
@@ -149,6 +147,12 @@
         return router.phase("q", job, Caller.UNIDENTIFIED, DEADLINE_MILLIS);
     }
 
+    /** As the job service does, each pool sends the commit again that it may have sent during the silence. */
+    private void storeReturns() {
+        store.silent(false);
+        service.run(() -> runners.values().forEach(PoolRunner::sendCommitAgain));
+    }
+
     private void tick() {
         status.confirmed(service.context().now());
         service.runWithTimers(() -> runners.values().forEach(PoolRunner::tick));
