--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlanner.java
@@ -85,8 +85,8 @@
      * @param now  the current time, not null
      */
     public void machinesListed(List<MachineView> views, long requestedMillis, Moment now) {
-        view.replaceMachines(views, now.steadyMillis());
-        upkeepPlanner.machinesListed(requestedMillis);
+        view.replaceMachines(views, requestedMillis, now.steadyMillis());
+        upkeepPlanner.machinesListed(requestedMillis, now.steadyMillis());
         movePlanner.machinesListed(requestedMillis);
     }
 
@@ -143,7 +143,7 @@
      * @param now  the current time, not null
      */
     public void waveStored(long number, String state, long revision, Moment now) {
-        upkeepPlanner.waveStored(number, state, revision);
+        upkeepPlanner.waveStored(number, state, revision, now.steadyMillis());
         decide(now);
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetView.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetView.java
@@ -27,6 +27,7 @@
     private final Set<String> machinesWithOrderInFlight = new HashSet<>();
     private Set<String> runningPools = Set.of();
     private Set<String> sparePools = Set.of();
+    private long listRequestedMillis = Long.MIN_VALUE / 2;
     private long listedMillis = Long.MIN_VALUE / 2;
 
     void configure(Set<String> running, Set<String> spare) {
@@ -42,12 +43,20 @@
         return sparePools;
     }
 
-    void replaceMachines(List<MachineView> views, long nowMillis) {
+    void replaceMachines(List<MachineView> views, long requestedMillis, long nowMillis) {
         machines.clear();
         views.forEach(view -> machines.put(view.name(), view));
+        listRequestedMillis = requestedMillis;
         listedMillis = nowMillis;
     }
 
+    /**
+     * Returns the time at which the latest list was requested, in milliseconds on the steady clock.
+     */
+    long listRequestedMillis() {
+        return listRequestedMillis;
+    }
+
     long listedMillis() {
         return listedMillis;
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.PoolDemand;
 
@@ -66,19 +67,20 @@
     /**
      * Updates the waves after a new list of machines.
      */
-    void machinesListed(long requestedMillis) {
+    void machinesListed(long requestedMillis, long nowMillis) {
         for (WaveProgress wave : waves.values()) {
             for (String machine : wave.machines) {
-                updateMachine(wave, machine, requestedMillis);
+                updateMachine(wave, machine, requestedMillis, nowMillis);
             }
         }
     }
 
-    private void updateMachine(WaveProgress wave, String machine, long requestedMillis) {
+    private void updateMachine(WaveProgress wave, String machine, long requestedMillis, long nowMillis) {
         MachineView known = view.machine(machine).orElse(null);
         if (known == null && wave.doneMachines.add(machine)) {
             wave.orderedMachines.remove(machine);
             wave.dirty = true;
+            logCountedDone(wave, machine, "absent", nowMillis);
         }
         Long since = downSinceMillis.get(machine);
         boolean back = known == null || known.up() && wave.doneMachines.contains(machine);
@@ -114,6 +116,7 @@
             wave.orderedMachines.remove(machine);
             wave.doneMachines.add(machine);
             wave.dirty = true;
+            logCountedDone(wave, machine, outcome.name(), nowMillis);
             downSinceMillis.put(machine, nowMillis);
             view.machine(machine).ifPresent(known -> view.retire(known, nowMillis));
         } else {
@@ -121,8 +124,28 @@
         }
     }
 
-    void waveStored(long number, String state, long revision) {
-        waves.get(number).stateStored(state, revision);
+    private void logCountedDone(WaveProgress wave, String machine, String reason, long nowMillis) {
+        actions.logDecision(Decision.of("machine-counted-done")
+                .with("wave", wave.number)
+                .with("machine", machine)
+                .with("reason", reason)
+                .with("listed", view.machine(machine).isPresent())
+                .with("machinesListed", view.machines().size())
+                .with("listAgeMillis", nowMillis - view.listRequestedMillis()));
+    }
+
+    void waveStored(long number, String state, long revision, long nowMillis) {
+        WaveProgress wave = waves.get(number);
+        wave.stateStored(state, revision);
+        actions.logDecision(Decision.of("wave-stored")
+                .with("wave", number)
+                .with("completed", wave.completedStored)
+                .with("machines", wave.machines.size())
+                .with("done", wave.doneMachines.size())
+                .with("ordered", wave.orderedMachines.size())
+                .with("machinesListed", view.machines().size())
+                .with("listAgeMillis", nowMillis - view.listRequestedMillis())
+                .with("revision", revision));
     }
 
     void waveRevisionChanged(long number, long revision) {
