Show by tests that waves are completed before their machines are maintained

Change: the emulated fleet hides machines from lists, refuses, loses and delays orders, and checks each wave that is stored as completed.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
@@ -1,9 +1,13 @@
 package org.trefoilpost.decision.job.fleet;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import org.trefoilpost.decision.job.Decision;
@@ -24,7 +28,7 @@
     final Map<String, Double> needs = new HashMap<>();
     final List<String> orders = new ArrayList<>();
     final Map<Long, String> storedWaves = new HashMap<>();
-    final FleetPlanner planner = new FleetPlanner(this, 64);
+    FleetPlanner planner = new FleetPlanner(this, 64);
     OrderOutcome nextOutcome = OrderOutcome.DONE;
     boolean busyWorkers;
     /** The times that the workers of machines with long-running tasks take to be emptied, by machine. */
@@ -33,6 +37,25 @@
     private final Map<String, Long> evacuatingSinceMillis = new HashMap<>();
     boolean storeDown;
     boolean ordersAllowed = true;
+    /** The machines that lists lack though they are there. */
+    final Set<String> unlisted = new HashSet<>();
+    /** The outcomes of the next orders for a machine, which go before {@link #nextOutcome}. */
+    final Map<String, Deque<OrderOutcome>> outcomes = new HashMap<>();
+    /** The time after which an order without an answer is carried out all the same; it is not if empty. */
+    OptionalLong lateOrderMillis = OptionalLong.empty();
+    /** The waves whose progress cannot be stored. */
+    final Set<Long> unstorableWaves = new HashSet<>();
+    /** The upkeeps that have begun, as machine and wave. */
+    final Set<String> begunUpkeeps = new HashSet<>();
+    /** The machines that were missing an upkeep when their wave was stored as completed. */
+    final List<String> completedTooEarly = new ArrayList<>();
+
+    private final Map<Long, List<String>> requests = new HashMap<>();
+    private final Set<Long> unansweredWaves = new HashSet<>();
+    private final Map<Long, Long> revisions = new HashMap<>();
+    private final Map<Long, Integer> limits = new HashMap<>();
+    private final List<LateOrder> lateOrders = new ArrayList<>();
+    private Set<String> runningPools = Set.of();
     int maxDown;
     int moves;
     long firstStoreRevision = -1;
@@ -48,6 +71,8 @@
     }
 
     void addWave(long number, List<String> names, long withinMillis, int atOnce) {
+        requests.put(number, names);
+        limits.put(number, atOnce);
         planner.addWave(number, names, moment().plus(withinMillis), atOnce, moment());
     }
 
@@ -84,16 +109,23 @@
             }
             return back;
         });
+        carryOutLateOrders();
         planner.tick(ordersAllowed, moment());
     }
 
-    private Moment moment() {
+    Moment moment() {
         return new Moment(nowMillis, nowMillis);
     }
 
     @Override
     public void listMachines() {
-        planner.machinesListed(List.copyOf(machines.values()), nowMillis, moment());
+        planner.machinesListed(listedMachines(), nowMillis, moment());
+    }
+
+    List<MachineView> listedMachines() {
+        return machines.values().stream()
+                .filter(machine -> !unlisted.contains(machine.name()))
+                .toList();
     }
 
     @Override
@@ -126,39 +158,113 @@
     @Override
     public void beginUpkeep(String machine, long wave) {
         orders.add("upkeep " + machine);
-        answerOrder(machine, UPKEEP_MILLIS, machines.get(machine).pool(), true);
+        answerOrder(machine, () -> {
+            begunUpkeeps.add(upkeep(machine, wave));
+            takeDown(machine, UPKEEP_MILLIS, machines.get(machine).pool(), true);
+        });
     }
 
     @Override
     public void move(String machine, String pool) {
         orders.add("move " + machine + " " + pool);
         moves++;
-        answerOrder(machine, MOVE_MILLIS, pool, false);
+        answerOrder(machine, () -> takeDown(machine, MOVE_MILLIS, pool, false));
+    }
+
+    private void answerOrder(String machine, Runnable effect) {
+        Deque<OrderOutcome> next = outcomes.getOrDefault(machine, new ArrayDeque<>());
+        OrderOutcome outcome = next.isEmpty() ? nextOutcome : next.poll();
+        if (!machines.containsKey(machine)) {
+            outcome = OrderOutcome.REJECTED;
+        } else if (outcome == OrderOutcome.DONE && !machines.get(machine).up()) {
+            outcome = OrderOutcome.BUSY;
+        }
+        if (outcome == OrderOutcome.DONE) {
+            effect.run();
+        } else if (outcome == OrderOutcome.UNKNOWN && lateOrderMillis.isPresent()) {
+            lateOrders.add(new LateOrder(machine, nowMillis + lateOrderMillis.getAsLong(), effect));
+        }
+        planner.orderAnswered(machine, outcome, moment());
     }
 
-    private void answerOrder(String machine, long millis, String pool, boolean upkeep) {
-        if (nextOutcome == OrderOutcome.DONE) {
-            machines.put(machine, new MachineView(machine, pool, false, upkeep, "", MACHINE_CPU_MILLIS));
-            backAtMillis.put(machine, nowMillis + millis);
-            int down = 0;
-            for (MachineView view : machines.values()) {
-                down += view.inUpkeep() ? 1 : 0;
+    private void carryOutLateOrders() {
+        for (LateOrder order : List.copyOf(lateOrders)) {
+            if (nowMillis >= order.atMillis()) {
+                lateOrders.remove(order);
+                MachineView machine = machines.get(order.machine());
+                if (machine != null && machine.up()) {
+                    order.effect().run();
+                }
             }
-            maxDown = Math.max(maxDown, down);
         }
-        planner.orderAnswered(machine, nextOutcome, moment());
+    }
+
+    /**
+     * Replaces the owner by one that knows only what is stored and what the operators request.
+     */
+    void takeOver(long withinMillis) {
+        planner = new FleetPlanner(this, 64);
+        unansweredWaves.clear();
+        configure(runningPools);
+        storedWaves.forEach((wave, state) -> planner.load(wave, state, revisions.get(wave)));
+        requests.forEach(
+                (wave, names) -> planner.addWave(wave, names, moment().plus(withinMillis), limits.get(wave), moment()));
+    }
+
+    private void takeDown(String machine, long millis, String pool, boolean upkeep) {
+        machines.put(machine, new MachineView(machine, pool, false, upkeep, "", MACHINE_CPU_MILLIS));
+        backAtMillis.put(machine, nowMillis + millis);
+        int down = 0;
+        for (MachineView view : machines.values()) {
+            down += view.inUpkeep() ? 1 : 0;
+        }
+        maxDown = Math.max(maxDown, down);
+    }
+
+    private static String upkeep(String machine, long wave) {
+        return machine + " in wave " + wave;
     }
 
     @Override
     public void storeWave(long wave, String state, long revision, boolean completed) {
-        if (storeDown) {
+        if (storeDown || unstorableWaves.contains(wave)) {
+            unansweredWaves.add(wave);
             return;
         }
         firstStoreRevision = firstStoreRevision < 0 ? revision : firstStoreRevision;
         storedWaves.put(wave, state);
+        if (completed) {
+            checkCompleted(wave);
+        }
+        revisions.put(wave, revision + 1);
         planner.waveStored(wave, state, revision + 1, moment());
     }
 
+    private void checkCompleted(long wave) {
+        for (String machine : requests.get(wave)) {
+            if (machines.containsKey(machine) && !begunUpkeeps.contains(upkeep(machine, wave))) {
+                completedTooEarly.add(upkeep(machine, wave));
+            }
+        }
+    }
+
+    /**
+     * Answers a change of a wave's progress that got no answer, as failed.
+     */
+    void storeAgain(long wave) {
+        if (unansweredWaves.remove(wave)) {
+            planner.waveStoreFailed(wave);
+        }
+    }
+
+    Set<Long> requestedWaves() {
+        return requests.keySet();
+    }
+
+    boolean isCompleted(long wave) {
+        return storedWaves.getOrDefault(wave, "").endsWith("true");
+    }
+
     @Override
     public void ownershipLost(String machine) {
         orders.add("fenced " + machine);
@@ -170,6 +276,9 @@
     }
 
     void configure(Set<String> pools) {
+        runningPools = pools;
         planner.configure(pools, Set.of("spare"));
     }
+
+    private record LateOrder(String machine, long atMillis, Runnable effect) {}
 }
