Attribute the answer to a machine's order to the order that was sent

What operators saw: a wave shown as completed though a machine of it had only been moved. Cause: an answer was looked up by the machine alone. Of two waves with the same machine, the first took the answer of the other. Change: the order under way is remembered for each machine with its wave, and the answer is that order's. A machine whose move may still be carried out, or whose upkeep another wave has ordered, gets no other order. The log line machine-ordered names the wave.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetPlanner.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import org.trefoilpost.decision.job.Decision;
@@ -119,16 +121,17 @@
      * @param now  the current time, not null
      */
     public void orderAnswered(String machine, OrderOutcome outcome, Moment now) {
-        view.machinesWithOrderInFlight().remove(machine);
-        boolean isUpkeep = upkeepPlanner.isUpkeepOrdered(machine);
+        Optional<MachineOrder> order = view.orderAnswered(machine);
+        OptionalLong wave = order.map(MachineOrder::wave).orElse(OptionalLong.empty());
         actions.logDecision(Decision.of("machine-ordered")
                 .with("machine", machine)
-                .with("order", isUpkeep ? "upkeep" : "move")
+                .with("order", wave.isPresent() ? "upkeep" : "move")
+                .withIfPresent("wave", wave.stream().boxed().findFirst())
                 .with("outcome", outcome.name()));
         if (outcome == OrderOutcome.FENCED) {
             actions.ownershipLost(machine);
-        } else if (isUpkeep) {
-            upkeepPlanner.orderAnswered(machine, outcome, now.steadyMillis());
+        } else if (wave.isPresent()) {
+            upkeepPlanner.orderAnswered(machine, wave.getAsLong(), outcome, now.steadyMillis());
         } else {
             movePlanner.orderAnswered(machine, outcome, now.steadyMillis());
         }
@@ -195,8 +198,8 @@
             actions.listMachines();
         }
         if (view.isListed()) {
-            List<MachineView> evacuating =
-                    new ArrayList<>(upkeepPlanner.tick(movePlanner.hadRecentShortage(nowMillis), nowMillis));
+            List<MachineView> evacuating = new ArrayList<>(
+                    upkeepPlanner.tick(movePlanner.hadRecentShortage(nowMillis), movePlanner::isOrdered, nowMillis));
             evacuating.addAll(movePlanner.tick(nowMillis));
             view.replaceEvacuating(evacuating, nowMillis);
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetView.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetView.java
@@ -24,7 +24,9 @@
     private final Map<String, DemandReport> demandReports = new HashMap<>();
     private final Map<String, RetiredWorker> retiredWorkers = new HashMap<>();
     private final Map<String, Set<String>> evacuating = new HashMap<>();
-    private final Set<String> machinesWithOrderInFlight = new HashSet<>();
+    /** At most one order for each machine, so that an answer can only be that of one order. */
+    private final Map<String, MachineOrder> ordersInFlight = new HashMap<>();
+
     private Set<String> runningPools = Set.of();
     private Set<String> sparePools = Set.of();
     private long listRequestedMillis = Long.MIN_VALUE / 2;
@@ -169,8 +171,19 @@
         return evacuating.getOrDefault(pool, Set.of());
     }
 
-    Set<String> machinesWithOrderInFlight() {
-        return machinesWithOrderInFlight;
+    boolean hasOrderInFlight(String machine) {
+        return ordersInFlight.containsKey(machine);
+    }
+
+    void orderSent(String machine, MachineOrder order) {
+        ordersInFlight.put(machine, order);
+    }
+
+    /**
+     * Returns the order of a machine that was answered, empty if none was under way.
+     */
+    Optional<MachineOrder> orderAnswered(String machine) {
+        return Optional.ofNullable(ordersInFlight.remove(machine));
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
@@ -107,6 +107,13 @@
         }
     }
 
+    /**
+     * Returns whether the move of a machine was ordered and may still be carried out.
+     */
+    boolean isOrdered(String machine) {
+        return orderedMoves.containsKey(machine);
+    }
+
     private boolean isUnanswered(String machine, long nowMillis) {
         return nowMillis < unansweredUntilMillis.getOrDefault(machine, Long.MIN_VALUE);
     }
@@ -128,7 +135,7 @@
                 forgetOrder(machine);
             } else if (nowMillis >= retry.getValue() && rateLimiter.tryAcquire(nowMillis)) {
                 retryAtMillis.remove(machine);
-                view.machinesWithOrderInFlight().add(machine);
+                view.orderSent(machine, MachineOrder.move());
                 actions.move(machine, orderedMoves.get(machine));
             }
         }
@@ -176,9 +183,6 @@
      * @return the machines to evacuate
      */
     List<MachineView> tick(long nowMillis) {
-        if (!view.isListed()) {
-            return List.of();
-        }
         updateForecasts(nowMillis);
         Map<String, Double> balance = balance(nowMillis);
         Map<String, Double> peakBalance = peakBalance(balance);
@@ -333,7 +337,7 @@
                 && !decidedMoves.containsKey(machine.name())
                 && !orderedMoves.containsKey(machine.name())
                 && !arrivingSinceMillis.containsKey(machine.name())
-                && !view.machinesWithOrderInFlight().contains(machine.name())
+                && !view.hasOrderInFlight(machine.name())
                 && !view.isRetired(machine.worker())
                 && !upkeepPlanner.isDownOrOrdered(machine)
                 && nowMillis >= blockedUntilMillis.getOrDefault(machine.name(), Long.MIN_VALUE);
@@ -383,11 +387,11 @@
             Optional<MachineView> machine = view.machine(entry.getKey());
             boolean ready = machine.filter(view::isEmpty).isPresent()
                     && !orderedMoves.containsKey(entry.getKey())
-                    && !view.machinesWithOrderInFlight().contains(entry.getKey())
+                    && !view.hasOrderInFlight(entry.getKey())
                     && !upkeepPlanner.isDownOrOrdered(machine.get());
             if (ready && rateLimiter.tryAcquire(nowMillis)) {
                 orderedMoves.put(entry.getKey(), entry.getValue());
-                view.machinesWithOrderInFlight().add(entry.getKey());
+                view.orderSent(entry.getKey(), MachineOrder.move());
                 actions.move(entry.getKey(), entry.getValue());
             }
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.PoolDemand;
@@ -84,10 +85,7 @@
         }
         Long since = downSinceMillis.get(machine);
         boolean back = known == null || known.up() && wave.doneMachines.contains(machine);
-        if (since != null
-                && back
-                && requestedMillis > since
-                && !view.machinesWithOrderInFlight().contains(machine)) {
+        if (since != null && back && requestedMillis > since && !view.hasOrderInFlight(machine)) {
             downSinceMillis.remove(machine);
         }
     }
@@ -101,17 +99,11 @@
 
     /**
      * Handles the outcome of an upkeep order.
+     *
+     * @param number  the number of the wave for which the upkeep was ordered
      */
-    void orderAnswered(String machine, OrderOutcome outcome, long nowMillis) {
-        for (WaveProgress wave : waves.values()) {
-            if (wave.orderedMachines.contains(machine)) {
-                applyOutcome(wave, machine, outcome, nowMillis);
-                return;
-            }
-        }
-    }
-
-    private void applyOutcome(WaveProgress wave, String machine, OrderOutcome outcome, long nowMillis) {
+    void orderAnswered(String machine, long number, OrderOutcome outcome, long nowMillis) {
+        WaveProgress wave = waves.get(number);
         if (outcome == OrderOutcome.DONE || outcome == OrderOutcome.REJECTED) {
             wave.orderedMachines.remove(machine);
             wave.doneMachines.add(machine);
@@ -163,15 +155,16 @@
      * Chooses machines, sends the orders that are stored, and stores the progress that has changed.
      *
      * @param shortage  true if pools wait for machines, so that no more machines than necessary are to be down
+     * @param isMoveOrdered  tells whether the move of a machine may still be carried out, so that it gets no other order
      * @param nowMillis  the current time on the steady clock, in milliseconds
      * @return the machines to evacuate
      */
-    List<MachineView> tick(boolean shortage, long nowMillis) {
+    List<MachineView> tick(boolean shortage, Predicate<String> isMoveOrdered, long nowMillis) {
         List<MachineView> evacuating = new ArrayList<>();
         emptying.clear();
         for (WaveProgress wave : waves.values()) {
             if (wave.isOpen()) {
-                chooseMachines(wave, shortage, evacuating, nowMillis);
+                chooseMachines(wave, shortage, isMoveOrdered, evacuating, nowMillis);
                 sendStoredOrders(wave, nowMillis);
                 storeIfDirty(wave);
             }
@@ -179,9 +172,14 @@
         return evacuating;
     }
 
-    private void chooseMachines(WaveProgress wave, boolean shortage, List<MachineView> evacuating, long nowMillis) {
+    private void chooseMachines(
+            WaveProgress wave,
+            boolean shortage,
+            Predicate<String> isMoveOrdered,
+            List<MachineView> evacuating,
+            long nowMillis) {
         int down = countDown(wave);
-        List<MachineView> candidates = candidates(wave);
+        List<MachineView> candidates = candidates(wave, isMoveOrdered);
         int empty = shortage ? (int) candidates.stream().filter(view::isEmpty).count() : 0;
         int atOnce = wave.requiredAtOnce(empty, nowMillis);
         int emptyingCount = emptyLongRunning(wave, candidates, evacuating, nowMillis);
@@ -189,9 +187,7 @@
             if (emptying.contains(machine.name())) {
                 continue;
             }
-            if (view.isEmpty(machine)
-                    && down < atOnce
-                    && !view.machinesWithOrderInFlight().contains(machine.name())) {
+            if (view.isEmpty(machine) && down < atOnce && !view.hasOrderInFlight(machine.name())) {
                 down++;
                 wave.orderedMachines.add(machine.name());
                 wave.dirty = true;
@@ -242,10 +238,10 @@
     private void sendStoredOrders(WaveProgress wave, long nowMillis) {
         for (String machine : wave.storedOrders) {
             boolean due = wave.orderedMachines.contains(machine)
-                    && !view.machinesWithOrderInFlight().contains(machine)
+                    && !view.hasOrderInFlight(machine)
                     && nowMillis >= retryAtMillis.getOrDefault(machine, Long.MIN_VALUE);
             if (due && rateLimiter.tryAcquire(nowMillis)) {
-                view.machinesWithOrderInFlight().add(machine);
+                view.orderSent(machine, MachineOrder.upkeep(wave.number));
                 actions.beginUpkeep(machine, wave.number);
             }
         }
@@ -263,10 +259,12 @@
      * Returns the machines that can be maintained next: first the empty ones, then those already being evacuated, then
      * the others, each by ascending processor use; a long-running task counts as the whole machine.
      */
-    private List<MachineView> candidates(WaveProgress wave) {
+    private List<MachineView> candidates(WaveProgress wave, Predicate<String> isMoveOrdered) {
         List<MachineView> candidates = new ArrayList<>();
         for (String name : wave.waitingMachines()) {
-            view.machine(name).filter(MachineView::up).ifPresent(candidates::add);
+            if (!isMoveOrdered.test(name) && !isUpkeepOrdered(name)) {
+                view.machine(name).filter(MachineView::up).ifPresent(candidates::add);
+            }
         }
         candidates.sort(Comparator.comparing((MachineView machine) -> !view.isEmpty(machine))
                 .thenComparing(machine -> !view.isEvacuating(machine))
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/UpkeepPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/UpkeepPlannerTest.java
@@ -108,6 +108,7 @@
         fleet.unstorableWaves.clear();
         fleet.storeAgain(WAVE);
         assertCompletedWithin(WITHIN_MILLIS);
+        fleet.runFor(10_000);
         assertTrue(fleet.isCompleted(2));
     }
 
