Fail a list of machines that cannot be read completely

Callers saw: an answer with status 200 without a body or an array of machines was an empty list, an entry without a name was a machine with an empty name, and a next token that is no text ended the list or was followed as text. The machines that such a list lacks count as done in their wave. Cause: the fields were read leniently; what is missing was taken for empty. Ruled out: truncated bodies and bodies that are not JSON; they failed the call already.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/MachinePort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/MachinePort.java
@@ -11,8 +11,8 @@
     /**
      * Lists all machines.
      *
-     * @return the machines, not null; fails with a {@link StoreFailure} if the service refuses the call, or with
-     *     another exception if it does not answer
+     * @return the machines, each once, not null; fails with a {@link StoreFailure} if the service refuses the call, or
+     *     with another exception if it does not answer or its answer cannot be read completely
      */
     CompletableFuture<List<Machine>> list();
 
