Take a conflict without a known reason for a refusal of the order only

Operators could see: a machine whose upkeep was answered with 409 and no reason, or an unknown one, counted as done. Cause: every such answer was decoded as an order that is not valid for the machine. Ruled out: 400 and the reason "wave" say just that, and stay rejected. Change: it is decoded as refused: the order was not carried out, and nothing is known of the machine.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/MachinePort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/MachinePort.java
@@ -80,9 +80,12 @@
         FENCED,
         /** The machine is not up, or is leaving. */
         BUSY,
-        /** The order is not valid for the machine. */
+        /** The order is not valid: there is no such machine, or it does not belong to the wave or cannot join the pool. */
         REJECTED,
-        /** The service refused the call, or the authority was no longer valid; the order was not carried out. */
+        /**
+         * The service refused the call for another or an unknown reason, or the authority was no longer valid; the order
+         * was not carried out, and nothing is known of the machine.
+         */
         REFUSED,
         /** The service did not answer; the order may have been carried out. */
         UNKNOWN
