Pass a wave that operators have changed to the fleet plan

What was seen: a wave whose machines, limit or time were rewritten kept its first content; after it was completed, added machines were never maintained, and its status stayed completed. Cause: FleetRunner.addWave ignored a wave whose number it knew. Ruled out: that the mirror does not pass the change; it calls the listener for each revision of an item. Change: RequestedWaves keeps the latest content. A changed wave goes to the plan, with a deadline that counts from when this entry learned of it; the same content passed again keeps the deadline. wave-requested says whether it replaces an earlier content. The tests of take-overs in FleetRunnerTest guard what already held: a late or paused former owner stores nothing, and a list or an order of an earlier ownership is not counted. Evidence: machinesThatAreAddedToACompletedWaveAreMaintained and waveThatChangedBeforeATakeOverIsOpenAgain fail before.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
@@ -36,10 +35,7 @@
     private final JobContext context;
     private final OwnerCalls ownerCalls;
     private final LongConsumer onOwnershipLost;
-    private final Map<Long, UpkeepWave> waves = new TreeMap<>();
-    /** The deadlines of the waves, counted from the time at which this entry learned of them. */
-    private final Map<Long, Moment> deadlines = new HashMap<>();
-
+    private final RequestedWaves requestedWaves;
     private final Set<String> poolsWithCallInFlight = new HashSet<>();
     private JobConfiguration configuration;
     private FleetPlanner plan;
@@ -62,6 +58,7 @@
         this.context = context;
         this.ownerCalls = ownerCalls;
         this.onOwnershipLost = onOwnershipLost;
+        this.requestedWaves = new RequestedWaves(context::logDecision);
     }
 
     @Override
@@ -160,14 +157,11 @@
         }
     }
 
+    /**
+     * Adds a wave, or replaces the one with its number.
+     */
     void addWave(UpkeepWave wave) {
-        if (waves.put(wave.number(), wave) == null) {
-            deadlines.put(wave.number(), context.now().plus(wave.withinMillis()));
-            context.logDecision(Decision.of("wave-requested")
-                    .with("wave", wave.number())
-                    .with("machines", wave.machines().size())
-                    .with("atOnce", wave.maxConcurrent())
-                    .with("withinMillis", wave.withinMillis()));
+        if (requestedWaves.put(wave, context.now())) {
             passWavesToPlan();
         }
     }
@@ -177,10 +171,7 @@
      */
     void passWavesToPlan() {
         if (plan != null && stateLoaded) {
-            Moment now = context.now();
-            waves.values()
-                    .forEach(wave -> plan.addWave(
-                            wave.number(), wave.machines(), deadlines.get(wave.number()), wave.maxConcurrent(), now));
+            requestedWaves.passTo(plan, context.now());
         }
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -21,6 +21,7 @@
 class FleetRunnerTest {
     private static final String OWNER_KEY = LiveEntries.ownerKey(FleetRunner.MACHINES_CLAIM);
     private static final String WAVE_KEY = "trefoilpost/wave/1";
+    private static final String STATUS_KEY = "status/wave/1";
     private static final String SPARE = "spare";
     /** So short that as many machines as allowed are maintained at once. */
     private static final long WITHIN_MILLIS = 6_000;
@@ -33,15 +34,14 @@
     private FleetRunner runner;
 
     @BeforeEach
-    void open() {
+    void start() {
         context = service.context();
         runner = new FleetRunner(
                 context,
                 new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty(), () -> true),
                 lost::add);
         store.put(OWNER_KEY, "entry-1");
-        JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1, Teams.NONE);
-        service.run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
+        open();
     }
 
     @AfterEach
@@ -117,6 +117,100 @@
         service.run(() -> runner.addWave(new UpkeepWave(1, List.of(names), WITHIN_MILLIS, atOnce)));
     }
 
+    /** Guards against a wave that keeps the machines and the limit with which it was first requested. */
+    @Test
+    void machinesThatAreAddedToACompletedWaveAreMaintained() throws InterruptedException {
+        request(1, "m1");
+        tickUntil(() -> store.text(STATUS_KEY).equals("true"));
+        request(1, "m1", "m2");
+        tickUntil(
+                () -> machines.maintained.size() >= 2 && store.text(STATUS_KEY).equals("true"));
+        assertEquals(List.of("m1", "m2"), machines.maintained);
+        assertEquals("true", store.text(STATUS_KEY));
+    }
+
+    @Test
+    void lateFormerOwnerStoresNeitherProgressNorStatus() throws InterruptedException {
+        store.put(OWNER_KEY, "entry-2");
+        store.put(WAVE_KEY, ";m1;0;false");
+        store.put(STATUS_KEY, "of entry-2");
+        request(1, "m1");
+        tickUntil(() -> runner.token() == 0);
+        assertEquals(";m1;0;false", store.text(WAVE_KEY));
+        assertEquals("of entry-2", store.text(STATUS_KEY));
+        assertEquals(List.of(), machines.maintained);
+    }
+
+    @Test
+    void pausedFormerOwnerStoresNothingAfterAnAnswerToItsOrder() throws InterruptedException {
+        CompletableFuture<MachinePort.Outcome> answer = new CompletableFuture<>();
+        machines.upkeepAnswer = answer;
+        request(1, "m1");
+        tickUntil(() -> !machines.maintained.isEmpty());
+        store.put(OWNER_KEY, "entry-2");
+        store.put(STATUS_KEY, "of entry-2");
+        String progress = store.text(WAVE_KEY);
+        service.run(() -> answer.complete(MachinePort.Outcome.DONE));
+        tickUntil(() -> runner.token() == 0);
+        assertEquals(progress, store.text(WAVE_KEY));
+        assertEquals("of entry-2", store.text(STATUS_KEY));
+    }
+
+    @Test
+    void listOfAnEarlierOwnershipIsNotCounted() throws InterruptedException {
+        CompletableFuture<List<MachinePort.Machine>> answer = new CompletableFuture<>();
+        machines.listAnswer = answer;
+        request(1, "m1");
+        int calls = machines.listCalls;
+        tickUntil(() -> machines.listCalls > calls);
+        service.run(runner::close);
+        machines.listAnswer = new CompletableFuture<>();
+        open();
+        service.run(() -> answer.complete(List.of()));
+        tickUntil(() -> machines.listCalls > calls + 1);
+        assertEquals("", store.text(WAVE_KEY).split(";", -1)[0]);
+        assertTrue(!store.text(STATUS_KEY).equals("true"));
+    }
+
+    @Test
+    void answerToAnOrderOfAnEarlierOwnershipIsNotCounted() throws InterruptedException {
+        CompletableFuture<MachinePort.Outcome> answer = new CompletableFuture<>();
+        machines.upkeepAnswer = answer;
+        request(1, "m1");
+        tickUntil(() -> !machines.maintained.isEmpty());
+        service.run(runner::close);
+        machines.upkeepAnswer = new CompletableFuture<>();
+        open();
+        service.run(() -> answer.complete(MachinePort.Outcome.DONE));
+        tickUntil(() -> machines.maintained.size() >= 2);
+        assertEquals(List.of("m1", "m1"), machines.maintained, "the order is sent again");
+        assertTrue(store.text(WAVE_KEY).startsWith(";m1;"), store.text(WAVE_KEY));
+        assertEquals("false", store.text(STATUS_KEY));
+    }
+
+    /** Guards against a wave that stays completed since it was changed just before another entry took the machines over. */
+    @Test
+    void waveThatChangedBeforeATakeOverIsOpenAgain() throws InterruptedException {
+        service.run(runner::close);
+        store.put(WAVE_KEY, "m1;;0;true");
+        store.put(STATUS_KEY, "true");
+        CompletableFuture<MachinePort.Outcome> answer = new CompletableFuture<>();
+        machines.upkeepAnswer = answer;
+        request(1, "m1", "m2");
+        open();
+        tickUntil(() -> !machines.maintained.isEmpty());
+        assertEquals(List.of("m2"), machines.maintained);
+        assertEquals("false", store.text(STATUS_KEY));
+        service.run(() -> answer.complete(MachinePort.Outcome.DONE));
+        tickUntil(() -> store.text(STATUS_KEY).equals("true"));
+        assertEquals("true", store.text(STATUS_KEY));
+    }
+
+    private void open() {
+        JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1, Teams.NONE);
+        service.run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
+    }
+
     /** Ticks until a condition holds, for at most ten seconds. */
     private void tickUntil(BooleanSupplier condition) throws InterruptedException {
         for (int i = 0; i < 500 && !condition.getAsBoolean(); i++) {
@@ -130,11 +224,18 @@
         private final List<String> maintained = new ArrayList<>();
         private volatile State secondState = State.UP;
         private volatile int listCalls;
+        /** The answer to lists, null for the machines. */
+        private volatile CompletableFuture<List<Machine>> listAnswer;
+        /** The answer to orders of upkeep. */
+        private volatile CompletableFuture<Outcome> upkeepAnswer = CompletableFuture.completedFuture(Outcome.DONE);
 
         @Override
         public CompletableFuture<List<Machine>> list() {
             List<Machine> listed = new ArrayList<>();
             listCalls++;
+            if (listAnswer != null) {
+                return listAnswer;
+            }
             listed.add(new Machine("m1", SPARE, State.UP, "", 1_000));
             listed.add(new Machine("m2", SPARE, secondState, "", 1_000));
             return CompletableFuture.completedFuture(listed);
@@ -148,9 +249,7 @@
         @Override
         public CompletableFuture<Outcome> beginUpkeep(String machine, long wave, Authority authority) {
             maintained.add(machine);
-            return CompletableFuture.completedFuture(Outcome.DONE);
+            return upkeepAnswer;
         }
     }
-
-    /** Formats of which only those of a wave's status are used. */
 }
