Read the stored progress of waves on all pages

What was seen: a wave whose progress was not on the first page of the store counted as not begun, and its machines were ordered again. Cause: FleetRunner read one page and ignored hasMore. A retry after a failed read was also made when the ownership had changed meanwhile, so that a second read could follow under the new one. MemoryStore has pages. Evidence: progressOnLaterPagesIsReadBeforeOrdersAreGiven failed before (m1 was ordered again) and passes now. No test shows the retry after a change of ownership, nor one of a failed page.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -122,7 +122,14 @@
         orderWindow =
                 context.settings().machineTokensCompared() ? OrderWindow.UNLIMITED : OrderWindow.ofClaim(context.now());
         stateLoaded = false;
-        loadState();
+        long openedOwnership = ownership;
+        new WaveStateReader(
+                        context,
+                        WAVE_KEY_PREFIX,
+                        plan,
+                        () -> ownership == openedOwnership && plan != null,
+                        this::waveStateLoaded)
+                .start();
     }
 
     /**
@@ -175,35 +182,10 @@
         }
     }
 
-    private void loadState() {
-        long callOwnership = ownership;
-        context.call(() -> context.store().range(WAVE_KEY_PREFIX, ""), (page, failure) -> {
-            if (ownership != callOwnership || plan == null) {
-                return;
-            }
-            if (failure != null) {
-                context.schedule(RETRY_DELAY_MILLIS, this::loadState);
-                return;
-            }
-            page.items().forEach(this::loadWave);
-            stateLoaded = true;
-            plan.configure(configuration.pools(), configuration.sparePools());
-            passWavesToPlan();
-        });
-    }
-
-    private void loadWave(StorePort.Item item) {
-        try {
-            plan.load(
-                    Long.parseLong(item.key().substring(WAVE_KEY_PREFIX.length())),
-                    new String(item.value(), StandardCharsets.UTF_8),
-                    item.revision());
-        } catch (NumberFormatException e) {
-            context.logDecision(Decision.failure("wave-state-unreadable")
-                    .with("key", item.key())
-                    .with("bytes", item.value().length)
-                    .with("failure", String.valueOf(e.getMessage())));
-        }
+    private void waveStateLoaded() {
+        stateLoaded = true;
+        plan.configure(configuration.pools(), configuration.sparePools());
+        passWavesToPlan();
     }
 
     void tick(Moment now) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -129,6 +129,22 @@
         assertEquals("true", store.text(STATUS_KEY));
     }
 
+    /** Guards against orders for a wave whose stored progress is on a later page, as if it had not begun. */
+    @Test
+    void progressOnLaterPagesIsReadBeforeOrdersAreGiven() throws InterruptedException {
+        runner.close();
+        store.pageSize(2);
+        store.put("trefoilpost/wave/2", ";;0;false");
+        store.put("trefoilpost/wave/3", ";;0;false");
+        store.put("trefoilpost/wave/4", ";;0;false");
+        store.put("trefoilpost/wave/5", "m1;;0;true");
+        open();
+        service.run(() -> runner.addWave(new UpkeepWave(5, List.of("m1"), WITHIN_MILLIS, 1)));
+        int calls = machines.listCalls;
+        tickUntil(() -> machines.listCalls >= calls + 2);
+        assertEquals(List.of(), machines.maintained);
+    }
+
     @Test
     void lateFormerOwnerStoresNeitherProgressNorStatus() throws InterruptedException {
         store.put(OWNER_KEY, "entry-2");
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
 
     private boolean refusing;
     private boolean silent;
+    private int pageSize = Integer.MAX_VALUE;
 
     /**
      * Carries out the next change without answering it.
@@ -45,6 +47,13 @@
         refusing = value;
     }
 
+    /**
+     * Sets the maximum number of items on a page.
+     */
+    void pageSize(int value) {
+        pageSize = value;
+    }
+
     /**
      * Sets whether changes and renewals get no answer.
      */
@@ -98,8 +107,13 @@
     @Override
     public CompletableFuture<Page> range(String prefix, String after) {
         List<Item> found = new ArrayList<>();
-        items.values().stream().filter(item -> item.key().startsWith(prefix)).forEach(found::add);
-        return CompletableFuture.completedFuture(new Page(found, false, revision));
+        items.values().stream()
+                .filter(item -> item.key().startsWith(prefix) && item.key().compareTo(after) > 0)
+                .sorted(Comparator.comparing(Item::key))
+                .forEach(found::add);
+        boolean hasMore = found.size() > pageSize;
+        List<Item> page = hasMore ? found.subList(0, pageSize) : found;
+        return CompletableFuture.completedFuture(new Page(List.copyOf(page), hasMore, revision));
     }
 
     @Override
