Take a machine for gone only after its upkeep was refused for some seconds

Cause: only a rejection counted as the platform's word, at once and beside a registered worker; one list without a machine ended its being down; stored orders were sent beside an unanswered move; and a change that was undone while it was stored was not stored again. Ruled out: taking busy for gone at once, as a machine that is moved or maintained is busy too. Change: a machine is gone if three lists in a row lack it, no worker is registered on it, its upkeep is rejected or busy for 4 s, longer than a move or an upkeep takes, and a later list still lacks it. The owner passes the machines on which workers are registered with each list, and logs lists that failed. A machine that lists lack counts as down until 4 s after its order. A stored order waits for an open move. What was stored as completed counts as such only until another state is sent.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -18,6 +18,8 @@
  * Decides which machines of the waves are emptied and maintained next.
  */
 final class UpkeepPlanner {
+    /** Maximum time for which a move or an upkeep keeps a machine out of service. */
+    private static final long MAX_OUT_OF_SERVICE_MILLIS = 4_000;
     /** Number of successive lists that lack a machine before it is asked for by an order. */
     private static final int MIN_LISTS_WITHOUT_MACHINE = 3;
     /** Number of machines that are emptied in advance, beyond those that may be down. */
@@ -89,12 +91,12 @@
                 }
             }
         }
-        downSinceMillis.entrySet().removeIf(entry -> requestedMillis > entry.getValue() && isBack(entry.getKey()));
+        downSinceMillis.entrySet().removeIf(entry -> isBack(entry.getKey(), entry.getValue(), requestedMillis));
     }
 
     private void machineListed(WaveProgress wave, String machine, long nowMillis) {
         wave.listsWithoutMachine.remove(machine);
-        wave.rejectedMillis.remove(machine);
+        wave.refusals.remove(machine);
         if (wave.goneMachines.remove(machine)) {
             wave.dirty = true;
             logMachine("machine-back", wave, machine, nowMillis);
@@ -102,23 +104,35 @@
     }
 
     /**
-     * Handles a list that lacks a machine. The machine is gone if the platform has also rejected its upkeep before the list
-     * was requested.
+     * Handles a list that lacks a machine. The machine is gone if the platform also refuses to maintain it for longer than a
+     * move or an upkeep takes, and the list was requested after that.
      */
     private void machineMissing(WaveProgress wave, String machine, long requestedMillis, long nowMillis) {
+        if (machinesWithWorkers.contains(machine)) {
+            wave.refusals.remove(machine);
+            return;
+        }
         wave.listsWithoutMachine.merge(machine, 1, Integer::sum);
-        boolean rejectedBefore = wave.rejectedMillis.getOrDefault(machine, Long.MAX_VALUE) < requestedMillis;
-        if (rejectedBefore && wave.goneMachines.add(machine)) {
+        boolean refused = Optional.ofNullable(wave.refusals.get(machine))
+                .filter(refusals -> refusals.lastMillis() - refusals.firstMillis() >= MAX_OUT_OF_SERVICE_MILLIS
+                        && refusals.lastMillis() < requestedMillis)
+                .isPresent();
+        if (refused && wave.goneMachines.add(machine)) {
             wave.orderedMachines.remove(machine);
             wave.dirty = true;
             logMachine("machine-gone", wave, machine, nowMillis);
         }
     }
 
-    private boolean isBack(String machine) {
-        return !isUpkeepOrdered(machine)
-                && !view.hasOrderInFlight(machine)
-                && view.machine(machine).map(MachineView::up).orElse(true);
+    /**
+     * Returns whether a machine is no longer down. One that lists lack may still be, until its upkeep must have ended.
+     */
+    private boolean isBack(String machine, long downSince, long requestedMillis) {
+        boolean ended = requestedMillis - downSince >= MAX_OUT_OF_SERVICE_MILLIS;
+        return requestedMillis > downSince
+                && view.machine(machine).map(MachineView::up).orElse(ended)
+                && !isUpkeepOrdered(machine)
+                && !view.hasOrderInFlight(machine);
     }
 
     private static boolean isMissing(WaveProgress wave, String machine) {
@@ -142,6 +156,10 @@
         switch (outcome) {
             case DONE -> upkeepBegun(wave, machine, nowMillis);
             case REJECTED -> upkeepRejected(wave, machine, nowMillis);
+            case BUSY -> {
+                countRefusal(wave, machine, nowMillis);
+                retries.failed(machine, nowMillis);
+            }
             default -> retries.failed(machine, nowMillis);
         }
     }
@@ -157,18 +175,22 @@
     }
 
     /**
-     * Handles a rejected order, which ends no upkeep: the platform may not know the wave yet. It is evidence that the machine
-     * is gone only if lists lack the machine as well.
+     * Handles a rejected order, which ends no upkeep: the platform may not know the wave yet.
      */
     private void upkeepRejected(WaveProgress wave, String machine, long nowMillis) {
+        countRefusal(wave, machine, nowMillis);
         retries.rejected(machine, nowMillis);
         wave.orderedMachines.remove(machine);
         wave.dirty = true;
         downSinceMillis.remove(machine);
+        logMachine("machine-upkeep-rejected", wave, machine, nowMillis);
+    }
+
+    private static void countRefusal(WaveProgress wave, String machine, long nowMillis) {
         if (isMissing(wave, machine)) {
-            wave.rejectedMillis.put(machine, nowMillis);
+            wave.refusals.merge(
+                    machine, new WaveProgress.Refusals(nowMillis, nowMillis), WaveProgress.Refusals::followedBy);
         }
-        logMachine("machine-upkeep-rejected", wave, machine, nowMillis);
     }
 
     private void logMachine(String event, WaveProgress wave, String machine, long nowMillis) {
@@ -221,7 +243,7 @@
         for (WaveProgress wave : waves.values()) {
             if (wave.isOpen()) {
                 chooseMachines(wave, shortage, isMoveOrdered, evacuating, nowMillis);
-                sendStoredOrders(wave, nowMillis);
+                sendStoredOrders(wave, isMoveOrdered, nowMillis);
                 storeIfDirty(wave);
             }
         }
@@ -323,10 +345,11 @@
         return down;
     }
 
-    private void sendStoredOrders(WaveProgress wave, long nowMillis) {
+    private void sendStoredOrders(WaveProgress wave, Predicate<String> isMoveOrdered, long nowMillis) {
         for (String machine : wave.storedOrders) {
             boolean due = wave.orderedMachines.contains(machine)
                     && !view.hasOrderInFlight(machine)
+                    && !isMoveOrdered.test(machine)
                     && retries.isDue(machine, nowMillis);
             if (due && rateLimiter.tryAcquire(nowMillis)) {
                 view.orderSent(machine, MachineOrder.upkeep(wave.number));
@@ -337,9 +360,12 @@
 
     private void storeIfDirty(WaveProgress wave) {
         if (wave.dirty && !wave.storing) {
+            boolean completed = wave.isCompleted();
             wave.dirty = false;
             wave.storing = true;
-            actions.storeWave(wave.number, wave.encodeState(), wave.revision, wave.isCompleted());
+            // Another state may be in the store from now on.
+            wave.completedStored &= completed;
+            actions.storeWave(wave.number, wave.encodeState(), wave.revision, completed);
         }
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveProgress.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveProgress.java
@@ -38,8 +38,8 @@
     /** The number of successive lists that lack a machine, by machine. */
     final Map<String, Integer> listsWithoutMachine = new HashMap<>();
 
-    /** The times at which the upkeep of machines that lists lack was rejected, by machine. */
-    final Map<String, Long> rejectedMillis = new HashMap<>();
+    /** When the platform refused to maintain machines that lists lack, by machine. */
+    final Map<String, Refusals> refusals = new HashMap<>();
 
     List<String> machines = List.of();
     int atOnce = 1;
@@ -86,7 +86,7 @@
         requestedMillis = now.steadyMillis();
         requested = true;
         listsWithoutMachine.clear();
-        rejectedMillis.clear();
+        refusals.clear();
         machines = newMachines;
         atOnce = newAtOnce;
         orderedMachines.retainAll(machines);
@@ -211,4 +211,13 @@
                 .map(name -> name.replace("%3B", SEPARATOR).replace("%2C", ",").replace("%25", "%"))
                 .toList();
     }
+
+    /**
+     * The times of the first and the last of a series of refusals, on the steady clock in milliseconds.
+     */
+    record Refusals(long firstMillis, long lastMillis) {
+        Refusals followedBy(Refusals later) {
+            return new Refusals(firstMillis, later.lastMillis);
+        }
+    }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
@@ -37,6 +37,8 @@
     private final Map<String, Long> evacuatingSinceMillis = new HashMap<>();
     boolean storeDown;
     boolean ordersAllowed = true;
+    /** The outcome of orders for a machine that has gone. */
+    OrderOutcome goneOutcome = OrderOutcome.REJECTED;
     /** The machines that lists lack though they are there. */
     final Set<String> unlisted = new HashSet<>();
     /** The outcomes of the next orders for a machine, which go before {@link #nextOutcome}. */
@@ -53,7 +55,6 @@
     private final Map<Long, List<String>> requests = new HashMap<>();
     private final Set<Long> unansweredWaves = new HashSet<>();
     private final Map<Long, Long> revisions = new HashMap<>();
-    private final Set<String> missingFromLastList = new HashSet<>();
     /** The machines that came back after they had gone, and that no list has shown since. */
     private final Set<String> unseenMachines = new HashSet<>();
 
@@ -132,8 +133,6 @@
 
     @Override
     public void listMachines() {
-        missingFromLastList.clear();
-        missingFromLastList.addAll(unlisted);
         listedMachines().forEach(machine -> unseenMachines.remove(machine.name()));
         planner.machinesListed(listedMachines(), nowMillis, moment());
     }
@@ -191,10 +190,7 @@
         Deque<OrderOutcome> next = outcomes.getOrDefault(machine, new ArrayDeque<>());
         OrderOutcome outcome = next.isEmpty() ? nextOutcome : next.poll();
         if (!machines.containsKey(machine)) {
-            outcome = OrderOutcome.REJECTED;
-        } else if (outcome == OrderOutcome.REJECTED && missingFromLastList.contains(machine)) {
-            // A platform that neither lists a machine nor takes orders for it says that it has gone.
-            outcome = OrderOutcome.REFUSED;
+            outcome = goneOutcome;
         } else if (outcome == OrderOutcome.DONE && !machines.get(machine).up()) {
             outcome = OrderOutcome.BUSY;
         }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/UpkeepInterleavingTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/UpkeepInterleavingTest.java
@@ -17,7 +17,7 @@
  * and take-overs. No wave is stored as completed before its machines are maintained, and each is completed once the faults
  * have ended.
  */
-class UpkeepInterleavingTest {
+public class UpkeepInterleavingTest {
     private static final int SEQUENCES = 60;
     private static final long FAULTY_MILLIS = 20_000;
     private static final long CALM_MILLIS = 60_000;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/UpkeepPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/UpkeepPlannerTest.java
@@ -15,7 +15,7 @@
  * Waves whose machines are missing from lists, whose orders are refused or answered late, or which change. After each test,
  * no wave may have been stored as completed while a machine of it that is there had not begun its upkeep.
  */
-class UpkeepPlannerTest {
+public class UpkeepPlannerTest {
     private static final long WAVE = 1;
     private static final long WITHIN_MILLIS = 20_000;
 
@@ -191,6 +191,14 @@
         assertCompletedWithin(10_000);
     }
 
+    @Test
+    void machineThatHasGoneAndIsAnsweredAsBusyDoesNotHoldItsWaveOpen() {
+        fleet.goneOutcome = OrderOutcome.BUSY;
+        fleet.addWave(WAVE, List.of("m0", "m1"), WITHIN_MILLIS, 1);
+        fleet.machines.remove("m1");
+        assertCompletedWithin(10_000);
+    }
+
     @Test
     void machineThatGoesAfterItsOrderDoesNotHoldItsWaveOpen() {
         fleet.outcomes.put("m0", new ArrayDeque<>(List.of(OrderOutcome.UNKNOWN, OrderOutcome.UNKNOWN)));
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -34,6 +34,7 @@
 
     private final JobContext context;
     private final OwnerCalls ownerCalls;
+    private final Supplier<Optional<Set<String>>> machinesWithWorkers;
     private final LongConsumer onOwnershipLost;
     private final RequestedWaves requestedWaves;
     private final Set<String> poolsWithCallInFlight = new HashSet<>();
@@ -52,11 +53,17 @@
     /**
      * Constructs a runner without a claim.
      *
+     * @param machinesWithWorkers  supplies the machines on which workers are registered, empty while that is not known
      * @param onOwnershipLost  receives the token with which the machines were lost
      */
-    FleetRunner(JobContext context, OwnerCalls ownerCalls, LongConsumer onOwnershipLost) {
+    FleetRunner(
+            JobContext context,
+            OwnerCalls ownerCalls,
+            Supplier<Optional<Set<String>>> machinesWithWorkers,
+            LongConsumer onOwnershipLost) {
         this.context = context;
         this.ownerCalls = ownerCalls;
+        this.machinesWithWorkers = machinesWithWorkers;
         this.onOwnershipLost = onOwnershipLost;
         this.requestedWaves = new RequestedWaves(context::logDecision);
     }
@@ -239,11 +246,15 @@
         context.call(() -> context.ports().machines().list(), (machines, failure) -> {
             listInFlight = false;
             if (ownership == callOwnership && plan != null) {
-                if (failure == null) {
+                Optional<Set<String>> withWorkers = machinesWithWorkers.get();
+                if (failure == null && withWorkers.isPresent()) {
                     List<MachineView> views = new ArrayList<>();
                     machines.forEach(machine -> views.add(MachineConversions.toView(machine)));
+                    plan.machinesWithWorkers(withWorkers.get());
                     plan.machinesListed(views, requestedMillis, context.now());
                 } else {
+                    context.logDecision(Decision.failure("machine-list-failed")
+                            .with("failure", failure == null ? "workers not read yet" : String.valueOf(failure)));
                     plan.listFailed(context.now());
                 }
             }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -82,7 +82,10 @@
         this.peerRequests = new PeerRequests(configurationPeers, store, ownerCalls);
         this.router = new JobRequestRouter(context, ownerCalls, operatorEntries.status());
         this.fleetRunner = new FleetRunner(
-                context, ownerCalls, token -> lostTokens.merge(FleetRunner.MACHINES_CLAIM, token, Math::max));
+                context,
+                ownerCalls,
+                registry::machinesWithWorkers,
+                token -> lostTokens.merge(FleetRunner.MACHINES_CLAIM, token, Math::max));
         this.lastMoment = context.now();
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.trefoilpost.decision.job.CapacityKnowledge;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
@@ -88,6 +90,18 @@
         return mirror.reconnectedMillis();
     }
 
+    /**
+     * Returns the machines on which workers are registered, empty until the registry is loaded.
+     */
+    Optional<Set<String>> machinesWithWorkers() {
+        return isLoaded()
+                ? Optional.of(workers.values().stream()
+                        .map(RegisteredWorker::machine)
+                        .filter(machine -> !machine.isEmpty())
+                        .collect(Collectors.toSet()))
+                : Optional.empty();
+    }
+
     Collection<RegisteredWorker> workersOfPool(String pool) {
         List<RegisteredWorker> matching = new ArrayList<>();
         for (RegisteredWorker worker : workers.values()) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -30,6 +30,7 @@
     private final Machines machines = new Machines();
     private final TestService service = new TestService(store, machines, new UnusedFormats());
     private final List<Long> lost = new ArrayList<>();
+    private volatile Optional<Set<String>> machinesWithWorkers = Optional.of(Set.of());
     private JobContext context;
     private FleetRunner runner;
 
@@ -39,6 +40,7 @@
         runner = new FleetRunner(
                 context,
                 new OwnerCalls(context, new LiveEntries(), null, pool -> Optional.empty(), () -> true),
+                () -> machinesWithWorkers,
                 lost::add);
         store.put(OWNER_KEY, "entry-1");
         open();
