End a silent worker only after two lists show it on no machine

What callers could see: tasks run twice, and jobs given up for crashes that did not happen, after a list of machines that was not whole. A worker that does not answer was ended for good as soon as one list of machines lacked it. Ruled out: waiting for the regular interval, which delays each recovery from a crash by 0.7 s. Change: a second list, requested 150 ms after the first, has to lack it as well; a worker that has answered in between starts over.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/SilentWorkerCheck.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/SilentWorkerCheck.java
@@ -5,13 +5,19 @@
 import java.util.function.BiConsumer;
 
 /**
- * Finds out which silent workers have ended, by listing the machines: a worker that runs on no machine has ended.
+ * Finds out which silent workers have ended, by listing the machines: a worker that two lists in a row show on no machine
+ * has ended. A single list may lack machines, as it is no snapshot.
  */
 final class SilentWorkerCheck {
     private static final long MACHINE_LIST_INTERVAL_MILLIS = 700;
+    /** Interval before the list that confirms that workers are on no machine. */
+    private static final long CONFIRMATION_INTERVAL_MILLIS = 150;
 
     private final JobContext context;
     private final BiConsumer<String, String> workerEnded;
+    /** The silent workers that the latest list shows on no machine. */
+    private Set<String> missingWorkers = Set.of();
+
     private boolean listInFlight;
     private long lastListMillis;
 
@@ -29,7 +35,10 @@
      * Lists the machines if there are silent workers and no list was requested recently.
      */
     void run(Set<String> silentWorkers, long nowMillis) {
-        if (silentWorkers.isEmpty() || listInFlight || nowMillis - lastListMillis < MACHINE_LIST_INTERVAL_MILLIS) {
+        // A worker that has answered meanwhile starts over.
+        missingWorkers = intersection(missingWorkers, silentWorkers);
+        long intervalMillis = missingWorkers.isEmpty() ? MACHINE_LIST_INTERVAL_MILLIS : CONFIRMATION_INTERVAL_MILLIS;
+        if (silentWorkers.isEmpty() || listInFlight || nowMillis - lastListMillis < intervalMillis) {
             return;
         }
         listInFlight = true;
@@ -39,10 +48,20 @@
             if (failure == null) {
                 Set<String> workersOnMachines = new HashSet<>();
                 machines.forEach(machine -> workersOnMachines.add(machine.worker()));
-                silentWorkers.stream()
-                        .filter(worker -> !workersOnMachines.contains(worker))
+                Set<String> missing = new HashSet<>(silentWorkers);
+                missing.removeAll(workersOnMachines);
+                missing.stream()
+                        .filter(missingWorkers::contains)
                         .forEach(worker -> workerEnded.accept(worker, "not-on-any-machine"));
+                missing.removeAll(missingWorkers);
+                missingWorkers = missing;
             }
         });
     }
+
+    private static Set<String> intersection(Set<String> first, Set<String> second) {
+        Set<String> both = new HashSet<>(first);
+        both.retainAll(second);
+        return both;
+    }
 }
