Store waves as completed only for the request that operators last wrote

Callers of the status read `completed` for machines that nobody had maintained: the owner of the machines stored the completion of a request that operators had replaced, as its watch had yet to bring the new one. The change that stores a completion is now conditional on the revision of the operators' item as well. Writing the same content anew changes the known revision, but not the deadline.

A wave whose item had been removed went on, and its completion could not be stored any more. It is now withdrawn, after a deletion event as well as after a read of all items that lacks it (`wave-withdrawn`).

Ruled out: an equal progress as evidence that the change took effect, if its revision is the expected one; the request caused that conflict.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -166,13 +166,21 @@
 
     /**
      * Adds a wave, or replaces the one with its number.
+     *
+     * @param revision  the revision of the operators' item
      */
-    void addWave(UpkeepWave wave) {
-        if (requestedWaves.put(wave, context.now())) {
+    void addWave(UpkeepWave wave, long revision) {
+        if (requestedWaves.put(wave, revision, context.now())) {
             passWavesToPlan();
         }
     }
 
+    void withdrawWave(long number) {
+        if (requestedWaves.remove(number) && plan != null) {
+            plan.withdrawWave(number);
+        }
+    }
+
     /**
      * Passes all requested waves to the plan, once the plan has loaded their stored state.
      */
@@ -297,6 +305,9 @@
         Map<String, Long> expected = new HashMap<>();
         expected.put(LiveEntries.ownerKey(MACHINES_CLAIM), token);
         expected.put(WAVE_KEY_PREFIX + wave, revision);
+        if (completed) {
+            expected.put(formats.waveKey(wave), requestedWaves.revision(wave));
+        }
         List<StorePort.Put> puts = List.of(
                 new StorePort.Put(WAVE_KEY_PREFIX + wave, state.getBytes(StandardCharsets.UTF_8), 0),
                 new StorePort.Put(formats.waveStatusKey(wave), formats.waveStatus(wave, completed), 0));
@@ -310,17 +321,17 @@
                     if (failure == null) {
                         plan.waveStored(wave, state, storedRevision, context.now());
                     } else {
-                        handleStoreFailure(wave, state, failure);
+                        handleStoreFailure(wave, state, revision, failure);
                     }
                 });
     }
 
-    private void handleStoreFailure(long wave, String state, Throwable failure) {
+    private void handleStoreFailure(long wave, String state, long expectedRevision, Throwable failure) {
         context.logDecision(Decision.failure("wave-state-not-stored")
                 .with("wave", wave)
                 .with("failure", String.valueOf(failure.getMessage())));
         if (failure instanceof StoreFailure storeFailure && storeFailure.kind() == StoreFailure.Kind.CONFLICT) {
-            handleConflict(wave, state, storeFailure);
+            handleConflict(wave, state, expectedRevision, storeFailure);
             return;
         }
         retryStoring(wave);
@@ -337,23 +348,26 @@
 
     /**
      * Handles a conflict. While the claim stands, only this owner changes the progress of waves, so a new revision is that
-     * of an earlier change whose answer was lost.
+     * of an earlier change whose answer was lost. If neither has changed, operators have written a request that this entry
+     * has yet to learn of.
      */
-    private void handleConflict(long wave, String state, StoreFailure failure) {
+    private void handleConflict(long wave, String state, long expectedRevision, StoreFailure failure) {
         Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(MACHINES_CLAIM));
         Optional<StorePort.Item> progress = failure.currentItem(WAVE_KEY_PREFIX + wave);
+        long revision = progress.map(StorePort.Item::revision).orElse(0L);
         boolean alreadyStored = progress.map(item -> new String(item.value(), StandardCharsets.UTF_8).equals(state))
                 .orElse(false);
-        if (alreadyStored) {
-            plan.waveStored(wave, state, progress.get().revision(), context.now());
+        if (alreadyStored && revision != expectedRevision) {
+            plan.waveStored(wave, state, revision, context.now());
         } else if (owner.isEmpty()) {
             claimLapsed();
             retryStoring(wave);
-        } else if (owner.get().revision() == token) {
-            plan.waveRevisionChanged(
-                    wave, progress.map(StorePort.Item::revision).orElse(0L));
-        } else {
+        } else if (owner.get().revision() != token) {
             loseOwnership("conflict");
+        } else if (revision == expectedRevision) {
+            retryStoring(wave);
+        } else {
+            plan.waveRevisionChanged(wave, revision);
         }
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -308,8 +308,13 @@
         }
 
         @Override
-        public void waveRequested(UpkeepWave wave) {
-            fleetRunner.addWave(wave);
+        public void waveRequested(UpkeepWave wave, long revision) {
+            fleetRunner.addWave(wave, revision);
+        }
+
+        @Override
+        public void waveWithdrawn(long number) {
+            fleetRunner.withdrawWave(number);
         }
 
         @Override
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
@@ -12,6 +12,7 @@
 final class OperatorEntries implements StoreMirror.Listener {
     private final JobContext context;
     private final StoreMirror mirror;
+    private final OperatorWaves waves;
     private final Listener listener;
     private final ConfigurationStatus status;
     private JobConfiguration configuration;
@@ -21,6 +22,7 @@
     OperatorEntries(JobContext context, Listener listener) {
         this.context = context;
         this.listener = listener;
+        this.waves = new OperatorWaves(context, listener);
         this.status = new ConfigurationStatus(context);
         this.mirror = new StoreMirror(
                 context.ports().formats().operatorPrefix(),
@@ -87,17 +89,18 @@
 
     @Override
     public void reloaded() {
+        waves.retain(mirror.items().keySet());
         mirror.items().forEach((key, item) -> itemChanged(key, Optional.of(item)));
     }
 
     @Override
     public void itemChanged(String key, Optional<StorePort.Item> item) {
         if (item.isEmpty()) {
+            waves.itemRemoved(key);
             return;
         }
-        PlatformFormats formats = context.ports().formats();
-        formats.configuration(item.get()).ifPresent(next -> configure(next, item.get()));
-        formats.wave(item.get()).ifPresent(listener::waveRequested);
+        context.ports().formats().configuration(item.get()).ifPresent(next -> configure(next, item.get()));
+        waves.itemWritten(item.get());
     }
 
     @Override
@@ -165,8 +168,15 @@
 
         /**
          * Handles a wave, which may have been passed before.
+         *
+         * @param revision  the revision of its item
          */
-        void waveRequested(UpkeepWave wave);
+        void waveRequested(UpkeepWave wave, long revision);
+
+        /**
+         * Handles that the item of a wave has been removed.
+         */
+        void waveWithdrawn(long number);
 
         /**
          * Handles that all configurations and waves known so far have been passed on.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PlatformFormats.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PlatformFormats.java
@@ -37,6 +37,22 @@
      */
     Optional<UpkeepWave> wave(StorePort.Item item);
 
+    /**
+     * Returns the key under which operators request a wave.
+     *
+     * @param wave  the number of the wave
+     * @return the key, not null
+     */
+    String waveKey(long wave);
+
+    /**
+     * Returns whether operators request waves under a key, whatever the item under it contains.
+     *
+     * @param key  the key, not null
+     * @return true if the key is that of a wave
+     */
+    boolean isWaveKey(String key);
+
     /**
      * Reads a worker from its item in the registry.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/RequestedWaves.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/RequestedWaves.java
@@ -26,18 +26,20 @@
     }
 
     /**
-     * Adds a wave, or replaces the one with its number. A wave that equals the known one has no effect, so that its deadline
-     * stays.
+     * Adds a wave, or replaces the one with its number. A wave that equals the known one changes only the revision, so that
+     * its deadline stays.
      *
+     * @param revision  the revision of the operators' item
      * @param now  the current time, not null
      * @return true if the wave is new or has changed
      */
-    boolean put(UpkeepWave wave, Moment now) {
+    boolean put(UpkeepWave wave, long revision, Moment now) {
         Request former = requests.get(wave.number());
         if (former != null && former.wave.equals(wave)) {
+            requests.put(wave.number(), new Request(wave, revision, former.deadline));
             return false;
         }
-        requests.put(wave.number(), new Request(wave, now.plus(wave.withinMillis())));
+        requests.put(wave.number(), new Request(wave, revision, now.plus(wave.withinMillis())));
         log.accept(Decision.of("wave-requested")
                 .with("wave", wave.number())
                 .with("machines", wave.machines().size())
@@ -51,6 +53,29 @@
         return true;
     }
 
+    /**
+     * Removes a wave that operators no longer request.
+     *
+     * @return true if the wave was known
+     */
+    boolean remove(long number) {
+        Request removed = requests.remove(number);
+        if (removed == null) {
+            return false;
+        }
+        log.accept(Decision.of("wave-withdrawn")
+                .with("wave", number)
+                .with("machines", removed.wave.machines().size()));
+        return true;
+    }
+
+    /**
+     * Returns the revision of the operators' item of a wave, 0 if it is not requested.
+     */
+    long revision(long number) {
+        return Optional.ofNullable(requests.get(number)).map(Request::revision).orElse(0L);
+    }
+
     /**
      * Returns the deadline of a wave, empty if it is not requested.
      */
@@ -71,5 +96,5 @@
                         now));
     }
 
-    private record Request(UpkeepWave wave, Moment deadline) {}
+    private record Request(UpkeepWave wave, long revision, Moment deadline) {}
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -21,12 +21,13 @@
 class FleetRunnerTest {
     private static final String OWNER_KEY = LiveEntries.ownerKey(FleetRunner.MACHINES_CLAIM);
     private static final String WAVE_KEY = "trefoilpost/wave/1";
+    private static final String REQUEST_KEY = "op/wave/1";
     private static final String STATUS_KEY = "status/wave/1";
     private static final String SPARE = "spare";
     /** So short that as many machines as allowed are maintained at once. */
     private static final long WITHIN_MILLIS = 6_000;
 
-    private final MemoryStore store = new MemoryStore();
+    private final HeldStore store = new HeldStore();
     private final Machines machines = new Machines();
     private final TestService service = new TestService(store, machines, new UnusedFormats());
     private final List<Long> lost = new ArrayList<>();
@@ -114,7 +115,70 @@
     }
 
     private void request(int atOnce, String... names) {
-        service.run(() -> runner.addWave(new UpkeepWave(1, List.of(names), WITHIN_MILLIS, atOnce)));
+        request(new UpkeepWave(1, List.of(names), WITHIN_MILLIS, atOnce));
+    }
+
+    private void request(UpkeepWave wave) {
+        String key = "op/wave/" + wave.number();
+        store.put(key, wave.machines().toString());
+        service.run(() -> runner.addWave(wave, store.revisionOf(key)));
+    }
+
+    /** Guards against callers who read that a wave is completed though machines that were added to it are not maintained. */
+    @Test
+    void waveIsNotStoredAsCompletedOnceOperatorsHaveReplacedItsRequest() throws InterruptedException {
+        request(1, "m1");
+        store.put(REQUEST_KEY, "[m1, m2]");
+        tickUntil(() -> !machines.maintained.isEmpty());
+        tickLists(2);
+        assertEquals("false", store.text(STATUS_KEY));
+        assertTrue(store.text(WAVE_KEY).startsWith(";m1;"), store.text(WAVE_KEY));
+        assertTrue(runner.token() != 0, "the owner keeps the machines");
+        request(1, "m1", "m2");
+        tickUntil(() -> store.text(STATUS_KEY).equals("true"));
+        assertEquals("true", store.text(STATUS_KEY));
+        assertEquals(List.of("m1", "m2"), machines.maintained);
+    }
+
+    @Test
+    void waveWhoseRequestIsRewrittenWithTheSameContentIsCompleted() throws InterruptedException {
+        request(1, "m1");
+        request(1, "m1");
+        tickUntil(() -> store.text(STATUS_KEY).equals("true"));
+        assertEquals("true", store.text(STATUS_KEY));
+    }
+
+    @Test
+    void waveIsNotStoredAsCompletedOnceItsRequestIsRemoved() throws InterruptedException {
+        request(1, "m1");
+        store.remove(REQUEST_KEY);
+        tickUntil(() -> !machines.maintained.isEmpty());
+        tickLists(2);
+        assertEquals("false", store.text(STATUS_KEY));
+        assertTrue(runner.token() != 0, "the owner keeps the machines");
+    }
+
+    /** Guards against orders for a wave that operators have removed. */
+    @Test
+    void withdrawnWaveIsNotCarriedOutUntilItIsRequestedAgain() throws InterruptedException {
+        CompletableFuture<Void> answer = new CompletableFuture<>();
+        store.answersAfter = answer;
+        request(1, "m1");
+        tickUntil(() -> store.text(WAVE_KEY).contains("m1"));
+        store.remove(REQUEST_KEY);
+        service.run(() -> runner.withdrawWave(1));
+        service.run(() -> answer.complete(null));
+        tickLists(2);
+        assertEquals(List.of(), machines.maintained);
+        request(1, "m1");
+        tickUntil(() -> store.text(STATUS_KEY).equals("true"));
+        assertEquals(List.of("m1"), machines.maintained);
+        assertEquals("true", store.text(STATUS_KEY));
+    }
+
+    private void tickLists(int count) throws InterruptedException {
+        int calls = machines.listCalls;
+        tickUntil(() -> machines.listCalls >= calls + count);
     }
 
     /** Guards against a wave that keeps the machines and the limit with which it was first requested. */
@@ -139,7 +203,7 @@
         store.put("trefoilpost/wave/4", ";;0;false");
         store.put("trefoilpost/wave/5", "m1;;0;true");
         open();
-        service.run(() -> runner.addWave(new UpkeepWave(5, List.of("m1"), WITHIN_MILLIS, 1)));
+        request(new UpkeepWave(5, List.of("m1"), WITHIN_MILLIS, 1));
         int calls = machines.listCalls;
         tickUntil(() -> machines.listCalls >= calls + 2);
         assertEquals(List.of(), machines.maintained);
@@ -235,6 +299,17 @@
         }
     }
 
+    /** A store whose answers to changes can be held back. */
+    private static final class HeldStore extends MemoryStore {
+        private volatile CompletableFuture<Void> answersAfter = CompletableFuture.completedFuture(null);
+
+        @Override
+        public CompletableFuture<Long> commit(Change change) {
+            CompletableFuture<Long> answer = super.commit(change);
+            return answersAfter.thenCompose(ignored -> answer);
+        }
+    }
+
     /** A machine service with two machines in the spare pool that are maintained in an instant. */
     private static final class Machines implements MachinePort {
         private final List<String> maintained = new ArrayList<>();
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OperatorEntriesTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OperatorEntriesTest.java
@@ -231,7 +231,12 @@
         }
 
         @Override
-        public void waveRequested(UpkeepWave wave) {
+        public void waveRequested(UpkeepWave wave, long revision) {
+            // There are no waves.
+        }
+
+        @Override
+        public void waveWithdrawn(long number) {
             // There are no waves.
         }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/RequestedWavesTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/RequestedWavesTest.java
@@ -19,25 +19,49 @@
 
     @Test
     void deadlineStaysWhenTheSameWaveIsPassedAgain() {
-        waves.put(wave(5_000, 1, "m1", "m2"), NOW);
-        assertEquals(false, waves.put(wave(5_000, 1, "m1", "m2"), LATER));
+        waves.put(wave(5_000, 1, "m1", "m2"), 4, NOW);
+        assertEquals(false, waves.put(wave(5_000, 1, "m1", "m2"), 4, LATER));
         assertEquals(Optional.of(NOW.plus(5_000)), waves.deadline(1));
         assertEquals(1, log.size());
     }
 
     @Test
     void deadlineCountsFromTheLatestContent() {
-        waves.put(wave(5_000, 1, "m1"), NOW);
-        assertEquals(true, waves.put(wave(5_000, 1, "m1", "m2"), LATER));
+        waves.put(wave(5_000, 1, "m1"), 4, NOW);
+        assertEquals(true, waves.put(wave(5_000, 1, "m1", "m2"), 4, LATER));
         assertEquals(Optional.of(LATER.plus(5_000)), waves.deadline(1));
-        assertEquals(true, waves.put(wave(9_000, 1, "m1", "m2"), LATER));
+        assertEquals(true, waves.put(wave(9_000, 1, "m1", "m2"), 4, LATER));
         assertEquals(Optional.of(LATER.plus(9_000)), waves.deadline(1));
-        assertEquals(true, waves.put(wave(9_000, 2, "m1", "m2"), LATER));
+        assertEquals(true, waves.put(wave(9_000, 2, "m1", "m2"), 4, LATER));
         assertEquals(
                 List.of(false, true, true, true),
                 log.stream().map(decision -> decision.inputs().get("replaces")).toList());
     }
 
+    @Test
+    void revisionIsThatOfTheLatestItemThoughItsContentIsTheSame() {
+        assertEquals(0, waves.revision(1));
+        waves.put(wave(5_000, 1, "m1"), 4, NOW);
+        assertEquals(4, waves.revision(1));
+        assertEquals(false, waves.put(wave(5_000, 1, "m1"), 7, LATER));
+        assertEquals(7, waves.revision(1));
+        assertEquals(Optional.of(NOW.plus(5_000)), waves.deadline(1));
+    }
+
+    @Test
+    void withdrawnWaveIsNewWhenItIsRequestedAgain() {
+        waves.put(wave(5_000, 1, "m1"), 4, NOW);
+        assertEquals(true, waves.remove(1));
+        assertEquals(false, waves.remove(1));
+        assertEquals(Optional.empty(), waves.deadline(1));
+        assertEquals(0, waves.revision(1));
+        assertEquals(true, waves.put(wave(5_000, 1, "m1"), 5, LATER));
+        assertEquals(Optional.of(LATER.plus(5_000)), waves.deadline(1));
+        assertEquals(
+                List.of("wave-requested", "wave-withdrawn", "wave-requested"),
+                log.stream().map(Decision::name).toList());
+    }
+
     private static UpkeepWave wave(long withinMillis, int atOnce, String... machines) {
         return new UpkeepWave(1, List.of(machines), withinMillis, atOnce);
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamDefectLogTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamDefectLogTest.java
@@ -65,7 +65,12 @@
         }
 
         @Override
-        public void waveRequested(UpkeepWave wave) {
+        public void waveRequested(UpkeepWave wave, long revision) {
+            // No waves are written.
+        }
+
+        @Override
+        public void waveWithdrawn(long number) {
             // No waves are written.
         }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/UnusedFormats.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/UnusedFormats.java
@@ -28,6 +28,16 @@
         return Optional.empty();
     }
 
+    @Override
+    public String waveKey(long wave) {
+        return "op/wave/" + wave;
+    }
+
+    @Override
+    public boolean isWaveKey(String key) {
+        return key.startsWith("op/wave/");
+    }
+
     @Override
     public Optional<RegisteredWorker> worker(StorePort.Item item) {
         return Optional.empty();
