--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -173,9 +173,8 @@
         long nowMillis = now.steadyMillis();
         context.runPart("pause check", () -> checkForProcessPause(now));
         context.runPart("claims", () -> ownership.tick(claimablePools(), nowMillis));
-        context.runPart(
-                "connections",
-                () -> connections.tick(liveEntries, context.settings().name(), nowMillis));
+        String name = context.settings().name();
+        context.runPart("connections", () -> connections.tick(liveEntries, name, nowMillis));
         context.runPart("configuration inquiry", () -> configurationPeers.tick(liveEntries, nowMillis));
         context.runPart("ended owners", () -> endedOwners.tick(liveEntries, nowMillis));
         forEachRunner(PoolRunner::tick);
