Share the evidence that a machine has gone among waves

Cause: each wave counted the lists and refusals of a missing machine for itself, and only one of them orders its upkeep at a time, so that 13 waves took 6 s each, one after the other. Change: MissingMachines keeps the evidence by machine. A registered worker clears it. Evidence: machineThatHasGoneHoldsOverlappingWavesOpenOnlyOnce, with the other tests of the planner.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -18,10 +18,6 @@
  * Decides which machines of the waves are emptied and maintained next.
  */
 final class UpkeepPlanner {
-    /** Maximum time for which a move or an upkeep keeps a machine out of service. */
-    private static final long MAX_OUT_OF_SERVICE_MILLIS = 4_000;
-    /** Number of successive lists that lack a machine before it is asked for by an order. */
-    private static final int MIN_LISTS_WITHOUT_MACHINE = 3;
     /** Number of machines that are emptied in advance, beyond those that may be down. */
     private static final int EXTRA_EMPTYING_MACHINES = 1;
 
@@ -32,8 +28,7 @@
     private final Map<String, Long> downSinceMillis = new HashMap<>();
     private final UpkeepRetries retries = new UpkeepRetries();
     private final Set<String> emptying = new HashSet<>();
-    /** The machines on which workers are registered. */
-    private Set<String> machinesWithWorkers = Set.of();
+    private final MissingMachines missing = new MissingMachines();
 
     UpkeepPlanner(FleetActions actions, FleetView view, OrderRateLimiter rateLimiter) {
         this.actions = actions;
@@ -75,49 +70,45 @@
     }
 
     void machinesWithWorkers(Set<String> machines) {
-        machinesWithWorkers = Set.copyOf(machines);
+        missing.setMachinesWithWorkers(machines);
     }
 
     /**
-     * Updates the waves after a new list of machines.
+     * Updates the waves after a new list of machines. A list that was requested before a wave was known is no evidence against
+     * the wave's machines.
      */
     void machinesListed(long requestedMillis, long nowMillis) {
+        countMissing(requestedMillis);
         for (WaveProgress wave : waves.values()) {
             for (String machine : wave.machines) {
-                if (view.machine(machine).isPresent()) {
-                    machineListed(wave, machine, nowMillis);
-                } else if (requestedMillis > wave.requestedMillis) {
-                    machineMissing(wave, machine, requestedMillis, nowMillis);
-                }
+                updateMachine(wave, machine, requestedMillis, nowMillis);
             }
         }
         downSinceMillis.entrySet().removeIf(entry -> isBack(entry.getKey(), entry.getValue(), requestedMillis));
     }
 
-    private void machineListed(WaveProgress wave, String machine, long nowMillis) {
-        wave.listsWithoutMachine.remove(machine);
-        wave.refusals.remove(machine);
-        if (wave.goneMachines.remove(machine)) {
-            wave.dirty = true;
-            logMachine("machine-back", wave, machine, nowMillis);
+    private void countMissing(long requestedMillis) {
+        Set<String> unlisted = new HashSet<>();
+        for (WaveProgress wave : waves.values()) {
+            for (String machine : wave.machines) {
+                if (view.machine(machine).isPresent()) {
+                    missing.listed(machine);
+                } else if (requestedMillis > wave.requestedMillis && unlisted.add(machine)) {
+                    missing.notListed(machine);
+                }
+            }
         }
     }
 
-    /**
-     * Handles a list that lacks a machine. The machine is gone if the platform also refuses to maintain it for longer than a
-     * move or an upkeep takes, and the list was requested after that.
-     */
-    private void machineMissing(WaveProgress wave, String machine, long requestedMillis, long nowMillis) {
-        if (machinesWithWorkers.contains(machine)) {
-            wave.refusals.remove(machine);
-            return;
-        }
-        wave.listsWithoutMachine.merge(machine, 1, Integer::sum);
-        boolean refused = Optional.ofNullable(wave.refusals.get(machine))
-                .filter(refusals -> refusals.lastMillis() - refusals.firstMillis() >= MAX_OUT_OF_SERVICE_MILLIS
-                        && refusals.lastMillis() < requestedMillis)
-                .isPresent();
-        if (refused && wave.goneMachines.add(machine)) {
+    private void updateMachine(WaveProgress wave, String machine, long requestedMillis, long nowMillis) {
+        if (view.machine(machine).isPresent()) {
+            if (wave.goneMachines.remove(machine)) {
+                wave.dirty = true;
+                logMachine("machine-back", wave, machine, nowMillis);
+            }
+        } else if (requestedMillis > wave.requestedMillis
+                && missing.hasGone(machine, requestedMillis)
+                && wave.goneMachines.add(machine)) {
             wave.orderedMachines.remove(machine);
             wave.dirty = true;
             logMachine("machine-gone", wave, machine, nowMillis);
@@ -128,17 +119,13 @@
      * Returns whether a machine is no longer down. One that lists lack may still be, until its upkeep must have ended.
      */
     private boolean isBack(String machine, long downSince, long requestedMillis) {
-        boolean ended = requestedMillis - downSince >= MAX_OUT_OF_SERVICE_MILLIS;
+        boolean ended = requestedMillis - downSince >= MissingMachines.MAX_OUT_OF_SERVICE_MILLIS;
         return requestedMillis > downSince
                 && view.machine(machine).map(MachineView::up).orElse(ended)
                 && !isUpkeepOrdered(machine)
                 && !view.hasOrderInFlight(machine);
     }
 
-    private static boolean isMissing(WaveProgress wave, String machine) {
-        return wave.listsWithoutMachine.getOrDefault(machine, 0) >= MIN_LISTS_WITHOUT_MACHINE;
-    }
-
     /**
      * Returns whether the upkeep of a machine has been ordered.
      */
@@ -157,7 +144,7 @@
             case DONE -> upkeepBegun(wave, machine, nowMillis);
             case REJECTED -> upkeepRejected(wave, machine, nowMillis);
             case BUSY -> {
-                countRefusal(wave, machine, nowMillis);
+                missing.refused(machine, nowMillis);
                 retries.failed(machine, nowMillis);
             }
             default -> retries.failed(machine, nowMillis);
@@ -178,7 +165,7 @@
      * Handles a rejected order, which ends no upkeep: the platform may not know the wave yet.
      */
     private void upkeepRejected(WaveProgress wave, String machine, long nowMillis) {
-        countRefusal(wave, machine, nowMillis);
+        missing.refused(machine, nowMillis);
         retries.rejected(machine, nowMillis);
         wave.orderedMachines.remove(machine);
         wave.dirty = true;
@@ -186,19 +173,12 @@
         logMachine("machine-upkeep-rejected", wave, machine, nowMillis);
     }
 
-    private static void countRefusal(WaveProgress wave, String machine, long nowMillis) {
-        if (isMissing(wave, machine)) {
-            wave.refusals.merge(
-                    machine, new WaveProgress.Refusals(nowMillis, nowMillis), WaveProgress.Refusals::followedBy);
-        }
-    }
-
     private void logMachine(String event, WaveProgress wave, String machine, long nowMillis) {
         actions.logDecision(Decision.of(event)
                 .with("wave", wave.number)
                 .with("machine", machine)
                 .with("listed", view.machine(machine).isPresent())
-                .with("listsWithoutMachine", wave.listsWithoutMachine.getOrDefault(machine, 0))
+                .with("listsWithoutMachine", missing.listsWithout(machine))
                 .with("machinesListed", view.machines().size())
                 .with("listAgeMillis", nowMillis - view.listRequestedMillis()));
     }
@@ -294,15 +274,14 @@
      * @return the number of machines ordered
      */
     private int orderMissing(WaveProgress wave, int down, Predicate<String> isMoveOrdered, long nowMillis) {
-        List<String> missing = wave.waitingMachines().stream()
-                .filter(machine -> isMissing(wave, machine)
-                        && !machinesWithWorkers.contains(machine)
+        List<String> machines = wave.waitingMachines().stream()
+                .filter(machine -> missing.isMissing(machine)
                         && retries.isDue(machine, nowMillis)
                         && isFree(machine, isMoveOrdered))
                 .limit(Math.max(0, wave.atOnce - down))
                 .toList();
-        missing.forEach(machine -> order(wave, machine, nowMillis));
-        return missing.size();
+        machines.forEach(machine -> order(wave, machine, nowMillis));
+        return machines.size();
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveProgress.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/WaveProgress.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
@@ -35,12 +33,6 @@
 
     final Set<String> orderedMachines = new TreeSet<>();
     final Set<String> storedOrders = new TreeSet<>();
-    /** The number of successive lists that lack a machine, by machine. */
-    final Map<String, Integer> listsWithoutMachine = new HashMap<>();
-
-    /** When the platform refused to maintain machines that lists lack, by machine. */
-    final Map<String, Refusals> refusals = new HashMap<>();
-
     List<String> machines = List.of();
     int atOnce = 1;
     /** The time at which this entry learned of the request, on the steady clock. */
@@ -85,8 +77,6 @@
         deadlineMillis = now.steadyMillis() + deadlineWallMillis - now.wallMillis();
         requestedMillis = now.steadyMillis();
         requested = true;
-        listsWithoutMachine.clear();
-        refusals.clear();
         machines = newMachines;
         atOnce = newAtOnce;
         orderedMachines.retainAll(machines);
@@ -211,13 +201,4 @@
                 .map(name -> name.replace("%3B", SEPARATOR).replace("%2C", ",").replace("%25", "%"))
                 .toList();
     }
-
-    /**
-     * The times of the first and the last of a series of refusals, on the steady clock in milliseconds.
-     */
-    record Refusals(long firstMillis, long lastMillis) {
-        Refusals followedBy(Refusals later) {
-            return new Refusals(firstMillis, later.lastMillis);
-        }
-    }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/UpkeepPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/UpkeepPlannerTest.java
@@ -199,6 +199,19 @@
         assertCompletedWithin(10_000);
     }
 
+    /** Guards against waves that wait one after the other for the evidence that the same machine has gone. */
+    @Test
+    void machineThatHasGoneHoldsOverlappingWavesOpenOnlyOnce() {
+        fleet.machines.remove("m1");
+        for (long wave = WAVE; wave <= 6; wave++) {
+            fleet.addWave(wave, List.of("m1"), WITHIN_MILLIS, 1);
+        }
+        fleet.runFor(10_000);
+        for (long wave = WAVE; wave <= 6; wave++) {
+            assertTrue(fleet.isCompleted(wave), fleet.storedWaves.toString());
+        }
+    }
+
     @Test
     void machineThatGoesAfterItsOrderDoesNotHoldItsWaveOpen() {
         fleet.outcomes.put("m0", new ArrayDeque<>(List.of(OrderOutcome.UNKNOWN, OrderOutcome.UNKNOWN)));
