Do not choose a machine for upkeep before its rejected order is due again

Cause: a machine whose upkeep was rejected was chosen again at once and kept a place among those that may be down until its order was due. Change: it is chosen when the order is due. The doubled code that orders a machine is one method; two comments. Result: the tests of the planner pass.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -25,7 +25,9 @@
     private final FleetView view;
     private final OrderRateLimiter rateLimiter;
     private final Map<Long, WaveProgress> waves = new TreeMap<>();
+    /** The times from which machines count as down for their upkeep, until a later list shows them up. */
     private final Map<String, Long> downSinceMillis = new HashMap<>();
+
     private final UpkeepRetries retries = new UpkeepRetries();
     private final Set<String> emptying = new HashSet<>();
     private final MissingMachines missing = new MissingMachines();
@@ -147,6 +149,7 @@
                 missing.refused(machine, nowMillis);
                 retries.failed(machine, nowMillis);
             }
+            // The order may be carried out, or says nothing of the machine.
             default -> retries.failed(machine, nowMillis);
         }
     }
@@ -246,11 +249,9 @@
             if (emptying.contains(machine.name())) {
                 continue;
             }
-            if (view.isEmpty(machine) && down < atOnce && !view.hasOrderInFlight(machine.name())) {
+            if (view.isEmpty(machine) && down < atOnce && retries.isDue(machine.name(), nowMillis)) {
                 down++;
-                wave.orderedMachines.add(machine.name());
-                wave.dirty = true;
-                downSinceMillis.put(machine.name(), nowMillis);
+                order(wave, machine.name(), nowMillis);
                 evacuating.add(machine);
             } else if (emptyingCount + down < atOnce + EXTRA_EMPTYING_MACHINES) {
                 emptyingCount++;
@@ -268,8 +269,8 @@
     }
 
     /**
-     * Orders the upkeep of machines that lists lack and on which no worker is registered. The platform rejects it if they
-     * are gone, and begins it if the lists were incomplete.
+     * Orders the upkeep of machines that lists lack and on which no worker is registered. The platform refuses it if they
+     * have gone, and begins it if the lists were incomplete.
      *
      * @return the number of machines ordered
      */
