Name the log line of a rejected upkeep without the platform's word for the call

Cause: machine-upkeep-rejected holds the platform's name for an order, which only platform/ may know. The timeline keeps the name in lines that were logged. Result: UpkeepPlannerTest, UnansweredUpkeepTest and FleetPlannerTest pass, with formatter and linter; no test rests on the name.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/UpkeepPlanner.java
@@ -173,7 +173,7 @@
         wave.orderedMachines.remove(machine);
         wave.dirty = true;
         downSinceMillis.remove(machine);
-        logMachine("machine-upkeep-rejected", wave, machine, nowMillis);
+        logMachine("upkeep-rejected", wave, machine, nowMillis);
     }
 
     private void logMachine(String event, WaveProgress wave, String machine, long nowMillis) {
