Do not take a run beyond a worker's listed ends for a lost one

Cause: a worker lists its oldest 500 ends at a time and the next ones once these are acknowledged, which waits for the store. The owner read each answer as the whole list, so a run whose end was further back was in neither list, counted as absent, and after two answers its task started again. The same reading let a stop that had been answered free its task, sent a stop to a run whose start was unanswered, blamed the worker for runs without progress, and let a successor believe that it knew all ends of a worker after its first answer.

Ruled out: the acknowledgement (ends are acknowledged only once stored, before and after), and a lapsed lease (none lapsed in the case).

Absence is evidence only in a complete status; a worker is resolved after a take-over, and the runs that only the store names are dropped, with the first complete one; an incomplete one is asked for again. A log line status-partial says when a worker's list is cut.

The emulation checks besides that no task starts after an end that is acknowledged later; all earlier scenarios keep to it.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -65,7 +65,10 @@
         if (endsUnstored && !worker.holdUrgent && nowMillis - worker.lastAnswerMillis < MAX_STORE_WAIT_MILLIS) {
             return false;
         }
-        boolean needsPolling = !worker.runs.isEmpty() || worker.answerWanted || worker.storedEnd > worker.ackedEnd;
+        boolean needsPolling = !worker.runs.isEmpty()
+                || worker.answerWanted
+                || !worker.statusComplete
+                || worker.storedEnd > worker.ackedEnd;
         return !worker.fenced || worker.missedCalls > 0 || needsPolling;
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -49,6 +49,9 @@
     ResourceAmount usedResources = ResourceAmount.NONE;
     boolean listed = true;
     boolean fenced;
+    /** True if the last status was complete. */
+    boolean statusComplete = true;
+
     boolean ended;
     boolean evacuating;
     boolean holdInFlight;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -23,8 +23,10 @@
     boolean stopSentBeforeRestart;
     /** True if a status of the worker has listed the run. */
     boolean listed;
-    /** The number of consecutive statuses that should have listed the run and did not. */
+    /** The number of consecutive complete statuses that should have listed the run and did not. */
     int absences;
+    /** True if the last status did not list the run and was not complete, so that the run may have ended. */
+    boolean mayHaveEnded;
 
     String checkpoint = "";
     int percent;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunStatistics.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunStatistics.java
@@ -111,7 +111,7 @@
     }
 
     /**
-     * Returns the runs without recent progress on a worker that has answered since.
+     * Returns the runs without recent progress on a worker that has answered since. Not those that may have ended.
      */
     List<Run> stalledRuns(PoolWorker worker, long nowMillis) {
         List<Run> stalled = new ArrayList<>();
@@ -120,6 +120,7 @@
             boolean noProgress = nowMillis - run.progressMillis > STALL_TIMEOUT_MILLIS;
             if (ordinary
                     && run.phase == RunPhase.RUNNING
+                    && !run.mayHaveEnded
                     && noProgress
                     && worker.lastAnswerMillis > run.progressMillis) {
                 stalled.add(run);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -145,7 +145,8 @@
         worker.recordClock(status.clockMillis(), nowMillis);
         boolean firstStatus = !worker.fenced;
         worker.fenced = true;
-        state.forgetUnreportedRuns(worker);
+        logIfPartial(worker, status);
+        worker.statusComplete = status.complete();
         boolean newEnds = false;
         for (WorkerRunStatus.Ended ended : status.ended()) {
             if (ended.number() > worker.processedEnd) {
@@ -158,12 +159,29 @@
         for (WorkerRunStatus.Running running : status.running()) {
             seen.add(runListed(worker, running, now));
         }
-        resolveAbsent(worker, seen, now);
+        // A run in neither list of a partial status may have ended.
+        worker.runs.values().forEach(run -> run.mayHaveEnded = !status.complete() && !seen.contains(run));
+        if (status.complete()) {
+            resolveAbsent(worker, seen, now);
+            state.forgetUnreportedRuns(worker);
+            state.placementDue |= state.unresolvedWorkers.remove(worker);
+        }
         worker.nextHoldMillis = firstStatus ? nowMillis : nowMillis + (newEnds ? HOLD_DELAY_AFTER_ENDS_MILLIS : 0);
-        state.unresolvedWorkers.remove(worker);
         state.placementDue |= newEnds || firstStatus;
     }
 
+    private void logIfPartial(PoolWorker worker, WorkerRunStatus status) {
+        if (worker.statusComplete && !status.complete()) {
+            state.actions.logDecision(Decision.failure("status-partial")
+                    .with("worker", worker.id)
+                    .with("runs", worker.runs.size())
+                    .with("running", status.running().size())
+                    .with("ended", status.ended().size())
+                    .with("acknowledgedEnd", worker.ackedEnd)
+                    .with("storedEnd", worker.storedEnd));
+        }
+    }
+
     private Run runListed(PoolWorker worker, WorkerRunStatus.Running running, Moment now) {
         Run run = worker.run(running.task(), running.run());
         if (run == null) {
@@ -306,6 +324,9 @@
         }
     }
 
+    /**
+     * Handles the runs that a complete status does not list.
+     */
     private void resolveAbsent(PoolWorker worker, Set<Run> seen, Moment now) {
         for (Run run : new ArrayList<>(worker.runs.values())) {
             if (seen.contains(run)) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRunStatus.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRunStatus.java
@@ -9,8 +9,10 @@
  * @param running  the present runs, not null
  * @param ended  the run ends that are not acknowledged yet, the oldest first, not null
  * @param born  when this incarnation of the worker started, in milliseconds since 1970, 0 if the platform does not send it
+ * @param complete  false if the worker may have further ends than those in the list, so that a run in neither list may
+ *     have ended
  */
-public record WorkerRunStatus(long clockMillis, List<Running> running, List<Ended> ended, long born) {
+public record WorkerRunStatus(long clockMillis, List<Running> running, List<Ended> ended, long born, boolean complete) {
     /**
      * Constructs a status with copies of the lists.
      */
@@ -20,7 +22,20 @@
     }
 
     /**
-     * Constructs a status on a platform that does not send when a worker started.
+     * Constructs a complete status.
+     *
+     * @param clockMillis  the worker's clock in milliseconds
+     * @param running  the present runs, not null
+     * @param ended  the run ends that are not acknowledged yet, the oldest first, not null
+     * @param born  when this incarnation of the worker started, in milliseconds since 1970, 0 if the platform does not
+     *     send it
+     */
+    public WorkerRunStatus(long clockMillis, List<Running> running, List<Ended> ended, long born) {
+        this(clockMillis, running, ended, born, true);
+    }
+
+    /**
+     * Constructs a complete status on a platform that does not send when a worker started.
      *
      * @param clockMillis  the worker's clock in milliseconds
      * @param running  the present runs, not null
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -68,6 +69,7 @@
     private final Map<String, Long> crashingTasks = new HashMap<>();
     private int lastJob;
     private int lastWorker;
+    private OptionalInt maxListedEnds = OptionalInt.empty();
 
     EmulatedPlatform(long seed, int workerCount) {
         this(seed, workerCount, 2.0, 1_000, false);
@@ -240,11 +242,20 @@
             crash(worker);
             time.schedule(MACHINE_RESTART_MILLIS, this::addWorker);
         });
+        maxListedEnds.ifPresent(worker::maxListedEnds);
         workers.put(id, worker);
         owners.forEach(EmulatedOwner::registryChanged);
         return id;
     }
 
+    /**
+     * Limits the number of run ends that a worker lists at a time.
+     */
+    void maxListedEnds(int count) {
+        maxListedEnds = OptionalInt.of(count);
+        workers.values().forEach(worker -> worker.maxListedEnds(count));
+    }
+
     private RegisteredWorker report(String id) {
         long born = sendsBorn ? time.moment().wallMillis() : 0;
         return new RegisteredWorker(
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -20,6 +20,7 @@
  */
 public final class EmulatedWorker {
     private static final long STOP_DELAY_MILLIS = 100;
+    private static final int DEFAULT_LISTED_ENDS = 500;
     /** Time after which a smaller capacity must be respected: the platform's bound and one report. */
     private static final long CAPACITY_APPLY_MILLIS = 4_500;
     /** The longest time that a call which is not lost takes there and back. */
@@ -50,10 +51,12 @@
     private long statusMillis;
     private long lastEndBeforeStatus;
     private long leaseExpiryMillis;
+    private long lastEndBeforeLapse;
     private boolean alive = true;
     private boolean reachable = true;
     private boolean failing;
     private int failuresPerThousand = 20;
+    private int maxListedEnds = DEFAULT_LISTED_ENDS;
     private Runnable crashHandler = this::crash;
 
     /**
@@ -106,6 +109,7 @@
         statusReported = false;
         statusToken = 0;
         lastEndBeforeStatus = 0;
+        lastEndBeforeLapse = 0;
         highestToken = 0;
         leaseExpiryMillis = 0;
         clockOffset = -(long) (time.nowMillis() * clockRate);
@@ -226,6 +230,7 @@
         if (alive && checked == incarnation) {
             if (clockMillis() >= leaseExpiryMillis) {
                 new ArrayList<>(runs.values()).forEach(run -> endRun(run, RunEnd.LAPSED));
+                lastEndBeforeLapse = lastEndNumber;
             }
             time.schedule(20, () -> checkLease(checked));
         }
@@ -394,7 +399,7 @@
         unacknowledgedEnds.removeIf(end -> {
             boolean acknowledged = end.number() <= order.lastEnd();
             if (acknowledged && (sentTo == incarnation || end.number() > lastEndBeforeStatus)) {
-                checks.endAcknowledged(end);
+                checks.endAcknowledged(end, end.number() > lastEndBeforeLapse);
             }
             return acknowledged;
         });
@@ -412,7 +417,16 @@
     }
 
     /**
-     * Returns the active runs and the unacknowledged run ends.
+     * Limits the number of run ends in a status.
+     *
+     * @param count  the number, positive
+     */
+    void maxListedEnds(int count) {
+        maxListedEnds = count;
+    }
+
+    /**
+     * Returns the active runs and the oldest unacknowledged run ends.
      *
      * @return the status, not null
      */
@@ -424,7 +438,10 @@
         runs.values()
                 .forEach(run ->
                         running.add(new WorkerRunStatus.Running(run.task.text(), run.number, "", percent(run), 0)));
-        return new WorkerRunStatus(clockMillis(), running, unacknowledgedEnds, born);
+        boolean complete = unacknowledgedEnds.size() < maxListedEnds;
+        List<WorkerRunStatus.Ended> listed =
+                complete ? unacknowledgedEnds : unacknowledgedEnds.subList(0, maxListedEnds);
+        return new WorkerRunStatus(clockMillis(), running, listed, born, complete);
     }
 
     private int percent(ActiveRun run) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
@@ -48,6 +48,10 @@
     private final Set<String> completedTasks = new HashSet<>();
     private final Map<String, Integer> failedRuns = new HashMap<>();
     private final Set<String> acknowledgedCompletions = new HashSet<>();
+    /** The number of starts of any task at the last start of each task, and at the end of each run that ended done. */
+    private final Map<String, Integer> startsAtLastStart = new HashMap<>();
+
+    private final Map<String, Integer> startsAtCompletion = new HashMap<>();
     private final Map<String, Integer> acknowledgedFailures = new HashMap<>();
     private final Map<String, Integer> crashesByTask = new HashMap<>();
     private final Map<String, Integer> startsAfterCrashes = new HashMap<>();
@@ -150,6 +154,7 @@
             addViolation("TWICE " + task.text() + " started after its completion was acknowledged");
         }
         others.add(worker);
+        startsAtLastStart.put(task.text(), starts);
         lastStartMillis.put(task.text(), time.nowMillis());
         checkStepOrder(job, task);
         if (acknowledgedFailures.getOrDefault(task.text(), 0) >= maxAttempts.get(task.job())) {
@@ -197,6 +202,7 @@
         lastEndMillis.put(task.text(), time.nowMillis());
         if (how.equals(RunEnd.DONE.name())) {
             completedTasks.add(task.text());
+            startsAtCompletion.put(runKey(task.text(), run), starts);
         } else if (how.equals(RunEnd.FAILED.name())) {
             failedRuns.merge(task.text(), 1, Integer::sum);
         }
@@ -237,14 +243,28 @@
         return crashesByTask.values().stream().mapToInt(Integer::intValue).sum();
     }
 
-    void endAcknowledged(WorkerRunStatus.Ended end) {
+    /**
+     * Records that an end was acknowledged to its worker.
+     *
+     * @param leaseKept  false if the worker's lease has lapsed since the end, so that the task could rightly start again
+     */
+    void endAcknowledged(WorkerRunStatus.Ended end, boolean leaseKept) {
         if (end.how() == RunEnd.DONE) {
+            int startsUntilEnd = startsAtCompletion.getOrDefault(runKey(end.task(), end.run()), Integer.MAX_VALUE);
+            if (leaseKept && startsAtLastStart.getOrDefault(end.task(), 0) > startsUntilEnd) {
+                addViolation("TWICE " + end.task() + " started after its run " + end.run()
+                        + " had completed, which was acknowledged later");
+            }
             acknowledgedCompletions.add(end.task());
         } else if (end.how() == RunEnd.FAILED) {
             acknowledgedFailures.merge(end.task(), 1, Integer::sum);
         }
     }
 
+    private static String runKey(String task, int run) {
+        return task + '#' + run;
+    }
+
     /**
      * Checks that all tasks of a job that is reported as completed have completed.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
@@ -251,6 +251,25 @@
         });
     }
 
+    /**
+     * Runs while workers list only the oldest few run ends at a time, and the store, the owners and the workers fail.
+     *
+     * @param seed  the seed of jobs and faults
+     * @param maxListedEnds  the number of run ends that a worker lists at a time
+     * @return the result, not null
+     */
+    public static Result endsListedInParts(long seed, int maxListedEnds) {
+        return new PoolScenario(seed).run(scenario -> {
+            scenario.platform.maxListedEnds(maxListedEnds);
+            scenario.platform.lostPerThousand(20);
+            scenario.injectEvery(3_000, scenario::storeOutage);
+            scenario.injectEvery(5_000, scenario::killOwner);
+            scenario.injectEvery(6_500, scenario.platform::startOwner);
+            scenario.injectEvery(7_000, scenario::disconnectRandomWorker);
+            scenario.injectEvery(700, scenario::cancelRandomJob);
+        });
+    }
+
     private Result run(Consumer<PoolScenario> faults) {
         faults.accept(this);
         long jobs = LOAD_MILLIS / JOB_INTERVAL_MILLIS;
