Do not read an incomplete answer of the store as an empty list or a last page

Page refuses to be constructed without the key after which the next page begins, and the three readers of pages ask it for that key.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -130,24 +130,18 @@
                 return;
             }
             try {
-                pageRead(load, after, prefix, page);
+                pageRead(load, prefix, page);
             } catch (RuntimeException e) {
                 load.unusable.accept(e);
             }
         });
     }
 
-    private void pageRead(Load load, String after, String prefix, StorePort.Page page) {
-        String last = after;
+    private void pageRead(Load load, String prefix, StorePort.Page page) {
         for (StorePort.Item item : page.items()) {
             load.documents.put(item.key().substring(prefix.length()), item.value());
-            last = item.key();
-        }
-        if (page.hasMore() && !last.equals(after)) {
-            readPage(load, last);
-        } else {
-            load.loaded.accept(load.documents);
         }
+        page.nextAfter().ifPresentOrElse(next -> readPage(load, next), () -> load.loaded.accept(load.documents));
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoreMirror.java
@@ -134,11 +134,7 @@
             }
             storeAnswered();
             itemRead.add(page);
-            if (page.hasMore() && !page.items().isEmpty()) {
-                readPage(itemRead, page.items().get(page.items().size() - 1).key());
-            } else {
-                readEnded(itemRead);
-            }
+            page.nextAfter().ifPresentOrElse(next -> readPage(itemRead, next), () -> readEnded(itemRead));
         });
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StorePort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StorePort.java
@@ -95,7 +95,32 @@
      * @param hasMore  true if more items follow
      * @param revision  the revision of the store at which the page was read
      */
-    record Page(List<Item> items, boolean hasMore, long revision) {}
+    record Page(List<Item> items, boolean hasMore, long revision) {
+        /**
+         * Constructs a page with a copy of the items.
+         *
+         * @param items  the items, not null
+         * @param hasMore  true if more items follow
+         * @param revision  the revision of the store at which the page was read
+         * @throws IllegalArgumentException if more items follow and the page has none, so that the next page cannot be asked
+         *     for
+         */
+        public Page {
+            items = List.copyOf(items);
+            if (hasMore && items.isEmpty()) {
+                throw new IllegalArgumentException("a page that more items follow has no items");
+            }
+        }
+
+        /**
+         * Returns the key after which the next page begins.
+         *
+         * @return the key, empty if this is the last page, not null
+         */
+        public Optional<String> nextAfter() {
+            return hasMore ? Optional.of(items.get(items.size() - 1).key()) : Optional.empty();
+        }
+    }
 
     /**
      * Changes since a revision.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WaveStateReader.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WaveStateReader.java
@@ -57,11 +57,7 @@
                 return;
             }
             page.items().forEach(this::load);
-            if (page.hasMore() && !page.items().isEmpty()) {
-                readPage(page.items().get(page.items().size() - 1).key());
-            } else {
-                done.run();
-            }
+            page.nextAfter().ifPresentOrElse(this::readPage, done);
         });
     }
 
