Wait for silent workers before a successor starts an occurrence that its predecessor may have opened

Cause: an owner opens an occurrence when it is due and orders its tasks at once; the document that names it is stored up to 150 ms later, longer while the store does not answer. What keeps a successor from starting a task that a silent worker may run was a mark on each task in the stored document, so the tasks of occurrences that the successor opened itself did not have it. The same assumption, that the document names all that its predecessor had open, made a successor stop a reported run, and drop a reported end, of an occurrence that it had not opened: one due by its predecessor's clock alone, or opened after ends that were not stored. The end was acknowledged, and the task started again.

Change: a job that was loaded is inherited, and each occurrence of an inherited job is created with the mark, whoever opens it. A run or an end that a worker reports of an occurrence not opened yet opens those up to it, as many as an owner may have open. The cost is what other inherited tasks pay already: the task waits for workers that have not reported, at most until their leases have lapsed.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
@@ -78,6 +78,7 @@
         job.endStoredMillis = now.steadyMillis() - Math.max(0, now.wallMillis() - endedWallMillis);
         job.nextOccurrence = nextOccurrence;
         job.endedOccurrences = endedOccurrences;
+        job.inherited = true;
         job.stored = true;
         job.storedPhase = phase;
         List<RunLocation> runLocations = new ArrayList<>();
@@ -176,7 +177,6 @@
         if (task.done) {
             return;
         }
-        task.mayHaveUnseenRun = true;
         unpackFailed(unpacker, task.failedRuns);
         task.lastRunNumber = unpacker.unpackInt();
         task.checkpoint = unpacker.unpackString();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -31,6 +31,9 @@
     /** The number of changes of the tasks' crash records that are stored. */
     int storedCrashChanges;
 
+    /** True if an earlier owner had this job: it may have given orders that the stored document does not name. */
+    boolean inherited;
+
     boolean stored;
     JobPhase storedPhase = JobPhase.QUEUED;
     boolean dirty;
@@ -57,11 +60,34 @@
                 && nextOccurrence < spec.schedule().count()
                 && isDue(nextOccurrence, now)
                 && mayOpenAnother()) {
-            OccurrenceState occurrence = new OccurrenceState(this, nextOccurrence);
-            occurrences.put(nextOccurrence, occurrence);
-            occurrence.advance(now.steadyMillis());
-            nextOccurrence++;
+            openNext(now);
+        }
+    }
+
+    private void openNext(Moment now) {
+        OccurrenceState occurrence = new OccurrenceState(this, nextOccurrence);
+        occurrences.put(nextOccurrence, occurrence);
+        occurrence.advance(now.steadyMillis());
+        nextOccurrence++;
+    }
+
+    /**
+     * Creates the occurrences up to one of which a worker reports a run: an earlier owner has opened them, by its own clock and
+     * after ends that it had not stored.
+     *
+     * @return false if the occurrence cannot be one that the earlier owner had open
+     */
+    boolean openReported(int number, Moment now) {
+        long opened = number - (long) nextOccurrence + 1;
+        boolean plausible = inherited
+                && !phase.ended()
+                && opened > 0
+                && number < spec.schedule().count()
+                && (opened == 1 || opened * spec.taskCount() <= JobSpec.MAX_TASKS);
+        for (int i = 0; plausible && i < opened; i++) {
+            openNext(now);
         }
+        return plausible;
     }
 
     private boolean isDue(int number, Moment now) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OccurrenceState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OccurrenceState.java
@@ -17,6 +17,9 @@
         this.steps = new JobStepState[specs.size()];
         for (int i = 0; i < steps.length; i++) {
             steps[i] = new JobStepState(this, i, specs.get(i));
+            for (JobTaskState task : steps[i].tasks) {
+                task.mayHaveUnseenRun = job.inherited;
+            }
         }
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.trefoilpost.decision.job.crash.CrashRecord;
 
@@ -222,7 +223,7 @@
      * Adds a reported run that is not known: adopts it if its task needs it, else stops it.
      */
     private Run adopt(PoolWorker worker, WorkerRunStatus.Running running, Moment now) {
-        JobTaskState task = state.task(running.task());
+        JobTaskState task = reportedTask(running.task(), now);
         boolean wanted = task != null
                 && !task.done
                 && !task.step.occurrence.job.phase.ended()
@@ -245,6 +246,25 @@
         return run;
     }
 
+    /**
+     * Returns the task of a reported run, null if there is none. An occurrence that an earlier owner had opened is opened.
+     */
+    private JobTaskState reportedTask(String name, Moment now) {
+        JobTaskState known = state.task(name);
+        Optional<TaskId> id = known == null ? TaskId.parse(name) : Optional.empty();
+        JobState job = id.map(task -> state.jobs.get(task.job())).orElse(null);
+        if (job == null || !job.openReported(id.get().occurrence(), now)) {
+            return known;
+        }
+        state.markDirty(job, now.steadyMillis(), false);
+        state.placementDue = true;
+        state.actions.logDecision(Decision.of("occurrence-adopted")
+                .with("job", job.spec.id())
+                .with("task", name)
+                .with("nextOccurrence", job.nextOccurrence));
+        return job.task(id.get());
+    }
+
     private JobTaskState unknownTask(String name, Moment now) {
         TaskId id = TaskId.parse(name).orElse(new TaskId(name, 0, 0, 0));
         StepSpec step = StepSpec.builder().build();
@@ -256,7 +276,7 @@
 
     private void runEnded(PoolWorker worker, WorkerRunStatus.Ended ended, Moment now) {
         Run run = worker.run(ended.task(), ended.run());
-        JobTaskState task = run != null ? run.task : state.task(ended.task());
+        JobTaskState task = run != null ? run.task : reportedTask(ended.task(), now);
         if (run != null) {
             worker.unansweredStarts.remove(PoolWorker.key(run));
             runStatistics.runEnded(run, ended.how(), now.steadyMillis());
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -70,6 +70,7 @@
     private int lastJob;
     private int lastWorker;
     private OptionalInt maxListedEnds = OptionalInt.empty();
+    private int scheduledJobsPerThousand;
 
     EmulatedPlatform(long seed, int workerCount) {
         this(seed, workerCount, 2.0, 1_000, false);
@@ -248,6 +249,21 @@
         return id;
     }
 
+    /**
+     * Sets how many of the jobs that are not long-running are scheduled to run several times.
+     */
+    void scheduledJobsPerThousand(int count) {
+        scheduledJobsPerThousand = count;
+    }
+
+    private JobSpec.Schedule schedule() {
+        if (scheduledJobsPerThousand == 0 || random.nextInt(1_000) >= scheduledJobsPerThousand) {
+            return JobSpec.Schedule.ONCE;
+        }
+        long firstMillis = time.moment().wallMillis() + random.nextInt(2_000);
+        return new JobSpec.Schedule(firstMillis, 200 + random.nextInt(1_800), 2 + random.nextInt(4));
+    }
+
     /**
      * Limits the number of run ends that a worker lists at a time.
      */
@@ -370,7 +386,7 @@
                     .service("", 0, longRunning ? 1 : 0)
                     .build());
         }
-        JobSpec spec = new JobSpec(id, QUEUE, "text of " + id, specs, JobSpec.Schedule.ONCE);
+        JobSpec spec = new JobSpec(id, QUEUE, "text of " + id, specs, longRunning ? JobSpec.Schedule.ONCE : schedule());
         jobs.put(id, spec);
         checks.jobSubmitted(spec, MAX_ATTEMPTS);
         if (crashingJobsPerThousand > 0 && random.nextInt(1_000) < crashingJobsPerThousand) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatorTime.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatorTime.java
@@ -11,6 +11,13 @@
      */
     long nowMillis();
 
+    /**
+     * Returns the current time since 1970.
+     *
+     * @return the time in milliseconds
+     */
+    long wallMillis();
+
     /**
      * Schedules an event.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
@@ -157,6 +157,7 @@
         startsAtLastStart.put(task.text(), starts);
         lastStartMillis.put(task.text(), time.nowMillis());
         checkStepOrder(job, task);
+        checkDueTime(job, task);
         if (acknowledgedFailures.getOrDefault(task.text(), 0) >= maxAttempts.get(task.job())) {
             addViolation("BUDGET " + task.text());
         }
@@ -185,6 +186,13 @@
         return unpreventableStarts;
     }
 
+    private void checkDueTime(JobSpec job, TaskId task) {
+        long dueMillis = job.schedule().dueMillis(task.occurrence());
+        if (job.schedule().timed() && time.wallMillis() < dueMillis) {
+            addViolation("ORDER " + task.text() + " before it is due at " + dueMillis);
+        }
+    }
+
     private void checkStepOrder(JobSpec job, TaskId task) {
         for (int earlier : job.steps().get(task.step()).after()) {
             StepSpec step = job.steps().get(earlier);
@@ -273,11 +281,17 @@
     public void jobShownCompleted(String job) {
         endedJobs.add(job);
         JobSpec spec = jobs.get(job);
+        for (int occurrence = 0; occurrence < spec.schedule().count(); occurrence++) {
+            checkCompleted(spec, occurrence);
+        }
+    }
+
+    private void checkCompleted(JobSpec spec, int occurrence) {
         for (int step = 0; step < spec.steps().size(); step++) {
             for (int i = 0; i < spec.steps().get(step).count(); i++) {
-                String name = new TaskId(job, 0, step, i).text();
+                String name = new TaskId(spec.id(), occurrence, step, i).text();
                 if (!completedTasks.contains(name)) {
-                    addViolation("MIXED " + job + " is reported as completed before " + name);
+                    addViolation("MIXED " + spec.id() + " is reported as completed before " + name);
                 }
             }
         }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
@@ -270,6 +270,24 @@
         });
     }
 
+    /**
+     * Runs while jobs are scheduled to run several times, owners are killed or replaced, and workers are unreachable.
+     *
+     * @param seed  the seed of jobs and faults
+     * @return the result, not null
+     */
+    public static Result scheduledJobsAndOwnersReplaced(long seed) {
+        return new PoolScenario(new EmulatedPlatform(seed, WORKERS + 2)).run(scenario -> {
+            scenario.platform.scheduledJobsPerThousand(300);
+            scenario.platform.lostPerThousand(20);
+            scenario.injectEvery(2_500, scenario::killOwner);
+            scenario.injectEvery(3_500, scenario.platform::startOwner);
+            scenario.injectEvery(2_000, scenario::disconnectRandomWorker);
+            scenario.injectEvery(6_000, scenario::storeOutage);
+            scenario.injectEvery(700, scenario::cancelRandomJob);
+        });
+    }
+
     private Result run(Consumer<PoolScenario> faults) {
         faults.accept(this);
         long jobs = LOAD_MILLIS / JOB_INTERVAL_MILLIS;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/RealTime.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/RealTime.java
@@ -23,6 +23,11 @@
         return System.nanoTime() / NANOS_PER_MILLI;
     }
 
+    @Override
+    public long wallMillis() {
+        return System.currentTimeMillis();
+    }
+
     @Override
     public void schedule(long millis, Runnable event) {
         executor.schedule(() -> run(event), Math.max(0, millis), TimeUnit.MILLISECONDS);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/VirtualTime.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/VirtualTime.java
@@ -18,8 +18,13 @@
         return nowMillis;
     }
 
+    @Override
+    public long wallMillis() {
+        return nowMillis + WALL_OFFSET_MILLIS;
+    }
+
     Moment moment() {
-        return new Moment(nowMillis, nowMillis + WALL_OFFSET_MILLIS);
+        return new Moment(nowMillis, wallMillis());
     }
 
     @Override
