--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Commit.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Commit.java
@@ -12,10 +12,12 @@
  * @param removed  the identifiers of the jobs whose documents are removed, may be empty, not null
  * @param queues  the names of the queues that have stored jobs in the pool once the change is made, may be empty, not
  *     null
+ * @param acceptsJobs  true if the change stores jobs for the first time, which accepts them
  */
-public record Commit(long number, Map<String, byte[]> puts, List<String> removed, Set<String> queues) {
+public record Commit(
+        long number, Map<String, byte[]> puts, List<String> removed, Set<String> queues, boolean acceptsJobs) {
     /** The maximum number of documents written and removed by one change. */
-    public static final int MAX_DOCUMENTS = 28;
+    public static final int MAX_DOCUMENTS = 27;
 
     /** The maximum size of a document. */
     public static final int MAX_DOCUMENT_BYTES = 1_048_576;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -81,11 +82,27 @@
     }
 
     /**
-     * Removes the jobs that are not stored and that no commit has contained, and returns them.
+     * Handles that the commit in flight has not taken effect and never will; ignores other numbers.
      */
-    List<JobState> withdrawUnsent() {
+    void commitRejected(long number, Moment now) {
+        if (!inFlight || number != lastNumber) {
+            return;
+        }
+        inFlight = false;
+        coveredEnds.clear();
+        removedJobs = List.of();
+        writtenJobs.keySet().forEach(job -> state.markDirty(job, now.steadyMillis(), true));
+        writtenJobs.clear();
+    }
+
+    /**
+     * Removes jobs that are not stored and that no commit which may take effect has contained, and returns them.
+     *
+     * @param withdrawn  tells which of them are removed
+     */
+    List<JobState> withdrawUnsent(Predicate<JobState> withdrawn) {
         List<JobState> unsent = state.dirtyJobs.stream()
-                .filter(job -> !job.stored && !writtenJobs.containsKey(job))
+                .filter(job -> !job.stored && !writtenJobs.containsKey(job) && withdrawn.test(job))
                 .toList();
         unsent.forEach(state::remove);
         return unsent;
@@ -143,7 +160,8 @@
         lastSentMillis = now.steadyMillis();
         storedQueues = queuesAfter(batch, expired);
         lastNumber++;
-        state.actions.commit(new Commit(lastNumber, puts, expired, Set.copyOf(storedQueues)));
+        boolean acceptsJobs = batch.stream().anyMatch(job -> !job.stored);
+        state.actions.commit(new Commit(lastNumber, puts, expired, Set.copyOf(storedQueues), acceptsJobs));
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import org.trefoilpost.decision.job.team.PoolTeamLimits;
 import org.trefoilpost.decision.job.team.Teams;
 
@@ -33,6 +32,7 @@
     private final JobWriter jobWriter;
     private final HoldScheduler holdScheduler;
     private final WorkerRestarts restarts;
+    private final WorkerRegistrations registrations;
     private final WorkerEvacuator evacuator;
     private final BestEffortThrottle throttle;
     private final PoolTakeover takeover;
@@ -60,6 +60,7 @@
         this.jobWriter = new JobWriter(state, jobEnds);
         this.holdScheduler = new HoldScheduler(state, orderSender, workerLosses);
         this.restarts = new WorkerRestarts(state, workerLosses);
+        this.registrations = new WorkerRegistrations(state, restarts);
         this.evacuator = new WorkerEvacuator(state, orderSender);
         this.throttle = new BestEffortThrottle(state, orderSender);
         this.takeover = new PoolTakeover(state);
@@ -92,12 +93,7 @@
      * @param teams  the teams, not null
      */
     public void configure(Map<String, QueueConfig> queues, Teams teams) {
-        state.queues = Map.copyOf(queues);
-        state.teams = teams;
-        for (JobState job : state.openJobs.values()) {
-            QueueConfig config = queues.get(job.spec.queue());
-            job.queue = config != null ? config : job.queue;
-        }
+        state.configure(queues, teams);
         admission.invalidateBacklog();
         state.placementDue = true;
     }
@@ -125,31 +121,7 @@
      * @param now  the present time, not null
      */
     public void updateWorkers(Collection<RegisteredWorker> listed, Moment now) {
-        Set<String> present = new TreeSet<>();
-        for (RegisteredWorker registration : listed) {
-            present.add(registration.id());
-            PoolWorker known = state.workers.computeIfAbsent(registration.id(), id -> new PoolWorker(registration));
-            Optional<PoolWorker> registered = restarts.registered(known, registration.incarnation(), now);
-            if (registered.isEmpty()) {
-                continue;
-            }
-            PoolWorker worker = registered.get();
-            if (registration.draining() && !worker.registration.draining()) {
-                state.actions.logDecision(Decision.of("worker-draining").with("worker", worker.id));
-            }
-            worker.register(registration).ifPresent(state.actions::logDecision);
-            worker.listed = true;
-        }
-        for (PoolWorker worker : state.workers.values()) {
-            if (worker.listed && !present.contains(worker.id)) {
-                worker.listed = false;
-                state.actions.logDecision(Decision.of("worker-unlisted")
-                        .with("worker", worker.id)
-                        .with("runs", worker.runs.size())
-                        .with("answerAge", worker.answerAgeMillis(now.steadyMillis())));
-            }
-        }
-        state.placementDue = true;
+        registrations.update(listed, now);
     }
 
     /**
@@ -236,7 +208,27 @@
      * @return the identifiers of the jobs, may be empty, not null
      */
     public Set<String> withdrawUnsentJobs() {
-        return submissions.withdrawUnsent(jobWriter.withdrawUnsent());
+        return submissions.withdrawUnsent(jobWriter.withdrawUnsent(job -> true));
+    }
+
+    /**
+     * Withdraws the jobs that no commit has contained yet and whose queue the configuration in force sends to another pool or
+     * does not have. They have not run here and never will.
+     *
+     * @return the identifiers of the jobs, may be empty, not null
+     */
+    public Set<String> withdrawMovedJobs() {
+        return submissions.withdrawUnsent(jobWriter.withdrawUnsent(job -> !state.isQueueOfPool(job.spec.queue())));
+    }
+
+    /**
+     * Returns whether the configuration in force sends a queue to this pool.
+     *
+     * @param queue  the queue's name, not null
+     * @return false if it sends the queue to another pool or does not have it
+     */
+    public boolean isQueueOfPool(String queue) {
+        return state.isQueueOfPool(queue);
     }
 
     /**
@@ -309,6 +301,17 @@
         jobWriter.commitStored(number, now);
     }
 
+    /**
+     * Handles that a commit has not taken effect and never will, as the configuration under which it accepted jobs is no
+     * longer the newest one. Its changes are part of the next commit.
+     *
+     * @param number  the number of the commit
+     * @param now  the present time, not null
+     */
+    public void commitRejected(long number, Moment now) {
+        jobWriter.commitRejected(number, now);
+    }
+
     /**
      * Handles the end of an incarnation of a worker.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -39,6 +39,26 @@
         this.actions = actions;
     }
 
+    /**
+     * Applies the queues and teams of a configuration; a job whose queue it lacks keeps the settings of its queue.
+     */
+    void configure(Map<String, QueueConfig> newQueues, Teams newTeams) {
+        queues = Map.copyOf(newQueues);
+        teams = newTeams;
+        for (JobState job : openJobs.values()) {
+            QueueConfig config = queues.get(job.spec.queue());
+            job.queue = config != null ? config : job.queue;
+        }
+    }
+
+    /**
+     * Returns whether the configuration in force sends a queue to this pool.
+     */
+    boolean isQueueOfPool(String queue) {
+        QueueConfig config = queues.get(queue);
+        return config != null && config.pool().equals(pool);
+    }
+
     void add(JobState job) {
         jobs.put(job.spec.id(), job);
         if (!job.phase.ended()) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequest.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -35,13 +36,13 @@
         if (this instanceof Submit submit) {
             byte[] spec = JobSpecCodec.encode(submit.spec());
             packer.packInt(Submit.KIND).packBinaryHeader(spec.length).writePayload(spec);
-            packCaller(packer, submit.caller());
+            packOrigin(packer, submit);
         } else if (this instanceof Cancel cancel) {
             packer.packInt(Cancel.KIND).packString(cancel.job());
-            packCaller(packer, cancel.caller());
+            packOrigin(packer, cancel);
         } else if (this instanceof Phase phase) {
             packer.packInt(Phase.KIND).packString(phase.job());
-            packCaller(packer, phase.caller());
+            packOrigin(packer, phase);
         } else if (this instanceof QueuedJobs queuedJobs) {
             packer.packInt(QueuedJobs.KIND).packString(queuedJobs.queue());
         } else if (this instanceof Instruct instruct) {
@@ -65,10 +66,16 @@
             return switch (unpacker.unpackInt()) {
                 case Submit.KIND -> {
                     JobSpec spec = JobSpecCodec.decode(unpacker.readPayload(unpacker.unpackBinaryHeader()));
-                    yield Optional.of(new Submit(spec, unpackCaller(unpacker)));
+                    yield Optional.of(withOrigin(unpacker, caller -> new Submit(spec, caller)));
+                }
+                case Cancel.KIND -> {
+                    String job = unpacker.unpackString();
+                    yield Optional.of(withOrigin(unpacker, caller -> new Cancel(job, caller)));
+                }
+                case Phase.KIND -> {
+                    String job = unpacker.unpackString();
+                    yield Optional.of(withOrigin(unpacker, caller -> new Phase(job, caller)));
                 }
-                case Cancel.KIND -> Optional.of(new Cancel(unpacker.unpackString(), unpackCaller(unpacker)));
-                case Phase.KIND -> Optional.of(new Phase(unpacker.unpackString(), unpackCaller(unpacker)));
                 case QueuedJobs.KIND -> Optional.of(new QueuedJobs(unpacker.unpackString()));
                 case Instruct.KIND -> {
                     int arrivingMachines = unpacker.unpackInt();
@@ -87,19 +94,34 @@
     }
 
     /**
-     * Appends the team of an identified caller as the last element; the empty text stands for no team. Earlier versions
-     * of the program ignore it, and the bytes for an unidentified caller are those that they write.
+     * Appends the team of an identified caller, where the empty text stands for no team, and the route if there is one. Earlier
+     * versions of the program ignore the route, and the bytes for an unidentified caller without a route are those that they
+     * write. With a route they take an unidentified caller for one without a team, which is the same to them where no keys are
+     * required.
      */
-    private static void packCaller(MessageBufferPacker packer, Caller caller) throws IOException {
-        if (caller.identified()) {
+    private static void packOrigin(MessageBufferPacker packer, AboutJob request) throws IOException {
+        Caller caller = request.caller();
+        if (caller.identified() || request.route().isPresent()) {
             packer.packString(caller.team().orElse(""));
         }
+        if (request.route().isPresent()) {
+            QueueRoute route = request.route().get();
+            packer.packString(route.queue()).packLong(route.version()).packBoolean(caller.identified());
+        }
     }
 
-    private static Caller unpackCaller(MessageUnpacker unpacker) throws IOException {
-        return unpacker.hasNext()
-                ? Caller.of(Optional.of(unpacker.unpackString()).filter(team -> !team.isEmpty()))
-                : Caller.UNIDENTIFIED;
+    private static JobRequest withOrigin(MessageUnpacker unpacker, Function<Caller, AboutJob> request)
+            throws IOException {
+        if (!unpacker.hasNext()) {
+            return request.apply(Caller.UNIDENTIFIED);
+        }
+        Caller caller = Caller.of(Optional.of(unpacker.unpackString()).filter(team -> !team.isEmpty()));
+        if (!unpacker.hasNext()) {
+            return request.apply(caller);
+        }
+        QueueRoute route = new QueueRoute(unpacker.unpackString(), unpacker.unpackLong());
+        boolean identified = unpacker.unpackBoolean();
+        return request.apply(identified ? caller : Caller.UNIDENTIFIED).withRoute(route);
     }
 
     /**
@@ -119,6 +141,21 @@
          * @return the caller, not null
          */
         Caller caller();
+
+        /**
+         * Returns the queue and the configuration by which the request was sent.
+         *
+         * @return the route, empty if an earlier version of the program sent the request, not null
+         */
+        Optional<QueueRoute> route();
+
+        /**
+         * Returns a copy of this request with another route.
+         *
+         * @param route  the route, not null
+         * @return the copy, not null
+         */
+        AboutJob withRoute(QueueRoute route);
     }
 
     /**
@@ -126,10 +163,26 @@
      *
      * @param spec  the job, not null
      * @param caller  the caller, not null
+     * @param route  the queue and the configuration by which the request was sent, empty if not known, not null
      */
-    record Submit(JobSpec spec, Caller caller) implements AboutJob {
+    record Submit(JobSpec spec, Caller caller, Optional<QueueRoute> route) implements AboutJob {
         static final int KIND = 1;
 
+        /**
+         * Constructs a request whose route is not known.
+         *
+         * @param spec  the job, not null
+         * @param caller  the caller, not null
+         */
+        public Submit(JobSpec spec, Caller caller) {
+            this(spec, caller, Optional.empty());
+        }
+
+        @Override
+        public Submit withRoute(QueueRoute newRoute) {
+            return new Submit(spec, caller, Optional.of(newRoute));
+        }
+
         @Override
         public String job() {
             return spec.id();
@@ -141,9 +194,25 @@
      *
      * @param job  the identifier of the job, not null
      * @param caller  the caller, not null
+     * @param route  the queue and the configuration by which the request was sent, empty if not known, not null
      */
-    record Cancel(String job, Caller caller) implements AboutJob {
+    record Cancel(String job, Caller caller, Optional<QueueRoute> route) implements AboutJob {
         static final int KIND = 2;
+
+        /**
+         * Constructs a request whose route is not known.
+         *
+         * @param job  the identifier of the job, not null
+         * @param caller  the caller, not null
+         */
+        public Cancel(String job, Caller caller) {
+            this(job, caller, Optional.empty());
+        }
+
+        @Override
+        public Cancel withRoute(QueueRoute newRoute) {
+            return new Cancel(job, caller, Optional.of(newRoute));
+        }
     }
 
     /**
@@ -151,9 +220,25 @@
      *
      * @param job  the identifier of the job, not null
      * @param caller  the caller, not null
+     * @param route  the queue and the configuration by which the request was sent, empty if not known, not null
      */
-    record Phase(String job, Caller caller) implements AboutJob {
+    record Phase(String job, Caller caller, Optional<QueueRoute> route) implements AboutJob {
         static final int KIND = 3;
+
+        /**
+         * Constructs a request whose route is not known.
+         *
+         * @param job  the identifier of the job, not null
+         * @param caller  the caller, not null
+         */
+        public Phase(String job, Caller caller) {
+            this(job, caller, Optional.empty());
+        }
+
+        @Override
+        public Phase withRoute(QueueRoute newRoute) {
+            return new Phase(job, caller, Optional.of(newRoute));
+        }
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -28,11 +28,8 @@
  * have it.
  */
 final class JobRequestRouter implements JobIngress {
-    private static final long MIN_DEADLINE_MILLIS = 300;
-    private static final long MAX_DEADLINE_MILLIS = 10_000;
-    private static final long MAX_REPLY_MARGIN_MILLIS = 250;
-    /** The deadline divided by this is reserved for the reply's way back to the caller, up to the maximum margin. */
-    private static final long REPLY_MARGIN_DIVISOR = 5;
+    /** The time for a request that another entry has sent here, which does not say how long its caller waits. */
+    private static final long REROUTED_DEADLINE_MILLIS = 1_400;
 
     private static final long MAX_JOB_NAME_LENGTH = 64;
 
@@ -56,6 +53,7 @@
         this.context = context;
         this.ownerCalls = ownerCalls;
         this.configurationStatus = configurationStatus;
+        ownerCalls.rerouteBy(this::reroute);
         context.metrics().gauge("trefoilpost.jobs.configuration.version", this::configurationVersion);
         context.metrics().gauge("trefoilpost.jobs.configuration.age.millis", configurationStatus::displayedAgeMillis);
         context.metrics().gauge("trefoilpost.jobs.requests.unanswered", ownerCalls::unansweredCount);
@@ -142,8 +140,9 @@
             return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.MALFORMED, fault.get()));
         }
         JobRequest request = new JobRequest.Submit(spec, caller);
-        long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CallerRequest open = new CallerRequest(context, "submit", spec.id(), replyLimitMillis(deadlineMillis));
+        long endMillis = RequestTimes.ownerDeadlineMillis(deadlineMillis, context.now());
+        CallerRequest open =
+                new CallerRequest(context, "submit", spec.id(), RequestTimes.replyLimitMillis(deadlineMillis));
         open.begin(() -> submit(open, request, spec, caller, endMillis));
         return logOutcome("submit", spec.id(), recordForbidden("submit", spec.id(), caller, open.reply()));
     }
@@ -177,6 +176,22 @@
         };
     }
 
+    /**
+     * Carries out a request that another entry, or an earlier configuration, has sent to the owner of a pool which its queue has
+     * left.
+     */
+    private CompletableFuture<JobReply> reroute(JobRequest.AboutJob request) {
+        if (request instanceof JobRequest.Submit submit) {
+            long endMillis = RequestTimes.ownerDeadlineMillis(REROUTED_DEADLINE_MILLIS, context.now());
+            CallerRequest open = new CallerRequest(
+                    context, "submit", request.job(), RequestTimes.replyLimitMillis(REROUTED_DEADLINE_MILLIS));
+            open.begin(() -> submit(open, submit, submit.spec(), submit.caller(), endMillis));
+            return open.reply();
+        }
+        String queue = request.route().map(QueueRoute::queue).orElse("");
+        return askCurrentThenFormerOwners("reroute", queue, request, REROUTED_DEADLINE_MILLIS);
+    }
+
     @Override
     public CompletableFuture<JobReply> cancel(String queue, String job, Caller caller, long deadlineMillis) {
         CompletableFuture<JobReply> reply =
@@ -193,8 +208,8 @@
 
     @Override
     public CompletableFuture<JobReply> queuedJobs(String queue, long deadlineMillis) {
-        long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CallerRequest open = new CallerRequest(context, "count", queue, replyLimitMillis(deadlineMillis));
+        long endMillis = RequestTimes.ownerDeadlineMillis(deadlineMillis, context.now());
+        CallerRequest open = new CallerRequest(context, "count", queue, RequestTimes.replyLimitMillis(deadlineMillis));
         open.begin(() -> open.then(askOwner(queue, new JobRequest.QueuedJobs(queue), endMillis), open::complete));
         return open.reply().thenApply(answer -> checkRead(queue, answer));
     }
@@ -284,8 +299,9 @@
      */
     private CompletableFuture<JobReply> askCurrentThenFormerOwners(
             String kind, String queue, JobRequest.AboutJob request, long deadlineMillis) {
-        long endMillis = ownerDeadlineMillis(deadlineMillis, context.now());
-        CallerRequest open = new CallerRequest(context, kind, request.job(), replyLimitMillis(deadlineMillis));
+        long endMillis = RequestTimes.ownerDeadlineMillis(deadlineMillis, context.now());
+        CallerRequest open =
+                new CallerRequest(context, kind, request.job(), RequestTimes.replyLimitMillis(deadlineMillis));
         open.begin(() -> {
             Optional<String> asked = poolOf(queue);
             open.then(askOwner(queue, request, endMillis), answer -> {
@@ -313,7 +329,7 @@
         FormerOwnerReplies replies = new FormerOwnerReplies(pools.size());
         for (String pool : pools) {
             CompletableFuture<JobReply> reply = new CompletableFuture<>();
-            ownerCalls.ask(pool, request, endMillis, reply);
+            ownerCalls.ask(pool, routed(queue, request), endMillis, reply);
             context.onServiceThread(reply, (answer, failure) -> {
                 JobReply heard = failure == null ? answer : JobReply.of(JobReplyStatus.UNCERTAIN, "internal");
                 if (FormerOwnerReplies.isUnheard(heard)) {
@@ -355,11 +371,20 @@
         CompletableFuture<JobReply> reply = new CompletableFuture<>();
         poolOf(queue)
                 .ifPresentOrElse(
-                        pool -> ownerCalls.ask(pool, request, endMillis, reply),
+                        pool -> ownerCalls.ask(pool, routed(queue, request), endMillis, reply),
                         () -> reply.complete(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue")));
         return reply;
     }
 
+    /**
+     * Returns a request with the configuration in force, by which its owner is chosen.
+     */
+    private JobRequest routed(String queue, JobRequest request) {
+        return request instanceof JobRequest.AboutJob about
+                ? about.withRoute(new QueueRoute(queue, configurationVersion()))
+                : request;
+    }
+
     /**
      * Returns the pool to which the configuration in force sends a queue, empty if it has no such queue.
      */
@@ -369,30 +394,6 @@
                 .map(QueueConfig::pool);
     }
 
-    /**
-     * Returns until when all owners together may take, on the steady clock in milliseconds, so that the reply reaches the
-     * caller in time.
-     */
-    private static long ownerDeadlineMillis(long deadlineMillis, Moment now) {
-        return now.steadyMillis() + bounded(deadlineMillis) - replyMarginMillis(deadlineMillis);
-    }
-
-    /**
-     * Returns the time within which a request has its reply even if this entry does not handle it in time. Between the end
-     * of the owners' time and that of the caller.
-     */
-    private static long replyLimitMillis(long deadlineMillis) {
-        return bounded(deadlineMillis) - replyMarginMillis(deadlineMillis) / 2;
-    }
-
-    private static long bounded(long deadlineMillis) {
-        return Math.min(MAX_DEADLINE_MILLIS, Math.max(MIN_DEADLINE_MILLIS, deadlineMillis));
-    }
-
-    private static long replyMarginMillis(long deadlineMillis) {
-        return Math.min(MAX_REPLY_MARGIN_MILLIS, bounded(deadlineMillis) / REPLY_MARGIN_DIVISOR);
-    }
-
     OwnerCalls ownerCalls() {
         return ownerCalls;
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobService.java
@@ -274,7 +274,7 @@
             return;
         }
         dropOwnership(pool);
-        PoolRunner runner = new PoolRunner(pool, token, context, registry, () -> ownershipLost(pool));
+        PoolRunner runner = new PoolRunner(pool, token, context, registry, operatorEntries, () -> ownershipLost(pool));
         runners.put(pool, runner);
         runner.start(configuration.queues(), configuration.teams());
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.entry.job;
 
+import java.util.Map;
 import java.util.Optional;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
@@ -9,7 +10,7 @@
  * The configuration in force and the waves that operators have written to the store. Used on the service's thread only,
  * unless a method says otherwise.
  */
-final class OperatorEntries implements StoreMirror.Listener {
+final class OperatorEntries implements StoreMirror.Listener, ConfigurationGuard {
     private final JobContext context;
     private final StoreMirror mirror;
     private final OperatorWaves waves;
@@ -18,6 +19,8 @@
     private JobConfiguration configuration;
     /** The item of the configuration in force, null before the first one. */
     private StorePort.Item configurationItem;
+    /** The newest revision of the key of the configuration, also if its item cannot be read or has no newer version. */
+    private long newestRevision;
 
     OperatorEntries(JobContext context, Listener listener) {
         this.context = context;
@@ -50,13 +53,21 @@
         return Optional.ofNullable(configuration);
     }
 
-    /**
-     * Returns the version of the configuration in force, 0 before the first one.
-     */
-    long version() {
+    @Override
+    public long version() {
         return configuration == null ? 0 : configuration.version();
     }
 
+    @Override
+    public Map<String, Long> condition() {
+        return configurationItem == null ? Map.of() : Map.of(configurationItem.key(), newestRevision);
+    }
+
+    @Override
+    public void itemFound(StorePort.Item item) {
+        readConfiguration(item);
+    }
+
     /**
      * Returns the operators' item of the configuration in force, empty before the first one.
      */
@@ -75,7 +86,14 @@
      * Applies the operators' item of a configuration that another entry has in force, if it is newer.
      */
     void itemFromPeer(StorePort.Item item) {
+        readConfiguration(item);
+    }
+
+    private void readConfiguration(StorePort.Item item) {
         context.ports().formats().configuration(item).ifPresent(next -> configure(next, item));
+        if (configurationItem != null && configurationItem.key().equals(item.key())) {
+            newestRevision = Math.max(newestRevision, item.revision());
+        }
     }
 
     /**
@@ -99,7 +117,7 @@
             waves.itemRemoved(key);
             return;
         }
-        context.ports().formats().configuration(item.get()).ifPresent(next -> configure(next, item.get()));
+        readConfiguration(item.get());
         waves.itemWritten(item.get());
     }
 
@@ -138,6 +156,7 @@
         logTeamDefects(next);
         configuration = next;
         configurationItem = item;
+        newestRevision = Math.max(newestRevision, item.revision());
         listener.configured(next);
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -8,6 +8,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.OwnerWait;
 import org.trefoilpost.decision.job.PoolDemand;
@@ -36,6 +37,8 @@
     private final Set<PendingRequest> unanswered = new LinkedHashSet<>();
     private volatile int unansweredCount;
     private boolean ended;
+    private Function<JobRequest.AboutJob, CompletableFuture<JobReply>> rerouter =
+            request -> CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.UNCERTAIN, "queue-moved"));
 
     /**
      * Constructs the calls.
@@ -56,6 +59,15 @@
         this.storeServed = storeServed;
     }
 
+    /**
+     * Sets what carries out the requests about jobs that reach the owner of a pool which their queue has left.
+     *
+     * @param newRerouter  sends a request to the owners that the configuration in force of this entry names
+     */
+    void rerouteBy(Function<JobRequest.AboutJob, CompletableFuture<JobReply>> newRerouter) {
+        rerouter = newRerouter;
+    }
+
     /**
      * Sends a request to the owner of a pool, and retries it until the deadline.
      *
@@ -247,12 +259,33 @@
      */
     private CompletableFuture<JobReply> serve(PoolRunner runner, JobRequest request) {
         try {
-            return serveUnguarded(runner, request);
+            return serveUnguarded(runner, request).thenCompose(reply -> rerouteIfMoved(runner, request, reply));
         } catch (RuntimeException | Error e) {
             return CompletableFuture.completedFuture(failed(request, e));
         }
     }
 
+    /**
+     * Sends a request on if its sender has not heard that its queue has moved and the job is not known here. Each time that a
+     * request is sent on, it is by a newer configuration.
+     */
+    private CompletableFuture<JobReply> rerouteIfMoved(PoolRunner runner, JobRequest request, JobReply reply) {
+        boolean unknown = reply.equals(PoolRequests.MOVED) || reply.status() == JobReplyStatus.NO_JOB;
+        if (!unknown || !(request instanceof JobRequest.AboutJob about)) {
+            return CompletableFuture.completedFuture(reply);
+        }
+        boolean moved = about.route().map(runner.requests()::isMovedSince).orElse(false);
+        if (!moved && !reply.equals(PoolRequests.MOVED)) {
+            return CompletableFuture.completedFuture(reply);
+        }
+        context.logDecision(Decision.of("request-rerouted")
+                .with("kind", request.getClass().getSimpleName())
+                .with("job", about.job())
+                .with("pool", runner.pool())
+                .with("sentByVersion", about.route().map(QueueRoute::version).orElse(0L)));
+        return rerouter.apply(about);
+    }
+
     /**
      * Logs a failure, and returns the reply to the request: it may have been carried out in part.
      */
@@ -266,13 +299,18 @@
             return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.FORBIDDEN, "other-team"));
         }
         if (request instanceof JobRequest.Submit submit) {
-            return runner.submit(submit.spec());
+            return runner.requests()
+                    .submit(
+                            submit.spec(),
+                            submit.route()
+                                    .orElseGet(
+                                            () -> new QueueRoute(submit.spec().queue(), 0)));
         } else if (request instanceof JobRequest.Cancel cancel) {
-            return runner.cancel(cancel.job());
+            return runner.requests().cancel(cancel.job());
         } else if (request instanceof JobRequest.Phase phase) {
-            return runner.phase(phase.job());
+            return runner.requests().phase(phase.job());
         } else if (request instanceof JobRequest.QueuedJobs queuedJobs) {
-            return CompletableFuture.completedFuture(runner.queuedJobs(queuedJobs.queue()));
+            return CompletableFuture.completedFuture(runner.requests().queuedJobs(queuedJobs.queue()));
         }
         return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.MALFORMED, "unknown-request"));
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -3,12 +3,10 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.trefoilpost.decision.job.AdviceRequest;
 import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobPhase;
-import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.OrderPermission;
 import org.trefoilpost.decision.job.OrderResult;
@@ -18,7 +16,6 @@
 import org.trefoilpost.decision.job.PoolScheduler;
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.RegisteredWorker;
-import org.trefoilpost.decision.job.SubmitResult;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.team.Teams;
 
@@ -38,12 +35,13 @@
     private final String pool;
     private final JobContext context;
     private final WorkerRegistry registry;
+    private final ConfigurationGuard configurationGuard;
     private final Runnable onOwnershipLost;
     private final PoolScheduler scheduler;
     private final PoolStore store;
     private final TeamStore teamStore;
     private final SilentWorkerCheck silentWorkerCheck;
-    private final AwaitedReplies awaitedReplies = new AwaitedReplies();
+    private final PoolRequests requests;
     private long token;
     private boolean lapsed;
     private long ownerConfirmedMillis;
@@ -54,15 +52,23 @@
     private boolean closed;
     private PoolInstructions instructions = PoolInstructions.NONE;
 
-    PoolRunner(String pool, long token, JobContext context, WorkerRegistry registry, Runnable onOwnershipLost) {
+    PoolRunner(
+            String pool,
+            long token,
+            JobContext context,
+            WorkerRegistry registry,
+            ConfigurationGuard configurationGuard,
+            Runnable onOwnershipLost) {
         this.pool = pool;
         this.token = token;
         this.context = context;
         this.registry = registry;
+        this.configurationGuard = configurationGuard;
         this.onOwnershipLost = onOwnershipLost;
         this.scheduler = new PoolScheduler(pool, context.settings().timeouts(), this);
         this.store = new PoolStore(pool, token, context);
         this.teamStore = new TeamStore(pool, this::token, context, scheduler, this::tickSoon);
+        this.requests = new PoolRequests(this, context, scheduler, store, configurationGuard, this::tickSoon);
         this.silentWorkerCheck = new SilentWorkerCheck(context, this::workerEnded);
         this.ownerConfirmedMillis = context.now().steadyMillis();
         this.lastOwnerCheckMillis = ownerConfirmedMillis;
@@ -164,6 +170,7 @@
     void configure(Map<String, QueueConfig> queues, Teams teams) {
         scheduler.configure(queues, context.settings().teamPolicy().keysRequired() ? teams : Teams.NONE);
         teamStore.configure(queues, teams);
+        requests.passOnMovedJobs();
     }
 
     void updateWorkers(Collection<RegisteredWorker> workers) {
@@ -180,7 +187,7 @@
     void close() {
         closed = true;
         teamStore.close();
-        awaitedReplies.completeAll(JobReply.of(JobReplyStatus.UNCERTAIN, "owner-changed"));
+        requests.ownerChanged();
     }
 
     /**
@@ -203,7 +210,7 @@
                 "decisions for pool " + pool,
                 () -> scheduler.tick(OrderPermission.of(ownerConfirmed, registry.areCapacitiesKnown(now)), now));
         if (!store.isReachable(now.steadyMillis())) {
-            refuseUnsentJobs();
+            requests.refuseUnsentJobs();
         }
         if (store.awaitsClaim()) {
             claimLapsed();
@@ -262,62 +269,15 @@
         }
     }
 
-    /**
-     * Refuses the jobs that wait for the store and that it cannot have received, so that their callers need not wait.
-     */
-    private void refuseUnsentJobs() {
-        JobReply refusal = JobReply.ofRefusal(PoolScheduler.STORE_UNAVAILABLE);
-        scheduler.withdrawUnsentJobs().forEach(job -> awaitedReplies.complete(job, refusal));
-    }
-
     Optional<String> teamOfJob(String job) {
         return scheduler.teamOfJob(job);
     }
 
-    CompletableFuture<JobReply> submit(JobSpec spec) {
-        Moment now = context.now();
-        SubmitResult result = scheduler.submit(spec, store.isReachable(now.steadyMillis()), now);
-        context.logDecision(SubmissionLog.decision(spec, result, pool, token));
-        return switch (result.kind()) {
-            case STORED -> CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.DONE, result.reason()));
-            case PENDING -> whenStored(awaitedReplies.addSubmission(spec.id()));
-            case REFUSED -> CompletableFuture.completedFuture(JobReply.ofRefusal(result));
-        };
-    }
-
-    CompletableFuture<JobReply> cancel(String job) {
-        Optional<JobPhase> phase = scheduler.cancel(job, context.now());
-        if (phase.isEmpty()) {
-            return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.NO_JOB, "unknown-job"));
-        }
-        context.logDecision(Decision.of("job-cancelled")
-                .with("job", job)
-                .with("pool", pool)
-                .with("phase", phase.get().name()));
-        return scheduler.isStored(job)
-                ? CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.DONE, "cancelled"))
-                : whenStored(awaitedReplies.addCancellation(job));
-    }
-
-    CompletableFuture<JobReply> phase(String job) {
-        return awaitedReplies.afterSubmission(
-                job,
-                () -> scheduler
-                        .phase(job)
-                        .map(JobReply::ofPhase)
-                        .orElseGet(() -> JobReply.of(JobReplyStatus.NO_JOB, "unknown-job")));
-    }
-
-    JobReply queuedJobs(String queue) {
-        return JobReply.ofQueuedJobs(scheduler.queuedJobs(queue));
-    }
-
     /**
-     * Schedules the commit that a reply waits for, and returns the reply.
+     * Returns what carries out the requests of callers to this pool.
      */
-    private CompletableFuture<JobReply> whenStored(CompletableFuture<JobReply> reply) {
-        tickSoon();
-        return reply;
+    PoolRequests requests() {
+        return requests;
     }
 
     /**
@@ -374,18 +334,15 @@
     @Override
     public void commit(Commit commit) {
         long sentMillis = context.now().steadyMillis();
-        store.commit(commit, sentMillis, this::commitStored, () -> closed, this::loseOwnership);
-    }
-
-    private void commitStored(Commit commit, long confirmedMillis) {
-        ownerConfirmedMillis = Math.max(ownerConfirmedMillis, confirmedMillis);
-        scheduler.commitStored(commit.number(), context.now());
-        tickSoon();
+        // A configuration may have moved a queue. The store decides which of the change and the acceptance is the
+        // earlier one.
+        Map<String, Long> configuration = commit.acceptsJobs() ? configurationGuard.condition() : Map.of();
+        store.commit(commit, configuration, sentMillis, new CommitOutcome());
     }
 
     @Override
     public void phaseStored(String job, JobPhase phase) {
-        awaitedReplies.phaseStored(job, phase);
+        requests.phaseStored(job, phase);
     }
 
     @Override
@@ -397,4 +354,40 @@
     public void logDecision(Decision decision) {
         context.logDecision(decision);
     }
+
+    /**
+     * Passes the outcome of a commit to the scheduler.
+     */
+    private final class CommitOutcome implements PoolStore.CommitListener {
+        @Override
+        public boolean isCancelled() {
+            return closed;
+        }
+
+        @Override
+        public void committed(Commit commit, long confirmedMillis) {
+            ownerConfirmedMillis = Math.max(ownerConfirmedMillis, confirmedMillis);
+            scheduler.commitStored(commit.number(), context.now());
+            tickSoon();
+        }
+
+        @Override
+        public void rejected(Commit commit, StorePort.Item configuration) {
+            context.logDecision(Decision.failure("commit-outdated")
+                    .with("pool", pool)
+                    .with("number", commit.number())
+                    .with("jobs", commit.puts().size())
+                    .with("version", configurationGuard.version())
+                    .with("revision", configuration.revision()));
+            configurationGuard.itemFound(configuration);
+            scheduler.commitRejected(commit.number(), context.now());
+            requests.passOnMovedJobs();
+            tickSoon();
+        }
+
+        @Override
+        public void ownershipLost(String reason) {
+            loseOwnership(reason);
+        }
+    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.trefoilpost.decision.job.Commit;
@@ -147,19 +146,13 @@
     /**
      * Stores a commit, and retries until its outcome is known or it is cancelled. There is at most one commit at a time.
      *
+     * @param configuration  the revision that the item of the configuration must have by its key, empty if the commit does not
+     *     depend on the configuration
      * @param nowMillis  the present time on the steady clock, in milliseconds
-     * @param committed  receives the commit and the time for which it confirms the ownership, on the steady clock in
-     *     milliseconds, a time far in the past if it confirms none
-     * @param ownershipLost  receives the reason if a condition of the commit did not hold
      */
-    void commit(
-            Commit commit,
-            long nowMillis,
-            BiConsumer<Commit, Long> committed,
-            BooleanSupplier cancelled,
-            Consumer<String> ownershipLost) {
-        pending = new PendingCommit(
-                commit, firstToken + ":" + commit.number(), nowMillis, committed, cancelled, ownershipLost);
+    void commit(Commit commit, Map<String, Long> configuration, long nowMillis, CommitListener listener) {
+        String marker = firstToken + ":" + commit.number();
+        pending = new PendingCommit(commit, configuration, marker, nowMillis, listener);
         send(pending);
     }
 
@@ -173,14 +166,14 @@
     }
 
     private void send(PendingCommit attempt) {
-        if (attempt != pending || attempt.cancelled.getAsBoolean()) {
+        if (attempt != pending || attempt.listener.isCancelled()) {
             return;
         }
         long sentMillis = context.now().steadyMillis();
         callNumber++;
         long number = callNumber;
         context.call(() -> context.store().commit(toChange(attempt)), (revision, failure) -> {
-            if (attempt != pending || attempt.cancelled.getAsBoolean()) {
+            if (attempt != pending || attempt.listener.isCancelled()) {
                 return;
             }
             context.metrics()
@@ -217,14 +210,14 @@
         storedQueues = Optional.of(attempt.commit.queues());
         awaitsClaim = false;
         failedAttempts = 0;
-        attempt.committed.accept(attempt.commit, confirmedMillis);
+        attempt.listener.committed(attempt.commit, confirmedMillis);
     }
 
     /**
      * Handles a conflict. If the counter key holds the commit's own marker, an earlier attempt whose answer was lost
      * has taken effect; this does not confirm the ownership. If the counter key is unchanged, the claim has lapsed or
-     * was renewed while the commit was under way, and the commit is sent again under the new claim. Otherwise another
-     * entry has claimed the pool.
+     * was renewed while the commit was under way, and the commit is sent again under the new claim; or the configuration has
+     * changed, and no attempt of the commit can take effect any more. Otherwise another entry has claimed the pool.
      */
     private void resolveConflict(PendingCommit attempt, StoreFailure failure) {
         Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(pool));
@@ -235,17 +228,24 @@
         } else if (counterUnchanged && owner.isEmpty()) {
             awaitsClaim = true;
         } else if (counterUnchanged && owner.get().revision() == token) {
-            send(attempt);
+            attempt.changedConfiguration(failure).ifPresentOrElse(item -> reject(attempt, item), () -> send(attempt));
         } else {
-            attempt.ownershipLost.accept("conflict");
+            attempt.listener.ownershipLost("conflict");
         }
     }
 
+    private void reject(PendingCommit attempt, StorePort.Item configuration) {
+        pending = null;
+        failedAttempts = 0;
+        attempt.listener.rejected(attempt.commit, configuration);
+    }
+
     private StorePort.Change toChange(PendingCommit attempt) {
         Commit commit = attempt.commit;
         Map<String, Long> expected = new LinkedHashMap<>();
         expected.put(LiveEntries.ownerKey(pool), token);
         expected.put(counterKey(pool), counterRevision);
+        expected.putAll(attempt.configuration);
         List<StorePort.Put> puts = new ArrayList<>();
         puts.add(new StorePort.Put(counterKey(pool), attempt.marker.getBytes(StandardCharsets.UTF_8), 0));
         commit.puts().forEach((job, bytes) -> puts.add(new StorePort.Put(jobKey(pool, job), bytes, 0)));
@@ -276,14 +276,50 @@
      * A commit whose outcome is not known yet.
      */
     private record PendingCommit(
-            Commit commit,
-            String marker,
-            long sinceMillis,
-            BiConsumer<Commit, Long> committed,
-            BooleanSupplier cancelled,
-            Consumer<String> ownershipLost) {
+            Commit commit, Map<String, Long> configuration, String marker, long sinceMillis, CommitListener listener) {
         boolean isMarkedBy(StorePort.Item counter) {
             return new String(counter.value(), StandardCharsets.UTF_8).equals(marker);
         }
+
+        /**
+         * Returns the item of the configuration that the store has in place of the one of the condition, if that is why a change
+         * conflicted.
+         */
+        Optional<StorePort.Item> changedConfiguration(StoreFailure failure) {
+            return configuration.entrySet().stream()
+                    .flatMap(condition -> failure.currentItem(condition.getKey()).stream()
+                            .filter(item -> item.revision() != condition.getValue()))
+                    .findFirst();
+        }
+    }
+
+    /**
+     * Receives the outcome of a commit.
+     */
+    interface CommitListener {
+        /**
+         * Returns whether the outcome no longer matters.
+         */
+        boolean isCancelled();
+
+        /**
+         * Handles that the commit is stored.
+         *
+         * @param confirmedMillis  the time for which the commit confirms the ownership, on the steady clock in milliseconds, a
+         *     time far in the past if it confirms none
+         */
+        void committed(Commit commit, long confirmedMillis);
+
+        /**
+         * Handles that the commit has not taken effect and never will, as the configuration has changed.
+         *
+         * @param configuration  the item of the configuration that the store has
+         */
+        void rejected(Commit commit, StorePort.Item configuration);
+
+        /**
+         * Handles that another entry has claimed the pool.
+         */
+        void ownershipLost(String reason);
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -164,13 +164,8 @@
     }
 
     private void commit() {
-        Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of(), Set.of("q"));
-        service.run(() -> poolStore.commit(
-                commit,
-                now().steadyMillis(),
-                (stored, confirmedMillis) -> events.add("committed " + stored.number()),
-                () -> false,
-                reason -> events.add("lost " + reason)));
+        Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of(), Set.of("q"), false);
+        service.run(() -> poolStore.commit(commit, Map.of(), now().steadyMillis(), new CommitOutcome()));
     }
 
     private void lapse() {
@@ -189,6 +184,28 @@
         return context.now();
     }
 
+    private final class CommitOutcome implements PoolStore.CommitListener {
+        @Override
+        public boolean isCancelled() {
+            return false;
+        }
+
+        @Override
+        public void committed(Commit commit, long confirmedMillis) {
+            events.add("committed " + commit.number());
+        }
+
+        @Override
+        public void rejected(Commit commit, StorePort.Item configuration) {
+            events.add("rejected " + commit.number());
+        }
+
+        @Override
+        public void ownershipLost(String reason) {
+            events.add("lost " + reason);
+        }
+    }
+
     private final class ClaimListener implements PoolOwnership.Listener {
         @Override
         public void poolClaimed(String pool, long token) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestRouterTest.java
@@ -250,7 +250,7 @@
     }
 
     private void openEmptyPool(String pool) {
-        runners.put(pool, new PoolRunner(pool, 1, service.context(), null, () -> {}));
+        runners.put(pool, new PoolRunner(pool, 1, service.context(), null, ConfigurationGuard.NONE, () -> {}));
     }
 
     private Optional<PoolRunner> localRunner(String pool) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/JobRequestTest.java
@@ -62,6 +62,21 @@
         }
     }
 
+    /** Guards against losing the route, or the difference between callers, on the way to the owner. */
+    @Test
+    void routeFollowsTheElementsThatEarlierVersionsRead() {
+        QueueRoute route = new QueueRoute("q", 7);
+        for (Caller caller : List.of(Caller.UNIDENTIFIED, Caller.of(Optional.empty()), Caller.of(Optional.of("t")))) {
+            assertFollows(EARLIER_CANCEL, new JobRequest.Cancel(JOB, caller).withRoute(route));
+            assertFollows(EARLIER_PHASE, new JobRequest.Phase(JOB, caller).withRoute(route));
+            JobRequest.Submit submit = new JobRequest.Submit(SPEC, caller).withRoute(route);
+            JobRequest.Submit read =
+                    (JobRequest.Submit) JobRequest.decode(submit.encode()).orElseThrow();
+            assertEquals(Optional.of(route), read.route());
+            assertEquals(caller, read.caller());
+        }
+    }
+
     private static void assertFollows(String earlier, JobRequest request) {
         byte[] bytes = request.encode();
         assertTrue(HexFormat.of().formatHex(bytes).startsWith(earlier));
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OwnerCallsTest.java
@@ -59,7 +59,7 @@
     @Test
     void requestOnWhichALocalOwnerFailsIsUncertain() {
         try (TestService service = new TestService(new MemoryStore(), null, null, new UnusedFormats())) {
-            PoolRunner runner = new PoolRunner("pool", 1, service.context(), null, () -> {});
+            PoolRunner runner = new PoolRunner("pool", 1, service.context(), null, ConfigurationGuard.NONE, () -> {});
             OwnerCalls calls =
                     new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.of(runner), () -> true);
             JobRequest failing = new JobRequest.Submit(null, Caller.UNIDENTIFIED);
@@ -131,7 +131,7 @@
     @Test
     void requestWhoseDeadlineIsOverIsNotPassedOn() {
         try (TestService service = new TestService(new MemoryStore(), null, null, new UnusedFormats())) {
-            PoolRunner runner = new PoolRunner("pool", 1, service.context(), null, () -> {});
+            PoolRunner runner = new PoolRunner("pool", 1, service.context(), null, ConfigurationGuard.NONE, () -> {});
             OwnerCalls calls =
                     new OwnerCalls(service.context(), new LiveEntries(), null, pool -> Optional.of(runner), () -> true);
             CompletableFuture<JobReply> reply = new CompletableFuture<>();
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -44,7 +44,8 @@
         store.put("servers/w", "registered");
         QueueConfig queue = new QueueConfig("q", "host", "/q/", POOL, 0, 3, 1, 1_000, Optional.empty(), false);
         WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
-        runner = new PoolRunner(POOL, token, service.context(), registry, () -> ownershipsLost++);
+        runner = new PoolRunner(
+                POOL, token, service.context(), registry, ConfigurationGuard.NONE, () -> ownershipsLost++);
         service.run(registry::start);
         service.run(() -> runner.start(Map.of("q", queue), Teams.NONE));
         tickUntil(() -> runner.isOpen());
@@ -55,7 +56,8 @@
     void poolWhoseLoadFailsIsGivenUp() {
         WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
         service.run(registry::start);
-        PoolRunner next = new PoolRunner(POOL, 2, service.context(), registry, () -> ownershipsLost++);
+        PoolRunner next =
+                new PoolRunner(POOL, 2, service.context(), registry, ConfigurationGuard.NONE, () -> ownershipsLost++);
         store.addUnreadableItem(PoolStore.jobKey(POOL, JOB));
         service.run(() -> next.start(Map.of(), Teams.NONE));
         assertFalse(next.isOpen());
@@ -137,11 +139,11 @@
                 .estimateMillis(60_000)
                 .build();
         JobSpec job = new JobSpec(JOB, "q", "text", List.of(step), JobSpec.Schedule.ONCE);
-        return onService(() -> runner.submit(job));
+        return onService(() -> runner.requests().submit(job, new QueueRoute("q", 0)));
     }
 
     private CompletableFuture<JobReply> cancel() {
-        return onService(() -> runner.cancel(JOB));
+        return onService(() -> runner.requests().cancel(JOB));
     }
 
     private CompletableFuture<JobReply> onService(Supplier<CompletableFuture<JobReply>> call) {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolStoreTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolStoreTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +23,8 @@
     /** The maximum number of conditions, writes and removals that the platform's store accepts in one change. */
     private static final int MAX_ENTRIES = 32;
 
+    private static final String CONFIGURATION_KEY = "op/config";
+
     /**
      * Plays a store that refuses the commits of an owner which is told repeatedly that the store may have returned. Guards
      * against a series of retries for each repetition, which multiplied the calls to a store that was down.
@@ -57,7 +61,7 @@
             PoolStore next = claim(store, service);
             commit(service, first, written(4, "s"));
             assertEquals("q\nr", store.text(key), "a former owner changes nothing");
-            commit(service, next, new Commit(1, Map.of(), List.of(JOB), Set.of()));
+            commit(service, next, new Commit(1, Map.of(), List.of(JOB), Set.of(), false));
             assertEquals("", store.text(key));
             assertEquals("", store.text(PoolStore.jobKey(POOL, JOB)));
         }
@@ -72,12 +76,51 @@
             for (int i = 0; i < Commit.MAX_DOCUMENTS; i++) {
                 documents.put(JOB + i, new byte[] {1});
             }
-            commit(service, claim(store, service), new Commit(1, documents, List.of(), Set.of("q")));
+            commit(service, claim(store, service), new Commit(1, documents, List.of(), Set.of("q"), true));
             assertEquals("q", store.text(LiveEntries.queuesKey(POOL)));
             assertTrue(store.maxEntries <= MAX_ENTRIES, "entries: " + store.maxEntries);
         }
     }
 
+    /** Guards against a job that is accepted by a configuration that is no longer the newest one. */
+    @Test
+    void commitIsRejectedForGoodIfTheConfigurationHasChanged() {
+        MemoryStore store = new MemoryStore();
+        store.put(CONFIGURATION_KEY, "1");
+        long known = store.revisionOf(CONFIGURATION_KEY);
+        try (TestService service = new TestService(store, null, null, new UnusedFormats())) {
+            PoolStore poolStore = claim(store, service);
+            store.put(CONFIGURATION_KEY, "2");
+            RecordedOutcome outdated = new RecordedOutcome();
+            service.run(() -> poolStore.commit(written(1, "q"), Map.of(CONFIGURATION_KEY, known), 0, outdated));
+            assertEquals(List.of("rejected 1 by 2"), outdated.events);
+            assertEquals("", store.text(PoolStore.jobKey(POOL, JOB)));
+            service.run(poolStore::sendAgain);
+            assertEquals("", store.text(PoolStore.jobKey(POOL, JOB)));
+            RecordedOutcome next = new RecordedOutcome();
+            long newest = store.revisionOf(CONFIGURATION_KEY);
+            service.run(() -> poolStore.commit(written(2, "q"), Map.of(CONFIGURATION_KEY, newest), 0, next));
+            assertEquals(List.of("committed 2"), next.events);
+        }
+    }
+
+    /** Guards against a stored job that is taken for a rejected one because the answer to its commit was lost. */
+    @Test
+    void commitThatWasStoredBeforeTheConfigurationChangedIsNotRejected() {
+        MemoryStore store = new MemoryStore();
+        store.put(CONFIGURATION_KEY, "1");
+        long known = store.revisionOf(CONFIGURATION_KEY);
+        try (TestService service = new TestService(store, null, null, new UnusedFormats())) {
+            PoolStore poolStore = claim(store, service);
+            store.loseNextAnswer();
+            RecordedOutcome outcome = new RecordedOutcome();
+            service.run(() -> poolStore.commit(written(1, "q"), Map.of(CONFIGURATION_KEY, known), 0, outcome));
+            store.put(CONFIGURATION_KEY, "2");
+            service.run(poolStore::sendAgain);
+            assertEquals(List.of("committed 1"), outcome.events);
+        }
+    }
+
     private static PoolStore claim(MemoryStore store, TestService service) {
         StorePort.Put owner = new StorePort.Put(LiveEntries.ownerKey(POOL), new byte[0], 0);
         StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(POOL), new byte[0], 0);
@@ -86,11 +129,36 @@
     }
 
     private static Commit written(long number, String... queues) {
-        return new Commit(number, Map.of(JOB, new byte[] {1}), List.of(), Set.of(queues));
+        return new Commit(number, Map.of(JOB, new byte[] {1}), List.of(), Set.of(queues), true);
     }
 
     private static void commit(TestService service, PoolStore store, Commit commit) {
-        service.run(() -> store.commit(commit, 0, (stored, confirmed) -> {}, () -> false, reason -> {}));
+        service.run(() -> store.commit(commit, Map.of(CONFIGURATION_KEY, 0L), 0, new RecordedOutcome()));
+    }
+
+    private static final class RecordedOutcome implements PoolStore.CommitListener {
+        private final List<String> events = new ArrayList<>();
+
+        @Override
+        public boolean isCancelled() {
+            return false;
+        }
+
+        @Override
+        public void committed(Commit commit, long confirmedMillis) {
+            events.add("committed " + commit.number());
+        }
+
+        @Override
+        public void rejected(Commit commit, StorePort.Item configuration) {
+            events.add(
+                    "rejected " + commit.number() + " by " + new String(configuration.value(), StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void ownershipLost(String reason) {
+            events.add("lost " + reason);
+        }
     }
 
     private static final class CountingStore extends MemoryStore {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SubmissionTest.java
@@ -124,7 +124,7 @@
         StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(pool), new byte[0], 0);
         long token = store.commit(new StorePort.Change(Map.of(), List.of(owner, counter), List.of()))
                 .join();
-        PoolRunner runner = new PoolRunner(pool, token, service.context(), registry, () -> {});
+        PoolRunner runner = new PoolRunner(pool, token, service.context(), registry, ConfigurationGuard.NONE, () -> {});
         service.run(() -> runner.start(configuration(1, pool).queues(), Teams.NONE));
         runners.put(pool, runner);
         tickUntil(runner::isOpen);
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamAccessTest.java
@@ -276,7 +276,7 @@
                 .join();
         store.put("servers/" + pool, pool);
         WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
-        PoolRunner runner = new PoolRunner(pool, token, service.context(), registry, () -> {});
+        PoolRunner runner = new PoolRunner(pool, token, service.context(), registry, ConfigurationGuard.NONE, () -> {});
         service.run(registry::start);
         service.run(() -> {
             runners.put(pool, runner);
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamStoreTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TeamStoreTest.java
@@ -60,7 +60,7 @@
                 .join();
         store.put("servers/w", "registered");
         WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
-        runner = new PoolRunner(POOL, token, service.context(), registry, () -> {});
+        runner = new PoolRunner(POOL, token, service.context(), registry, ConfigurationGuard.NONE, () -> {});
         service.run(registry::start);
         service.run(() -> runner.start(QUEUES, teams));
         tickUntil(() -> runner.isOpen());
@@ -190,7 +190,7 @@
                 .estimateMillis(60_000)
                 .build();
         JobSpec job = new JobSpec(id, "q", "text", List.of(step), JobSpec.Schedule.ONCE).withTeam(Optional.of("a"));
-        service.run(() -> runner.submit(job));
+        service.run(() -> runner.requests().submit(job, new QueueRoute("q", 0)));
     }
 
     private void tickUntil(BooleanSupplier condition) {
