Find a job by the address of its queue after another queue has taken that address

Cause: callers know a job by host, prefix and identifier; the pools in which it may be were looked up by the name of the queue that the path selects now: in the entry's memory of moves of a name, and in the store's record of the queues that have jobs in a pool. A queue that was removed and came back in another pool was forgotten by the memory as well, as the configuration between them did not have it.

Change: the store's record names with each queue the addresses that it has had since its jobs were stored; an owner reads it when it takes a pool over, one read more, and writes it with the jobs as before. An entry keeps the pools that each name and each address has had in configurations of the last ten minutes (FormerPools), whatever became of the name, and asks the owners of both.

Not covered: an address that begins another's and is a part of its jobs' identifiers.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/QueueConfig.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/QueueConfig.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.decision.job;
 
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -28,6 +29,15 @@
         Optional<AdvicePolicy> advice,
         boolean publicAccess) {
 
+    /**
+     * Returns the address by which callers know the queue and its jobs, whatever the queue's name is.
+     *
+     * @return the host name in lower case, and the prefix, not null
+     */
+    public String address() {
+        return host.toLowerCase(Locale.ROOT) + prefix;
+    }
+
     /**
      * The timing of placement advice.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -1,12 +1,9 @@
 package org.trefoilpost.entry.job;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobSpec;
 import org.trefoilpost.decision.job.Moment;
@@ -21,10 +18,10 @@
  * <p>A request names its job, so it can safely be sent again. A request that may have reached an owner is never
  * reported as not carried out; its outcome is reported as uncertain.
  *
- * <p>When a queue is moved to another pool, its earlier jobs remain with the former pool, even if that pool leaves the
- * configuration. Requests about a job are therefore sent to the owners of former pools too: of those for which the store
- * names the queue, and of those from which this entry has seen the queue move, as the latest changes of the store may not
- * have arrived. Only an owner that answers that there is no such job counts as not knowing it: one that is not heard may
+ * <p>When a queue is moved to another pool, or another queue takes its address, its earlier jobs remain with the former pool,
+ * even if that pool leaves the configuration. Requests about a job are therefore sent to the owners of former pools too: of
+ * those for which the store names the queue or its address, and of those that earlier configurations of this entry name for
+ * them, as the latest changes of the store may not have arrived. Only an owner that answers that there is no such job counts as not knowing it: one that is not heard may
  * have it.
  */
 final class JobRequestRouter implements JobIngress {
@@ -39,7 +36,7 @@
 
     private final JobContext context;
     private final OwnerCalls ownerCalls;
-    private final Map<String, Set<String>> formerPools = new ConcurrentHashMap<>();
+    private final FormerPools formerPools = new FormerPools();
     private volatile JobConfiguration configuration;
     private final ConfigurationStatus configurationStatus;
     private volatile boolean ready;
@@ -61,19 +58,11 @@
     }
 
     /**
-     * Applies a configuration, and remembers the former pool of each queue that it moves to another pool.
+     * Applies a configuration, and remembers the pools of the former one.
      */
     void configure(JobConfiguration next) {
-        JobConfiguration previous = configuration;
-        if (previous != null) {
-            for (QueueConfig queue : previous.queues().values()) {
-                QueueConfig nextQueue = next.queues().get(queue.name());
-                if (nextQueue != null && !nextQueue.pool().equals(queue.pool())) {
-                    formerPools
-                            .computeIfAbsent(queue.name(), name -> ConcurrentHashMap.newKeySet())
-                            .add(queue.pool());
-                }
-            }
+        if (configuration != null) {
+            formerPools.record(configuration, context.now().steadyMillis());
         }
         configuration = next;
     }
@@ -355,8 +344,10 @@
         if (current == null) {
             return List.of();
         }
-        Set<String> pools = new TreeSet<>(formerPools.getOrDefault(queue, Set.of()));
-        pools.addAll(ownerCalls.poolsWithJobsOf(queue));
+        QueueConfig config = current.queues().get(queue);
+        String address = config == null ? "" : config.address();
+        Set<String> pools = formerPools.of(queue, address);
+        pools.addAll(ownerCalls.poolsWithJobsOf(queue, address));
         poolOf(queue).ifPresent(pools::add);
         present.ifPresent(pools::remove);
         return pools.stream()
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/LiveEntries.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import org.trefoilpost.model.Endpoint;
 
 /**
@@ -29,7 +28,7 @@
     private final Map<String, Peer> entries = new TreeMap<>();
     private final Map<String, Owner> owners = new HashMap<>();
     /** The queues of the stored jobs by pool; a pool without stored jobs is missing. */
-    private final Map<String, Set<String>> queuesOfPools = new TreeMap<>();
+    private final Map<String, StoredQueues> queuesOfPools = new TreeMap<>();
 
     private final Map<String, Long> ownerlessSinceMillis = new HashMap<>();
     /** Since when each owned pool was known to have no owner before its present claim, as far as that is known. */
@@ -55,10 +54,6 @@
         return QUEUES_KEY_PREFIX + pool;
     }
 
-    static byte[] encode(Set<String> queues) {
-        return String.join(SEPARATOR, new TreeSet<>(queues)).getBytes(StandardCharsets.UTF_8);
-    }
-
     static byte[] encode(Peer peer) {
         return String.join(SEPARATOR, peer.name(), peer.address(), peer.incarnation(), Long.toString(peer.cpuMillis()))
                 .getBytes(StandardCharsets.UTF_8);
@@ -97,11 +92,11 @@
     }
 
     private void put(StorePort.Item item, long nowMillis) {
-        String[] parts = new String(item.value(), StandardCharsets.UTF_8).split(SEPARATOR, -1);
         if (item.key().startsWith(QUEUES_KEY_PREFIX)) {
-            queuesOfPools.put(item.key().substring(QUEUES_KEY_PREFIX.length()), Set.copyOf(List.of(parts)));
+            queuesOfPools.put(item.key().substring(QUEUES_KEY_PREFIX.length()), StoredQueues.decode(item.value()));
             return;
         }
+        String[] parts = new String(item.value(), StandardCharsets.UTF_8).split(SEPARATOR, -1);
         if (parts.length != VALUE_PARTS) {
             return;
         }
@@ -156,11 +151,11 @@
     }
 
     /**
-     * Returns the pools for which jobs of a queue are stored.
+     * Returns the pools for which jobs are stored that belong to a queue or that callers know by its address.
      */
-    List<String> poolsWithJobsOf(String queue) {
+    List<String> poolsWithJobsOf(String queue, String address) {
         return queuesOfPools.entrySet().stream()
-                .filter(pool -> pool.getValue().contains(queue))
+                .filter(pool -> pool.getValue().mayHaveJobOf(queue, address))
                 .map(Map.Entry::getKey)
                 .toList();
     }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -116,10 +116,10 @@
     }
 
     /**
-     * Returns the pools for which jobs of a queue are stored.
+     * Returns the pools for which jobs are stored that belong to a queue or that callers know by its address.
      */
-    List<String> poolsWithJobsOf(String queue) {
-        return liveEntries.poolsWithJobsOf(queue);
+    List<String> poolsWithJobsOf(String queue, String address) {
+        return liveEntries.poolsWithJobsOf(queue, address);
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.trefoilpost.decision.job.AdviceRequest;
 import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.Decision;
@@ -170,6 +171,7 @@
     void configure(Map<String, QueueConfig> queues, Teams teams) {
         scheduler.configure(queues, context.settings().teamPolicy().keysRequired() ? teams : Teams.NONE);
         teamStore.configure(queues, teams);
+        store.configure(queues.values().stream().collect(Collectors.toMap(QueueConfig::name, QueueConfig::address)));
         requests.passOnMovedJobs();
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.trefoilpost.decision.job.Commit;
@@ -38,8 +37,10 @@
     private long token;
     private long counterRevision;
     private PendingCommit pending;
-    /** The queues as last stored, empty until this owner has stored them. */
-    private Optional<Set<String>> storedQueues = Optional.empty();
+    /** The queues as stored, as far as this owner has read or stored them. */
+    private StoredQueues storedQueues = StoredQueues.NONE;
+    /** The present address of each configured queue. */
+    private Map<String, String> addresses = Map.of();
 
     private boolean awaitsClaim;
     private int failedAttempts;
@@ -118,6 +119,13 @@
         readPage(new Load(loaded, unusable, cancelled), "");
     }
 
+    /**
+     * Applies the addresses of the configured queues, by the queues' names.
+     */
+    void configure(Map<String, String> presentAddresses) {
+        addresses = Map.copyOf(presentAddresses);
+    }
+
     private void readPage(Load load, String after) {
         String prefix = JOB_KEY_PREFIX + pool + '/';
         context.call(() -> context.store().range(prefix, after), (page, failure) -> {
@@ -140,7 +148,28 @@
         for (StorePort.Item item : page.items()) {
             load.documents.put(item.key().substring(prefix.length()), item.value());
         }
-        page.nextAfter().ifPresentOrElse(next -> readPage(load, next), () -> load.loaded.accept(load.documents));
+        page.nextAfter().ifPresentOrElse(next -> readPage(load, next), () -> readQueues(load));
+    }
+
+    /**
+     * Reads the queues, as only their stored form has the addresses that they have had.
+     */
+    private void readQueues(Load load) {
+        context.call(() -> context.store().read(LiveEntries.queuesKey(pool)), (item, failure) -> {
+            if (load.cancelled.getAsBoolean()) {
+                return;
+            }
+            if (failure != null) {
+                context.schedule(RETRY_DELAY_MILLIS, () -> readQueues(load));
+                return;
+            }
+            storedQueues = item.map(found -> StoredQueues.decode(found.value())).orElse(StoredQueues.NONE);
+            try {
+                load.loaded.accept(load.documents);
+            } catch (RuntimeException e) {
+                load.unusable.accept(e);
+            }
+        });
     }
 
     /**
@@ -152,7 +181,8 @@
      */
     void commit(Commit commit, Map<String, Long> configuration, long nowMillis, CommitListener listener) {
         String marker = firstToken + ":" + commit.number();
-        pending = new PendingCommit(commit, configuration, marker, nowMillis, listener);
+        StoredQueues queues = storedQueues.change(commit.queues(), addresses);
+        pending = new PendingCommit(commit, queues, configuration, marker, nowMillis, listener);
         send(pending);
     }
 
@@ -207,7 +237,7 @@
     private void complete(PendingCommit attempt, long revision, long confirmedMillis) {
         counterRevision = revision;
         pending = null;
-        storedQueues = Optional.of(attempt.commit.queues());
+        storedQueues = attempt.queues;
         awaitsClaim = false;
         failedAttempts = 0;
         attempt.listener.committed(attempt.commit, confirmedMillis);
@@ -251,10 +281,10 @@
         commit.puts().forEach((job, bytes) -> puts.add(new StorePort.Put(jobKey(pool, job), bytes, 0)));
         List<String> removedKeys = new ArrayList<>();
         commit.removed().forEach(job -> removedKeys.add(jobKey(pool, job)));
-        if (commit.queues().isEmpty()) {
+        if (attempt.queues.isEmpty()) {
             removedKeys.add(LiveEntries.queuesKey(pool));
-        } else if (!storedQueues.equals(Optional.of(commit.queues()))) {
-            puts.add(new StorePort.Put(LiveEntries.queuesKey(pool), LiveEntries.encode(commit.queues()), 0));
+        } else if (!storedQueues.equals(attempt.queues)) {
+            puts.add(new StorePort.Put(LiveEntries.queuesKey(pool), attempt.queues.encode(), 0));
         }
         return new StorePort.Change(expected, puts, removedKeys);
     }
@@ -276,7 +306,12 @@
      * A commit whose outcome is not known yet.
      */
     private record PendingCommit(
-            Commit commit, Map<String, Long> configuration, String marker, long sinceMillis, CommitListener listener) {
+            Commit commit,
+            StoredQueues queues,
+            Map<String, Long> configuration,
+            String marker,
+            long sinceMillis,
+            CommitListener listener) {
         boolean isMarkedBy(StorePort.Item counter) {
             return new String(counter.value(), StandardCharsets.UTF_8).equals(marker);
         }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/LiveEntriesTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/LiveEntriesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -70,9 +71,9 @@
     @Test
     void poolsAreFoundByTheQueuesOfTheirJobs() {
         liveEntries.replace(List.of(queues("a", Set.of("q", "r")), queues("b", Set.of("q"))), 0);
-        assertEquals(List.of("a", "b"), liveEntries.poolsWithJobsOf("q"));
+        assertEquals(List.of("a", "b"), liveEntries.poolsWithJobsOf("q", "host/q/"));
         liveEntries.change(LiveEntries.queuesKey("a"), Optional.of(queues("a", Set.of("r"))), 0);
-        assertEquals(List.of("b"), liveEntries.poolsWithJobsOf("q"));
+        assertEquals(List.of("b"), liveEntries.poolsWithJobsOf("q", "host/q/"));
         assertEquals(Set.of("a", "b"), liveEntries.poolsWithJobs());
         liveEntries.change(LiveEntries.queuesKey("b"), Optional.empty(), 0);
         assertEquals(Set.of("a"), liveEntries.poolsWithJobs());
@@ -81,8 +82,25 @@
         assertEquals(Set.of(), liveEntries.poolsWithJobs());
     }
 
+    /** Guards against a job that nobody asks for at its address, as a queue of another name has taken that. */
+    @Test
+    void poolsAreFoundByTheAddressesThatTheQueuesOfTheirJobsHaveHad() {
+        StoredQueues first = StoredQueues.NONE.change(Set.of("q"), Map.of("q", "host/q/", "r", "host/r/"));
+        StoredQueues later = StoredQueues.decode(first.encode()).change(Set.of("q"), Map.of("q", "host/other/"));
+        String key = LiveEntries.queuesKey("a");
+        liveEntries.replace(List.of(new StorePort.Item(key, later.encode(), 1, 0)), 0);
+        assertEquals(List.of("a"), liveEntries.poolsWithJobsOf("renamed", "host/q/"));
+        assertEquals(List.of("a"), liveEntries.poolsWithJobsOf("renamed", "host/other/"));
+        assertEquals(List.of("a"), liveEntries.poolsWithJobsOf("q", "host/new/"));
+        assertEquals(List.of(), liveEntries.poolsWithJobsOf("renamed", "host/r/"));
+    }
+
     private static StorePort.Item queues(String pool, Set<String> queues) {
-        return new StorePort.Item(LiveEntries.queuesKey(pool), LiveEntries.encode(queues), 1, 0);
+        return new StorePort.Item(
+                LiveEntries.queuesKey(pool),
+                StoredQueues.NONE.change(queues, Map.of()).encode(),
+                1,
+                0);
     }
 
     private static StorePort.Item claim(String key, long revision) {
