Count the waiting jobs of a queue in all pools that may have them

Cause: that of the moved queues: the count was asked of the owner of the present pool alone, while reads and cancels go to the former ones too.

Change: the owners of the present and of the former pools count at the same time, each also the jobs of other queues that have had the queue's address; the reply is the sum, or, as the others may have most of the jobs, the reply of an owner that has not counted.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FormerOwnerReplies.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FormerOwnerReplies.java
@@ -12,6 +12,9 @@
  * that was not heard may have the job, and the result is unavailable, or uncertain if that owner may have the request.
  */
 final class FormerOwnerReplies {
+    /** Proposed to a caller whose job was not submitted because a former owner was not heard. */
+    private static final long UNHEARD_RETRY_AFTER_MILLIS = 1_000;
+
     private final CompletableFuture<Optional<JobReply>> result = new CompletableFuture<>();
     private int awaitedCount;
     private Optional<JobReply> unheard = Optional.empty();
@@ -35,6 +38,21 @@
         return reply.status() == JobReplyStatus.DONE || reply.status() == JobReplyStatus.FORBIDDEN;
     }
 
+    /**
+     * Returns the reply to a submission that was not passed on because a former owner knows the job or may know it.
+     */
+    static JobReply unsubmitted(JobReply former) {
+        return switch (former.status()) {
+            case DONE -> JobReply.of(JobReplyStatus.DONE, "known");
+            case FORBIDDEN, UNCERTAIN -> former;
+            default ->
+                JobReply.refusal(
+                        JobReplyStatus.UNAVAILABLE,
+                        former.reason(),
+                        Math.max(UNHEARD_RETRY_AFTER_MILLIS, former.retryAfterMillis()));
+        };
+    }
+
     /**
      * Adds a reply.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.entry.job;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -31,8 +32,6 @@
     private static final long MAX_JOB_NAME_LENGTH = 64;
 
     private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 1_000;
-    /** Proposed to a caller whose job was not submitted because a former owner was not heard. */
-    private static final long UNHEARD_RETRY_AFTER_MILLIS = 1_000;
 
     private final JobContext context;
     private final OwnerCalls ownerCalls;
@@ -140,7 +139,7 @@
         Optional<String> pool = poolOf(spec.queue());
         open.then(askFormerOwners(spec.queue(), pool, new JobRequest.Phase(spec.id(), caller), endMillis), former -> {
             if (former.isPresent()) {
-                open.complete(unsubmitted(former.get()));
+                open.complete(FormerOwnerReplies.unsubmitted(former.get()));
             } else if (!poolOf(spec.queue()).equals(pool)) {
                 // The queue has been moved meanwhile, and nobody has asked the owner of the pool that it left.
                 submit(open, request, spec, caller, endMillis);
@@ -150,21 +149,6 @@
         });
     }
 
-    /**
-     * Returns the reply to a submission that was not passed on because a former owner knows the job or may know it.
-     */
-    private static JobReply unsubmitted(JobReply former) {
-        return switch (former.status()) {
-            case DONE -> JobReply.of(JobReplyStatus.DONE, "known");
-            case FORBIDDEN, UNCERTAIN -> former;
-            default ->
-                JobReply.refusal(
-                        JobReplyStatus.UNAVAILABLE,
-                        former.reason(),
-                        Math.max(UNHEARD_RETRY_AFTER_MILLIS, former.retryAfterMillis()));
-        };
-    }
-
     /**
      * Carries out a request that another entry, or an earlier configuration, has sent to the owner of a pool which its queue has
      * left.
@@ -199,10 +183,30 @@
     public CompletableFuture<JobReply> queuedJobs(String queue, long deadlineMillis) {
         long endMillis = RequestTimes.ownerDeadlineMillis(deadlineMillis, context.now());
         CallerRequest open = new CallerRequest(context, "count", queue, RequestTimes.replyLimitMillis(deadlineMillis));
-        open.begin(() -> open.then(askOwner(queue, new JobRequest.QueuedJobs(queue), endMillis), open::complete));
+        open.begin(() -> open.then(countQueuedJobs(queue, endMillis), open::complete));
         return open.reply().thenApply(answer -> checkRead(queue, answer));
     }
 
+    /**
+     * Asks the owners of all pools in which a queue's jobs may be at the same time.
+     */
+    private CompletableFuture<JobReply> countQueuedJobs(String queue, long endMillis) {
+        Optional<String> present = poolOf(queue);
+        if (present.isEmpty()) {
+            return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.NO_QUEUE, "unknown-queue"));
+        }
+        List<String> pools = new ArrayList<>(formerPoolsInService(queue, present, context.now()));
+        pools.add(present.get());
+        QueuedJobCount count = new QueuedJobCount(pools.size());
+        for (String pool : pools) {
+            CompletableFuture<JobReply> reply = new CompletableFuture<>();
+            ownerCalls.ask(pool, new JobRequest.QueuedJobs(queue), endMillis, reply);
+            context.onServiceThread(
+                    reply, (answer, failure) -> count.add(failure == null ? answer : RequestFailures.REPLY));
+        }
+        return count.result();
+    }
+
     /**
      * Replaces the reply to a read if the configuration has become unconfirmed while the owner was asked, as when the
      * process was suspended meanwhile, or if the configuration applied meanwhile has removed the queue.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRequests.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRequests.java
@@ -96,8 +96,12 @@
                         .orElseGet(() -> JobReply.of(JobReplyStatus.NO_JOB, "unknown-job")));
     }
 
+    /**
+     * Counts the jobs of a queue that wait, and those that callers know by its address.
+     */
     JobReply queuedJobs(String queue) {
-        return JobReply.ofQueuedJobs(scheduler.queuedJobs(queue));
+        return JobReply.ofQueuedJobs(
+                store.queuesAt(queue).stream().mapToInt(scheduler::queuedJobs).sum());
     }
 
     private CompletableFuture<JobReply> whenStored(CompletableFuture<JobReply> reply) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.trefoilpost.decision.job.Commit;
@@ -126,6 +127,15 @@
         addresses = Map.copyOf(presentAddresses);
     }
 
+    /**
+     * Returns a queue, and the queues with jobs here that have had its present address.
+     */
+    Set<String> queuesAt(String queue) {
+        Set<String> queues = storedQueues.queuesAt(addresses.getOrDefault(queue, ""));
+        queues.add(queue);
+        return queues;
+    }
+
     private void readPage(Load load, String after) {
         String prefix = JOB_KEY_PREFIX + pool + '/';
         context.call(() -> context.store().range(prefix, after), (page, failure) -> {
@@ -258,12 +268,22 @@
         } else if (counterUnchanged && owner.isEmpty()) {
             awaitsClaim = true;
         } else if (counterUnchanged && owner.get().revision() == token) {
-            attempt.changedConfiguration(failure).ifPresentOrElse(item -> reject(attempt, item), () -> send(attempt));
+            attempt.changedConfiguration(failure)
+                    .ifPresentOrElse(item -> reject(attempt, item), () -> sendAfterConflict(attempt));
         } else {
             attempt.listener.ownershipLost("conflict");
         }
     }
 
+    private void sendAfterConflict(PendingCommit attempt) {
+        if (attempt.configuration.isEmpty()) {
+            send(attempt);
+        } else {
+            // A store without an item of the configuration refuses the change each time.
+            context.schedule(RETRY_DELAY_MILLIS, () -> send(attempt));
+        }
+    }
+
     private void reject(PendingCommit attempt, StorePort.Item configuration) {
         pending = null;
         failedAttempts = 0;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoredQueues.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoredQueues.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -19,24 +20,27 @@
     private static final String ADDRESS_SEPARATOR = "\t";
 
     private final Map<String, Set<String>> addressesByQueue;
+    /** The addresses of all queues; each request asks for one. */
+    private final Set<String> addresses = new HashSet<>();
 
     private StoredQueues(Map<String, Set<String>> addressesByQueue) {
         this.addressesByQueue = Collections.unmodifiableMap(addressesByQueue);
+        addressesByQueue.values().forEach(addresses::addAll);
     }
 
     /**
      * Decodes queues. Earlier versions of the program have written no addresses.
      */
     static StoredQueues decode(byte[] bytes) {
-        Map<String, Set<String>> addresses = new TreeMap<>();
+        Map<String, Set<String>> decoded = new TreeMap<>();
         for (String line : new String(bytes, StandardCharsets.UTF_8).split(SEPARATOR, -1)) {
             String[] parts = line.split(ADDRESS_SEPARATOR, 2);
-            Set<String> ofQueue = addresses.computeIfAbsent(parts[0], queue -> new TreeSet<>());
+            Set<String> ofQueue = decoded.computeIfAbsent(parts[0], queue -> new TreeSet<>());
             if (parts.length > 1) {
                 ofQueue.add(parts[1]);
             }
         }
-        return new StoredQueues(addresses);
+        return new StoredQueues(decoded);
     }
 
     /**
@@ -46,7 +50,7 @@
     byte[] encode() {
         Set<String> lines = new TreeSet<>(addressesByQueue.keySet());
         addressesByQueue.forEach(
-                (queue, addresses) -> addresses.forEach(address -> lines.add(queue + ADDRESS_SEPARATOR + address)));
+                (queue, ofQueue) -> ofQueue.forEach(address -> lines.add(queue + ADDRESS_SEPARATOR + address)));
         return String.join(SEPARATOR, lines).getBytes(StandardCharsets.UTF_8);
     }
 
@@ -57,15 +61,15 @@
      * @param presentAddresses  the present address of each configured queue by its name
      */
     StoredQueues change(Set<String> queues, Map<String, String> presentAddresses) {
-        Map<String, Set<String>> addresses = new TreeMap<>();
+        Map<String, Set<String>> changed = new TreeMap<>();
         for (String queue : queues) {
             Set<String> ofQueue = new TreeSet<>(addressesByQueue.getOrDefault(queue, Set.of()));
             if (presentAddresses.containsKey(queue)) {
                 ofQueue.add(presentAddresses.get(queue));
             }
-            addresses.put(queue, ofQueue);
+            changed.put(queue, ofQueue);
         }
-        return new StoredQueues(addresses);
+        return new StoredQueues(changed);
     }
 
     boolean isEmpty() {
@@ -76,8 +80,20 @@
      * Returns whether a job may be here that callers know by an address, or that belongs to a queue.
      */
     boolean mayHaveJobOf(String queue, String address) {
-        return addressesByQueue.containsKey(queue)
-                || addressesByQueue.values().stream().anyMatch(addresses -> addresses.contains(address));
+        return addressesByQueue.containsKey(queue) || addresses.contains(address);
+    }
+
+    /**
+     * Returns the queues that have had an address.
+     */
+    Set<String> queuesAt(String address) {
+        Set<String> queues = new TreeSet<>();
+        addressesByQueue.forEach((queue, ofQueue) -> {
+            if (ofQueue.contains(address)) {
+                queues.add(queue);
+            }
+        });
+        return queues;
     }
 
     @Override
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ReplacedQueueTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ReplacedQueueTest.java
@@ -26,6 +26,9 @@
     private static final String FORMER_POOL = "former";
     private static final String POOL = "pool";
     private static final String JOB = "0000000000000001";
+    /** A job in the pool that has no workers. */
+    private static final String WAITING_JOB = "0000000000000002";
+
     private static final long DEADLINE_MILLIS = 3_000;
     private static final long WAIT_MILLIS = 5_000;
 
@@ -88,6 +91,23 @@
         assertKnown(router, "q");
     }
 
+    @Test
+    void waitingJobsAreCountedInThePoolThatTheQueueHasLeftAndAtItsAddress() {
+        configure(router, configuration(2, queue("q", POOL)));
+        await(router.submit(spec("q", WAITING_JOB), Caller.UNIDENTIFIED, DEADLINE_MILLIS));
+        configure(router, configuration(3, queue("q", FORMER_POOL)));
+        assertEquals(1, queuedJobs("q"), "the queue has moved");
+        configure(router, configuration(4, queue("renamed", FORMER_POOL)));
+        Map<String, QueueConfig> renamed = Map.of("renamed", queue("renamed", FORMER_POOL));
+        service.run(() -> runners.get(POOL).configure(renamed, Teams.NONE));
+        assertEquals(1, queuedJobs("renamed"), "another queue has its address");
+    }
+
+    private int queuedJobs(String queue) {
+        status.confirmed(service.context().now());
+        return await(router.queuedJobs(queue, DEADLINE_MILLIS)).queuedJobs();
+    }
+
     private void assertKnown(JobRequestRouter asked, String queue) {
         status.confirmed(service.context().now());
         assertTrue(await(asked.phase(queue, JOB, Caller.UNIDENTIFIED, DEADLINE_MILLIS))
@@ -155,11 +175,15 @@
     }
 
     private static JobSpec spec(String queue) {
+        return spec(queue, JOB);
+    }
+
+    private static JobSpec spec(String queue, String job) {
         StepSpec step = StepSpec.builder()
                 .tasks(1, new ResourceAmount(1_000, 128, 0))
                 .estimateMillis(60_000)
                 .build();
-        return new JobSpec(JOB, queue, "text", List.of(step), JobSpec.Schedule.ONCE);
+        return new JobSpec(job, queue, "text", List.of(step), JobSpec.Schedule.ONCE);
     }
 
     private static QueueConfig queue(String name, String pool) {
