Say in a method of its own what route a submission without one has

The nested expression hid it, and a loop with two ends was hard to read in JobState. No change of behaviour; InheritedOccurrenceTest, MovedQueueRequestTest and OwnerCallsTest pass.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -84,10 +84,13 @@
                 && opened > 0
                 && number < spec.schedule().count()
                 && (opened == 1 || opened * spec.taskCount() <= JobSpec.MAX_TASKS);
-        for (int i = 0; plausible && i < opened; i++) {
+        if (!plausible) {
+            return false;
+        }
+        while (nextOccurrence <= number) {
             openNext(now);
         }
-        return plausible;
+        return true;
     }
 
     private boolean isDue(int number, Moment now) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OwnerCalls.java
@@ -299,12 +299,7 @@
             return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.FORBIDDEN, "other-team"));
         }
         if (request instanceof JobRequest.Submit submit) {
-            return runner.requests()
-                    .submit(
-                            submit.spec(),
-                            submit.route()
-                                    .orElseGet(
-                                            () -> new QueueRoute(submit.spec().queue(), 0)));
+            return runner.requests().submit(submit.spec(), routeOf(submit));
         } else if (request instanceof JobRequest.Cancel cancel) {
             return runner.requests().cancel(cancel.job());
         } else if (request instanceof JobRequest.Phase phase) {
@@ -315,6 +310,13 @@
         return CompletableFuture.completedFuture(JobReply.of(JobReplyStatus.MALFORMED, "unknown-request"));
     }
 
+    /**
+     * Returns the route of a submission; one without a route is older than any configuration.
+     */
+    private static QueueRoute routeOf(JobRequest.Submit request) {
+        return request.route().orElseGet(() -> new QueueRoute(request.spec().queue(), 0));
+    }
+
     /**
      * Returns whether the caller may send requests about the job. Where no keys are required, the teams that jobs may have
      * from before do not matter.
