--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobRequestRouter.java
@@ -22,8 +22,11 @@
  * <p>When a queue is moved to another pool, or another queue takes its address, its earlier jobs remain with the former pool,
  * even if that pool leaves the configuration. Requests about a job are therefore sent to the owners of former pools too: of
  * those for which the store names the queue or its address, and of those that earlier configurations of this entry name for
- * them, as the latest changes of the store may not have arrived. Only an owner that answers that there is no such job counts as not knowing it: one that is not heard may
- * have it.
+ * them, as the latest changes of the store may not have arrived. Only an owner that answers that there is no such job counts
+ * as not knowing it: one that is not heard may have it.
+ *
+ * <p>Each request names the configuration by which its owner was chosen. An owner with a newer one, by which the queue has left
+ * its pool, passes a request about a job that it does not know to this router of its own entry.
  */
 final class JobRequestRouter implements JobIngress {
     /** The time for a request that another entry has sent here, which does not say how long its caller waits. */
