Apply items of the configuration from the store and from other entries by one method

OperatorEntries had three methods that did the same: the one for items from other entries, the one that the guard of the commits added, and a private one behind both. The callers use the guard's now. No change of behaviour; the assertions of OperatorEntriesTest are as before, only the name of the method that they call has changed.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/ConfigurationGuard.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/ConfigurationGuard.java
@@ -36,7 +36,7 @@
     Map<String, Long> condition();
 
     /**
-     * Applies the item that the store has in place of the one of the condition.
+     * Applies an item that the store has, or that another entry has read there, if its configuration is newer.
      */
     void itemFound(StorePort.Item item);
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/ConfigurationPeers.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/ConfigurationPeers.java
@@ -97,7 +97,7 @@
         ConfigurationReport report = answer.report();
         boolean newer = report.isNewerThan(operatorEntries.version());
         if (newer) {
-            answer.item().ifPresent(operatorEntries::itemFromPeer);
+            answer.item().ifPresent(operatorEntries::itemFound);
         }
         long formerAgeMillis = operatorEntries.status().displayedAgeMillis();
         report.confirms(sent, operatorEntries.version()).ifPresent(operatorEntries.status()::confirmed);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/OperatorEntries.java
@@ -63,11 +63,6 @@
         return configurationItem == null ? Map.of() : Map.of(configurationItem.key(), newestRevision);
     }
 
-    @Override
-    public void itemFound(StorePort.Item item) {
-        readConfiguration(item);
-    }
-
     /**
      * Returns the operators' item of the configuration in force, empty before the first one.
      */
@@ -82,14 +77,8 @@
         return status;
     }
 
-    /**
-     * Applies the operators' item of a configuration that another entry has in force, if it is newer.
-     */
-    void itemFromPeer(StorePort.Item item) {
-        readConfiguration(item);
-    }
-
-    private void readConfiguration(StorePort.Item item) {
+    @Override
+    public void itemFound(StorePort.Item item) {
         context.ports().formats().configuration(item).ifPresent(next -> configure(next, item));
         if (configurationItem != null && configurationItem.key().equals(item.key())) {
             newestRevision = Math.max(newestRevision, item.revision());
@@ -117,7 +106,7 @@
             waves.itemRemoved(key);
             return;
         }
-        readConfiguration(item.get());
+        itemFound(item.get());
         waves.itemWritten(item.get());
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OperatorEntriesTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/OperatorEntriesTest.java
@@ -115,15 +115,15 @@
         store.write("5");
         try (TestService service = service(store)) {
             OperatorEntries entries = new OperatorEntries(service.context(), new IgnoringListener());
-            service.run(() -> entries.itemFromPeer(item("3", 3)));
+            service.run(() -> entries.itemFound(item("3", 3)));
             assertEquals(3, entries.version(), "an entry without a configuration takes it from a peer");
             assertFalse(entries.status().isConfirmed());
             service.run(entries::start);
             advance(service, store, 100);
             assertEquals(5, entries.version());
-            service.run(() -> entries.itemFromPeer(item("4", 4)));
+            service.run(() -> entries.itemFound(item("4", 4)));
             assertEquals(5, entries.version());
-            service.run(() -> entries.itemFromPeer(item("7", 7)));
+            service.run(() -> entries.itemFound(item("7", 7)));
             assertEquals(7, entries.version());
             assertEquals(7, entries.configurationItem().orElseThrow().revision());
         }
