Take a job for begun only once a worker has said that it began a task

Cause: OrderSender.start set the phase of a job to running when it sent the first order. Whatever came of the order, the phase stayed: a rejection, no answer, the end of the worker. The next owner read it from the store and believed it too. The other way round, a job of which a worker listed only an end, or an unwanted run, stayed queued; and a job that was cancelled before it began was called running, and not counted, until its end was stored.

Ruled out: counts that reach entries late (all entries say 0, 9 s after the submissions, the owner too), and jobs of a moved queue.

Change: a worker's word alone begins a job: OK to a start, a run in its list, an end in its list, also those of runs that are unwanted or not known any more. It is stored behind the crash records, where earlier versions of the program ignore it; a document of theirs that says running is believed only if a task has ended or has saved something. A job whose end is not stored is reported as what it was before, and counted so. `job-begun` is logged.

A begun document is 3 bytes longer, 2 with a team. The begin comes with the answer to the start, mostly before the write that the order causes.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
@@ -35,7 +35,7 @@
                 packQueue(packer, job.queue);
                 packOccurrences(packer, job);
             }
-            packTeamAndCrashes(packer, job);
+            packTeam(packer, job);
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("writing to an in-memory buffer failed", e);
@@ -89,6 +89,12 @@
         if (unpacker.hasNext()) {
             unpackCrashes(unpacker, job);
         }
+        job.begun = unpacker.hasNext() && unpacker.unpackBoolean() || job.hasProgress();
+        if (!phase.ended()) {
+            // Earlier versions of the program stored an open job as running as soon as a task was ordered.
+            job.phase = job.openPhase();
+            job.storedPhase = job.phase;
+        }
         return new DecodedJob(job, runLocations);
     }
 
@@ -192,10 +198,25 @@
     }
 
     /**
-     * Appends the team and the crash records, if there are any. Earlier versions of the program ignore what follows the
-     * team, so that one is written, empty if need be, before crash records.
+     * Appends the team, and what earlier versions of the program ignore behind it: the crash records, and whether the job has
+     * begun. If one of them is written, so is all that precedes it, empty if need be.
      */
-    private static void packTeamAndCrashes(MessageBufferPacker packer, JobState job) throws IOException {
+    private static void packTeam(MessageBufferPacker packer, JobState job) throws IOException {
+        JobSpecCodec.packTeam(packer, job.spec);
+        List<JobTaskState> crashed = crashedTasks(job);
+        if (job.phase.ended() || crashed.isEmpty() && !job.begun) {
+            return;
+        }
+        if (job.spec.team().isEmpty()) {
+            packer.packString("");
+        }
+        packCrashes(packer, crashed);
+        if (job.begun) {
+            packer.packBoolean(true);
+        }
+    }
+
+    private static List<JobTaskState> crashedTasks(JobState job) {
         List<JobTaskState> crashed = new ArrayList<>();
         for (OccurrenceState occurrence : job.openOccurrences()) {
             for (JobStepState step : occurrence.steps) {
@@ -206,13 +227,10 @@
                 }
             }
         }
-        JobSpecCodec.packTeam(packer, job.spec);
-        if (job.phase.ended() || crashed.isEmpty()) {
-            return;
-        }
-        if (job.spec.team().isEmpty()) {
-            packer.packString("");
-        }
+        return crashed;
+    }
+
+    private static void packCrashes(MessageBufferPacker packer, List<JobTaskState> crashed) throws IOException {
         packer.packArrayHeader(crashed.size());
         for (JobTaskState task : crashed) {
             packer.packInt(task.id.occurrence()).packInt(task.id.step()).packInt(task.id.index());
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobPhase.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobPhase.java
@@ -4,9 +4,9 @@
  * The phase of a job.
  */
 public enum JobPhase {
-    /** No task has started. */
+    /** No worker has said that it began a task, whether a task was ordered or not. */
     QUEUED,
-    /** A task has started. */
+    /** A worker has said that it began a task. */
     RUNNING,
     /** All tasks have completed. */
     COMPLETED,
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobState.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * The state of a job of the pool. Fields with {@code Wall} in their names hold times since 1970, other times are those
@@ -16,6 +17,9 @@
     final Map<Integer, OccurrenceState> occurrences = new TreeMap<>();
     QueueConfig queue;
     JobPhase phase = JobPhase.QUEUED;
+    /** True if a worker has said that it began a task. An open job is running if so, else queued. */
+    boolean begun;
+
     long submittedMillis;
     long submittedWallMillis;
     long endedWallMillis;
@@ -47,6 +51,33 @@
         this.submittedWallMillis = submitted.wallMillis();
     }
 
+    /**
+     * Returns the phase to report to callers: an end is reported only once it is stored.
+     */
+    JobPhase reportedPhase() {
+        if (phase.ended() && storedPhase != phase) {
+            return openPhase();
+        }
+        return phase;
+    }
+
+    /**
+     * Returns the phase that the job has, or had, as long as it has not ended.
+     */
+    JobPhase openPhase() {
+        return begun ? JobPhase.RUNNING : JobPhase.QUEUED;
+    }
+
+    /**
+     * Returns whether stored progress shows that a worker has begun a task.
+     */
+    boolean hasProgress() {
+        return endedOccurrences > 0
+                || openOccurrences().stream()
+                        .flatMap(occurrence -> Stream.of(occurrence.steps))
+                        .anyMatch(JobStepState::hasProgress);
+    }
+
     Collection<OccurrenceState> openOccurrences() {
         return occurrences.values();
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobStepState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobStepState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.trefoilpost.decision.job.crash.Isolation;
 
 /**
@@ -38,6 +39,15 @@
         return doneTasks == tasks.length;
     }
 
+    /**
+     * Returns whether a worker has begun a task of the step, as far as its ends and checkpoints show.
+     */
+    boolean hasProgress() {
+        return doneTasks > 0
+                || failedGangs.count() > 0
+                || Stream.of(tasks).anyMatch(task -> task.failedRuns.count() > 0 || !task.checkpoint.isEmpty());
+    }
+
     /**
      * Returns how many tasks of the step are not ready, without counting one of them.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -43,9 +43,6 @@
                 .with("worker", worker.id)
                 .with("freeCpu", worker.freeResources().cpuMillis())
                 .with("reportAge", worker.answerAgeMillis(nowMillis)));
-        if (job.phase == JobPhase.QUEUED) {
-            job.phase = JobPhase.RUNNING;
-        }
         // The next owner must find the run if the worker crashes under it again.
         state.markDirty(job, nowMillis, task.crashRecord.crashes() > 0);
         return run;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -173,12 +173,7 @@
      * @return the phase, empty if the job is not known, not null
      */
     public Optional<JobPhase> phase(String id) {
-        JobState job = state.jobs.get(id);
-        if (job == null) {
-            return Optional.empty();
-        }
-        boolean endNotStored = job.phase.ended() && job.storedPhase != job.phase;
-        return Optional.of(endNotStored ? JobPhase.RUNNING : job.phase);
+        return Optional.ofNullable(state.jobs.get(id)).map(JobState::reportedPhase);
     }
 
     /**
@@ -192,7 +187,7 @@
     }
 
     /**
-     * Returns the number of stored jobs of a queue of which no task has started.
+     * Returns the number of stored jobs of a queue that are reported as queued.
      *
      * @param queue  the queue's name, not null
      * @return the number, not negative
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -77,13 +77,14 @@
     }
 
     /**
-     * Returns the number of stored jobs of a queue of which no task has started.
+     * Returns the number of stored jobs of a queue that are reported as queued. A job whose end is not stored is among them, as its
+     * callers do not know of the end.
      */
     int countQueuedJobs(String queue) {
         int count = 0;
-        for (JobState job : openJobs.values()) {
+        for (JobState job : jobs.values()) {
             count += job.stored
-                            && job.phase == JobPhase.QUEUED
+                            && job.reportedPhase() == JobPhase.QUEUED
                             && job.spec.queue().equals(queue)
                     ? 1
                     : 0;
@@ -91,6 +92,27 @@
         return count;
     }
 
+    /**
+     * Records that a worker has said that it began a task, by its answer to a start or by listing a run or the end of one. Neither
+     * an order that was sent nor a missing answer says so.
+     */
+    void taskBegan(TaskId task, PoolWorker worker, long nowMillis) {
+        JobState job = jobs.get(task.job());
+        if (job == null || job.begun) {
+            return;
+        }
+        job.begun = true;
+        if (!job.phase.ended()) {
+            job.phase = job.openPhase();
+            markDirty(job, nowMillis, false);
+        }
+        actions.logDecision(Decision.of("job-begun")
+                .with("job", task.job())
+                .with("task", task.text())
+                .with("worker", worker.id)
+                .with("age", nowMillis - job.submittedMillis));
+    }
+
     /**
      * Marks a job as changed, to be stored with the next commit if {@code urgent}, else within a short delay.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -43,6 +43,9 @@
     void startAnswered(PoolWorker worker, TaskId task, int number, OrderResult result, Moment now) {
         worker.startsInFlight = Math.max(0, worker.startsInFlight - 1);
         state.placementDue = true;
+        if (result == OrderResult.OK) {
+            state.taskBegan(task, worker, now.steadyMillis());
+        }
         Run run = worker.run(task.text(), number);
         if (run == null || run.phase != RunPhase.STARTING) {
             return;
@@ -188,6 +191,7 @@
         if (run == null) {
             run = adopt(worker, running, now);
         }
+        state.taskBegan(run.task.id, worker, now.steadyMillis());
         run.listed = true;
         run.absences = 0;
         worker.unansweredStarts.remove(PoolWorker.key(run));
@@ -236,9 +240,7 @@
         target.mayHaveUnseenRun = false;
         worker.add(run);
         if (wanted) {
-            JobState job = target.step.occurrence.job;
-            job.phase = JobPhase.RUNNING;
-            state.markDirty(job, now.steadyMillis(), false);
+            state.markDirty(target.step.occurrence.job, now.steadyMillis(), false);
             logRun("run-adopted", run);
         } else {
             orderSender.stop(run, "not-wanted", now);
@@ -277,6 +279,7 @@
     private void runEnded(PoolWorker worker, WorkerRunStatus.Ended ended, Moment now) {
         Run run = worker.run(ended.task(), ended.run());
         JobTaskState task = run != null ? run.task : reportedTask(ended.task(), now);
+        TaskId.parse(ended.task()).ifPresent(id -> state.taskBegan(id, worker, now.steadyMillis()));
         if (run != null) {
             worker.unansweredStarts.remove(PoolWorker.key(run));
             runStatistics.runEnded(run, ended.how(), now.steadyMillis());
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobDocumentCodecTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.crash.CrashRecord;
 
@@ -153,6 +154,45 @@
         }
     }
 
+    /** Guards against a job that a successor counts among those that wait though its predecessor knew that it had begun. */
+    @Test
+    void beginOfAJobFollowsTheCrashRecords() {
+        for (CrashRecord record : List.of(CrashRecord.NONE, new CrashRecord(3, 1, 2, true))) {
+            for (Optional<String> team : List.of(Optional.of("team-1"), Optional.<String>empty())) {
+                JobState job = job();
+                job.spec = job.spec.withTeam(team);
+                job.occurrences.get(0).steps[0].tasks[1].crashRecord = record;
+                job.begun = true;
+                JobState read = decoded(job, EARLIER_OPEN_JOB);
+                assertEquals(JobPhase.RUNNING, read.phase);
+                assertEquals(team, read.spec.team());
+                assertEquals(record, read.occurrences.get(0).steps[0].tasks[1].crashRecord);
+            }
+        }
+    }
+
+    /** Guards against jobs missing among those that wait, as earlier versions stored them as running once a task was ordered. */
+    @Test
+    void jobThatAnEarlierVersionStoredAsRunningIsRunningIfATaskHasMadeProgress() {
+        assertEquals(JobPhase.QUEUED, readAsStoredByEarlierVersions(step -> {}));
+        assertEquals(JobPhase.QUEUED, readAsStoredByEarlierVersions(step -> step.tasks[0].lastRunNumber = 1));
+        assertEquals(JobPhase.RUNNING, readAsStoredByEarlierVersions(step -> step.tasks[0].done = true));
+        assertEquals(JobPhase.RUNNING, readAsStoredByEarlierVersions(step -> step.tasks[0].failedRuns.add(1)));
+        assertEquals(JobPhase.RUNNING, readAsStoredByEarlierVersions(step -> step.failedGangs.add(1)));
+        assertEquals(JobPhase.RUNNING, readAsStoredByEarlierVersions(step -> step.tasks[1].checkpoint = "saved"));
+        assertEquals(JobPhase.RUNNING, readAsStoredByEarlierVersions(step -> step.occurrence.job.endedOccurrences = 1));
+    }
+
+    private static JobPhase readAsStoredByEarlierVersions(Consumer<JobStepState> progress) {
+        JobState job = job();
+        job.phase = JobPhase.RUNNING;
+        progress.accept(job.occurrences.get(0).steps[0]);
+        JobState read =
+                JobDocumentCodec.decode(JobDocumentCodec.encode(job), NOW).job();
+        assertEquals(read.phase, read.storedPhase);
+        return read.phase;
+    }
+
     private static JobState decoded(JobState job, String earlier) {
         byte[] bytes = JobDocumentCodec.encode(job);
         assertTrue(HexFormat.of().formatHex(bytes).startsWith(earlier));
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -44,6 +44,7 @@
     private static final long REGISTRY_CONFIRMATION_MILLIS = 50;
     private static final long REPORT_RETRY_MILLIS = 100;
     private static final int WATCH_DELAY_MILLIS = 400;
+    private static final long WAITING_CHECK_INTERVAL_MILLIS = 100;
 
     private final VirtualTime time = new VirtualTime();
     private final InvariantChecker checks = new InvariantChecker(time);
@@ -111,6 +112,17 @@
         capacityKnowledge = CapacityKnowledge.none(CAPACITY_BOUND, time.moment());
         confirmRegistry();
         startOwner();
+        checkWaitingJobs();
+    }
+
+    /**
+     * Compares the owner's number of waiting jobs with the jobs that workers have not begun, again and again.
+     */
+    private void checkWaitingJobs() {
+        if (!owner().isStopped()) {
+            checks.waitingJobsShown(QUEUE, owner().scheduler().queuedJobs(QUEUE), time.nowMillis(), "the owner");
+        }
+        time.schedule(WAITING_CHECK_INTERVAL_MILLIS, this::checkWaitingJobs);
     }
 
     /**
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/InvariantChecker.java
@@ -24,6 +24,9 @@
     /** Time after the answer to its caller from which an accepted job must be known everywhere. */
     private static final long VISIBLE_MILLIS = 3_000;
 
+    /** How old the number of a queue's waiting jobs may be. */
+    private static final long WAITING_AGE_MILLIS = 2_000;
+
     /** How long the state of a job is kept at least. */
     private static final long STATE_RETENTION_MILLIS = 120_000;
 
@@ -42,6 +45,9 @@
     private final Map<String, Long> cancelledMillis = new HashMap<>();
     private final Set<String> cancelRequests = new HashSet<>();
     private final Set<String> endedJobs = new HashSet<>();
+    /** The jobs of which a worker has started a task. */
+    private final Set<String> begunJobs = new HashSet<>();
+
     private final Map<String, Set<String>> runningWorkers = new HashMap<>();
     private final Map<String, Long> lastStartMillis = new HashMap<>();
     private final Map<String, Long> lastEndMillis = new HashMap<>();
@@ -138,6 +144,7 @@
     void runStarted(String worker, WorkerOrder.Start order, ResourceAmount capacity, ResourceAmount used) {
         starts++;
         TaskId task = order.task();
+        begunJobs.add(task.job());
         JobSpec job = jobs.get(task.job());
         if (job == null || !job.text().equals(order.text())) {
             addViolation("UNASKED " + task.text());
@@ -344,6 +351,35 @@
         }
     }
 
+    /**
+     * Checks a reported number of a queue's waiting jobs: it is at least half of those that were accepted long before and of
+     * which no worker has started a task. Scheduled and cancelled jobs are not checked.
+     *
+     * @param queue  the name of the queue, not null
+     * @param reported  the number of jobs that are said to wait
+     * @param askedMillis  when the caller asked, in milliseconds on the clock of the emulation
+     * @param asked  the name of the process that was asked, not null
+     */
+    public void waitingJobsShown(String queue, int reported, long askedMillis, String asked) {
+        List<String> waiting = acceptedMillis.entrySet().stream()
+                .filter(entry -> askedMillis - entry.getValue() > VISIBLE_MILLIS + WAITING_AGE_MILLIS)
+                .map(Map.Entry::getKey)
+                .filter(job -> isWaiting(jobs.get(job), queue))
+                .toList();
+        if (2 * reported < waiting.size()) {
+            addViolation("MIXED " + reported + " jobs of " + queue + " wait by " + asked + ", not " + waiting);
+        }
+    }
+
+    private boolean isWaiting(JobSpec job, String queue) {
+        String id = job.id();
+        return job.queue().equals(queue)
+                && !job.schedule().timed()
+                && !begunJobs.contains(id)
+                && !cancelRequests.contains(id)
+                && !endedJobs.contains(id);
+    }
+
     /**
      * Returns whether the owner of a job knows that a task of it has failed as often as allowed.
      *
