Know the pace of a best-effort task by its worker's answers

Cause: the pace of a run was noted when it was ordered. After any answer but OK, and after none, the run was taken for one at full speed; a successor took each run that it adopted for one. A task that its worker had stopped by then, or that a predecessor had stopped, got no further order once the response times were calm, as nothing faster than full speed can be ordered: it stood still for good. Over the target the next order was 50, also for a task at 25, which made it faster.

Change: RunPace holds what the answers say. An order without an answer leaves the lowest pace that the run may have, and is repeated; it is repeated once more when the late one can no longer be carried out. A rejected one leaves the pace as it was. The pace of an adopted run is unknown until it is ordered: it is not changed while the response times do no harm, is raised step by step from 0 beside a serving task, and to full at once beside none. No second order is sent while one is under way.

The module's tests pass. No play with tasks that fill was compared; what the steps from 0 cost after a take-over was not measured.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/BestEffortThrottle.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/BestEffortThrottle.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 
 /**
  * Slows down best-effort tasks on workers where the response times of a serving task approach its target.
@@ -60,21 +61,35 @@
             }
         }
         for (Run run : bestEffortRuns) {
-            int pacePercent = targetPacePercent(run.pacePercent, worstTargetShare);
-            if (pacePercent != run.pacePercent) {
+            OptionalInt percent = percentToOrder(run.pace, worstTargetShare, nowMillis);
+            if (percent.isPresent()) {
                 changedMillis.put(worker, nowMillis);
-                orderSender.pace(run, pacePercent);
+                orderSender.pace(run, percent.getAsInt());
             }
         }
     }
 
-    private static int targetPacePercent(int pacePercent, double worstTargetShare) {
+    /**
+     * Returns the pace to order, empty if the run has it, or if it is not known but does no harm.
+     */
+    private static OptionalInt percentToOrder(RunPace pace, double worstTargetShare, long nowMillis) {
+        boolean harmless = worstTargetShare <= SLOW_DOWN_TARGET_SHARE && worstTargetShare >= SPEED_UP_TARGET_SHARE;
+        if (pace.isOrderInFlight() || pace == RunPace.UNKNOWN && harmless) {
+            return OptionalInt.empty();
+        }
+        boolean certain = pace.isCertain(nowMillis);
+        boolean undisturbed = worstTargetShare == 0;
+        int percent = !certain && undisturbed ? RunPace.FULL_PERCENT : targetPercent(pace.percent(), worstTargetShare);
+        return certain && percent == pace.percent() ? OptionalInt.empty() : OptionalInt.of(percent);
+    }
+
+    private static int targetPercent(int percent, double worstTargetShare) {
         if (worstTargetShare > SLOW_DOWN_TARGET_SHARE) {
-            int halvedPercent = pacePercent / 2;
+            int halvedPercent = percent / 2;
             return halvedPercent < MIN_USEFUL_PACE_PERCENT ? 0 : halvedPercent;
         }
         return worstTargetShare < SPEED_UP_TARGET_SHARE
-                ? Math.min(PoolWorker.FULL_PACE, pacePercent + SPEED_UP_STEP_PERCENT)
-                : pacePercent;
+                ? Math.min(RunPace.FULL_PERCENT, percent + SPEED_UP_STEP_PERCENT)
+                : percent;
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -103,7 +103,7 @@
      * Limits the pace of a run to a percentage of full speed.
      */
     void pace(Run run, int percent) {
-        run.pacePercent = percent;
+        run.pace = run.pace.ordered(percent);
         PoolWorker worker = run.worker;
         state.actions.send(
                 new WorkerOrder.Pace(worker.id, worker.registration.address(), run.task.id, run.number, percent));
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -250,9 +250,9 @@
             runTracker.stopAnswered(worker, stop.task(), stop.run(), result, now);
         } else if (order instanceof WorkerOrder.Hold) {
             runTracker.holdFailed(worker, result, now);
-        } else if (order instanceof WorkerOrder.Pace pace && result != OrderResult.OK) {
+        } else if (order instanceof WorkerOrder.Pace pace) {
             Optional.ofNullable(worker.run(pace.task().text(), pace.run()))
-                    .ifPresent(run -> run.pacePercent = PoolWorker.FULL_PACE);
+                    .ifPresent(run -> run.pace = run.pace.answered(result, now.steadyMillis()));
         }
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -9,9 +9,6 @@
  * The state of a worker of the pool: its resources, its clock, its lease, and the runs on it.
  */
 final class PoolWorker {
-    /** The pace of a run that is not limited, in percent. */
-    static final int FULL_PACE = 100;
-
     /** Time in which a worker that is running answers a call, beyond the wait that the call asks for. */
     private static final long ANSWER_MILLIS = 100;
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -9,6 +9,9 @@
     /** Time after which an order without an answer is no longer carried out. Delays of up to 12 s are known. */
     static final long MAX_ORDER_DELAY_MILLIS = 15_000;
 
+    /** The progress of a run that is fully ready. */
+    private static final int READY_PERCENT = 100;
+
     final JobTaskState task;
     final int number;
     final PoolWorker worker;
@@ -31,7 +34,7 @@
     String checkpoint = "";
     int percent;
     long progressMillis;
-    int pacePercent = PoolWorker.FULL_PACE;
+    RunPace pace = RunPace.FULL;
     long load;
     boolean wanted = true;
     /** True if the job of the run is no longer known, and with it the resources of the run. */
@@ -62,7 +65,7 @@
      * Returns whether the run is known to be fully ready.
      */
     boolean isReady() {
-        return phase == RunPhase.RUNNING && percent >= PoolWorker.FULL_PACE;
+        return phase == RunPhase.RUNNING && percent >= READY_PERCENT;
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -236,6 +236,7 @@
         Run run = new Run(target, running.run(), worker, RunPhase.RUNNING, now.steadyMillis());
         run.sizeUnknown = task == null;
         run.adopted = true;
+        run.pace = RunPace.UNKNOWN;
         target.lastRunNumber = Math.max(target.lastRunNumber, running.run());
         target.mayHaveUnseenRun = false;
         worker.add(run);
