Share the set-up of a pool with one worker between tests of the scheduler

Cause: BegunJobTest and BestEffortThrottleTest had the same set-up as copies, and PartialStatusTest had it before them.

Change: PoolWithOneWorker holds the pool, its worker's orders and what is stored. The assertions are the same; PartialStatusTest and InheritedOccurrenceTest, which need more of it, are left as they are.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/BestEffortThrottleTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/BestEffortThrottleTest.java
@@ -2,13 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import org.trefoilpost.decision.job.team.Teams;
 
 /** Guards against best-effort tasks that keep a pace that nobody ordered, or stand still, as an order was lost or its sender was. */
 class BestEffortThrottleTest {
@@ -21,14 +16,7 @@
     /** Longer than the time between two changes of the pace. */
     private static final long STEP_MILLIS = 700;
 
-    private static final QueueConfig QUEUE =
-            new QueueConfig("q", "h", "/q/", "pool", 0, 3, 5, 10_000, Optional.empty(), false);
-
-    private final List<WorkerOrder> sent = new ArrayList<>();
-    private final Map<String, byte[]> stored = new HashMap<>();
-    private Moment now = new Moment(1_000_000, 2_000_000);
-    private RecordedActions actions;
-    private PoolScheduler scheduler;
+    private final PoolWithOneWorker pool = new PoolWithOneWorker(STEP_MILLIS);
 
     @Test
     void pacesAreHalvedOverTheTargetAndRaisedWhenItIsCalm() {
@@ -52,12 +40,12 @@
     void paceIsOrderedAgainWhenAnOrderWithoutAnAnswerCanNoLongerBeCarriedOut() {
         startBoth();
         answer(orders(OVER_TARGET), OrderResult.NO_ANSWER);
-        long lateUntilMillis = now.steadyMillis() + Run.MAX_ORDER_DELAY_MILLIS;
+        long lateUntilMillis = pool.now().steadyMillis() + Run.MAX_ORDER_DELAY_MILLIS;
         int percent = 50;
         while (percent < RunPace.FULL_PERCENT) {
             percent = answeredPaces(CALM).get(0);
         }
-        while (now.steadyMillis() + STEP_MILLIS < lateUntilMillis) {
+        while (pool.now().steadyMillis() + STEP_MILLIS < lateUntilMillis) {
             assertEquals(List.of(), paces(CALM));
         }
         assertEquals(List.of(RunPace.FULL_PERCENT), answeredPaces(CALM));
@@ -115,52 +103,31 @@
 
     /** Starts a task that serves users, and one that uses what it leaves, on the same worker. */
     private void startBoth() {
-        open();
         advance(List.of());
-        StepSpec serving = StepSpec.builder()
-                .tasks(1, new ResourceAmount(1_000, 100, 0))
-                .service("image", TARGET_MILLIS, 1)
-                .longRunning(true)
-                .build();
-        StepSpec filling = StepSpec.builder()
-                .tasks(1, new ResourceAmount(1_000, 100, 0))
-                .longRunning(true)
-                .bestEffort(true)
-                .build();
-        submit(SERVING, serving);
-        submit(FILLING, filling);
-        for (int i = 0; i < 3; i++) {
-            advance(List.of());
-            storeChanges();
-        }
+        pool.submit(
+                SERVING,
+                StepSpec.builder()
+                        .tasks(1, new ResourceAmount(1_000, 100, 0))
+                        .service("image", TARGET_MILLIS, 1)
+                        .longRunning(true)
+                        .build());
+        pool.submit(
+                FILLING,
+                StepSpec.builder()
+                        .tasks(1, new ResourceAmount(1_000, 100, 0))
+                        .longRunning(true)
+                        .bestEffort(true)
+                        .build());
+        pool.storeChanges();
+        advance(List.of());
+        pool.orders(WorkerOrder.Start.class).forEach(start -> pool.answer(start, OrderResult.OK));
         advance(both(CALM));
     }
 
-    private void submit(String id, StepSpec step) {
-        scheduler.submit(new JobSpec(id, "q", "text", List.of(step), JobSpec.Schedule.ONCE), true, now);
-    }
-
     private void takeOver() {
-        storeChanges();
-        open();
-        scheduler.statusReceived("w", new WorkerRunStatus(now.steadyMillis(), both(NEAR_TARGET), List.of()), now);
-    }
-
-    private void open() {
-        sent.clear();
-        actions = new RecordedActions(sent);
-        scheduler = new PoolScheduler("pool", new PoolTimeouts(5_000, 120_000, 2_000), actions);
-        scheduler.configure(Map.of("q", QUEUE), Teams.NONE);
-        RegisteredWorker worker = new RegisteredWorker(
-                "w",
-                "m",
-                "pool",
-                WorkerAddress.of("10.0.0.1", 80),
-                "dc",
-                List.of(),
-                new ResourceAmount(8_000, 8_000, 0),
-                false);
-        scheduler.open(Map.copyOf(stored), List.of(worker), now.steadyMillis(), now);
+        pool.storeChanges();
+        pool.replaceOwner();
+        pool.report(both(NEAR_TARGET), List.of());
     }
 
     private static List<WorkerRunStatus.Running> both(long servingLoad) {
@@ -171,35 +138,19 @@
         return new WorkerRunStatus.Running(job + ".0.0.0", 1, "", RunPace.FULL_PERCENT, load);
     }
 
-    /** Reports a status and lets the scheduler decide, with all starts answered. */
+    /** Reports a status and lets the scheduler decide. */
     private void advance(List<WorkerRunStatus.Running> running) {
-        sent.clear();
-        now = now.plus(STEP_MILLIS);
-        scheduler.statusReceived("w", new WorkerRunStatus(now.steadyMillis(), running, List.of()), now);
-        scheduler.tick(OrderPermission.ALL, now);
-        List.copyOf(sent).stream()
-                .filter(WorkerOrder.Start.class::isInstance)
-                .forEach(start -> scheduler.orderAnswered(start, OrderResult.OK, now));
-    }
-
-    private void storeChanges() {
-        scheduler.tick(OrderPermission.ALL, now);
-        actions.takeCommit().ifPresent(number -> {
-            stored.putAll(actions.lastCommit().puts());
-            scheduler.commitStored(number, now);
-        });
+        pool.report(running, List.of());
+        pool.advance();
     }
 
     private List<WorkerOrder.Pace> orders(long servingLoad) {
         advance(both(servingLoad));
-        return sent.stream()
-                .filter(WorkerOrder.Pace.class::isInstance)
-                .map(WorkerOrder.Pace.class::cast)
-                .toList();
+        return pool.orders(WorkerOrder.Pace.class);
     }
 
     private void answer(List<WorkerOrder.Pace> orders, OrderResult result) {
-        orders.forEach(order -> scheduler.orderAnswered(order, result, now));
+        orders.forEach(order -> pool.answer(order, result));
     }
 
     private List<Integer> paces(long servingLoad) {
