--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -294,6 +294,15 @@
                         <= formerClosedRunNumbers.getOrDefault(order.task().text(), 0);
     }
 
+    /**
+     * Returns whether nothing runs on the worker.
+     *
+     * @return true if it has no run
+     */
+    public boolean isIdle() {
+        return runs.isEmpty();
+    }
+
     boolean isRunning(TaskId task) {
         return runs.containsKey(task.text());
     }
