--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/BestEffortThrottle.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/BestEffortThrottle.java
@@ -70,7 +70,7 @@
     }
 
     /**
-     * Returns the pace to order, empty if the run has it, or if it is not known but does no harm.
+     * Returns the pace to order; empty if the run has it, if an order is under way, or if the pace is not known but does no harm.
      */
     private static OptionalInt percentToOrder(RunPace pace, double worstTargetShare, long nowMillis) {
         boolean harmless = worstTargetShare <= SLOW_DOWN_TARGET_SHARE && worstTargetShare >= SPEED_UP_TARGET_SHARE;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobDocumentCodec.java
@@ -198,8 +198,8 @@
     }
 
     /**
-     * Appends the team, and what earlier versions of the program ignore behind it: the crash records, and whether the job has
-     * begun. If one of them is written, so is all that precedes it, empty if need be.
+     * Appends the team, the crash records, and whether the job has begun, as far as there is anything to say. Earlier versions of the
+     * program ignore what follows the team. What precedes an element that is written is written too, empty if need be.
      */
     private static void packTeam(MessageBufferPacker packer, JobState job) throws IOException {
         JobSpecCodec.packTeam(packer, job.spec);
