Tell how long a long-running task has not run, and why

Ruled out: a line for each waiting task (not bounded); a line for the longest wait only (one that lasts, such as a missing label, hides all others, so the reasons take turns); notReadySinceMillis as the begin of a wait (it moves on with each end, also of a run that no worker confirmed); paused by blockedUntilMillis is told, but nothing sets that field today.

Change: LongRunningWaits observes the long-running tasks of open, stored jobs every 0.5 s, WaitDiagnosis finds the reason; neither decides anything.

Conclusion: the next such wait names its run, worker, phase and the age of its start.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobTaskState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobTaskState.java
@@ -28,6 +28,8 @@
     String checkpoint = "";
     long blockedUntilMillis = Long.MIN_VALUE;
     long notReadySinceMillis = Long.MIN_VALUE;
+    /** When {@link LongRunningWaits} last saw the task running, {@link Long#MIN_VALUE} if never. */
+    long lastRunningMillis = Long.MIN_VALUE;
 
     JobTaskState(TaskId id, JobStepState step) {
         this.id = id;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -17,7 +17,9 @@
  * its share go after the others of the same priority.
  */
 final class Placer {
-    private static final int MAX_STARTS_IN_FLIGHT = 8;
+    /** The maximum number of starts that a worker has yet to answer. */
+    static final int MAX_STARTS_IN_FLIGHT = 8;
+
     private static final long ROUND_INTERVAL_MILLIS = 100;
     /** Time after which a worker is reserved for a ready step that does not fit. */
     private static final long STARVATION_MILLIS = 700;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -1,6 +1,5 @@
 package org.trefoilpost.decision.job;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
@@ -38,6 +37,7 @@
     private final PoolTakeover takeover;
     private final JobSubmissions submissions;
     private final PoolDemandCalculator demandCalculator;
+    private final LongRunningWaits waits;
 
     /**
      * Constructs a scheduler for a pool without jobs.
@@ -66,6 +66,7 @@
         this.takeover = new PoolTakeover(state);
         this.demandCalculator = new PoolDemandCalculator(state, runStatistics);
         this.submissions = new JobSubmissions(state, admission, demandCalculator);
+        this.waits = new LongRunningWaits(state, advice);
     }
 
     /**
@@ -354,17 +355,14 @@
     public void tick(OrderPermission permission, Moment now) {
         try {
             decideOrders(permission, now);
+            waits.observeIfDue(permission, now);
         } finally {
             jobWriter.commitIfDue(now);
         }
     }
 
     private void decideOrders(OrderPermission permission, Moment now) {
-        for (JobState job : new ArrayList<>(state.openJobs.values())) {
-            int openedBefore = job.nextOccurrence;
-            job.openDueOccurrences(now);
-            state.placementDue |= job.nextOccurrence != openedBefore;
-        }
+        state.openDueOccurrences(now);
         takeover.activateIfDue(now);
         if (permission.allowsOrders()) {
             holdScheduler.tick(now);
@@ -388,4 +386,13 @@
     public PoolDemand demand(Moment now) {
         return demandCalculator.demand(now);
     }
+
+    /**
+     * Returns for how long long-running tasks have not run, as last observed.
+     *
+     * @return the longest wait in milliseconds by its stable reason, empty if all run, not null
+     */
+    public Map<String, Long> longestWaits() {
+        return waits.longestMillis();
+    }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -1,5 +1,6 @@
 package org.trefoilpost.decision.job;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -67,6 +68,17 @@
         placementDue = true;
     }
 
+    /**
+     * Creates the occurrences of the open jobs that have become due.
+     */
+    void openDueOccurrences(Moment now) {
+        for (JobState job : new ArrayList<>(openJobs.values())) {
+            int openedBefore = job.nextOccurrence;
+            job.openDueOccurrences(now);
+            placementDue |= job.nextOccurrence != openedBefore;
+        }
+    }
+
     /**
      * Removes a job without a trace; only for one that was never stored.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -144,6 +144,18 @@
         return probationMillis > 0 && (!isConfirmed() || ageAtLastAnswerMillis() < probationMillis);
     }
 
+    /**
+     * Returns a decision about the run, for the log.
+     *
+     * @param decision  the decision without inputs
+     */
+    Decision describe(Decision decision) {
+        return decision.with("job", task.id.job())
+                .with("task", task.id.text())
+                .with("run", number)
+                .with("worker", worker.id);
+    }
+
     ResourceAmount reserved() {
         return task.step.spec.reservedDemand();
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -357,7 +357,9 @@
                 run.absences = 0;
             } else if (isStoppedBeforeStart(run, worker) || isLost(run, worker)) {
                 worker.remove(run);
-                logRun("run-absent", run);
+                state.actions.logDecision(run.describe(Decision.of("run-absent"))
+                        .with("phase", run.phase.name())
+                        .with("age", now.steadyMillis() - run.startedMillis));
                 state.placementDue = true;
             } else if (run.phase == RunPhase.UNCONFIRMED && run.wanted && run.startedMillis < worker.holdSentMillis) {
                 orderSender.stop(run, "start-unanswered", now);
@@ -388,10 +390,6 @@
     }
 
     private void logRun(String name, Run run) {
-        state.actions.logDecision(Decision.of(name)
-                .with("job", run.task.id.job())
-                .with("task", run.task.id.text())
-                .with("run", run.number)
-                .with("worker", run.worker.id));
+        state.actions.logDecision(run.describe(Decision.of(name)));
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
@@ -78,11 +78,7 @@
     }
 
     private void logRunLost(Run run, String reason, Moment now) {
-        state.actions.logDecision(Decision.failure("run-lost")
-                .with("job", run.task.id.job())
-                .with("task", run.task.id.text())
-                .with("run", run.number)
-                .with("worker", run.worker.id)
+        state.actions.logDecision(run.describe(Decision.failure("run-lost"))
                 .with("reason", reason)
                 .with("phase", run.phase.name())
                 .with("age", now.steadyMillis() - run.startedMillis)
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithOneWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithOneWorker.java
@@ -57,6 +57,11 @@
         advance();
     }
 
+    /** Returns the decisions of a name that the present owner has logged, the earliest first. */
+    List<Decision> decisions(String name) {
+        return actions.decisions(name);
+    }
+
     /** Submits a job of one step. */
     void submit(String id, StepSpec step) {
         scheduler.submit(new JobSpec(id, QUEUE, "text", List.of(step), JobSpec.Schedule.ONCE), true, now);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RecordedActions.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RecordedActions.java
@@ -5,11 +5,12 @@
 import java.util.OptionalLong;
 
 /**
- * Records orders and commits instead of sending them, and ignores all other actions.
+ * Records orders, commits and decisions instead of carrying them out, and ignores all other actions.
  */
 final class RecordedActions implements PoolActions {
     private final List<WorkerOrder> sent;
     private final List<Commit> commits = new ArrayList<>();
+    private final List<Decision> decisions = new ArrayList<>();
     private int takenCommits;
 
     RecordedActions(List<WorkerOrder> sent) {
@@ -28,6 +29,13 @@
         return isNew ? OptionalLong.of(lastCommit().number()) : OptionalLong.empty();
     }
 
+    /** Returns the logged decisions of a name, the earliest first. */
+    List<Decision> decisions(String name) {
+        return decisions.stream()
+                .filter(decision -> decision.name().equals(name))
+                .toList();
+    }
+
     @Override
     public void send(WorkerOrder order) {
         sent.add(order);
@@ -48,5 +56,7 @@
     public void ownershipLost(String workerId) {}
 
     @Override
-    public void logDecision(Decision decision) {}
+    public void logDecision(Decision decision) {
+        decisions.add(decision);
+    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobMetrics.java
@@ -28,6 +28,7 @@
     private final Map<String, Counter> counters = new ConcurrentHashMap<>();
     private final Map<String, Timer> timers = new ConcurrentHashMap<>();
     private final TeamGauges teams;
+    private final WaitGauges waits;
 
     /**
      * Constructs metrics that are registered in a registry.
@@ -37,6 +38,7 @@
     public JobMetrics(PrometheusMeterRegistry registry) {
         this.registry = registry;
         this.teams = new TeamGauges(registry);
+        this.waits = new WaitGauges(registry);
     }
 
     /**
@@ -84,6 +86,13 @@
         return teams;
     }
 
+    /**
+     * Returns the gauges of how long long-running tasks have not run.
+     */
+    WaitGauges waits() {
+        return waits;
+    }
+
     /**
      * Returns all metrics of the registry.
      *
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -189,6 +189,7 @@
     void close() {
         closed = true;
         teamStore.close();
+        context.metrics().waits().remove(pool);
         requests.ownerChanged();
     }
 
@@ -219,6 +220,7 @@
         }
         checkOwner(now.steadyMillis());
         teamStore.updateGauges(now.steadyMillis());
+        context.metrics().waits().update(pool, scheduler.longestWaits());
         silentWorkerCheck.run(scheduler.silentWorkers(), now.steadyMillis());
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -133,11 +133,31 @@
         assertEquals(JobReplyStatus.DONE, submitted.join().status());
     }
 
+    /** Guards against a gauge that goes on showing a wait in a pool that another entry owns. */
+    @Test
+    void waitOfALongRunningTaskIsShownUntilThePoolIsLost() {
+        String gauge = "trefoilpost_jobs_long_running_wait_millis{pool=\"pool\",reason=\"run-unresolved\"}";
+        tickUntil(() -> worker.answered > 0);
+        worker.failing = true;
+        CompletableFuture<JobReply> submitted = submit(StepSpec.builder()
+                .tasks(1, new ResourceAmount(1_000, 128, 0))
+                .longRunning(true)
+                .build());
+        tickUntil(submitted::isDone);
+        tickUntil(() -> service.context().metrics().text().contains(gauge));
+        service.run(() -> runner.claimLost("store"));
+        service.run(() -> runner.tick());
+        assertFalse(service.context().metrics().text().contains("trefoilpost_jobs_long_running_wait_millis"));
+    }
+
     private CompletableFuture<JobReply> submit() {
-        StepSpec step = StepSpec.builder()
+        return submit(StepSpec.builder()
                 .tasks(1, new ResourceAmount(1_000, 128, 0))
                 .estimateMillis(60_000)
-                .build();
+                .build());
+    }
+
+    private CompletableFuture<JobReply> submit(StepSpec step) {
         JobSpec job = new JobSpec(JOB, "q", "text", List.of(step), JobSpec.Schedule.ONCE);
         return onService(() -> runner.requests().submit(job, new QueueRoute("q", 0)));
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/log/LogCorrelatorTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/log/LogCorrelatorTest.java
@@ -45,6 +45,21 @@
                 LogCorrelator.of(lines).linesFor("j1"));
     }
 
+    @Test
+    void returnsTheWaitOfATaskWithTheLinesOfTheWorkerThatHoldsIt() {
+        List<String> lines = List.of(
+                "{\"time\":\"1\",\"event\":\"worker-lost\",\"worker\":\"w2\",\"reason\":\"lease-lapsed\"}",
+                "{\"time\":\"2\",\"event\":\"task-waiting\",\"job\":\"j1\",\"task\":\"j1.0.0.0\",\"pool\":\"p\","
+                        + "\"wait\":3200,\"reason\":\"run-unresolved\",\"run\":2,\"worker\":\"w2\"}",
+                "{\"time\":\"3\",\"event\":\"task-waiting\",\"job\":\"j2\",\"task\":\"j2.0.0.0\",\"pool\":\"p\","
+                        + "\"wait\":3100,\"reason\":\"no-room\"}");
+        assertEquals(
+                List.of(
+                        "1 worker-lost worker=w2 reason=lease-lapsed",
+                        "2 task-waiting job=j1 task=j1.0.0.0 pool=p wait=3200 reason=run-unresolved run=2 worker=w2"),
+                LogCorrelator.of(lines).linesFor("j1"));
+    }
+
     @Test
     void returnsNoLinesForAnUnknownJob() {
         assertEquals(List.of(), LogCorrelator.of(LOG_LINES).linesFor("j3"));
