Check in the emulator that long-running tasks run again soon after faults

Cause: the check of waiting jobs began 14 s after the load, and the check at the end left long-running jobs out, so that a wait of 15 s for an unanswered start was seen by no scenario.

Ruled out: one time of calm for all jobs. Other jobs keep the check that they had, from 14 s after the load and while half of the pool is free.

Change: long-running tasks are checked from the beginning, whenever the last fault ended 4 s before, however full the pool is, and once more at the end if there is room for them. Three scenarios, on a platform whose workers say when they started, lose workers for good: with a new machine, with another worker on the same machine, and beside owners that are killed or replaced. Some are lost within 8 ms of a start of a long-running task. The three tests are red and tagged.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.emulator.PoolScenario;
 
@@ -79,4 +80,31 @@
             assertEquals("", PoolScenario.allFaults(seed).violations(), "seed " + seed);
         }
     }
+
+    /** Guards against a long-running task that waits for the start on a worker that is gone for good. */
+    @Tag("known-red")
+    @Test
+    void longRunningTasksOfLostWorkersRunElsewhere() {
+        for (long seed = 900; seed < 940; seed++) {
+            assertEquals("", PoolScenario.workersLost(seed).violations(), "seed " + seed);
+        }
+    }
+
+    /** Guards against a long-running task that waits for the start on a worker whose machine runs another one. */
+    @Tag("known-red")
+    @Test
+    void longRunningTasksOfWorkersReplacedOnTheirMachinesRunElsewhere() {
+        for (long seed = 1000; seed < 1040; seed++) {
+            assertEquals("", PoolScenario.workersReplacedOnTheirMachines(seed).violations(), "seed " + seed);
+        }
+    }
+
+    /** Guards against a long-running task that a new owner holds back for a worker that was lost under the former one. */
+    @Tag("known-red")
+    @Test
+    void longRunningTasksOfLostWorkersRunUnderTheNextOwner() {
+        for (long seed = 1100; seed < 1140; seed++) {
+            assertEquals("", PoolScenario.workersLostAndOwnersReplaced(seed).violations(), "seed " + seed);
+        }
+    }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
@@ -113,6 +113,9 @@
         boolean lost = worker == null || !worker.reachable() || random.nextInt(1_000) < platform.lostPerThousand();
         long delay = 1 + random.nextInt(4);
         int sentTo = worker == null ? 0 : worker.incarnation();
+        if (worker != null && order instanceof WorkerOrder.Start start) {
+            platform.startSent(start, worker);
+        }
         if (!lost) {
             time.schedule(delay, () -> deliver(worker, order, sentTo));
             return;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import org.trefoilpost.decision.job.CapacityBound;
@@ -32,7 +34,7 @@
 /**
  * Emulates a pool on the platform, its callers, and the faults injected into it.
  */
-final class EmulatedPlatform implements WaitingJobCheck.Site {
+final class EmulatedPlatform {
     static final ResourceAmount CAPACITY = new ResourceAmount(16_000, 32_768, 0);
     static final PoolTimeouts TIMEOUTS = new PoolTimeouts(5_000, 120_000, 2_000);
 
@@ -65,6 +67,11 @@
     private boolean storeDown;
     private long storeDownSinceMillis;
     private int lostPerThousand;
+    private long disturbedUntilMillis = Long.MIN_VALUE;
+    private Optional<Consumer<EmulatedWorker>> nextLastingStart = Optional.empty();
+    /** The tasks whose start the action of {@link #onNextLastingStart} has met. */
+    private final Set<TaskId> metTasks = new HashSet<>();
+
     private int crashingJobsPerThousand;
     private long crashAfterMillis;
     private final Map<String, Long> crashingTasks = new HashMap<>();
@@ -172,6 +179,9 @@
     }
 
     void storeDown(boolean value) {
+        if (value != storeDown) {
+            disturb(0);
+        }
         if (value && !storeDown) {
             storeDownSinceMillis = time.nowMillis();
         } else if (!value && storeDown) {
@@ -186,9 +196,28 @@
     }
 
     void lostPerThousand(int value) {
+        disturb(0);
         lostPerThousand = value;
     }
 
+    /**
+     * Notes that there is a fault from now on for some time.
+     *
+     * @param millis  the time until the fault has ended, in milliseconds
+     */
+    void disturb(long millis) {
+        disturbedUntilMillis = Math.max(disturbedUntilMillis, time.nowMillis() + millis);
+    }
+
+    /**
+     * Returns whether there is no fault now, and has been none for some time before.
+     *
+     * @param millis  the time in milliseconds
+     */
+    boolean isCalmFor(long millis) {
+        return !storeDown && lostPerThousand == 0 && time.nowMillis() >= disturbedUntilMillis + millis;
+    }
+
     /**
      * Sets how many of the random jobs submitted from now on have a task that crashes its workers.
      *
@@ -210,28 +239,7 @@
         return workers.get(id);
     }
 
-    @Override
-    public boolean isCalm() {
-        return true;
-    }
-
-    @Override
-    public boolean countsWhenFull() {
-        return false;
-    }
-
-    @Override
-    public boolean isExempt(String job) {
-        return isCrashing(job);
-    }
-
-    @Override
-    public List<List<EmulatedWorker>> pools(JobSpec job) {
-        return List.of(livingWorkers());
-    }
-
-    @Override
-    public List<EmulatedWorker> livingWorkers() {
+    List<EmulatedWorker> livingWorkers() {
         return workers.values().stream().filter(EmulatedWorker::isAlive).toList();
     }
 
@@ -250,9 +258,23 @@
      */
     String addWorker() {
         String id = "w" + (++lastWorker);
-        EmulatedWorker worker = new EmulatedWorker(time, checks, random, report(id));
+        return addWorker(id, "m-" + id);
+    }
+
+    /**
+     * Adds a worker on the machine of one that is gone, under an identifier of its own.
+     *
+     * @param gone  the worker that ran on the machine before, not null
+     */
+    void addWorkerOnMachineOf(EmulatedWorker gone) {
+        addWorker("w" + (++lastWorker), gone.report().machine());
+    }
+
+    private String addWorker(String id, String machine) {
+        EmulatedWorker worker = new EmulatedWorker(time, checks, random, report(id, machine));
         worker.onCrashByRun(() -> {
             crash(worker);
+            disturb(MACHINE_RESTART_MILLIS);
             time.schedule(MACHINE_RESTART_MILLIS, this::addWorker);
         });
         maxListedEnds.ifPresent(worker::maxListedEnds);
@@ -284,24 +306,19 @@
         workers.values().forEach(worker -> worker.maxListedEnds(count));
     }
 
-    private RegisteredWorker report(String id) {
+    private RegisteredWorker report(String id, String machine) {
         long born = sendsBorn ? time.moment().wallMillis() : 0;
         return new RegisteredWorker(
-                id,
-                "m-" + id,
-                "pool",
-                WorkerAddress.of("10.0.0.1", 80),
-                "dc",
-                List.of("a", "r1"),
-                CAPACITY,
-                false,
-                born);
+                id, machine, "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of("a", "r1"), CAPACITY, false, born);
     }
 
     /**
      * Changes the capacity of a worker, which registers it within the interval of its reports, or when the store is back.
      */
     void changeCapacity(EmulatedWorker worker, ResourceAmount capacity) {
+        if (!capacity.equals(worker.capacity())) {
+            disturb(REPORT_INTERVAL_MILLIS);
+        }
         worker.changeCapacity(capacity);
         time.schedule(random.nextInt(REPORT_INTERVAL_MILLIS), () -> report(worker));
     }
@@ -316,6 +333,7 @@
     }
 
     void crash(EmulatedWorker worker) {
+        disturb(0);
         worker.crash();
         listedUntilMillis.put(worker.report().id(), time.nowMillis() + 4_500);
         time.schedule(4_500, () -> owners.forEach(EmulatedOwner::registryChanged));
@@ -328,6 +346,7 @@
      * @param registrationMillis  the time from then until the registry lists the new incarnation, in milliseconds
      */
     void restart(EmulatedWorker worker, long downMillis, long registrationMillis) {
+        disturb(downMillis + registrationMillis);
         worker.crash();
         listedUntilMillis.put(worker.report().id(), time.nowMillis() + 4_500);
         time.schedule(downMillis, () -> worker.restart(time.moment().wallMillis()));
@@ -342,9 +361,41 @@
     }
 
     void startOwner() {
+        disturb(0);
         owners.add(new EmulatedOwner(this, Map.of(QUEUE, queue), store.claim()));
     }
 
+    /**
+     * Sets what happens once as soon as a start of a long-running task is sent, in place of what was set before. Only one
+     * start of each task counts, and none to a worker that runs such a task, so that no task seems to crash its workers.
+     *
+     * @param action  receives the worker to which the start is sent, not null
+     */
+    void onNextLastingStart(Consumer<EmulatedWorker> action) {
+        nextLastingStart = Optional.of(action);
+    }
+
+    /**
+     * Notes that an owner sends a start to a worker.
+     */
+    void startSent(WorkerOrder.Start order, EmulatedWorker worker) {
+        if (nextLastingStart.isPresent()
+                && jobs.get(order.task().job()).longRunning()
+                && !runsMetTask(worker)
+                && metTasks.add(order.task())) {
+            Consumer<EmulatedWorker> action = nextLastingStart.get();
+            nextLastingStart = Optional.empty();
+            action.accept(worker);
+        }
+    }
+
+    /**
+     * Returns whether a task runs on a worker whose start the action of {@link #onNextLastingStart} has met.
+     */
+    boolean runsMetTask(EmulatedWorker worker) {
+        return metTasks.stream().anyMatch(worker::isRunning);
+    }
+
     EmulatedWorker.StartContext startContext(WorkerOrder.Start order) {
         JobSpec job = jobs.get(order.task().job());
         StepSpec step = job.steps().get(order.task().step());
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
@@ -21,17 +21,25 @@
 
     private static final long JOB_INTERVAL_MILLIS = 120;
     private static final int CRASHING_JOBS_PER_THOUSAND = 60;
+    /** Time from a crash until a worker on another machine takes the place of the crashed one. */
+    private static final int REPLACEMENT_MILLIS = 1_500;
+
+    /** The longest time between a start and a crash that leaves it without an answer. */
+    private static final int START_MILLIS = 8;
+
+    private static final int FAILURE_MILLIS = 3_000;
     /** The shortest time in which a process ends and starts again. */
     private static final int MIN_RESTART_MILLIS = 250;
 
-    /** Time after the load from which no job may wait while most of the capacity is free. */
-    private static final long FINISH_MILLIS = 14_000;
+    /** Time from the beginning from which no job may wait while most of the capacity is free. */
+    private static final long FINISH_MILLIS = LOAD_MILLIS + 14_000;
     /** Time without faults after which all accepted jobs must have ended. */
     private static final long SETTLE_MILLIS = 60_000;
 
     private final EmulatedPlatform platform;
     private final VirtualTime time;
     private final Random random;
+    private final WaitingJobCheck waitingJobs;
     private final List<String> submittedJobs = new ArrayList<>();
 
     private PoolScenario(long seed) {
@@ -42,6 +50,8 @@
         this.platform = platform;
         this.time = platform.time();
         this.random = platform.random();
+        ScenarioSite site = new ScenarioSite(platform, time.nowMillis() + FINISH_MILLIS);
+        this.waitingJobs = new WaitingJobCheck(time, platform.checks(), site);
     }
 
     /**
@@ -61,7 +71,7 @@
      * @return the result, not null
      */
     public static Result jobsCancelled(long seed) {
-        return new PoolScenario(seed).run(scenario -> scenario.injectEvery(700, scenario::cancelRandomJob));
+        return new PoolScenario(seed).run(scenario -> scenario.doEvery(700, scenario::cancelRandomJob));
     }
 
     /**
@@ -72,7 +82,7 @@
      */
     public static Result ownersKilled(long seed) {
         return new PoolScenario(seed).run(scenario -> {
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
             scenario.injectEvery(4_000, scenario::killOwner);
         });
     }
@@ -85,7 +95,7 @@
      */
     public static Result ownersReplaced(long seed) {
         return new PoolScenario(seed).run(scenario -> {
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
             scenario.injectEvery(3_000, scenario.platform::startOwner);
         });
     }
@@ -116,7 +126,7 @@
             scenario.platform.lostPerThousand(100);
             scenario.injectEvery(6_000, scenario::storeOutage);
             scenario.injectEvery(7_000, scenario::killOwner);
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
         });
     }
 
@@ -128,7 +138,7 @@
      */
     public static Result tasksFailedAndOwnersReplaced(long seed) {
         return new PoolScenario(seed).run(scenario -> {
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
             scenario.injectEvery(2_500, scenario::failTasksOfRandomWorker);
             scenario.injectEvery(2_000, scenario.platform::startOwner);
         });
@@ -148,7 +158,7 @@
             scenario.injectEvery(6_500, scenario.platform::startOwner);
             scenario.injectEvery(4_500, scenario::crashRandomWorker);
             scenario.injectEvery(5_500, scenario::disconnectRandomWorker);
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
         });
     }
 
@@ -162,7 +172,7 @@
         return new PoolScenario(EmulatedPlatform.withRestarts(seed, WORKERS)).run(scenario -> {
             scenario.platform.lostPerThousand(20);
             scenario.injectEvery(2_000, scenario::restartRandomWorker);
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
             scenario.injectEvery(7_000, scenario::disconnectRandomWorker);
             scenario.injectEvery(7_000, scenario::failTasksOfRandomWorker);
         });
@@ -182,7 +192,56 @@
             scenario.injectEvery(5_500, scenario.platform::startOwner);
             scenario.injectEvery(8_000, scenario::storeOutage);
             scenario.injectEvery(7_000, scenario::disconnectRandomWorker);
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
+        });
+    }
+
+    /**
+     * Runs while workers are lost for good, some as a start is sent to them, and workers on other machines take their places.
+     *
+     * @param seed  the seed of jobs and faults
+     * @return the result, not null
+     */
+    public static Result workersLost(long seed) {
+        return new PoolScenario(EmulatedPlatform.withRestarts(seed, WORKERS)).run(scenario -> {
+            scenario.loseSomeOrders();
+            scenario.injectEvery(6_000, scenario::crashRandomWorker);
+            scenario.injectEvery(4_000, () -> scenario.crashAtNextStart(scenario::replace));
+            scenario.doEvery(700, scenario::cancelRandomJob);
+        });
+    }
+
+    /**
+     * Runs while workers are lost for good, some as a start is sent to them, and workers with identifiers of their own come
+     * up on the same machines.
+     *
+     * @param seed  the seed of jobs and faults
+     * @return the result, not null
+     */
+    public static Result workersReplacedOnTheirMachines(long seed) {
+        return new PoolScenario(EmulatedPlatform.withRestarts(seed, WORKERS)).run(scenario -> {
+            scenario.loseSomeOrders();
+            scenario.injectEvery(6_000, () -> scenario.crashRandomWorker(scenario::replaceOnItsMachine));
+            scenario.injectEvery(4_000, () -> scenario.crashAtNextStart(scenario::replaceOnItsMachine));
+            scenario.doEvery(700, scenario::cancelRandomJob);
+        });
+    }
+
+    /**
+     * Runs while workers are lost for good, some as a start is sent to them, and owners are killed or replaced.
+     *
+     * @param seed  the seed of jobs and faults
+     * @return the result, not null
+     */
+    public static Result workersLostAndOwnersReplaced(long seed) {
+        return new PoolScenario(EmulatedPlatform.withRestarts(seed, WORKERS)).run(scenario -> {
+            scenario.loseSomeOrders();
+            scenario.injectEvery(5_000, scenario::crashRandomWorker);
+            scenario.injectEvery(4_000, () -> scenario.crashAtNextStart(scenario::replace));
+            scenario.injectEvery(4_000, () -> scenario.crashAtNextStart(scenario::replaceOnItsMachine));
+            scenario.injectEvery(5_000, scenario::killOwner);
+            scenario.injectEvery(6_500, scenario.platform::startOwner);
+            scenario.doEvery(700, scenario::cancelRandomJob);
         });
     }
 
@@ -216,7 +275,7 @@
             scenario.injectEvery(5_500, scenario.platform::startOwner);
             scenario.injectEvery(3_000, scenario::crashRandomWorker);
             scenario.injectEvery(6_000, scenario::disconnectRandomWorker);
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
         });
     }
 
@@ -229,7 +288,7 @@
     public static Result capacitiesChanged(long seed) {
         return new PoolScenario(seed).run(scenario -> {
             scenario.injectEvery(600, scenario::changeRandomCapacity);
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
         });
     }
 
@@ -266,7 +325,7 @@
             scenario.injectEvery(5_000, scenario::killOwner);
             scenario.injectEvery(6_500, scenario.platform::startOwner);
             scenario.injectEvery(7_000, scenario::disconnectRandomWorker);
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
         });
     }
 
@@ -284,25 +343,28 @@
             scenario.injectEvery(3_500, scenario.platform::startOwner);
             scenario.injectEvery(2_000, scenario::disconnectRandomWorker);
             scenario.injectEvery(6_000, scenario::storeOutage);
-            scenario.injectEvery(700, scenario::cancelRandomJob);
+            scenario.doEvery(700, scenario::cancelRandomJob);
         });
     }
 
     private Result run(Consumer<PoolScenario> faults) {
         faults.accept(this);
+        waitingJobs.start();
         long jobs = LOAD_MILLIS / JOB_INTERVAL_MILLIS;
         for (int i = 0; i < jobs; i++) {
             boolean longRunning = i % 40 == 5;
             time.schedule(i * JOB_INTERVAL_MILLIS, () -> submittedJobs.add(platform.submitRandomJob(longRunning)));
         }
         time.runFor(LOAD_MILLIS);
-        platform.lostPerThousand(0);
+        if (platform.lostPerThousand() > 0) {
+            platform.lostPerThousand(0);
+        }
+        platform.onNextLastingStart(worker -> {});
         platform.storeDown(false);
         platform.livingWorkers().forEach(worker -> platform.changeCapacity(worker, EmulatedPlatform.CAPACITY));
         if (platform.owner().isStopped()) {
             platform.startOwner();
         }
-        time.schedule(FINISH_MILLIS, new WaitingJobCheck(time, platform.checks(), platform)::start);
         time.runFor(SETTLE_MILLIS);
         checkAllEnded();
         return new Result(
@@ -338,10 +400,18 @@
                 checkGivenUp(job, phase.get());
             } else if (!cancelled && !longRunning && !phase.get().ended()) {
                 platform.checks().addViolation("LOST " + job + " is still " + phase.get());
+            } else if (longRunning && phase.get() != JobPhase.CANCELLED) {
+                checkAllRun(job);
             }
         }
     }
 
+    private void checkAllRun(String job) {
+        for (String task : waitingJobs.missingTasks(job)) {
+            platform.checks().addViolation("LOST " + task + " could run and does not at the end");
+        }
+    }
+
     private void checkGivenUp(String job, JobPhase phase) {
         if (phase != JobPhase.FAILED) {
             platform.checks().addViolation("BUDGET " + job + ", a task of which crashes its workers, is " + phase);
@@ -349,11 +419,22 @@
     }
 
     private void injectEvery(long millis, Runnable fault) {
+        doEvery(millis, () -> {
+            platform.disturb(0);
+            fault.run();
+        });
+    }
+
+    private void doEvery(long millis, Runnable action) {
         for (long at = millis / 2 + random.nextInt((int) millis); at < LOAD_MILLIS; at += millis) {
-            time.schedule(at, fault);
+            time.schedule(at, action);
         }
     }
 
+    private void loseSomeOrders() {
+        platform.lostPerThousand(20 + random.nextInt(81));
+    }
+
     private void cancelRandomJob() {
         if (!submittedJobs.isEmpty()) {
             platform.cancel(submittedJobs.get(random.nextInt(submittedJobs.size())));
@@ -362,7 +443,9 @@
 
     private void killOwner() {
         platform.owner().kill();
-        time.schedule(1_000 + random.nextInt(2_000), () -> {
+        long millis = 1_000 + random.nextInt(2_000);
+        platform.disturb(millis);
+        time.schedule(millis, () -> {
             if (platform.owner().isStopped()) {
                 platform.startOwner();
             }
@@ -370,13 +453,40 @@
     }
 
     private void crashRandomWorker() {
-        List<EmulatedWorker> living = platform.livingWorkers();
-        if (living.size() > 2) {
-            platform.crash(living.get(random.nextInt(living.size())));
-            time.schedule(1_500, platform::addWorker);
+        crashRandomWorker(this::replace);
+    }
+
+    private void crashRandomWorker(Consumer<EmulatedWorker> replacement) {
+        List<EmulatedWorker> candidates = platform.livingWorkers().stream()
+                .filter(worker -> !platform.runsMetTask(worker))
+                .toList();
+        if (!candidates.isEmpty() && platform.livingWorkers().size() > 2) {
+            EmulatedWorker crashed = candidates.get(random.nextInt(candidates.size()));
+            platform.crash(crashed);
+            replacement.accept(crashed);
         }
     }
 
+    private void crashAtNextStart(Consumer<EmulatedWorker> replacement) {
+        platform.onNextLastingStart(worker -> time.schedule(random.nextInt(START_MILLIS), () -> {
+            if (worker.isAlive() && platform.livingWorkers().size() > 2) {
+                platform.crash(worker);
+                replacement.accept(worker);
+            }
+        }));
+    }
+
+    private void replace(EmulatedWorker crashed) {
+        platform.disturb(REPLACEMENT_MILLIS);
+        time.schedule(REPLACEMENT_MILLIS, platform::addWorker);
+    }
+
+    private void replaceOnItsMachine(EmulatedWorker crashed) {
+        long millis = 1_000 + random.nextInt(3_000);
+        platform.disturb(millis);
+        time.schedule(millis, () -> platform.addWorkerOnMachineOf(crashed));
+    }
+
     private void restartRandomWorker() {
         List<EmulatedWorker> living = platform.livingWorkers();
         if (living.size() > 2) {
@@ -389,14 +499,17 @@
         List<EmulatedWorker> living = platform.livingWorkers();
         EmulatedWorker disconnected = living.get(random.nextInt(living.size()));
         disconnected.reachable(false);
-        time.schedule(2_000 + random.nextInt(7_000), () -> disconnected.reachable(true));
+        long millis = 2_000 + random.nextInt(7_000);
+        platform.disturb(millis);
+        time.schedule(millis, () -> disconnected.reachable(true));
     }
 
     private void failTasksOfRandomWorker() {
         List<EmulatedWorker> living = platform.livingWorkers();
         EmulatedWorker failing = living.get(random.nextInt(living.size()));
         failing.failing(true);
-        time.schedule(3_000, () -> failing.failing(false));
+        platform.disturb(FAILURE_MILLIS);
+        time.schedule(FAILURE_MILLIS, () -> failing.failing(false));
     }
 
     private void changeRandomCapacity() {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/WaitingJobCheck.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/WaitingJobCheck.java
@@ -47,16 +47,30 @@
      * Checks the jobs from now on.
      */
     public void start() {
-        if (site.isCalm()) {
-            checks.acceptedJobs().stream().filter(job -> !ended.contains(job)).forEach(this::check);
-        } else {
-            waitingSinceMillis.clear();
-        }
+        checks.acceptedJobs().stream().filter(job -> !ended.contains(job)).forEach(this::check);
         time.schedule(INTERVAL_MILLIS, this::start);
     }
 
+    /**
+     * Returns the tasks of a long-running job that do not run although there is room for them.
+     *
+     * @param job  the identifier of the job, not null
+     * @return the names of the tasks, not null
+     */
+    public List<String> missingTasks(String job) {
+        JobSpec spec = checks.spec(job);
+        return tasks(spec, 0).stream()
+                .filter(task -> !isRunning(task) && hasRoom(spec, task, 1))
+                .map(TaskId::text)
+                .toList();
+    }
+
     private void check(String job) {
         JobSpec spec = checks.spec(job);
+        if (!site.isCalm(spec)) {
+            waitingSinceMillis.keySet().removeIf(name -> name.startsWith(job));
+            return;
+        }
         List<TaskId> tasks = IntStream.range(0, spec.steps().size())
                 .mapToObj(step -> tasks(spec, step))
                 .flatMap(List::stream)
@@ -67,7 +81,7 @@
             ended.add(job);
         } else if (spec.longRunning()) {
             for (TaskId task : tasks(spec, 0)) {
-                update(task.text(), List.of(task), hasRoom(spec, task), LONG_RUNNING_PAUSE_MILLIS);
+                update(task.text(), List.of(task), hasRoom(spec, task, ROOM_FOR_TASKS), LONG_RUNNING_PAUSE_MILLIS);
             }
         } else {
             update(job, tasks, tasks.stream().anyMatch(task -> couldStart(spec, task)), 0);
@@ -102,7 +116,7 @@
     private boolean couldStart(JobSpec spec, TaskId task) {
         boolean ready = spec.steps().get(task.step()).after().stream()
                 .allMatch(earlier -> tasks(spec, earlier).stream().allMatch(checks::isCompleted));
-        return ready && !checks.isCompleted(task) && hasRoom(spec, task);
+        return ready && !checks.isCompleted(task) && hasRoom(spec, task, ROOM_FOR_TASKS);
     }
 
     private static List<TaskId> tasks(JobSpec spec, int step) {
@@ -111,11 +125,11 @@
                 .toList();
     }
 
-    private boolean hasRoom(JobSpec spec, TaskId task) {
-        return site.pools(spec).stream().allMatch(workers -> hasRoom(spec, task, workers));
+    private boolean hasRoom(JobSpec spec, TaskId task, long times) {
+        return site.pools(spec).stream().allMatch(workers -> hasRoom(spec, task, workers, times));
     }
 
-    private boolean hasRoom(JobSpec spec, TaskId task, List<EmulatedWorker> workers) {
+    private boolean hasRoom(JobSpec spec, TaskId task, List<EmulatedWorker> workers, long times) {
         StepSpec step = spec.steps().get(task.step());
         ResourceAmount capacity = ResourceAmount.NONE;
         ResourceAmount used = ResourceAmount.NONE;
@@ -128,8 +142,7 @@
                 fitting += step.maxPerWorker() == 0 ? count : Math.min(count, allowedTasks(spec, task, worker));
             }
         }
-        return fitting >= ROOM_FOR_TASKS
-                && (site.countsWhenFull() || used.times(2).fitsIn(capacity));
+        return fitting >= times && (site.countsWhenFull(spec) || used.times(2).fitsIn(capacity));
     }
 
     private long allowedTasks(JobSpec spec, TaskId task, EmulatedWorker worker) {
@@ -143,18 +156,20 @@
      */
     public interface Site {
         /**
-         * Returns whether jobs have to run now, as there has been no fault for long enough.
+         * Returns whether a job has to run now, as there has been no fault for long enough.
          *
-         * @return true if they have
+         * @param job  the job, not null
+         * @return true if it has
          */
-        boolean isCalm();
+        boolean isCalm(JobSpec job);
 
         /**
-         * Returns whether jobs also have to run while more than half of their pool is in use.
+         * Returns whether a job also has to run while more than half of its pool is in use.
          *
-         * @return true if they have
+         * @param job  the job, not null
+         * @return true if it has
          */
-        boolean countsWhenFull();
+        boolean countsWhenFull(JobSpec job);
 
         /**
          * Returns whether a job need not run.
