Start tasks elsewhere once the worker of an unanswered start is gone

Cause: on platforms that send when a worker was born, a start without an answer was kept for 15 s after it was sent, although its worker had ended or its lease had expired, since the worker might start again under its identifier and carry the start out late. Nothing but the time ended that, and a task with such a run is no candidate for placement. Under a new owner, a worker that was lost before held all inherited tasks without a known run for up to 14.4 s in the same way. The class: a fixed time is waited out in place of asking for evidence.

A shorter time: orders are carried out up to 12 s late, so it trades late tasks for tasks that run twice. Lease or end alone as evidence: a worker that starts again behind a network cut may carry the start out.

Change: an unanswered start ends with its worker's lease or with the end of its worker once there is evidence that the worker will not start again under its identifier: another worker answers at its address, a later one is registered on its machine, or the registry, followed without a gap and heard of lately, has not listed it for 2.3 s. RegistryAbsences follows the registry, WorkerEvidence tells the scheduler, and the state is kept in PoolWorker. 15 s remain the limit without evidence. A worker that starts again all the same is told to refuse the start, as before.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.decision.job;
 
 import java.util.ArrayList;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -115,6 +116,32 @@
         }
     }
 
+    /**
+     * Asks for evidence that the silent workers which may still carry out an unanswered order will not start again. That a worker is
+     * not registered counts as long as it is known.
+     */
+    void findGoneWorkers(WorkerEvidence evidence, Moment now) {
+        for (PoolWorker worker : new ArrayList<>(state.workers.values())) {
+            boolean mayHaveRuns = !worker.runs.isEmpty() || state.unresolvedWorkers.contains(worker);
+            boolean unregistered = worker.gone.equals(Optional.of(GoneReason.NOT_REGISTERED));
+            if (mayHaveRuns
+                    && unregistered
+                    && evidence.goneReason(worker.registration).isEmpty()) {
+                worker.gone = Optional.empty();
+            }
+            boolean silent = worker.ended || worker.missedCalls > 0;
+            if (silent && worker.mayRestart() && mayCarryOutOrders(worker, now.steadyMillis())) {
+                evidence.goneReason(worker.registration)
+                        .ifPresent(reason -> workerLosses.workerGone(worker, reason, now));
+            }
+        }
+    }
+
+    private boolean mayCarryOutOrders(PoolWorker worker, long nowMillis) {
+        return state.unresolvedWorkers.contains(worker)
+                || worker.runs.values().stream().anyMatch(run -> worker.mayStillStart(run, nowMillis));
+    }
+
     /**
      * Returns whether the end of a worker, found out by listing the machines, is that of its present incarnation. A worker
      * that restarted while the machines were listed is not silent.
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
@@ -0,0 +1,42 @@
+package org.trefoilpost.decision.job;
+
+import java.util.Optional;
+
+/**
+ * Handles the outcomes of orders, except for holds that were answered with a status.
+ */
+final class OrderAnswers {
+    private final PoolState state;
+    private final RunTracker runTracker;
+
+    OrderAnswers(PoolState state, RunTracker runTracker) {
+        this.state = state;
+        this.runTracker = runTracker;
+    }
+
+    /**
+     * Handles the outcome of an order.
+     */
+    void handle(WorkerOrder order, OrderResult result, Moment now) {
+        PoolWorker worker = state.workers.get(order.worker());
+        if (result == OrderResult.FENCED) {
+            state.actions.ownershipLost(order.worker());
+        }
+        if (worker == null) {
+            return;
+        }
+        if (result == OrderResult.NO_ANSWER) {
+            worker.callUnanswered(now.steadyMillis());
+        }
+        if (order instanceof WorkerOrder.Start start) {
+            runTracker.startAnswered(worker, start.task(), start.run(), result, now);
+        } else if (order instanceof WorkerOrder.Stop stop) {
+            runTracker.stopAnswered(worker, stop.task(), stop.run(), result, now);
+        } else if (order instanceof WorkerOrder.Hold) {
+            runTracker.holdFailed(worker, result, now);
+        } else if (order instanceof WorkerOrder.Pace pace) {
+            Optional.ofNullable(worker.run(pace.task().text(), pace.run()))
+                    .ifPresent(run -> run.pace = run.pace.answered(result, now.steadyMillis()));
+        }
+    }
+}
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -25,6 +25,7 @@
     private final PoolState state;
     private final JobEnds jobEnds;
     private final RunTracker runTracker;
+    private final OrderAnswers orderAnswers;
     private final Placer placer;
     private final PlacementAdvice advice;
     private final Admission admission;
@@ -53,6 +54,7 @@
         this.jobEnds = new JobEnds(state, orderSender);
         WorkerLosses workerLosses = new WorkerLosses(state, jobEnds);
         this.runTracker = new RunTracker(state, orderSender, runStatistics, workerLosses, jobEnds);
+        this.orderAnswers = new OrderAnswers(state, runTracker);
         StartDeadlines startDeadlines = new StartDeadlines(runStatistics);
         this.advice = new PlacementAdvice(state);
         this.placer = new Placer(state, orderSender, startDeadlines, advice);
@@ -235,26 +237,7 @@
      * @param now  the present time, not null
      */
     public void orderAnswered(WorkerOrder order, OrderResult result, Moment now) {
-        PoolWorker worker = state.workers.get(order.worker());
-        if (result == OrderResult.FENCED) {
-            state.actions.ownershipLost(order.worker());
-        }
-        if (worker == null) {
-            return;
-        }
-        if (result == OrderResult.NO_ANSWER) {
-            worker.callUnanswered(now.steadyMillis());
-        }
-        if (order instanceof WorkerOrder.Start start) {
-            runTracker.startAnswered(worker, start.task(), start.run(), result, now);
-        } else if (order instanceof WorkerOrder.Stop stop) {
-            runTracker.stopAnswered(worker, stop.task(), stop.run(), result, now);
-        } else if (order instanceof WorkerOrder.Hold) {
-            runTracker.holdFailed(worker, result, now);
-        } else if (order instanceof WorkerOrder.Pace pace) {
-            Optional.ofNullable(worker.run(pace.task().text(), pace.run()))
-                    .ifPresent(run -> run.pace = run.pace.answered(result, now.steadyMillis()));
-        }
+        orderAnswers.handle(order, result, now);
     }
 
     /**
@@ -322,6 +305,17 @@
         }
     }
 
+    /**
+     * Asks for evidence that silent workers will not start again under their identifiers. Until there is some, the tasks of
+     * their unanswered starts are not started elsewhere while such a start may be carried out late.
+     *
+     * @param evidence  tells which workers will not start again, not null
+     * @param now  the present time, not null
+     */
+    public void findGoneWorkers(WorkerEvidence evidence, Moment now) {
+        holdScheduler.findGoneWorkers(evidence, now);
+    }
+
     /**
      * Returns the silent workers that may have runs, for which failure detection is needed.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -50,6 +50,9 @@
     boolean statusComplete = true;
 
     boolean ended;
+    /** From what the worker is known not to start again under its identifier, empty if it may. */
+    Optional<GoneReason> gone = Optional.empty();
+
     boolean evacuating;
     boolean holdInFlight;
     boolean holdUrgent;
@@ -233,7 +236,12 @@
      */
     boolean mayStillStart(Run run, long nowMillis) {
         boolean unanswered = run.phase == RunPhase.STARTING || run.phase == RunPhase.UNCONFIRMED;
-        return incarnation.isKnown() && unanswered && !run.stopAnswered && !run.isOrderTooOld(nowMillis);
+        return mayRestart() && unanswered && !run.stopAnswered && !run.isOrderTooOld(nowMillis);
+    }
+
+    /** Returns whether the worker may start again under its identifier. */
+    boolean mayRestart() {
+        return incarnation.isKnown() && gone.isEmpty();
     }
 
     /**
@@ -320,9 +328,7 @@
         }
     }
 
-    /**
-     * Returns a run, null if none is known on this worker.
-     */
+    /** Returns a run, null if none is known on this worker. */
     Run run(String task, int number) {
         return runs.get(key(task, number));
     }
@@ -382,9 +388,7 @@
         return runsOfUnknownSize == 0;
     }
 
-    /**
-     * Returns whether the worker may run one more task of a step.
-     */
+    /** Returns whether the worker may run one more task of a step. */
     boolean isBelowTaskLimit(JobStepState step) {
         return step.spec.maxPerWorker() == 0 || countTasksOf(step) < step.spec.maxPerWorker();
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -86,7 +86,7 @@
                 .with("worker", worker.id)
                 .with("result", result.name()));
         switch (result) {
-            case OTHER_LIFE -> workerLosses.workerEnded(worker, "other-life", now);
+            case OTHER_LIFE -> workerLosses.otherWorkerAnswered(worker, now);
             case NO_ROOM -> worker.suspectUntilMillis = nowMillis + NO_ROOM_PAUSE_MILLIS;
             case BAD_TICKET -> run.task.step.tickets.remove(worker.id);
             case LEASE_PASSED -> askForClock(worker);
@@ -109,7 +109,7 @@
     void stopAnswered(PoolWorker worker, String task, int number, OrderResult result, Moment now) {
         Run run = worker.run(task, number);
         if (result == OrderResult.OTHER_LIFE) {
-            workerLosses.workerEnded(worker, "other-life", now);
+            workerLosses.otherWorkerAnswered(worker, now);
         } else if (run != null) {
             boolean maybeOfFormer = run.stopSentBeforeRestart;
             run.stopSentBeforeRestart = false;
@@ -130,7 +130,7 @@
         worker.holdInFlight = false;
         worker.nextHoldMillis = now.steadyMillis() + HOLD_RETRY_MILLIS;
         if (result == OrderResult.OTHER_LIFE) {
-            workerLosses.workerEnded(worker, "other-life", now);
+            workerLosses.otherWorkerAnswered(worker, now);
         } else {
             worker.missedCalls++;
             worker.holdUnanswered(now.steadyMillis());
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
@@ -99,7 +99,7 @@
                 .with("stop", stopState(run))
                 .with("ended", worker.ended)
                 .with("listed", worker.listed)
-                .with("mayRestart", worker.incarnation.isKnown())
+                .with("mayRestart", worker.mayRestart())
                 .with("answerAge", worker.answerAgeMillis(nowMillis))
                 .with("missedCalls", worker.missedCalls);
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 
 /**
@@ -49,12 +50,40 @@
         workerCrashed(worker, run -> !worker.mayStillStart(run, now.steadyMillis()), now);
         boolean unresolved = state.unresolvedWorkers.contains(worker);
         releaseRuns(worker, reason, now);
-        if (unresolved && worker.incarnation.isKnown() && now.steadyMillis() < state.foreignOrdersUntilMillis) {
+        if (unresolved && worker.mayRestart() && now.steadyMillis() < state.foreignOrdersUntilMillis) {
             // It may restart under its identifier and then carry out an order of an earlier owner that is on its way.
             state.unresolvedWorkers.add(worker);
         }
     }
 
+    /**
+     * Handles that a worker will not start again under its identifier. Starts without an answer end with its present
+     * incarnation then, or with the lease of that.
+     */
+    void workerGone(PoolWorker worker, GoneReason reason, Moment now) {
+        if (worker.gone.isPresent()) {
+            return;
+        }
+        worker.gone = Optional.of(reason);
+        state.actions.logDecision(Decision.of("worker-gone")
+                .with("worker", worker.id)
+                .with("reason", reason.text())
+                .with("ended", worker.ended)
+                .with("runs", worker.runs.size())
+                .with("answerAge", worker.answerAgeMillis(now.steadyMillis())));
+        if (worker.ended) {
+            releaseRuns(worker, reason.text(), now);
+        }
+    }
+
+    /**
+     * Handles that another worker answers at a worker's address. It rejects the orders that are on their way there.
+     */
+    void otherWorkerAnswered(PoolWorker worker, Moment now) {
+        workerGone(worker, GoneReason.OTHER_LIFE, now);
+        workerEnded(worker, GoneReason.OTHER_LIFE.text(), now);
+    }
+
     /**
      * Removes the runs of a worker that are certain to have ended, so that their tasks can start again: all, except for
      * starts that the worker may still carry out after a restart.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRegistrations.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRegistrations.java
@@ -34,6 +34,7 @@
                 state.actions.logDecision(Decision.of("worker-draining").with("worker", worker.id));
             }
             worker.register(registration).ifPresent(state.actions::logDecision);
+            worker.gone = worker.listed ? worker.gone : Optional.empty();
             worker.listed = true;
         }
         for (PoolWorker worker : state.workers.values()) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
@@ -84,6 +84,7 @@
 
     private void tick() {
         if (!stopped) {
+            scheduler.findGoneWorkers(platform, time.moment());
             boolean allowed = time.nowMillis() - ownershipConfirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
             scheduler.tick(OrderPermission.of(allowed, platform.capacitiesKnown()), time.moment());
             checkSilentWorkers(scheduler.silentWorkers());
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -207,6 +207,7 @@
             return;
         }
         Moment now = context.now();
+        scheduler.findGoneWorkers(registry, now);
         boolean ownerConfirmed = now.steadyMillis() - ownerConfirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
         // Without decisions, callers are still answered and the ownership is still checked.
         context.runPart(
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -11,14 +11,18 @@
 import java.util.stream.Collectors;
 import org.trefoilpost.decision.job.CapacityKnowledge;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.GoneReason;
 import org.trefoilpost.decision.job.Moment;
 import org.trefoilpost.decision.job.RegisteredWorker;
+import org.trefoilpost.decision.job.RegistryAbsences;
+import org.trefoilpost.decision.job.StoreConfirmation;
 import org.trefoilpost.decision.job.WatchTimes;
+import org.trefoilpost.decision.job.WorkerEvidence;
 
 /**
  * The workers that the platform's registry in the store lists.
  */
-final class WorkerRegistry implements StoreMirror.Listener {
+final class WorkerRegistry implements StoreMirror.Listener, WorkerEvidence {
     /** Delay after a change, in milliseconds, while this entry owns no pool. */
     private static final long IDLE_WATCH_DELAY_MILLIS = 4_000;
 
@@ -32,12 +36,14 @@
     private final StoreMirror mirror;
     private final Runnable onChange;
     private final Map<String, RegisteredWorker> workers = new HashMap<>();
+    private final RegistryAbsences absences;
     private CapacityKnowledge capacityKnowledge;
     private boolean capacitiesKnown = true;
 
     WorkerRegistry(JobContext context, LongSupplier pauseMillis, Runnable onChange) {
         this.context = context;
         this.onChange = onChange;
+        this.absences = new RegistryAbsences(context.now().steadyMillis());
         this.capacityKnowledge = CapacityKnowledge.none(context.settings().capacityBound(), context.now());
         this.mirror = new StoreMirror(
                 context.ports().formats().workerPrefix(), context, watchTimes(context), pauseMillis, this);
@@ -112,9 +118,32 @@
         return matching;
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>It is known if its machine runs a later worker, or if the registry has ceased to list it and has been heard of lately.
+     */
+    @Override
+    public Optional<GoneReason> goneReason(RegisteredWorker worker) {
+        if (isReplaced(worker)) {
+            return Optional.of(GoneReason.REPLACED);
+        }
+        boolean absent = capacityKnowledge.isSufficient(context.now()) && absences.isAbsent(worker.id());
+        return absent ? Optional.of(GoneReason.NOT_REGISTERED) : Optional.empty();
+    }
+
+    private boolean isReplaced(RegisteredWorker worker) {
+        return !worker.machine().isEmpty()
+                && workers.values().stream()
+                        .anyMatch(other -> other.machine().equals(worker.machine())
+                                && !other.id().equals(worker.id())
+                                && other.incarnation().isAfter(worker.incarnation()));
+    }
+
     @Override
     public void reloaded() {
         workers.clear();
+        absences.readAgain(context.now().steadyMillis());
         mirror.items().values().forEach(this::put);
     }
 
@@ -123,8 +152,9 @@
         if (item.isPresent()) {
             put(item.get());
         } else {
-            RegisteredWorker removed = workers.remove(
-                    key.substring(context.ports().formats().workerPrefix().length()));
+            String id = key.substring(context.ports().formats().workerPrefix().length());
+            RegisteredWorker removed = workers.remove(id);
+            absences.removed(id, context.now().steadyMillis());
             if (removed != null) {
                 context.ports().workers().closeConnections(removed.address());
             }
@@ -139,11 +169,17 @@
     @Override
     public void confirmed(Moment moment) {
         capacityKnowledge = capacityKnowledge.confirmed(moment, context.now());
+        if (StoreConfirmation.isDiverged(moment, context.now())) {
+            absences.interrupted(context.now().steadyMillis());
+        } else {
+            absences.confirmed(moment.steadyMillis());
+        }
     }
 
     @Override
     public void answersAgain(long silenceMillis) {
         capacityKnowledge = capacityKnowledge.afterSilence(silenceMillis, context.now());
+        absences.interrupted(context.now().steadyMillis());
     }
 
     /**
@@ -163,6 +199,7 @@
         Optional<RegisteredWorker> worker = context.ports().formats().worker(item);
         String id =
                 item.key().substring(context.ports().formats().workerPrefix().length());
+        absences.listed(id);
         if (worker.isPresent()) {
             workers.put(id, worker.get());
         } else {
