Do not end a restarted worker because of a refusal at its former address

Cause: an order that was sent to the address which a worker had before it restarted may be refused by another worker there (OTHER_LIFE). The answer was applied to the new incarnation, which then counted as ended, and as gone: its runs were started elsewhere while they went on.

Ruled out: ignoring the answer. The order stays in flight then, and its run is never resolved.

Change: OrderAnswers compares the address of the order with the present one, and takes such an answer for a refusal: the order has done nothing, and nothing is known of the worker.

Figures: WorkerAddressChangeTest, which failed before (the running task was started on the idle worker).

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
@@ -17,8 +17,9 @@
     /**
      * Handles the outcome of an order.
      */
-    void handle(WorkerOrder order, OrderResult result, Moment now) {
+    void handle(WorkerOrder order, OrderResult answer, Moment now) {
         PoolWorker worker = state.workers.get(order.worker());
+        OrderResult result = worker == null ? answer : resultFor(worker, order, answer);
         if (result == OrderResult.FENCED) {
             state.actions.ownershipLost(order.worker());
         }
@@ -39,4 +40,13 @@
                     .ifPresent(run -> run.pace = run.pace.answered(result, now.steadyMillis()));
         }
     }
+
+    /**
+     * Returns what an answer means for a worker. Another worker at an address that the worker had before it restarted has refused
+     * the order, and says nothing of the present incarnation.
+     */
+    private static OrderResult resultFor(PoolWorker worker, WorkerOrder order, OrderResult answer) {
+        boolean moved = !order.address().equals(worker.registration.address());
+        return answer == OrderResult.OTHER_LIFE && moved ? OrderResult.REFUSED : answer;
+    }
 }
