Attribute no crash to a task whose start was not answered

Cause: workerEnded asked mayStillStart which runs have crashed with their worker. Since that also asks whether the worker is gone, a start that may never have been carried out counted as a crash of its task: after the fourth lost start the job was ended as failed. Found by a review of the fix; the blame also depended on the order in which the end and the replacement of a worker were learned.

Change: the attribution of crashes asks isUnresolvedStart, as before; only the release of the run asks for evidence.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -126,9 +126,8 @@
     void findGoneWorkers(WorkerEvidence evidence, Moment now) {
         for (PoolWorker worker : new ArrayList<>(state.workers.values())) {
             boolean mayHaveRuns = !worker.runs.isEmpty() || state.unresolvedWorkers.contains(worker);
-            boolean unregistered = worker.gone.equals(Optional.of(GoneReason.NOT_REGISTERED));
             if (mayHaveRuns
-                    && unregistered
+                    && isUnregistered(worker)
                     && evidence.goneReason(worker.registration).isEmpty()) {
                 worker.gone = Optional.empty();
             }
@@ -140,6 +139,7 @@
         }
     }
 
+    /** Returns whether the only sign that the worker will not start again is that the registry has ceased to list it. */
     private static boolean isUnregistered(PoolWorker worker) {
         return worker.gone.equals(Optional.of(GoneReason.NOT_REGISTERED));
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -166,9 +166,7 @@
         unansweredOrdersUntilMillis = nowMillis + Run.MAX_ORDER_DELAY_MILLIS;
     }
 
-    /**
-     * Records that a start was not answered.
-     */
+    /** Records that a start was not answered. */
     void startUnanswered(Run run, long nowMillis) {
         callUnanswered(nowMillis);
         silentBy(run.startedMillis + ANSWER_MILLIS, nowMillis);
@@ -176,9 +174,7 @@
         unansweredStarts.put(key(run), run);
     }
 
-    /**
-     * Records that a hold was not answered.
-     */
+    /** Records that a hold was not answered. */
     void holdUnanswered(long nowMillis) {
         callUnanswered(nowMillis);
         silentBy(holdSentMillis + holdWaitMillis + ANSWER_MILLIS, nowMillis);
@@ -191,9 +187,7 @@
         silentByMillis = Math.min(silentByMillis, Math.min(answerDueMillis, nowMillis));
     }
 
-    /**
-     * Records that the worker has answered a call.
-     */
+    /** Records that the worker has answered a call. */
     void answered(long nowMillis) {
         lastAnswerMillis = nowMillis;
         answerWanted = false;
@@ -235,8 +229,13 @@
      * it may restart under its identifier.
      */
     boolean mayStillStart(Run run, long nowMillis) {
+        return gone.isEmpty() && isUnresolvedStart(run, nowMillis);
+    }
+
+    /** Returns whether it is not known if the worker has carried out the start of a run, or will if it restarts. */
+    boolean isUnresolvedStart(Run run, long nowMillis) {
         boolean unanswered = run.phase == RunPhase.STARTING || run.phase == RunPhase.UNCONFIRMED;
-        return mayRestart() && unanswered && !run.stopAnswered && !run.isOrderTooOld(nowMillis);
+        return incarnation.isKnown() && unanswered && !run.stopAnswered && !run.isOrderTooOld(nowMillis);
     }
 
     /** Returns whether the worker may start again under its identifier. */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
@@ -47,7 +47,7 @@
             return;
         }
         worker.ended = true;
-        workerCrashed(worker, run -> !worker.mayStillStart(run, now.steadyMillis()), now);
+        workerCrashed(worker, run -> !worker.isUnresolvedStart(run, now.steadyMillis()), now);
         boolean unresolved = state.unresolvedWorkers.contains(worker);
         releaseRuns(worker, reason, now);
         if (unresolved && worker.mayRestart() && now.steadyMillis() < state.foreignOrdersUntilMillis) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
@@ -112,6 +112,27 @@
         assertStartedElsewhere(2);
     }
 
+    /** Guards against a job that is ended for crashing workers, as starts that may never have been carried out count against it. */
+    @Test
+    void startWithoutAnAnswerIsNoCrashOfItsTask() {
+        tick();
+        WorkerOrder.Hold hold = orders(WorkerOrder.Hold.class).stream()
+                .filter(order -> order.worker().equals(lostWorker))
+                .findFirst()
+                .orElseThrow();
+        scheduler.orderAnswered(hold, OrderResult.OTHER_LIFE, now);
+        assertEquals(0, actions.decisions("task-suspected").size());
+    }
+
+    /** Guards against a task to which a crash is attributed or not, by the order in which the end of its worker was learned. */
+    @Test
+    void startWithoutAnAnswerIsNoCrashOfItsTaskIfItsWorkerIsReplacedBeforeItHasEnded() {
+        advanceTo(2_000);
+        lostWorkerIsGone(GoneReason.REPLACED);
+        scheduler.workerEnded(lostWorker, "not-on-any-machine", now);
+        assertEquals(0, actions.decisions("task-suspected").size());
+    }
+
     /** Guards against a task that runs twice, as its worker starts again and carries out the late start. */
     @Test
     void taskOfAWorkerThatMayStartAgainIsNotStartedElsewhereWhileItsStartMayBeLate() {
