Ask for evidence about the present incarnation of a worker

Cause: after a restart that a status showed, the registration still names the start of the former incarnation until the registry is heard of, and was passed on as it was. A worker that was born in between would have counted as the one that replaced it. Found by a review; very unlikely.

Change: the start of the present incarnation is passed.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -128,17 +128,21 @@
             boolean mayHaveRuns = !worker.runs.isEmpty() || state.unresolvedWorkers.contains(worker);
             if (mayHaveRuns
                     && isUnregistered(worker)
-                    && evidence.goneReason(worker.registration).isEmpty()) {
+                    && goneReason(worker, evidence).isEmpty()) {
                 worker.gone = Optional.empty();
             }
             boolean silent = worker.ended || worker.missedCalls > 0;
             if (silent && worker.mayRestart() && mayCarryOutOrders(worker, now.steadyMillis())) {
-                evidence.goneReason(worker.registration)
-                        .ifPresent(reason -> workerLosses.workerGone(worker, reason, now));
+                goneReason(worker, evidence).ifPresent(reason -> workerLosses.workerGone(worker, reason, now));
             }
         }
     }
 
+    /** Asks about the present incarnation, of which a status may have told before the registry does. */
+    private static Optional<GoneReason> goneReason(PoolWorker worker, WorkerEvidence evidence) {
+        return evidence.goneReason(worker.registration.withBorn(worker.incarnation.born()));
+    }
+
     /** Returns whether the only sign that the worker will not start again is that the registry has ceased to list it. */
     private static boolean isUnregistered(PoolWorker worker) {
         return worker.gone.equals(Optional.of(GoneReason.NOT_REGISTERED));
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
@@ -38,6 +38,16 @@
         labels = List.copyOf(labels);
     }
 
+    /**
+     * Returns the worker with another start.
+     *
+     * @param newBorn  when the worker started, in milliseconds since 1970
+     * @return the worker, not null
+     */
+    RegisteredWorker withBorn(long newBorn) {
+        return new RegisteredWorker(id, machine, pool, address, dataCentre, labels, capacity, draining, newBorn);
+    }
+
     /**
      * Constructs a worker of a platform that does not send when a worker started.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerEvidence.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerEvidence.java
@@ -10,7 +10,7 @@
     /**
      * Returns from what it is known that a worker will not start again under its identifier.
      *
-     * @param worker  the worker as last registered, not null
+     * @param worker  the worker as last registered, with the start of its present incarnation, not null
      * @return the reason, empty if the worker may start again, not null
      */
     Optional<GoneReason> goneReason(RegisteredWorker worker);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
@@ -177,6 +177,21 @@
         assertEquals(0, orders(WorkerOrder.Stop.class).size(), "a worker that has answered refuses the start");
     }
 
+    /** Guards against a restarted worker that counts as replaced by one that was born before it. */
+    @Test
+    void evidenceIsSoughtForThePresentIncarnation() {
+        scheduler.statusReceived(lostWorker, new WorkerRunStatus(5, List.of(), List.of(), REBORN), now);
+        List<Long> born = new ArrayList<>();
+        advanceTo(1_500);
+        scheduler.findGoneWorkers(
+                worker -> {
+                    born.add(worker.born());
+                    return Optional.empty();
+                },
+                now);
+        assertEquals(List.of(REBORN), born);
+    }
+
     /** Guards against a worker that is taken for gone for good although its entry is back. */
     @Test
     void workerWhoseEntryIsBackMayStartAgain() {
