Send one stop of a released start at a time

Cause: a stop of a released start was sent each 300 ms whether the last one was answered or not, 43 for one start (review, on a copy), up to three at once to an address where nothing answers; and each unanswered one counted as a call that may do harm late, so that the worker was kept for up to 30 s.

Change: as other stops, one at a time; without an answer it changes nothing of the worker, as a late stop does no harm.

LostWorkerTest has a new case.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
@@ -26,15 +26,14 @@
         if (worker == null) {
             return;
         }
-        if (result == OrderResult.NO_ANSWER) {
+        Optional<Run> releasedStart = releasedStart(worker, order);
+        releasedStart.ifPresent(start -> releasedStartStopped(start, result));
+        if (result == OrderResult.NO_ANSWER && releasedStart.isEmpty()) {
             worker.callUnanswered(now.steadyMillis());
         }
         if (order instanceof WorkerOrder.Start start) {
             runTracker.startAnswered(worker, start.task(), start.run(), result, now);
         } else if (order instanceof WorkerOrder.Stop stop) {
-            if (result == OrderResult.OK || result == OrderResult.OTHER_LIFE) {
-                releasedStart(worker, stop).ifPresent(start -> start.stopAnswered = true);
-            }
             runTracker.stopAnswered(worker, stop.task(), stop.run(), result, now);
         } else if (order instanceof WorkerOrder.Hold) {
             runTracker.holdFailed(worker, result, now);
@@ -45,15 +44,22 @@
     }
 
     /**
-     * Returns the unanswered start that a stop is for, if the worker no longer counts as running it.
+     * Returns the unanswered start that an order is to stop, if the worker no longer counts as running it. A late stop of such a start
+     * does no harm.
      */
-    private static Optional<Run> releasedStart(PoolWorker worker, WorkerOrder.Stop stop) {
-        return worker.run(stop.task(), stop.run()) != null
-                ? Optional.empty()
-                : worker.unansweredStarts.values().stream()
-                        .filter(start -> start.number == stop.run()
-                                && start.task.id.text().equals(stop.task()))
-                        .findFirst();
+    private static Optional<Run> releasedStart(PoolWorker worker, WorkerOrder order) {
+        if (order instanceof WorkerOrder.Stop stop && worker.run(stop.task(), stop.run()) == null) {
+            return worker.unansweredStarts.values().stream()
+                    .filter(start ->
+                            start.number == stop.run() && start.task.id.text().equals(stop.task()))
+                    .findFirst();
+        }
+        return Optional.empty();
+    }
+
+    private static void releasedStartStopped(Run start, OrderResult result) {
+        start.stopInFlight = false;
+        start.stopAnswered |= result == OrderResult.OK || result == OrderResult.OTHER_LIFE;
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -90,7 +90,8 @@
             Run start = entry.getValue();
             boolean released = !worker.runs.containsKey(entry.getKey()) && !start.stopAnswered;
             boolean due = nowMillis - start.stopSentMillis >= STOP_RETRY_MILLIS;
-            if (released && due && !start.isOrderTooOld(nowMillis)) {
+            if (released && due && !start.stopInFlight && !start.isOrderTooOld(nowMillis)) {
+                start.stopInFlight = true;
                 start.stopSentMillis = nowMillis;
                 state.actions.send(stopOrder(start));
             }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
@@ -38,6 +38,7 @@
     private PoolScheduler scheduler;
     private WorkerOrder.Start firstStart;
     private String lostWorker;
+    private int stopsWithoutAnAnswer;
 
     @BeforeEach
     void startATaskOnAWorkerThatDoesNotAnswer() {
@@ -170,11 +171,24 @@
         WorkerOrder.Stop first = orders(WorkerOrder.Stop.class).get(0);
         assertEquals(List.of(lostWorker, TASK, 1), List.of(first.worker(), first.task(), first.run()));
         advanceTo(4_000);
-        assertTrue(orders(WorkerOrder.Stop.class).size() > 5, "the start may still be late");
+        assertTrue(stopsWithoutAnAnswer > 5, "the start may still be late");
         scheduler.orderAnswered(first, OrderResult.OK, now);
-        sent.clear();
+        stopsWithoutAnAnswer = 0;
         advanceTo(5_000);
-        assertEquals(0, orders(WorkerOrder.Stop.class).size(), "a worker that has answered refuses the start");
+        assertEquals(0, stopsWithoutAnAnswer, "a worker that has answered refuses the start");
+    }
+
+    /** Guards against many calls at a time to an address where nothing answers. */
+    @Test
+    void stopOfAReleasedStartIsNotSentAgainWhileItIsUnderWay() {
+        advanceTo(2_000);
+        scheduler.workerEnded(lostWorker, "not-on-any-machine", now);
+        lostWorkerIsGone(GoneReason.NOT_REGISTERED);
+        for (int i = 0; i < 10; i++) {
+            now = now.plus(STEP_MILLIS);
+            tick();
+        }
+        assertEquals(1, orders(WorkerOrder.Stop.class).size());
     }
 
     /** Guards against a restarted worker that counts as replaced by one that was born before it. */
@@ -274,11 +288,14 @@
         while (now.steadyMillis() < startSent.steadyMillis() + millis) {
             now = now.plus(STEP_MILLIS);
             tick();
-            List<WorkerOrder.Hold> holds = orders(WorkerOrder.Hold.class);
-            sent.removeIf(WorkerOrder.Hold.class::isInstance);
-            holds.stream()
-                    .filter(hold -> hold.worker().equals(lostWorker))
-                    .forEach(hold -> scheduler.orderAnswered(hold, OrderResult.NO_ANSWER, now));
+            List<WorkerOrder> calls = sent.stream()
+                    .filter(order -> !(order instanceof WorkerOrder.Start))
+                    .filter(order -> order.worker().equals(lostWorker))
+                    .toList();
+            stopsWithoutAnAnswer += (int)
+                    calls.stream().filter(WorkerOrder.Stop.class::isInstance).count();
+            sent.removeIf(order -> !(order instanceof WorkerOrder.Start));
+            calls.forEach(call -> scheduler.orderAnswered(call, OrderResult.NO_ANSWER, now));
             report(idleWorker());
         }
     }
