Keep the search for gone workers from stopping other duties, and what it has found up to date

Cause: found by the review, by reading: a failure of the search would have ended the rest of a tick; an entry whose format fails would have left its worker absent; a worker that answers stayed marked as gone until its entry changed; the time to register again stood in two places.

Change: the search is part of the decisions, whose failure is logged; an entry counts as listed before it is read; a status ends the mark; one constant.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/GoneReason.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/GoneReason.java
@@ -1,7 +1,7 @@
 package org.trefoilpost.decision.job;
 
 /**
- * From what it is known that a worker will not start again under its identifier.
+ * Why a worker is taken not to start again under its identifier.
  */
 public enum GoneReason {
     /** Another worker answers at its address. */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -143,6 +143,7 @@
     void statusReceived(PoolWorker worker, WorkerRunStatus status, Moment now) {
         long nowMillis = now.steadyMillis();
         worker.holdInFlight = false;
+        worker.gone = Optional.empty();
         worker.missedCalls = 0;
         worker.callUnanswered = false;
         worker.recordAcknowledgement(nowMillis);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -17,6 +17,7 @@
 import org.trefoilpost.decision.job.PoolScheduler;
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.RegisteredWorker;
+import org.trefoilpost.decision.job.RegistryAbsences;
 import org.trefoilpost.decision.job.WorkerOrder;
 import org.trefoilpost.decision.job.team.Teams;
 
@@ -30,9 +31,6 @@
     /** Delay after a result, so that further results are handled in the same tick. */
     private static final long RESULT_BATCH_MILLIS = 5;
 
-    /** Time after the registry is reached again in which live workers have registered again. */
-    private static final long REGISTRY_SETTLE_MILLIS = 2_300;
-
     private final String pool;
     private final JobContext context;
     private final WorkerRegistry registry;
@@ -153,7 +151,7 @@
 
     private void open(Map<String, byte[]> documents) {
         Moment now = context.now();
-        long registryCompleteMillis = registry.reconnectedMillis() + REGISTRY_SETTLE_MILLIS;
+        long registryCompleteMillis = registry.reconnectedMillis() + RegistryAbsences.REGISTRATION_MILLIS;
         scheduler.open(documents, registry.workersOfPool(pool), registryCompleteMillis, now);
         scheduler.instruct(instructions);
         open = true;
@@ -207,12 +205,12 @@
             return;
         }
         Moment now = context.now();
-        scheduler.findGoneWorkers(registry, now);
         boolean ownerConfirmed = now.steadyMillis() - ownerConfirmedMillis < PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS;
         // Without decisions, callers are still answered and the ownership is still checked.
-        context.runPart(
-                "decisions for pool " + pool,
-                () -> scheduler.tick(OrderPermission.of(ownerConfirmed, registry.areCapacitiesKnown(now)), now));
+        context.runPart("decisions for pool " + pool, () -> {
+            scheduler.findGoneWorkers(registry, now);
+            scheduler.tick(OrderPermission.of(ownerConfirmed, registry.areCapacitiesKnown(now)), now);
+        });
         if (!store.isReachable(now.steadyMillis())) {
             requests.refuseUnsentJobs();
         }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -196,10 +196,10 @@
     }
 
     private void put(StorePort.Item item) {
-        Optional<RegisteredWorker> worker = context.ports().formats().worker(item);
         String id =
                 item.key().substring(context.ports().formats().workerPrefix().length());
         absences.listed(id);
+        Optional<RegisteredWorker> worker = context.ports().formats().worker(item);
         if (worker.isPresent()) {
             workers.put(id, worker.get());
         } else {
