Say once which registered worker replaces another, and name what a forgotten worker may still receive

Cause: read as a newcomer, the comparison of two workers of a machine stood in the registry and in the emulator, a local variable had the name of a method with another meaning, and two tests repeated how another worker answers.

Change: RegisteredWorker.replaces; mayHaveLateOrders; a method in LostWorkerTest.

Figures: LostWorkerTest, GoneWorkerTest and WorkerRestartTest pass.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -101,8 +101,8 @@
 
     private void removeIfUnlisted(PoolWorker worker, long nowMillis) {
         boolean allRunsEnded = worker.ended || nowMillis > worker.leaseExpiryMillis();
-        boolean mayRestart = worker.incarnation.isKnown() && nowMillis < worker.unansweredOrdersUntilMillis;
-        if (!worker.listed && worker.runs.isEmpty() && allRunsEnded && !worker.holdInFlight && !mayRestart) {
+        boolean mayHaveLateOrders = worker.incarnation.isKnown() && nowMillis < worker.unansweredOrdersUntilMillis;
+        if (!worker.listed && worker.runs.isEmpty() && allRunsEnded && !worker.holdInFlight && !mayHaveLateOrders) {
             state.workers.remove(worker.id);
             state.unresolvedWorkers.remove(worker);
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RegisteredWorker.java
@@ -38,6 +38,19 @@
         labels = List.copyOf(labels);
     }
 
+    /**
+     * Returns whether this worker runs on the machine of another one and started later. The other one has ended then.
+     *
+     * @param former  the other worker, not null
+     * @return false if the machine or the start of either is not known
+     */
+    public boolean replaces(RegisteredWorker former) {
+        return !machine.isEmpty()
+                && machine.equals(former.machine)
+                && !id.equals(former.id)
+                && incarnation().isAfter(former.incarnation());
+    }
+
     /**
      * Returns the worker with another start.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
@@ -102,12 +102,7 @@
 
     @Test
     void taskStartsElsewhereOnceAnotherWorkerAnswersAtTheAddress() {
-        tick();
-        WorkerOrder.Hold hold = orders(WorkerOrder.Hold.class).stream()
-                .filter(order -> order.worker().equals(lostWorker))
-                .findFirst()
-                .orElseThrow();
-        scheduler.orderAnswered(hold, OrderResult.OTHER_LIFE, now);
+        anotherWorkerAnswersAtTheAddress();
         report(idleWorker());
         tick();
         assertStartedElsewhere(2);
@@ -116,12 +111,7 @@
     /** Guards against a job that is ended for crashing workers, as starts that may never have been carried out count against it. */
     @Test
     void startWithoutAnAnswerIsNoCrashOfItsTask() {
-        tick();
-        WorkerOrder.Hold hold = orders(WorkerOrder.Hold.class).stream()
-                .filter(order -> order.worker().equals(lostWorker))
-                .findFirst()
-                .orElseThrow();
-        scheduler.orderAnswered(hold, OrderResult.OTHER_LIFE, now);
+        anotherWorkerAnswersAtTheAddress();
         assertEquals(0, actions.decisions("task-suspected").size());
     }
 
@@ -246,6 +236,15 @@
         scheduler.findGoneWorkers(worker -> fail("evidence is sought for " + worker.id()), now);
     }
 
+    private void anotherWorkerAnswersAtTheAddress() {
+        tick();
+        WorkerOrder.Hold hold = orders(WorkerOrder.Hold.class).stream()
+                .filter(order -> order.worker().equals(lostWorker))
+                .findFirst()
+                .orElseThrow();
+        scheduler.orderAnswered(hold, OrderResult.OTHER_LIFE, now);
+    }
+
     private void lostWorkerIsGone(GoneReason reason) {
         scheduler.findGoneWorkers(
                 worker -> worker.id().equals(lostWorker) ? Optional.of(reason) : Optional.empty(), now);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -159,11 +159,7 @@
 
     @Override
     public Optional<GoneReason> goneReason(RegisteredWorker worker) {
-        boolean replaced = listedWorkers().stream()
-                .anyMatch(other -> other.machine().equals(worker.machine())
-                        && !other.id().equals(worker.id())
-                        && other.incarnation().isAfter(worker.incarnation()));
-        if (replaced) {
+        if (listedWorkers().stream().anyMatch(other -> other.replaces(worker))) {
             return Optional.of(GoneReason.REPLACED);
         }
         return absences.isAbsent(worker.id()) ? Optional.of(GoneReason.NOT_REGISTERED) : Optional.empty();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -125,21 +125,13 @@
      */
     @Override
     public Optional<GoneReason> goneReason(RegisteredWorker worker) {
-        if (isReplaced(worker)) {
+        if (workers.values().stream().anyMatch(other -> other.replaces(worker))) {
             return Optional.of(GoneReason.REPLACED);
         }
         boolean absent = capacityKnowledge.isSufficient(context.now()) && absences.isAbsent(worker.id());
         return absent ? Optional.of(GoneReason.NOT_REGISTERED) : Optional.empty();
     }
 
-    private boolean isReplaced(RegisteredWorker worker) {
-        return !worker.machine().isEmpty()
-                && workers.values().stream()
-                        .anyMatch(other -> other.machine().equals(worker.machine())
-                                && !other.id().equals(worker.id())
-                                && other.incarnation().isAfter(worker.incarnation()));
-    }
-
     @Override
     public void reloaded() {
         workers.clear();
