Send the stops of released starts as all other stops

Cause: stopReleasedStarts repeated what sendStop asks (one at a time, not answered, each 300 ms) and does; found on reading the change once more.

Change: it calls sendStop for each start that is released and not too old. A start without an answer is never in the phase that sendStop leaves out, so the orders are the same.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -1,6 +1,5 @@
 package org.trefoilpost.decision.job;
 
-import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -78,7 +77,9 @@
         }
         run.stopInFlight = true;
         run.stopSentMillis = nowMillis;
-        state.actions.send(stopOrder(run));
+        PoolWorker worker = run.worker;
+        state.actions.send(
+                new WorkerOrder.Stop(worker.id, worker.registration.address(), run.task.id.text(), run.number));
     }
 
     /**
@@ -86,20 +87,11 @@
      * elsewhere: if it starts again under its identifier all the same, it could carry them out before the registry lists it.
      */
     void stopReleasedStarts(PoolWorker worker, long nowMillis) {
-        for (Map.Entry<String, Run> entry : worker.unansweredStarts.entrySet()) {
-            Run start = entry.getValue();
-            boolean released = !worker.runs.containsKey(entry.getKey()) && !start.stopAnswered;
-            boolean due = nowMillis - start.stopSentMillis >= STOP_RETRY_MILLIS;
-            if (released && due && !start.stopInFlight && !start.isOrderTooOld(nowMillis)) {
-                start.stopInFlight = true;
-                start.stopSentMillis = nowMillis;
-                state.actions.send(stopOrder(start));
+        worker.unansweredStarts.forEach((key, start) -> {
+            if (!worker.runs.containsKey(key) && !start.isOrderTooOld(nowMillis)) {
+                sendStop(start, nowMillis);
             }
-        }
-    }
-
-    private static WorkerOrder.Stop stopOrder(Run run) {
-        return new WorkerOrder.Stop(run.worker.id, run.worker.registration.address(), run.task.id.text(), run.number);
+        });
     }
 
     /**
