Log what a silent worker, an evacuation and a start without an answer rested on

The age of the answer was in the line of the start only, which the users' record cut off; what the machine service said of a silent worker was in no line, and a list that failed was ignored without one.

Change: worker-lost says for how long the worker was silent, whether it is registered and whether runs of a former owner were awaited; start-unanswered and run-lost say how old the worker's answer was at the start; run-evacuated names the worker on whose room the stop rests; silent-worker-listed and silent-worker-list-failed tell what the list of machines showed; task-waiting names the silent worker whose lease ends last.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -58,7 +58,7 @@
         boolean unconfirmed = worker.missedCalls > 0 || !worker.fenced || worker.ended;
         boolean mayHaveRuns = state.unresolvedWorkers.contains(worker)
                 || worker.runs.values().stream().anyMatch(run -> !worker.mayStillStart(run, nowMillis));
-        return unconfirmed && mayHaveRuns && nowMillis > worker.leaseExpiryMillis();
+        return unconfirmed && mayHaveRuns && nowMillis > worker.lease.expiryMillis();
     }
 
     private static boolean isDue(PoolWorker worker, long nowMillis) {
@@ -100,7 +100,7 @@
     }
 
     private void removeIfUnlisted(PoolWorker worker, long nowMillis) {
-        boolean allRunsEnded = worker.ended || nowMillis > worker.leaseExpiryMillis();
+        boolean allRunsEnded = worker.ended || nowMillis > worker.lease.expiryMillis();
         boolean mayHaveLateOrders = worker.incarnation.isKnown() && nowMillis < worker.unansweredOrdersUntilMillis;
         if (!worker.listed && worker.runs.isEmpty() && allRunsEnded && !worker.holdInFlight && !mayHaveLateOrders) {
             state.workers.remove(worker.id);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -22,6 +22,7 @@
         long nowMillis = now.steadyMillis();
         Run run = new Run(task, number, worker, RunPhase.STARTING, nowMillis);
         run.checkpoint = task.checkpoint;
+        run.reportAgeMillis = worker.answerAgeMillis(nowMillis);
         task.lastRunNumber = Math.max(task.lastRunNumber, number);
         worker.add(run);
         worker.startsInFlight++;
@@ -33,7 +34,7 @@
                 task.id,
                 number,
                 job.spec.text(),
-                worker.grantLease(nowMillis, state.timeouts.leaseMillis()),
+                worker.lease.grant(nowMillis, state.timeouts.leaseMillis()),
                 task.checkpoint.isEmpty() ? Optional.empty() : Optional.of(task.checkpoint),
                 Optional.ofNullable(ticket).map(JobStepState.Ticket::text)));
         state.actions.logDecision(Decision.of("task-placed")
@@ -42,7 +43,7 @@
                 .with("run", number)
                 .with("worker", worker.id)
                 .with("freeCpu", worker.freeResources().cpuMillis())
-                .with("reportAge", worker.answerAgeMillis(nowMillis)));
+                .with("reportAge", run.reportAgeMillis));
         // The next owner must find the run if the worker crashes under it again.
         state.markDirty(job, nowMillis, task.crashRecord.crashes() > 0);
         return run;
@@ -104,9 +105,9 @@
         worker.holdWaitMillis = waitMillis;
         worker.ackSentEnd = worker.endToAcknowledge(nowMillis);
         // The lease of a worker that does not answer is not renewed, so that it expires at a known time.
-        boolean renewed = worker.fenced && worker.isClockKnown() && worker.missedCalls == 0;
+        boolean renewed = worker.fenced && worker.lease.isClockKnown() && worker.missedCalls == 0;
         Optional<Long> leaseUntil =
-                renewed ? Optional.of(worker.grantLease(nowMillis, state.timeouts.leaseMillis())) : Optional.empty();
+                renewed ? Optional.of(worker.lease.grant(nowMillis, state.timeouts.leaseMillis())) : Optional.empty();
         state.actions.send(new WorkerOrder.Hold(
                 worker.id, worker.registration.address(), leaseUntil, worker.ackSentEnd, waitMillis));
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -285,7 +285,7 @@
      */
     private boolean maySuit(JobStepState step, ResourceAmount demand, PoolWorker worker, Moment now) {
         return worker.suits(step.spec, now.steadyMillis())
-                && worker.isClockKnown()
+                && worker.lease.isClockKnown()
                 && !reservedWorkers.contains(worker)
                 && demand.fitsIn(worker.freeResources())
                 && advice.allows(step, worker, now);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTakeover.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTakeover.java
@@ -46,7 +46,7 @@
                     .toList();
         }
         for (PoolWorker worker : state.workers.values()) {
-            worker.assumeLeaseUntil(latestForeignLeaseEndMillis(now));
+            worker.lease.assumeUntil(latestForeignLeaseEndMillis(now));
             state.unresolvedWorkers.add(worker);
         }
         state.actions.logDecision(Decision.of("pool-opened")
@@ -80,7 +80,7 @@
 
     private long latestForeignLeaseEndMillis(Moment now) {
         long maxLeaseMillis =
-                (long) (state.timeouts.leaseMillis() / PoolWorker.MIN_CLOCK_RATE) + LEASE_END_MARGIN_MILLIS;
+                (long) (state.timeouts.leaseMillis() / WorkerLease.MIN_CLOCK_RATE) + LEASE_END_MARGIN_MILLIS;
         return now.steadyMillis() + PoolScheduler.ORDERS_WITHOUT_STORE_MILLIS + maxLeaseMillis;
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -15,22 +15,14 @@
     /** Time for which a worker's answer counts as its present state. */
     static final long ANSWER_VALID_MILLIS = 1_300;
 
-    /** The minimum rate of a worker's clock relative to true time: clocks may lag by 2 %, the rest is a margin. */
-    static final double MIN_CLOCK_RATE = 0.975;
-
     /** Age of a status up to which the worker cannot have ended and started again, with a margin for slow calls. */
     private static final long FRESH_STATUS_MILLIS = 50;
 
     /** Time after which ends are acknowledged even if each status brings new ones, so that they do not pile up. */
     private static final long MAX_ACK_DELAY_MILLIS = 1_000;
 
-    /** By how much a clock in whole milliseconds may seem to go back. */
-    private static final long CLOCK_ROUNDING_MILLIS = 1;
-
-    /** Time that a worker may take to end its runs after its lease has expired. */
-    private static final long LEASE_END_MARGIN_MILLIS = 250;
-
     final String id;
+    final WorkerLease lease = new WorkerLease();
     final Map<String, Run> runs = new HashMap<>();
     /** Starts without an answer that no status has listed; the worker may still carry them out if it restarts. */
     final Map<String, Run> unansweredStarts = new HashMap<>();
@@ -85,13 +77,6 @@
     private long ackedMillis;
     private long unansweredAckUntilMillis = Long.MIN_VALUE / 2;
     private int runsOfUnknownSize;
-    private long clockMillis;
-    private long clockSeenMillis = Long.MIN_VALUE;
-    private long leaseUntilMillis = Long.MIN_VALUE;
-    /** The latest end of a lease that was sent, on the worker's clock. */
-    private long sentLeaseEnd;
-    /** The latest end of a lease that was sent to previous incarnations and may still arrive. */
-    private long formerLeaseEnd;
 
     PoolWorker(RegisteredWorker registration) {
         this.id = registration.id();
@@ -112,16 +97,16 @@
         worker.holdInFlight = former.holdInFlight;
         worker.holdSentMillis = former.holdSentMillis;
         worker.startsInFlight = former.startsInFlight;
-        worker.leaseUntilMillis = former.leaseUntilMillis;
         if (former.holdInFlight) {
             former.holdUnanswered(nowMillis);
         } else if (former.startsInFlight > 0) {
             former.callUnanswered(nowMillis);
         }
-        if (nowMillis < former.unansweredOrdersUntilMillis) {
+        boolean ordersMayArrive = nowMillis < former.unansweredOrdersUntilMillis;
+        worker.lease.assume(former.lease, ordersMayArrive);
+        if (ordersMayArrive) {
             worker.unansweredOrdersUntilMillis = former.unansweredOrdersUntilMillis;
             worker.unansweredAckUntilMillis = former.unansweredAckUntilMillis;
-            worker.formerLeaseEnd = Math.max(former.sentLeaseEnd, former.formerLeaseEnd);
         }
         // A late acknowledgement of the previous incarnation's ends would make the worker discard its own unseen ones.
         worker.pausedUntilMillis = worker.unansweredAckUntilMillis;
@@ -204,7 +189,7 @@
         if (!incarnation.isKnown()) {
             return storedEnd;
         }
-        boolean statusFresh = nowMillis - clockSeenMillis <= FRESH_STATUS_MILLIS;
+        boolean statusFresh = lease.clockAgeMillis(nowMillis) <= FRESH_STATUS_MILLIS;
         boolean overdue = nowMillis - ackedMillis > MAX_ACK_DELAY_MILLIS;
         boolean acknowledges = hasEndsToAcknowledge() && !callUnanswered && (statusFresh || overdue);
         return acknowledges ? storedEnd : 0;
@@ -243,60 +228,14 @@
         return incarnation.isKnown() && gone.isEmpty();
     }
 
-    /**
-     * Returns whether a time on the worker's clock is earlier than one that it showed before, beyond rounding.
-     */
-    boolean showsEarlierClock(long workerMillis) {
-        return isClockKnown() && workerMillis < clockMillis - CLOCK_ROUNDING_MILLIS;
-    }
-
     /**
      * Records the time that the worker's own clock showed in an answer.
      */
     void recordClock(long workerMillis, long nowMillis) {
-        if (formerLeaseEnd > workerMillis) {
-            // The lease that a late order names is far off on a clock that began again.
-            long remaining = (long) ((formerLeaseEnd - workerMillis) / MIN_CLOCK_RATE);
-            assumeLeaseUntil(nowMillis + remaining + LEASE_END_MARGIN_MILLIS);
-        }
-        clockMillis = workerMillis;
-        clockSeenMillis = nowMillis;
+        lease.recordClock(workerMillis, nowMillis);
         answered(nowMillis);
     }
 
-    boolean isClockKnown() {
-        return clockSeenMillis != Long.MIN_VALUE;
-    }
-
-    /**
-     * Grants a lease and records its latest expiry.
-     *
-     * @return the end of the lease on the worker's clock, 0 if that clock is not known
-     */
-    long grantLease(long nowMillis, long leaseMillis) {
-        if (!isClockKnown()) {
-            return 0;
-        }
-        long remaining = nowMillis - clockSeenMillis + leaseMillis;
-        assumeLeaseUntil(clockSeenMillis + (long) (remaining / MIN_CLOCK_RATE) + LEASE_END_MARGIN_MILLIS);
-        sentLeaseEnd = Math.max(sentLeaseEnd, clockMillis + remaining);
-        return clockMillis + remaining;
-    }
-
-    /**
-     * Records that the worker's runs may continue until a time on the steady clock.
-     */
-    void assumeLeaseUntil(long millis) {
-        leaseUntilMillis = Math.max(leaseUntilMillis, millis);
-    }
-
-    /**
-     * Returns the time on the steady clock after which every lease granted to the worker is certain to have expired.
-     */
-    long leaseExpiryMillis() {
-        return leaseUntilMillis;
-    }
-
     ResourceAmount freeResources() {
         return registration.capacity().minus(usedResources);
     }
@@ -351,6 +290,13 @@
         return missedCalls == 0 && nowMillis - lastAnswerMillis <= ANSWER_VALID_MILLIS;
     }
 
+    /**
+     * Returns for how long the worker has not answered at least, in milliseconds, empty while no call is without an answer.
+     */
+    Optional<Long> silentForMillis(long nowMillis) {
+        return silentByMillis == Long.MAX_VALUE ? Optional.empty() : Optional.of(nowMillis - silentByMillis);
+    }
+
     /**
      * Returns the time since the worker last answered, in milliseconds, -1 if it never did.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -17,6 +17,9 @@
     final PoolWorker worker;
     RunPhase phase;
     long startedMillis;
+    /** The age of the worker's last answer when the start was sent, -1 if it is not known. */
+    long reportAgeMillis = -1;
+
     long confirmedMillis;
     long stopSentMillis = Long.MIN_VALUE / 2;
     boolean stopInFlight;
@@ -89,6 +92,7 @@
     Run afterRestart(PoolWorker newIncarnation) {
         RunPhase newPhase = phase == RunPhase.STARTING ? RunPhase.STARTING : RunPhase.UNCONFIRMED;
         Run run = new Run(task, number, newIncarnation, newPhase, startedMillis);
+        run.reportAgeMillis = reportAgeMillis;
         run.checkpoint = checkpoint;
         run.wanted = wanted;
         run.sizeUnknown = sizeUnknown;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -73,7 +73,9 @@
         run.worker.startUnanswered(run, now.steadyMillis());
         run.worker.holdUrgent = true;
         run.worker.nextHoldMillis = now.steadyMillis();
-        logRun("start-unanswered", run);
+        state.actions.logDecision(run.describe(Decision.of("start-unanswered"))
+                .with("age", now.steadyMillis() - run.startedMillis)
+                .with("reportAge", run.reportAgeMillis));
     }
 
     private void startRejected(Run run, OrderResult result, Moment now) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
@@ -112,12 +112,16 @@
     }
 
     private void describeUnseen(Decision decision, long nowMillis) {
+        Optional<PoolWorker> last = state.unresolvedWorkers.stream()
+                .max(Comparator.comparingLong((PoolWorker worker) -> worker.lease.expiryMillis())
+                        .thenComparing(worker -> worker.id, Comparator.reverseOrder()));
         decision.with("unresolvedWorkers", state.unresolvedWorkers.size())
+                .withIfPresent("worker", last.map(worker -> worker.id))
+                .withIfPresent("listed", last.map(worker -> worker.listed))
+                .withIfPresent("missedCalls", last.map(worker -> worker.missedCalls))
                 .withIfPresent(
-                        "worker",
-                        state.unresolvedWorkers.stream()
-                                .map(worker -> worker.id)
-                                .min(Comparator.naturalOrder()))
+                        "leaseRemaining",
+                        last.map(worker -> Math.max(nowMillis, worker.lease.expiryMillis()) - nowMillis))
                 .with("registryComplete", nowMillis >= state.registryCompleteMillis)
                 .with("foreignOrdersRemaining", Math.max(0, state.foreignOrdersUntilMillis - nowMillis));
     }
@@ -161,7 +165,9 @@
     }
 
     private static boolean isReady(PoolWorker worker) {
-        return worker.isClockKnown() && !worker.isOnProbation() && worker.startsInFlight < Placer.MAX_STARTS_IN_FLIGHT;
+        return worker.lease.isClockKnown()
+                && !worker.isOnProbation()
+                && worker.startsInFlight < Placer.MAX_STARTS_IN_FLIGHT;
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerEvacuator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerEvacuator.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Evacuates workers that are draining or are to be taken out of service.
@@ -47,6 +48,7 @@
         List<Run> runs = new ArrayList<>(worker.runs.values());
         for (Run run : runs) {
             if (run.phase == RunPhase.RUNNING && mayStop(run, worker, now)) {
+                logEvacuation(run, worker, now);
                 orderSender.stop(run, worker.evacuating ? "evacuated" : "worker-leaving", now);
             }
         }
@@ -66,19 +68,28 @@
         }
         // This task may have become ready since its worker last answered, so it counts as ready.
         int othersNotReady = run.task.step.notReadyTasksExcept(run.task, nowMillis);
-        return othersNotReady < Math.max(1, spec.maxUnavailable()) && fitsOtherWorker(run, worker, nowMillis);
+        return othersNotReady < Math.max(1, spec.maxUnavailable())
+                && otherWorker(run, worker, nowMillis).isPresent();
     }
 
-    private boolean fitsOtherWorker(Run run, PoolWorker evacuated, long nowMillis) {
+    private void logEvacuation(Run run, PoolWorker evacuated, Moment now) {
+        Optional<PoolWorker> other = otherWorker(run, evacuated, now.steadyMillis());
+        state.actions.logDecision(run.describe(Decision.of("run-evacuated"))
+                .withIfPresent("roomOn", other.map(worker -> worker.id))
+                .withIfPresent("reportAge", other.map(worker -> worker.answerAgeMillis(now.steadyMillis()))));
+    }
+
+    /** Returns a worker that seems to have room for the task of a run, empty if there is none. */
+    private Optional<PoolWorker> otherWorker(Run run, PoolWorker evacuated, long nowMillis) {
         JobStepState step = run.task.step;
         for (PoolWorker worker : state.workers.values()) {
             if (worker != evacuated
                     && worker.suits(step.spec, nowMillis)
                     && worker.isBelowTaskLimit(step)
                     && step.spec.reservedDemand().fitsIn(worker.freeResources())) {
-                return true;
+                return Optional.of(worker);
             }
         }
-        return false;
+        return Optional.empty();
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
@@ -93,7 +93,10 @@
                 .with("worker", worker.id)
                 .with("reason", reason)
                 .with("runs", worker.runs.size())
-                .with("answerAge", worker.answerAgeMillis(now.steadyMillis())));
+                .with("answerAge", worker.answerAgeMillis(now.steadyMillis()))
+                .withIfPresent("silentFor", worker.silentForMillis(now.steadyMillis()))
+                .with("listed", worker.listed)
+                .with("unseenRuns", state.unresolvedWorkers.contains(worker)));
         for (Run run : new ArrayList<>(worker.runs.values())) {
             if (!worker.mayStillStart(run, now.steadyMillis())) {
                 logRunLost(run, reason, now);
@@ -111,6 +114,7 @@
                 .with("reason", reason)
                 .with("phase", run.phase.name())
                 .with("age", now.steadyMillis() - run.startedMillis)
+                .with("reportAge", run.reportAgeMillis)
                 .with("ageAtLastAnswer", run.ageAtLastAnswerMillis()));
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRestarts.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRestarts.java
@@ -50,7 +50,7 @@
             return Optional.of(begin(worker, reported, "status", now));
         }
         worker.learnIncarnation(reported);
-        boolean clockWentBack = worker.incarnation.isKnown() && worker.showsEarlierClock(status.clockMillis());
+        boolean clockWentBack = worker.incarnation.isKnown() && worker.lease.showsEarlierClock(status.clockMillis());
         return Optional.of(clockWentBack ? begin(worker, worker.incarnation, "clock-went-back", now) : worker);
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/IsolatedPlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/IsolatedPlacerTest.java
@@ -216,7 +216,7 @@
         }
         state.workers.values().forEach(worker -> {
             worker.startsInFlight = 0;
-            if (!worker.isClockKnown()) {
+            if (!worker.lease.isClockKnown()) {
                 worker.recordClock(0, NOW.steadyMillis());
             }
         });
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LongRunningWaitsTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LongRunningWaitsTest.java
@@ -109,12 +109,18 @@
     @Test
     void takeoverNamesAWorkerThatHasNotReported() {
         addTask(longRunning().build()).mayHaveUnseenRun = true;
-        state.unresolvedWorkers.addAll(Set.of(addWorker("w2", BORN), addWorker("w1", BORN)));
+        PoolWorker last = addWorker("w1", BORN);
+        state.unresolvedWorkers.addAll(Set.of(addWorker("w2", BORN), last));
+        last.lease.assumeUntil(now.steadyMillis() + 14_400);
+        last.missedCalls = 2;
         state.foreignOrdersUntilMillis = now.steadyMillis() + 15_000;
         observeAfter(4_000);
         assertEquals("runs-unseen", onlyLine().get("reason"));
         assertEquals(2, onlyLine().get("unresolvedWorkers"));
         assertEquals("w1", onlyLine().get("worker"));
+        assertEquals(10_400L, onlyLine().get("leaseRemaining"));
+        assertEquals(2, onlyLine().get("missedCalls"));
+        assertEquals(true, onlyLine().get("listed"));
         assertEquals(true, onlyLine().get("registryComplete"));
         assertEquals(11_000L, onlyLine().get("foreignOrdersRemaining"));
     }
--- /dev/null
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -0,0 +1,205 @@
+package org.trefoilpost.decision.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.trefoilpost.decision.job.team.Teams;
+
+/**
+ * A pool whose workers answer at once, or not at all once they are lost, for tests of its scheduler. The registry lists lost
+ * workers until the test says otherwise. The owner can be replaced by one that knows only what is stored.
+ */
+final class PoolWithFakeWorkers {
+    static final String QUEUE = "q";
+    static final long STEP_MILLIS = 20;
+
+    private static final long CALL_TIMEOUT_MILLIS = 700;
+    private static final ResourceAmount CAPACITY = new ResourceAmount(4_000, 8_000, 0);
+    private static final PoolTimeouts TIMEOUTS = new PoolTimeouts(5_000, 120_000, 2_000);
+    private static final QueueConfig QUEUE_CONFIG =
+            new QueueConfig(QUEUE, "h", "/q/", "pool", 0, 3, 5, 10_000, Optional.empty(), false);
+
+    private final Map<String, FakeWorker> workers = new TreeMap<>();
+    private final Map<String, byte[]> stored = new HashMap<>();
+    private final Set<String> evacuating = new HashSet<>();
+    private Moment now = new Moment(1_000_000, 2_000_000);
+    private RecordedActions actions;
+    private List<WorkerOrder> sent;
+    private List<Answer> answers;
+    private PoolScheduler scheduler;
+    private Optional<WorkerEvidence> evidence = Optional.empty();
+    private boolean losesAtNextStart;
+
+    /**
+     * Constructs a pool with workers named {@code w1} and so on, of which an owner has just taken possession.
+     *
+     * @param born  when the workers started, in milliseconds since 1970, 0 if they do not say
+     */
+    PoolWithFakeWorkers(int workerCount, long born) {
+        for (int i = 1; i <= workerCount; i++) {
+            workers.put("w" + i, new FakeWorker(i, born));
+        }
+        replaceOwner();
+    }
+
+    Moment now() {
+        return now;
+    }
+
+    PoolScheduler scheduler() {
+        return scheduler;
+    }
+
+    /** Makes a new owner take over the pool with what is stored. */
+    void replaceOwner() {
+        sent = new ArrayList<>();
+        answers = new ArrayList<>();
+        actions = new RecordedActions(sent);
+        scheduler = new PoolScheduler("pool", TIMEOUTS, actions);
+        scheduler.configure(Map.of(QUEUE, QUEUE_CONFIG), Teams.NONE);
+        scheduler.open(
+                Map.copyOf(stored),
+                workers.values().stream().map(worker -> worker.registration).toList(),
+                now.steadyMillis(),
+                now);
+    }
+
+    /** Has the registry cease to list the lost workers, as evidence that they do not start again under their identifiers. */
+    void lostWorkersAreGone() {
+        evidence = Optional.of(
+                worker -> workers.get(worker.id()).lost ? Optional.of(GoneReason.NOT_REGISTERED) : Optional.empty());
+    }
+
+    /** Loses a worker for good. */
+    void lose(String worker) {
+        workers.get(worker).lost = true;
+    }
+
+    /** Loses the worker to which the next start is sent, as that arrives. */
+    void loseWorkerOfNextStart() {
+        losesAtNextStart = true;
+    }
+
+    /** Has workers emptied. */
+    void evacuate(String... names) {
+        evacuating.addAll(List.of(names));
+        scheduler.instruct(new PoolInstructions(Set.copyOf(evacuating), 0));
+    }
+
+    /** Submits a job of one step. */
+    void submit(String id, StepSpec step) {
+        scheduler.submit(new JobSpec(id, QUEUE, "text", List.of(step), JobSpec.Schedule.ONCE), true, now);
+    }
+
+    /** Returns the worker on which a task runs, empty if it runs nowhere. */
+    Optional<String> workerOf(String task) {
+        return workers.entrySet().stream()
+                .filter(worker ->
+                        !worker.getValue().lost && worker.getValue().running.containsKey(task))
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
+    /** Returns the number of calls of a kind that were sent to a worker since the owner took over. */
+    long countCalls(String worker, Class<? extends WorkerOrder> kind) {
+        return workers.get(worker).calls.stream().filter(kind::isInstance).count();
+    }
+
+    /** Returns the decisions of a name that the present owner has logged, the earliest first. */
+    List<Decision> decisions(String name) {
+        return actions.decisions(name);
+    }
+
+    /** Moves the time on, and lets the workers, the store and the scheduler act. */
+    void advance(long millis) {
+        long endMillis = now.steadyMillis() + millis;
+        while (now.steadyMillis() < endMillis) {
+            now = now.plus(STEP_MILLIS);
+            List<Answer> due = answers.stream()
+                    .filter(answer -> answer.atMillis <= now.steadyMillis())
+                    .toList();
+            answers.removeAll(due);
+            due.forEach(answer -> answer.action.run());
+            evidence.ifPresent(source -> scheduler.findGoneWorkers(source, now));
+            scheduler.tick(OrderPermission.ALL, now);
+            actions.takeCommit().ifPresent(number -> {
+                stored.putAll(actions.lastCommit().puts());
+                scheduler.commitStored(number, now);
+            });
+            List<WorkerOrder> orders = List.copyOf(sent);
+            sent.clear();
+            orders.forEach(this::carryOut);
+        }
+    }
+
+    private void carryOut(WorkerOrder order) {
+        FakeWorker worker = workers.get(order.worker());
+        worker.calls.add(order);
+        if (losesAtNextStart && order instanceof WorkerOrder.Start) {
+            losesAtNextStart = false;
+            worker.lost = true;
+        }
+        if (worker.lost) {
+            answerAfter(CALL_TIMEOUT_MILLIS, () -> scheduler.orderAnswered(order, OrderResult.NO_ANSWER, now));
+        } else if (order instanceof WorkerOrder.Hold hold) {
+            answerAfter(
+                    Math.max(STEP_MILLIS, hold.waitMillis()),
+                    () -> scheduler.statusReceived(order.worker(), worker.status(now), now));
+        } else {
+            worker.carryOut(order);
+            answerAfter(STEP_MILLIS, () -> scheduler.orderAnswered(order, OrderResult.OK, now));
+        }
+    }
+
+    private void answerAfter(long millis, Runnable action) {
+        PoolScheduler asking = scheduler;
+        answers.add(new Answer(now.steadyMillis() + millis, () -> {
+            if (asking == scheduler) {
+                action.run();
+            }
+        }));
+    }
+
+    /** A worker that runs what it is told to. */
+    private static final class FakeWorker {
+        private final RegisteredWorker registration;
+        private final Map<String, Integer> running = new TreeMap<>();
+        private final List<WorkerRunStatus.Ended> ended = new ArrayList<>();
+        private final List<WorkerOrder> calls = new ArrayList<>();
+        private boolean lost;
+
+        private FakeWorker(int number, long born) {
+            this.registration = new RegisteredWorker(
+                    "w" + number,
+                    "m" + number,
+                    "pool",
+                    WorkerAddress.of("10.0.0." + number, 80),
+                    "dc",
+                    List.of("r"),
+                    CAPACITY,
+                    false,
+                    born);
+        }
+
+        private void carryOut(WorkerOrder order) {
+            if (order instanceof WorkerOrder.Start start) {
+                running.put(start.task().text(), start.run());
+            } else if (order instanceof WorkerOrder.Stop stop && running.remove(stop.task(), stop.run())) {
+                ended.add(new WorkerRunStatus.Ended(ended.size() + 1, stop.task(), stop.run(), RunEnd.STOPPED, ""));
+            }
+        }
+
+        private WorkerRunStatus status(Moment now) {
+            List<WorkerRunStatus.Running> runs = new ArrayList<>();
+            running.forEach((task, run) -> runs.add(new WorkerRunStatus.Running(task, run, "", 100, 0)));
+            return new WorkerRunStatus(now.steadyMillis(), runs, List.copyOf(ended), registration.born());
+        }
+    }
+
+    private record Answer(long atMillis, Runnable action) {}
+}
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/SilentWorkerCheck.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/SilentWorkerCheck.java
@@ -1,8 +1,12 @@
 package org.trefoilpost.entry.job;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import org.trefoilpost.decision.job.Decision;
 
 /**
  * Finds out which silent workers have ended, by listing the machines: a worker that two lists in a row show on no machine
@@ -18,6 +22,9 @@
     /** The silent workers that the latest list shows on no machine. */
     private Set<String> missingWorkers = Set.of();
 
+    /** The states of the machines that are said to run silent workers, as last logged, by worker. */
+    private final Map<String, MachinePort.State> loggedStates = new HashMap<>();
+
     private boolean listInFlight;
     private long lastListMillis;
 
@@ -46,19 +53,45 @@
         context.call(() -> context.ports().machines().list(), (machines, failure) -> {
             listInFlight = false;
             if (failure == null) {
-                Set<String> workersOnMachines = new HashSet<>();
-                machines.forEach(machine -> workersOnMachines.add(machine.worker()));
-                Set<String> missing = new HashSet<>(silentWorkers);
-                missing.removeAll(workersOnMachines);
-                missing.stream()
-                        .filter(missingWorkers::contains)
-                        .forEach(worker -> workerEnded.accept(worker, "not-on-any-machine"));
-                missing.removeAll(missingWorkers);
-                missingWorkers = missing;
+                machinesListed(silentWorkers, machines, nowMillis);
+            } else {
+                logFailure(silentWorkers, failure);
             }
         });
     }
 
+    private void machinesListed(Set<String> silentWorkers, List<MachinePort.Machine> machines, long requestedMillis) {
+        Set<String> missing = new HashSet<>(silentWorkers);
+        machines.forEach(machine -> missing.remove(machine.worker()));
+        logListed(silentWorkers, machines, requestedMillis);
+        missing.stream()
+                .filter(missingWorkers::contains)
+                .forEach(worker -> workerEnded.accept(worker, "not-on-any-machine"));
+        missing.removeAll(missingWorkers);
+        missingWorkers = missing;
+    }
+
+    /** Logs the silent workers that a machine is said to run, again only when the state of the machine has changed. */
+    private void logListed(Set<String> silentWorkers, List<MachinePort.Machine> machines, long requestedMillis) {
+        loggedStates.keySet().retainAll(silentWorkers);
+        for (MachinePort.Machine machine : machines) {
+            if (silentWorkers.contains(machine.worker())
+                    && loggedStates.put(machine.worker(), machine.state()) != machine.state()) {
+                context.logDecision(Decision.of("silent-worker-listed")
+                        .with("worker", machine.worker())
+                        .with("machine", machine.name())
+                        .with("state", machine.state().name())
+                        .with("listAge", context.now().steadyMillis() - requestedMillis));
+            }
+        }
+    }
+
+    private void logFailure(Set<String> silentWorkers, Throwable failure) {
+        context.logDecision(Decision.failure("silent-worker-list-failed")
+                .with("workers", silentWorkers.size())
+                .with("failure", String.valueOf(failure.getMessage())));
+    }
+
     private static Set<String> intersection(Set<String> first, Set<String> second) {
         Set<String> both = new HashSet<>(first);
         both.retainAll(second);
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SilentWorkerCheckTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SilentWorkerCheckTest.java
@@ -33,6 +33,7 @@
             Thread.sleep(50);
         }
         assertEquals(List.of(), ended);
+        assertEquals(1, service.countDecisions("silent-worker-listed"));
     }
 
     /**
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/TestService.java
@@ -104,6 +104,19 @@
         done.join();
     }
 
+    /**
+     * Returns how many decisions of a name were logged.
+     */
+    long countDecisions(String name) {
+        String counter = "trefoilpost_jobs_decisions_" + name.replace('-', '_') + "_total";
+        return context.metrics()
+                .text()
+                .lines()
+                .filter(line -> line.startsWith(counter))
+                .mapToLong(line -> (long) Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
     @Override
     public void close() {
         thread.close();
