Let a long-running task use a suspected worker after 3 s if it finds no other room

Cause: a worker on which runs have failed or stalled gets no new work for up to 12 s. If it is the only one with room, a long-running task waits beside it for as long.

Change: the suspicion holds long-running tasks off for 3 s only. They have no number of attempts to lose, and the score still prefers any other worker.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -14,6 +14,9 @@
     /** Time in which a worker that is running answers a call, beyond the wait that the call asks for. */
     private static final long ANSWER_MILLIS = 100;
 
+    /** Time after a suspicion in which no long-running task starts. */
+    private static final long LONG_RUNNING_PAUSE_MILLIS = 3_000;
+
     /** Time for which a worker's answer counts as its present state. */
     static final long ANSWER_VALID_MILLIS = 1_300;
 
@@ -66,7 +69,12 @@
     /** When the worker had stopped answering at the latest, {@link Long#MAX_VALUE} while no call is without an answer. */
     long silentByMillis = Long.MAX_VALUE;
 
+    /** Until when the worker gets no work because it has refused a start. */
+    long refusedUntilMillis = Long.MIN_VALUE;
+    /** Until when the worker gets no work because runs have failed there, but for long-running tasks. */
     long suspectUntilMillis = Long.MIN_VALUE;
+    /** When that was last decided. */
+    long suspectedMillis = Long.MIN_VALUE / 2;
 
     int missedCalls;
     int startsInFlight;
@@ -301,7 +309,12 @@
                 && !ended
                 && missedCalls == 0
                 && notedIn.isEmpty()
-                && nowMillis >= Math.max(suspectUntilMillis, pausedUntilMillis);
+                && nowMillis >= Math.max(refusedUntilMillis, pausedUntilMillis);
+    }
+
+    /** Returns whether some or all work is held off the worker for a time. */
+    boolean isPaused(long nowMillis) {
+        return nowMillis < Math.max(suspectUntilMillis, Math.max(refusedUntilMillis, pausedUntilMillis));
     }
 
     /** Returns whether the worker's last answer is recent, and no call has failed since. */
@@ -324,14 +337,27 @@
     }
 
     boolean acceptsWork(long nowMillis) {
-        return isReachable(nowMillis) && listed && !evacuating && !registration.draining() && allSizesKnown();
+        return acceptsWork(suspectUntilMillis, nowMillis);
+    }
+
+    private boolean acceptsWork(long usedFromMillis, long nowMillis) {
+        return nowMillis >= usedFromMillis
+                && isReachable(nowMillis)
+                && listed
+                && !evacuating
+                && !registration.draining()
+                && allSizesKnown();
     }
 
     /**
-     * Returns whether the worker accepts work and has the label that a step requires.
+     * Returns whether the worker accepts work and has the label that a step requires. A suspicion holds long-running tasks off for
+     * a short time only, as they may wait for this worker alone.
      */
     boolean suits(StepSpec step, long nowMillis) {
-        return acceptsWork(nowMillis) && step.allowsLabels(registration.labels());
+        long usedFromMillis = step.longRunning()
+                ? Math.min(suspectUntilMillis, suspectedMillis + LONG_RUNNING_PAUSE_MILLIS)
+                : suspectUntilMillis;
+        return acceptsWork(usedFromMillis, nowMillis) && step.allowsLabels(registration.labels());
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunStatistics.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunStatistics.java
@@ -91,6 +91,7 @@
         }
         long pauseMillis = Math.min(MAX_PAUSE_MILLIS, (long) (BASE_PAUSE_MILLIS * worker.blame));
         worker.suspectUntilMillis = Math.max(worker.suspectUntilMillis, nowMillis + pauseMillis);
+        worker.suspectedMillis = nowMillis;
         state.actions.logDecision(Decision.failure("worker-suspected")
                 .with("worker", worker.id)
                 .with("reason", reason)
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
@@ -147,7 +147,7 @@
         ResourceAmount demand = step.spec.reservedDemand();
         for (PoolWorker worker : state.workers.values()) {
             counts.silent += worker.missedCalls > 0 || worker.ended ? 1 : 0;
-            counts.paused += now.steadyMillis() < Math.max(worker.pausedUntilMillis, worker.suspectUntilMillis) ? 1 : 0;
+            counts.paused += worker.isPaused(now.steadyMillis()) ? 1 : 0;
             if (!worker.suits(step.spec, now.steadyMillis())) {
                 continue;
             }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
@@ -84,6 +84,20 @@
         assertEquals(small.spec.id(), startedJobs().get(2));
     }
 
+    /** Guards against a long-running task that waits beside a worker with room, as the runs of others have failed there. */
+    @Test
+    void longRunningTaskWaitsAShortTimeForASuspectedWorker() {
+        PoolWorker only = worker("w1", new ResourceAmount(32_000, 64_000, 0), "r1");
+        only.suspectUntilMillis = NOW.plus(12_000).steadyMillis();
+        only.suspectedMillis = NOW.steadyMillis();
+        job(step(1, SMALL).build(), 0);
+        JobState longRunning = job(step(1, LARGE).longRunning(true).build(), 0);
+        place(NOW.plus(2_900));
+        assertEquals(List.of(), startedJobs());
+        place(NOW.plus(3_100));
+        assertEquals(List.of(longRunning.spec.id()), startedJobs());
+    }
+
     @Test
     void fullWorkersAreFilledFirst() {
         worker("w1", new ResourceAmount(32_000, 64_000, 0), "r1");
