Write the notes about leases anew while their worker is silent

Cause: a note named the time that was left when the start had no answer, and was written once. A task that had ended could also leave a note about a worker that the document does not name otherwise.

Change: each further call without an answer has the notes written again, about once a second, with the time that is left then. Tasks that are done leave none.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/LeaseNotes.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/LeaseNotes.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.decision.job;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,11 +44,14 @@
     }
 
     /**
-     * Has the notes about a worker written, if it is to have some, because a start was not answered.
+     * Has the notes about a worker written, or written anew with less time left, if it is to have some because a call was not
+     * answered.
      */
-    void startUnanswered(PoolWorker worker, long nowMillis) {
+    void update(PoolWorker worker, long nowMillis) {
         if (isNoted(worker)) {
-            List.copyOf(worker.runs.values()).forEach(run -> state.markDirty(run.job(), nowMillis, true));
+            Set<JobState> jobs = new HashSet<>(worker.notedIn);
+            worker.runs.values().forEach(run -> jobs.add(run.job()));
+            markDirty(jobs, nowMillis);
         }
     }
 
@@ -56,7 +60,15 @@
      */
     void remove(PoolWorker worker, long nowMillis) {
         worker.notedIn.removeIf(job -> state.jobs.get(job.spec.id()) != job);
-        worker.notedIn.forEach(job -> state.markDirty(job, nowMillis, true));
+        markDirty(worker.notedIn, nowMillis);
+    }
+
+    private void markDirty(Set<JobState> jobs, long nowMillis) {
+        for (JobState job : jobs) {
+            if (state.jobs.get(job.spec.id()) == job) {
+                state.markDirty(job, nowMillis, true);
+            }
+        }
     }
 
     /**
@@ -75,6 +87,9 @@
     }
 
     private void addNotes(JobTaskState task, Map<String, Long> notes, long nowMillis) {
+        if (task.done) {
+            return;
+        }
         task.runs.forEach(run -> addNote(run.worker.id, notes, nowMillis));
         task.unreportedRuns.forEach(run -> addNote(run.worker(), notes, nowMillis));
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -73,7 +73,7 @@
         run.phase = RunPhase.UNCONFIRMED;
         run.worker.missedCalls++;
         run.worker.startUnanswered(run, now.steadyMillis());
-        leaseNotes.startUnanswered(run.worker, now.steadyMillis());
+        leaseNotes.update(run.worker, now.steadyMillis());
         run.worker.holdUrgent = true;
         run.worker.nextHoldMillis = now.steadyMillis();
         state.actions.logDecision(run.describe(Decision.of("start-unanswered"))
@@ -139,6 +139,7 @@
         } else {
             worker.missedCalls++;
             worker.holdUnanswered(now.steadyMillis());
+            leaseNotes.update(worker, now.steadyMillis());
         }
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LeaseNotesTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LeaseNotesTest.java
@@ -6,6 +6,8 @@
 
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against an owner that waits for leases which its predecessor is known not to have renewed, and against one that renews them. */
 class LeaseNotesTest {
@@ -23,13 +25,14 @@
 
     private PoolWithFakeWorkers pool = new PoolWithFakeWorkers(2, 0);
 
-    @Test
-    void taskDoesNotWaitAnewForEachOfSeveralOwners() {
+    @ParameterizedTest
+    @CsvSource({"3, 500", "2, 1000", "1, 2000"})
+    void taskDoesNotWaitAnewForEachOfSeveralOwners(int owners, long ownerMillis) {
         loseWorkerOfAStart();
         long lostMillis = pool.now().steadyMillis();
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < owners; i++) {
             pool.replaceOwner();
-            pool.advance(500);
+            pool.advance(ownerMillis);
         }
         assertEquals(Optional.empty(), pool.workerOf(TASK), "the lease of the start may not have expired");
         pool.advance(lostMillis + MAX_WAIT_MILLIS - CALL_MILLIS - pool.now().steadyMillis());
