Keep room from evacuated tasks for those only that wait for nothing else

Cause: the room on other workers was counted without the needs of all long-running tasks that do not run, also of those that cannot start: without placement advice, over their team's limit, kept apart or with runs that a former owner may have left.

Change: only tasks that may start now, or whose run is being stopped, keep their room. The rounds of evacuations are 60 ms apart, as each one looks at all long-running tasks.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
@@ -9,7 +9,7 @@
 
 /**
  * The room that long-running tasks find on other workers when they are stopped: that of workers which have answered lately,
- * without what the tasks need that wait for a worker already. Each amount is given to one task only.
+ * without what the tasks need that only wait for a worker already. Each amount is given to one task only.
  */
 final class EvacuationRoom {
     private final PoolState state;
@@ -28,9 +28,10 @@
     static EvacuationRoom besideWaitingTasks(PoolState state, long nowMillis) {
         EvacuationRoom room = new EvacuationRoom(state, nowMillis);
         for (JobState job : state.openJobs.values()) {
+            boolean advised = job.queue != null && job.queue.advice().isPresent();
             for (OccurrenceState occurrence : job.openOccurrences()) {
                 for (JobStepState step : occurrence.steps) {
-                    if (step.spec.longRunning() && step.readyMillis != JobStepState.NOT_READY) {
+                    if (step.spec.longRunning() && (!advised || !step.tickets.isEmpty())) {
                         room.takeForWaiting(step);
                     }
                 }
@@ -41,12 +42,22 @@
 
     private void takeForWaiting(JobStepState step) {
         for (JobTaskState task : step.tasks) {
-            if (!task.done && task.runs.stream().noneMatch(Run::isActive)) {
+            boolean stopping = !task.runs.isEmpty() && task.runs.stream().noneMatch(Run::isActive);
+            if (stopping || mayStart(task)) {
                 take(step);
             }
         }
     }
 
+    private boolean mayStart(JobTaskState task) {
+        return task.step.occurrence.job.stored
+                && task.step.readyMillis != JobStepState.NOT_READY
+                && task.isStartable(nowMillis)
+                && !IsolatedPlacer.awaits(task, nowMillis)
+                && !(task.mayHaveUnseenRun && state.mayHaveUnseenRuns(nowMillis))
+                && state.teamGate.hasRoom(task.step);
+    }
+
     /**
      * Takes the room for a task of a step, and returns the worker that has it, empty if there is none.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -362,7 +362,7 @@
             holdScheduler.tick(now);
             runTracker.stopStalled(now);
             if (state.active && permission.allowsStarts()) {
-                evacuator.tick(now);
+                evacuator.tickIfDue(now);
                 state.teamGate.observe(now);
                 placer.placeIfDue(now);
                 state.teamGate.decide(now);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerEvacuator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerEvacuator.java
@@ -15,6 +15,7 @@
  */
 final class WorkerEvacuator {
     private static final long CHECKPOINT_MARGIN_MILLIS = 600;
+    private static final long ROUND_INTERVAL_MILLIS = 60;
 
     private final PoolState state;
     private final OrderSender orderSender;
@@ -22,6 +23,8 @@
     /** The room on other workers, null as long as the present tick has not asked for it. */
     private EvacuationRoom room;
 
+    private long lastRoundMillis = Long.MIN_VALUE / 2;
+
     WorkerEvacuator(PoolState state, OrderSender orderSender) {
         this.state = state;
         this.orderSender = orderSender;
@@ -29,9 +32,13 @@
     }
 
     /**
-     * Stops the runs that may be stopped now.
+     * Stops the runs that may be stopped now, if {@link #ROUND_INTERVAL_MILLIS} have passed.
      */
-    void tick(Moment now) {
+    void tickIfDue(Moment now) {
+        if (now.steadyMillis() - lastRoundMillis < ROUND_INTERVAL_MILLIS) {
+            return;
+        }
+        lastRoundMillis = now.steadyMillis();
         room = null;
         inquiries.beginRound();
         for (PoolWorker worker : state.workers.values()) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerEvacuatorTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerEvacuatorTest.java
@@ -45,7 +45,7 @@
     @Test
     void taskIsStoppedWhileAllOthersAreReady() {
         state.workers.get("w0").evacuating = true;
-        evacuator.tick(NOW);
+        evacuator.tickIfDue(NOW);
         assertEquals(1, sent.size());
     }
 
@@ -53,7 +53,7 @@
     void noSecondTaskIsStoppedWhileOneIsStopping() {
         state.workers.get("w0").evacuating = true;
         state.workers.get("w1").evacuating = true;
-        evacuator.tick(NOW);
+        evacuator.tickIfDue(NOW);
         assertEquals(1, sent.size());
     }
 
@@ -63,7 +63,7 @@
         starting.percent = 40;
         step.tasks[1].runs.get(0).percent = 40;
         starting.worker.evacuating = true;
-        evacuator.tick(NOW);
+        evacuator.tickIfDue(NOW);
         assertEquals(0, sent.size());
     }
 
@@ -71,7 +71,7 @@
     void taskOnASilentWorkerCountsAsUnavailable() {
         state.workers.get("w1").missedCalls = 1;
         state.workers.get("w0").evacuating = true;
-        evacuator.tick(NOW);
+        evacuator.tickIfDue(NOW);
         assertEquals(0, sent.size());
     }
 
