Ask idle workers that suit a task better before it is placed elsewhere

Change: workers that have to be asked are ranked with the others, a little behind their equals. Gangs choose among both and ask before they start. Isolated tasks pass over workers that were asked and have not answered.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -27,6 +27,8 @@
 
     /** The maximum number of workers reserved for steps that do not fit. */
     private static final int MAX_RESERVED_WORKERS = 2;
+    /** Score penalty of a worker that has to be asked first, so that it is not preferred to one like it. */
+    private static final double OLD_ANSWER_PENALTY = 0.01;
     /** Score penalty for each task of the same long-running step just placed on a worker, in shares of a worker. */
     private static final double SAME_STEP_PENALTY = 0.3;
 
@@ -194,7 +196,9 @@
         for (JobTaskState task : step.tasks) {
             if (isStartable(task, now.steadyMillis())) {
                 PoolWorker worker = bestWorker(step, demand, perWorker, now);
-                if (worker == null && awaitRoom(step, demand, perWorker, now)) {
+                if (worker != null
+                        && !worker.hasFreshAnswer(now.steadyMillis())
+                        && awaitRoom(step, demand, perWorker, now)) {
                     answerAwaited = true;
                     continue;
                 }
@@ -227,13 +231,19 @@
         }
     }
 
+    /**
+     * Returns the worker that suits a task best, null if there is none. It may have to be asked first.
+     */
     private PoolWorker bestWorker(
             JobStepState step, ResourceAmount demand, Map<PoolWorker, Integer> perWorker, Moment now) {
         PoolWorker bestWorker = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (PoolWorker worker : state.workers.values()) {
-            if (worker.hasFreshAnswer(now.steadyMillis()) && mayStartOn(step, demand, worker, now)) {
-                double score = score(step, demand, worker, perWorker.getOrDefault(worker, 0));
+            boolean answered = worker.hasFreshAnswer(now.steadyMillis());
+            if (mayStartOn(step, demand, worker, now)
+                    && (answered || inquiries.mayAwait(step, worker, now.steadyMillis()))) {
+                double score = score(step, demand, worker, perWorker.getOrDefault(worker, 0))
+                        - (answered ? 0 : OLD_ANSWER_PENALTY);
                 if (score > bestScore) {
                     bestWorker = worker;
                     bestScore = score;
@@ -332,11 +342,11 @@
         workers.removeIf(worker -> !mayRun(step, step.spec.reservedDemand(), worker, now));
         workers.removeIf(worker -> !isolatedPlacer.mayRunGang(step, worker, now.steadyMillis()));
         workers.removeIf(worker -> WorkerInquiries.isOverdue(worker, now.steadyMillis()));
-        List<PoolWorker> answering = new ArrayList<>(workers);
-        answering.removeIf(worker -> !worker.hasFreshAnswer(now.steadyMillis()));
-        List<PoolWorker> chosen = GangPlacement.chooseWorkers(step, answering);
-        if (chosen.isEmpty()) {
-            inquiries.ask(GangPlacement.chooseWorkers(step, workers), now.steadyMillis());
+        List<PoolWorker> chosen = GangPlacement.chooseWorkers(step, workers);
+        List<PoolWorker> toAsk = new ArrayList<>(chosen);
+        toAsk.removeIf(worker -> worker.hasFreshAnswer(now.steadyMillis()));
+        inquiries.ask(toAsk, now.steadyMillis());
+        if (chosen.isEmpty() || !toAsk.isEmpty()) {
             return;
         }
         if (!state.teamGate.admitGang(step, now)) {
@@ -357,6 +367,7 @@
             ResourceAmount demand = task.step.spec.reservedDemand();
             return state.workers.values().stream()
                     .filter(worker -> maySuit(task.step, demand, worker, now)
+                            && !WorkerInquiries.isOverdue(worker, now.steadyMillis())
                             && worker.startsInFlight < MAX_STARTS_IN_FLIGHT
                             && worker.isBelowTaskLimit(task.step))
                     .toList();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerInquiries.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerInquiries.java
@@ -42,7 +42,8 @@
         long wanted = 1 + overdue;
         long awaited = 0;
         for (PoolWorker worker : candidates) {
-            if (awaited < wanted && !isOverdue(worker, nowMillis) && setAside(step, worker)) {
+            if (awaited < wanted && mayAwait(step, worker, nowMillis)) {
+                setAside(step, worker);
                 ask(worker, nowMillis);
                 awaited++;
             }
@@ -50,6 +51,17 @@
         return awaited > 0;
     }
 
+    /**
+     * Returns whether a task of a step may wait for the answer of a worker.
+     */
+    boolean mayAwait(JobStepState step, PoolWorker worker, long nowMillis) {
+        return !isOverdue(worker, nowMillis) && step.spec.reservedDemand().fitsIn(roomLeft(worker));
+    }
+
+    private ResourceAmount roomLeft(PoolWorker worker) {
+        return worker.freeResources().minus(setAside.getOrDefault(worker, ResourceAmount.NONE));
+    }
+
     /**
      * Asks workers for their status, unless that is under way.
      */
@@ -71,14 +83,9 @@
         }
     }
 
-    private boolean setAside(JobStepState step, PoolWorker worker) {
-        ResourceAmount free = worker.freeResources().minus(setAside.getOrDefault(worker, ResourceAmount.NONE));
-        ResourceAmount demand = step.spec.reservedDemand();
-        if (!demand.fitsIn(free)) {
-            return false;
-        }
+    private void setAside(JobStepState step, PoolWorker worker) {
         // A worker that may run few tasks of the step counts for one of them.
-        setAside.merge(worker, step.spec.maxPerWorker() == 0 ? demand : free, ResourceAmount::plus);
-        return true;
+        boolean limited = step.spec.maxPerWorker() > 0;
+        setAside.merge(worker, limited ? roomLeft(worker) : step.spec.reservedDemand(), ResourceAmount::plus);
     }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/IdleWorkersLostTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/IdleWorkersLostTest.java
@@ -1,6 +1,7 @@
 package org.trefoilpost.decision.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -72,6 +73,70 @@
         assertTrue(pool.workerOf(OTHER_JOB + ".0.0.0").isPresent());
     }
 
+    /** Guards against evacuations that do not end, as the room is kept for tasks that wait for something else. */
+    @Test
+    void roomIsNotKeptForTasksThatCannotStart() {
+        PoolWithFakeWorkers pool = new PoolWithFakeWorkers(2, 0);
+        pool.submit(JOB, LONG_RUNNING);
+        pool.advance(20_000);
+        pool.submit(OTHER_JOB, PoolWithFakeWorkers.ADVISED_QUEUE, LONG_RUNNING);
+        pool.advance(1_000);
+        String worker = pool.workerOf(TASK).orElseThrow();
+        pool.evacuate(worker);
+        pool.advance(2_000);
+        assertNotEquals(Optional.of(worker), pool.workerOf(TASK));
+        assertTrue(pool.workerOf(TASK).isPresent());
+    }
+
+    /** Guards against tasks that are placed by who has answered last in place of where they run best. */
+    @Test
+    void idleWorkerOfThePreferredRackIsAskedBeforeAnotherIsUsed() {
+        PoolWithFakeWorkers pool = new PoolWithFakeWorkers(3, 0);
+        pool.submit(JOB, small("r1"));
+        pool.advance(20_000);
+        assertEquals(Optional.of("w1"), pool.workerOf(TASK));
+        pool.submit(OTHER_JOB, small("r3"));
+        pool.advance(1_000);
+        assertEquals(Optional.of("w3"), pool.workerOf(OTHER_JOB + ".0.0.0"));
+    }
+
+    /** Guards against starts that go to a failing worker again and again, as the others have not been asked lately. */
+    @Test
+    void suspectedWorkerIsNotUsedBesideIdleOnes() {
+        PoolWithFakeWorkers pool = new PoolWithFakeWorkers(4, 0);
+        pool.submit(JOB, small(""));
+        pool.advance(20_000);
+        String failing = pool.workerOf(TASK).orElseThrow();
+        pool.failAllOn(failing);
+        pool.submit(
+                OTHER_JOB,
+                StepSpec.builder()
+                        .tasks(2, new ResourceAmount(500, 500, 0))
+                        .estimateMillis(500)
+                        .build());
+        pool.advance(8_000);
+        assertNotEquals(0, pool.decisions("worker-suspected").size());
+        long starts = pool.countStarts(failing);
+        pool.submit("2123456789abcdef", small(""));
+        pool.advance(2_000);
+        assertEquals(starts, pool.countStarts(failing));
+        assertTrue(pool.workerOf("2123456789abcdef.0.0.0").isPresent());
+    }
+
+    /** Guards against a new owner that takes a worker which has answered it for one that may hold a lease of its predecessor. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 5_000})
+    void startThatIsLostSoonAfterAChangeOfTheOwnerHoldsItsTaskNoLongerThanUsual(long ownerMillis) {
+        PoolWithFakeWorkers pool = new PoolWithFakeWorkers(2, 0);
+        pool.advance(20_000);
+        pool.replaceOwner();
+        pool.advance(ownerMillis);
+        pool.loseWorkerOfNextStart();
+        pool.submit(JOB, LONG_RUNNING);
+        pool.advance(CALM_MILLIS);
+        assertTrue(pool.workerOf(TASK).isPresent());
+    }
+
     /** Guards against a new owner that waits for its predecessor's orders from its own beginning. */
     @ParameterizedTest
     @ValueSource(longs = {0, BORN})
@@ -87,6 +152,15 @@
         assertTrue(pool.workerOf(TASK).isPresent());
     }
 
+    private static StepSpec small(String rack) {
+        return StepSpec.builder()
+                .tasks(1, new ResourceAmount(500, 500, 0))
+                .estimateMillis(1_000)
+                .longRunning(true)
+                .placement("", rack, 0)
+                .build();
+    }
+
     private static void loseAllBut(int survivor, int workers, PoolWithFakeWorkers pool) {
         for (int i = 1; i <= workers; i++) {
             if (i != survivor) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -16,6 +16,9 @@
  */
 final class PoolWithFakeWorkers {
     static final String QUEUE = "q";
+    /** A queue whose steps get no placement advice. */
+    static final String ADVISED_QUEUE = "advised";
+
     static final long STEP_MILLIS = 20;
 
     private static final long CALL_TIMEOUT_MILLIS = 700;
@@ -23,6 +26,17 @@
     private static final PoolTimeouts TIMEOUTS = new PoolTimeouts(5_000, 120_000, 2_000);
     private static final QueueConfig QUEUE_CONFIG =
             new QueueConfig(QUEUE, "h", "/q/", "pool", 0, 3, 5, 10_000, Optional.empty(), false);
+    private static final QueueConfig ADVISED_QUEUE_CONFIG = new QueueConfig(
+            ADVISED_QUEUE,
+            "h",
+            "/a/",
+            "pool",
+            0,
+            3,
+            5,
+            10_000,
+            Optional.of(new QueueConfig.AdvicePolicy(1, 1, 5_000)),
+            false);
 
     private final Map<String, FakeWorker> workers = new TreeMap<>();
     private final Map<String, byte[]> stored = new HashMap<>();
@@ -62,7 +76,7 @@
         answers = new ArrayList<>();
         actions = new RecordedActions(sent);
         scheduler = new PoolScheduler("pool", TIMEOUTS, actions);
-        scheduler.configure(Map.of(QUEUE, QUEUE_CONFIG), Teams.NONE);
+        scheduler.configure(Map.of(QUEUE, QUEUE_CONFIG, ADVISED_QUEUE, ADVISED_QUEUE_CONFIG), Teams.NONE);
         scheduler.open(
                 Map.copyOf(stored),
                 workers.values().stream().map(worker -> worker.registration).toList(),
@@ -76,6 +90,18 @@
                 worker -> workers.get(worker.id()).lost ? Optional.of(GoneReason.NOT_REGISTERED) : Optional.empty());
     }
 
+    /** Has a worker fail all that it starts from now on. */
+    void failAllOn(String worker) {
+        workers.get(worker).fails = true;
+    }
+
+    /** Returns how many starts the present owner has sent to a worker. */
+    long countStarts(String worker) {
+        return workers.get(worker).calls.stream()
+                .filter(WorkerOrder.Start.class::isInstance)
+                .count();
+    }
+
     /** Loses a worker for good. */
     void lose(String worker) {
         workers.get(worker).lost = true;
@@ -120,7 +146,12 @@
 
     /** Submits a job of one step. */
     void submit(String id, StepSpec step) {
-        scheduler.submit(new JobSpec(id, QUEUE, "text", List.of(step), JobSpec.Schedule.ONCE), true, now);
+        submit(id, QUEUE, step);
+    }
+
+    /** Submits a job of one step to a queue. */
+    void submit(String id, String queue, StepSpec step) {
+        scheduler.submit(new JobSpec(id, queue, "text", List.of(step), JobSpec.Schedule.ONCE), true, now);
     }
 
     /** Returns the worker on which a task runs, empty if it runs nowhere. */
@@ -200,6 +231,7 @@
         private final List<WorkerRunStatus.Ended> ended = new ArrayList<>();
         private final List<WorkerOrder> calls = new ArrayList<>();
         private boolean lost;
+        private boolean fails;
 
         private FakeWorker(int number, long born) {
             this.registration = new RegisteredWorker(
@@ -208,14 +240,17 @@
                     "pool",
                     WorkerAddress.of("10.0.0." + number, 80),
                     "dc",
-                    List.of("r"),
+                    List.of("kind", "r" + number),
                     CAPACITY,
                     false,
                     born);
         }
 
         private void carryOut(WorkerOrder order) {
-            if (order instanceof WorkerOrder.Start start) {
+            if (order instanceof WorkerOrder.Start start && fails) {
+                ended.add(new WorkerRunStatus.Ended(
+                        ended.size() + 1, start.task().text(), start.run(), RunEnd.FAILED, ""));
+            } else if (order instanceof WorkerOrder.Start start) {
                 running.put(start.task().text(), start.run());
             } else if (order instanceof WorkerOrder.Stop stop && running.remove(stop.task(), stop.run())) {
                 ended.add(new WorkerRunStatus.Ended(ended.size() + 1, stop.task(), stop.run(), RunEnd.STOPPED, ""));
