Lose idle workers in the emulator while the machine service is silent

The machine service can now be silent or stale, throughout a scenario or for a time (a fault); three or four workers, idle ones first, are lost at once and for good, and others come up 4 to 7 s later; workers are evacuated in between, with long-running tasks that need an idle worker. The check of waiting tasks is unchanged.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
@@ -138,4 +138,53 @@
             assertEquals("", PoolScenario.workersLostAndOwnersReplaced(seed).violations(), "seed " + seed);
         }
     }
+
+    /** Guards against a long-running task whose starts fall on one idle worker after the other that is lost. */
+    @Test
+    void longRunningTasksRunBesideIdleWorkersThatWereLost() {
+        for (long seed = 1500; seed < 1540; seed++) {
+            assertEquals("", PoolScenario.idleWorkersLost(seed, false).violations(), "seed " + seed);
+        }
+    }
+
+    /** Guards against the same where workers can restart under their identifier. */
+    @Test
+    void longRunningTasksRunBesideIdleWorkersThatWereLostAndMayRestart() {
+        for (long seed = 1600; seed < 1640; seed++) {
+            assertEquals("", PoolScenario.idleWorkersLost(seed, true).violations(), "seed " + seed);
+        }
+    }
+
+    /** Guards against tasks that a new owner holds back for idle workers that were lost under the former one. */
+    @Tag("known-red")
+    @Test
+    void longRunningTasksRunUnderTheNextOwnerBesideIdleWorkersThatWereLost() {
+        for (long seed = 1700; seed < 1740; seed++) {
+            assertEquals(
+                    "",
+                    PoolScenario.idleWorkersLostAndOwnersReplaced(seed, false).violations(),
+                    "seed " + seed);
+        }
+    }
+
+    /** Guards against the same where workers can restart under their identifier. */
+    @Tag("known-red")
+    @Test
+    void longRunningTasksRunUnderTheNextOwnerBesideIdleWorkersThatWereLostAndMayRestart() {
+        for (long seed = 1800; seed < 1840; seed++) {
+            assertEquals(
+                    "",
+                    PoolScenario.idleWorkersLostAndOwnersReplaced(seed, true).violations(),
+                    "seed " + seed);
+        }
+    }
+
+    /** Guards against a long-running task that waits for idle workers which are lost and listed on their machines. */
+    @Test
+    void longRunningTasksRunBesideIdleWorkersThatAreListedOnTheirMachinesStill() {
+        for (long seed = 1900; seed < 1940; seed++) {
+            assertEquals(
+                    "", PoolScenario.idleWorkersLostAndListedOn(seed, false).violations(), "seed " + seed);
+        }
+    }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
@@ -12,6 +12,7 @@
 import org.trefoilpost.decision.job.OrderPermission;
 import org.trefoilpost.decision.job.OrderResult;
 import org.trefoilpost.decision.job.PoolActions;
+import org.trefoilpost.decision.job.PoolInstructions;
 import org.trefoilpost.decision.job.PoolScheduler;
 import org.trefoilpost.decision.job.QueueConfig;
 import org.trefoilpost.decision.job.WorkerOrder;
@@ -46,6 +47,7 @@
         scheduler.configure(queues, platform.teams());
         Moment now = time.moment();
         scheduler.open(platform.store().documents(), platform.listedWorkers(), now.steadyMillis(), now);
+        instruct();
         tick();
         checkOwnership();
     }
@@ -68,6 +70,15 @@
         }
     }
 
+    /**
+     * Has the scheduler evacuate the workers that are to be evacuated now, and no others.
+     */
+    void instruct() {
+        if (!stopped) {
+            scheduler.instruct(new PoolInstructions(platform.evacuating(), 0));
+        }
+    }
+
     private void checkOwnership() {
         if (stopped) {
             return;
@@ -99,9 +110,11 @@
         lastMachineListMillis = time.nowMillis();
         time.schedule(
                 MACHINE_LIST_MILLIS,
-                () -> silentWorkers.stream()
-                        .filter(id -> !stopped && !platform.worker(id).isAlive())
-                        .forEach(id -> scheduler.workerEnded(id, "not-on-any-machine", time.moment())));
+                () -> platform.machineService()
+                        .list(platform)
+                        .ifPresent(listed -> silentWorkers.stream()
+                                .filter(id -> !stopped && !listed.contains(id))
+                                .forEach(id -> scheduler.workerEnded(id, "not-on-any-machine", time.moment()))));
     }
 
     boolean isStoreResponsive() {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -69,6 +69,8 @@
     private CapacityKnowledge capacityKnowledge;
     private final RegistryAbsences absences = new RegistryAbsences(time.nowMillis());
     private final Set<String> registered = new HashSet<>();
+    private final Set<String> evacuating = new HashSet<>();
+    private MachineService machineService = MachineService.CURRENT;
     private boolean storeDown;
     private long storeDownSinceMillis;
     private int lostPerThousand;
@@ -215,6 +217,28 @@
         storeDown = value;
     }
 
+    MachineService machineService() {
+        return machineService;
+    }
+
+    /**
+     * Sets what the machine service answers from now on, as a property of the platform.
+     */
+    void machineService(MachineService value) {
+        machineService = value;
+    }
+
+    /**
+     * Sets what the machine service answers for a time, as a fault.
+     *
+     * @param millis  the time until the service lists the workers that run again, in milliseconds
+     */
+    void disturbMachineService(MachineService value, long millis) {
+        disturb(millis);
+        machineService = value;
+        time.schedule(millis, () -> machineService = MachineService.CURRENT);
+    }
+
     int lostPerThousand() {
         return lostPerThousand;
     }
@@ -267,6 +291,40 @@
         return workers.values().stream().filter(EmulatedWorker::isAlive).toList();
     }
 
+    Set<String> workerIds() {
+        return Set.copyOf(workers.keySet());
+    }
+
+    Set<String> livingWorkerIds() {
+        return livingWorkers().stream().map(worker -> worker.report().id()).collect(Collectors.toSet());
+    }
+
+    Set<String> evacuating() {
+        return Set.copyOf(evacuating);
+    }
+
+    /**
+     * Has a worker evacuated for a time.
+     *
+     * @param millis  the time until the worker may be used again, in milliseconds
+     */
+    void evacuate(EmulatedWorker worker, long millis) {
+        String id = worker.report().id();
+        evacuating.add(id);
+        owners.forEach(EmulatedOwner::instruct);
+        time.schedule(millis, () -> {
+            evacuating.remove(id);
+            owners.forEach(EmulatedOwner::instruct);
+        });
+    }
+
+    /**
+     * Returns whether a worker has a long-running task.
+     */
+    boolean runsLongRunningTask(EmulatedWorker worker) {
+        return worker.hasRunOf(job -> jobs.get(job).longRunning());
+    }
+
     List<RegisteredWorker> listedWorkers() {
         List<RegisteredWorker> listed = new ArrayList<>();
         workers.forEach((id, worker) -> {
@@ -456,6 +514,20 @@
         return at == null ? OptionalLong.empty() : OptionalLong.of(at);
     }
 
+    /**
+     * Submits a job of one long-running task.
+     */
+    void submitLongRunningTask(ResourceAmount demand) {
+        StepSpec step = StepSpec.builder()
+                .tasks(1, demand)
+                .estimateMillis(1_000)
+                .longRunning(true)
+                .service("", 0, 1)
+                .build();
+        String id = String.format("%016x", ++lastJob);
+        submitJob(new JobSpec(id, QUEUE, "text of " + id, List.of(step), JobSpec.Schedule.ONCE), task -> 1_000);
+    }
+
     /**
      * Submits a job with random steps, and returns its identifier.
      */
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedWorker.java
@@ -307,6 +307,13 @@
         return runs.containsKey(task.text());
     }
 
+    /**
+     * Returns whether there is an active run of some jobs.
+     */
+    boolean hasRunOf(Predicate<String> jobs) {
+        return runs.values().stream().anyMatch(run -> jobs.test(run.task.job()));
+    }
+
     ResourceAmount used() {
         ResourceAmount used = ResourceAmount.NONE;
         for (ActiveRun run : runs.values()) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
@@ -1,6 +1,8 @@
 package org.trefoilpost.decision.job.emulator;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -20,6 +22,17 @@
     private static final long LOAD_MILLIS = 20_000;
 
     private static final long JOB_INTERVAL_MILLIS = 120;
+    /** One of how many jobs is long-running. */
+    private static final int LONG_RUNNING_INTERVAL = 40;
+    /** One of how many jobs is submitted if workers are to be idle. */
+    private static final int QUIET_FACTOR = 6;
+
+    private static final int WORKERS_AT_QUIET_LOAD = 14;
+    /** The number of workers that losses leave, which is enough for all tasks at a quiet load. */
+    private static final int WORKERS_LEFT = 7;
+
+    private static final int LARGE_TASKS = 4;
+
     private static final int CRASHING_JOBS_PER_THOUSAND = 60;
     /** Time from a crash until a worker on another machine takes the place of the crashed one. */
     private static final int REPLACEMENT_MILLIS = 1_500;
@@ -28,6 +41,9 @@
     private static final int START_MILLIS = 8;
 
     private static final int FAILURE_MILLIS = 3_000;
+    private static final long LOSSES_INTERVAL_MILLIS = 8_000;
+    /** Time for which a worker is evacuated. */
+    private static final int EVACUATION_MILLIS = 5_000;
     /** The shortest time in which a process ends and starts again. */
     private static final int MIN_RESTART_MILLIS = 250;
     /** The shortest time in which a process that restarts late starts again: its entry has lapsed by then. */
@@ -37,12 +53,16 @@
     private static final long FINISH_MILLIS = LOAD_MILLIS + 14_000;
     /** Time without faults after which all accepted jobs must have ended. */
     private static final long SETTLE_MILLIS = 60_000;
+    /** The same at a quiet load, which leaves no backlog. */
+    private static final long SETTLE_AT_QUIET_LOAD_MILLIS = 30_000;
 
     private final EmulatedPlatform platform;
     private final VirtualTime time;
     private final Random random;
     private final WaitingJobCheck waitingJobs;
     private final List<String> submittedJobs = new ArrayList<>();
+    private int quietFactor = 1;
+    private long settleMillis = SETTLE_MILLIS;
 
     private PoolScenario(long seed) {
         this(new EmulatedPlatform(seed, WORKERS));
@@ -262,6 +282,64 @@
         });
     }
 
+    /**
+     * Runs while the machine service never answers, several idle workers at a time are lost for good, and others are evacuated.
+     *
+     * @param seed  the seed of jobs and faults
+     * @param sendsBorn  true if workers send when they started
+     * @return the result, not null
+     */
+    public static Result idleWorkersLost(long seed, boolean sendsBorn) {
+        return atQuietLoad(seed, sendsBorn, scenario -> {
+            scenario.platform.machineService(MachineService.SILENT);
+            scenario.loseIdleWorkersRepeatedly(() -> {});
+        });
+    }
+
+    /**
+     * Runs while the machine service never answers, several idle workers at a time are lost for good, others are evacuated, and
+     * owners are killed or replaced.
+     *
+     * @param seed  the seed of jobs and faults
+     * @param sendsBorn  true if workers send when they started
+     * @return the result, not null
+     */
+    public static Result idleWorkersLostAndOwnersReplaced(long seed, boolean sendsBorn) {
+        return atQuietLoad(seed, sendsBorn, scenario -> {
+            scenario.platform.machineService(MachineService.SILENT);
+            scenario.loseIdleWorkersRepeatedly(scenario::changeOwnerSoon);
+        });
+    }
+
+    /**
+     * Runs while several idle workers at a time are lost for good, the machine service lists them for a time still, and others
+     * are evacuated.
+     *
+     * @param seed  the seed of jobs and faults
+     * @param sendsBorn  true if workers send when they started
+     * @return the result, not null
+     */
+    public static Result idleWorkersLostAndListedOn(long seed, boolean sendsBorn) {
+        return atQuietLoad(
+                seed,
+                sendsBorn,
+                scenario -> scenario.loseIdleWorkersRepeatedly(() -> scenario.platform.disturbMachineService(
+                        MachineService.STALE, 2_000 + scenario.random.nextInt(4_000))));
+    }
+
+    private static Result atQuietLoad(long seed, boolean sendsBorn, Consumer<PoolScenario> faults) {
+        EmulatedPlatform platform = sendsBorn
+                ? EmulatedPlatform.withRestarts(seed, WORKERS_AT_QUIET_LOAD)
+                : new EmulatedPlatform(seed, WORKERS_AT_QUIET_LOAD);
+        return new PoolScenario(platform).run(scenario -> {
+            scenario.quietFactor = QUIET_FACTOR;
+            scenario.settleMillis = SETTLE_AT_QUIET_LOAD_MILLIS;
+            scenario.time.schedule(JOB_INTERVAL_MILLIS, scenario::submitLargeTasks);
+            scenario.doEvery(2_500, scenario::cancelRandomJob);
+            faults.accept(scenario);
+        });
+    }
+
     /**
      * Runs while tasks of some jobs crash each worker that starts them.
      *
@@ -367,10 +445,11 @@
     private Result run(Consumer<PoolScenario> faults) {
         faults.accept(this);
         waitingJobs.start();
-        long jobs = LOAD_MILLIS / JOB_INTERVAL_MILLIS;
+        long intervalMillis = JOB_INTERVAL_MILLIS * quietFactor;
+        long jobs = LOAD_MILLIS / intervalMillis;
         for (int i = 0; i < jobs; i++) {
-            boolean longRunning = i % 40 == 5;
-            time.schedule(i * JOB_INTERVAL_MILLIS, () -> submittedJobs.add(platform.submitRandomJob(longRunning)));
+            boolean longRunning = i % (LONG_RUNNING_INTERVAL / quietFactor) == 5;
+            time.schedule(i * intervalMillis, () -> submittedJobs.add(platform.submitRandomJob(longRunning)));
         }
         time.runFor(LOAD_MILLIS);
         if (platform.lostPerThousand() > 0) {
@@ -382,7 +461,7 @@
         if (platform.owner().isStopped()) {
             platform.startOwner();
         }
-        time.runFor(SETTLE_MILLIS);
+        time.runFor(settleMillis);
         checkAllEnded();
         return new Result(
                 withTrace(platform.checks().violations()),
@@ -484,6 +563,58 @@
         }
     }
 
+    /**
+     * Loses idle workers twice within some seconds and has others evacuated in between, and all that once more.
+     *
+     * @param otherFault  is injected with the first loss of each time
+     */
+    private void loseIdleWorkersRepeatedly(Runnable otherFault) {
+        long first = 1_000 + random.nextInt(3_000);
+        for (long at : List.of(first, first + LOSSES_INTERVAL_MILLIS)) {
+            time.schedule(at, otherFault);
+            time.schedule(at, this::loseIdleWorkers);
+            time.schedule(at + 500 + random.nextInt(2_000), this::evacuateRandomWorkers);
+            time.schedule(at + 3_500 + random.nextInt(1_500), this::loseIdleWorkers);
+        }
+    }
+
+    /**
+     * Loses three or four workers at once, for good, those without runs first and none with a long-running task, so that no task
+     * seems to crash its workers. Others come up some time later.
+     */
+    private void loseIdleWorkers() {
+        List<EmulatedWorker> living = new ArrayList<>(platform.livingWorkers());
+        long count = Math.min(3 + random.nextInt(2), living.size() - WORKERS_LEFT);
+        Collections.shuffle(living, random);
+        living.removeIf(platform::runsLongRunningTask);
+        living.sort(Comparator.comparing(EmulatedWorker::isIdle).reversed());
+        living.stream().limit(Math.max(0, count)).forEach(worker -> {
+            platform.crash(worker);
+            time.schedule(4_000 + random.nextInt(3_000), platform::addWorker);
+        });
+    }
+
+    /**
+     * Submits long-running tasks that only idle workers have room for.
+     */
+    private void submitLargeTasks() {
+        for (int i = 0; i < LARGE_TASKS; i++) {
+            long cpuMillis = EmulatedPlatform.CAPACITY.cpuMillis() * (60 + random.nextInt(30)) / 100;
+            platform.submitLongRunningTask(new ResourceAmount(cpuMillis, 256, 0));
+        }
+    }
+
+    private void evacuateRandomWorkers() {
+        List<EmulatedWorker> candidates = new ArrayList<>(platform.livingWorkers());
+        candidates.removeIf(worker -> !platform.runsLongRunningTask(worker));
+        Collections.shuffle(candidates, random);
+        candidates.stream().limit(2).forEach(worker -> platform.evacuate(worker, EVACUATION_MILLIS));
+    }
+
+    private void changeOwnerSoon() {
+        time.schedule(1_000 + random.nextInt(4_000), random.nextBoolean() ? this::killOwner : platform::startOwner);
+    }
+
     private void crashAtNextStart(Consumer<EmulatedWorker> replacement) {
         platform.onNextLastingStart(worker -> time.schedule(random.nextInt(START_MILLIS), () -> {
             if (worker.isAlive() && platform.livingWorkers().size() > 2) {
