Wait no longer for leases of earlier owners on a worker that has answered than they can last

Cause: a new owner assumes that the lease of every worker may go on until 14.4 s after the opening of the pool, as earlier owners may give orders for 9 s more. It assumed so also of a worker that had answered it, though that takes no more orders of theirs. If such a worker was lost, its tasks, adopted ones and those that the new owner had just started there without an answer, waited for the rest of the 14.4 s.

Change: from the first status that an incarnation reports to the new owner, a lease of earlier ones goes on for one lease at most, with the rate of the clock and a margin for the age of their answers: 5.9 s. A restarted worker counts as before until it answers.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -191,6 +191,12 @@
         answerWanted = true;
     }
 
+    /** Records that the worker has answered a hold of the present owner, and takes no more orders of earlier ones. */
+    void fence(long nowMillis, long leaseMillis) {
+        fenced = true;
+        lease.fence(nowMillis, leaseMillis);
+    }
+
     /** Records that the worker has answered a call. */
     void answered(long nowMillis) {
         lastAnswerMillis = nowMillis;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -157,7 +157,7 @@
         state.placementDue |= worker.answerWanted;
         worker.recordClock(status.clockMillis(), nowMillis);
         boolean firstStatus = !worker.fenced;
-        worker.fenced = true;
+        worker.fence(nowMillis, state.timeouts.leaseMillis());
         logIfPartial(worker, status);
         worker.statusComplete = status.complete();
         boolean newEnds = false;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLease.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLease.java
@@ -14,9 +14,16 @@
     /** Time that a worker may take to end its runs after its lease has expired. */
     private static final long END_MARGIN_MILLIS = 250;
 
+    /** By how much a lease may be longer because its owner had last seen the worker's clock some time before. */
+    private static final long FOREIGN_CLOCK_MARGIN_MILLIS = 500;
+
     private long clockMillis;
     private long clockSeenMillis = Long.MIN_VALUE;
     private long untilMillis = Long.MIN_VALUE;
+    /** Until when leases that earlier owners granted may go on if they may still grant some. */
+    private long foreignUntilMillis = Long.MIN_VALUE;
+    /** Until when leases that earlier owners granted may go on if the worker takes no more orders of theirs. */
+    private long fencedUntilMillis = Long.MAX_VALUE;
     /** The latest end that was sent, on the worker's clock. */
     private long sentEnd;
     /** The latest end that was sent to previous incarnations and may still arrive. */
@@ -29,6 +36,7 @@
      */
     void assume(WorkerLease former, boolean ordersMayArrive) {
         untilMillis = former.untilMillis;
+        foreignUntilMillis = former.foreignUntilMillis;
         formerEnd = ordersMayArrive ? Math.max(former.sentEnd, former.formerEnd) : 0;
     }
 
@@ -46,7 +54,7 @@
         if (formerEnd > workerMillis) {
             // The lease that a late order names is far off on a clock that began again.
             long remaining = (long) ((formerEnd - workerMillis) / MIN_CLOCK_RATE);
-            assumeUntil(nowMillis + remaining + END_MARGIN_MILLIS);
+            extendUntil(nowMillis + remaining + END_MARGIN_MILLIS);
         }
         clockMillis = workerMillis;
         clockSeenMillis = nowMillis;
@@ -73,22 +81,37 @@
             return 0;
         }
         long remaining = nowMillis - clockSeenMillis + leaseMillis;
-        assumeUntil(clockSeenMillis + (long) (remaining / MIN_CLOCK_RATE) + END_MARGIN_MILLIS);
+        extendUntil(clockSeenMillis + (long) (remaining / MIN_CLOCK_RATE) + END_MARGIN_MILLIS);
         sentEnd = Math.max(sentEnd, clockMillis + remaining);
         return clockMillis + remaining;
     }
 
+    private void extendUntil(long millis) {
+        untilMillis = Math.max(untilMillis, millis);
+    }
+
     /**
-     * Records that the worker's runs may continue until a time on the steady clock.
+     * Records that the worker's runs may continue until a time on the steady clock by leases that earlier owners granted, or may
+     * still grant.
      */
     void assumeUntil(long millis) {
-        untilMillis = Math.max(untilMillis, millis);
+        foreignUntilMillis = Math.max(foreignUntilMillis, millis);
+    }
+
+    /**
+     * Records that this incarnation of the worker has answered the present owner, so that it takes no more orders of earlier ones.
+     *
+     * @param leaseMillis  the longest lease that an owner grants
+     */
+    void fence(long nowMillis, long leaseMillis) {
+        long remaining = (long) (leaseMillis / MIN_CLOCK_RATE) + FOREIGN_CLOCK_MARGIN_MILLIS;
+        fencedUntilMillis = Math.min(fencedUntilMillis, nowMillis + remaining + END_MARGIN_MILLIS);
     }
 
     /**
      * Returns the time on the steady clock after which every lease granted to the worker is certain to have expired.
      */
     long expiryMillis() {
-        return untilMillis;
+        return Math.max(untilMillis, Math.min(foreignUntilMillis, fencedUntilMillis));
     }
 }
