Add a scenario with workers that restart late while owners are replaced

Change: PoolScenario.workersRestartedLateAndOwnersReplaced and a test of 120 seeds, tagged known-red.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
@@ -79,6 +79,16 @@
         }
     }
 
+    /** Guards against a task that runs twice, as a late order of a former owner reaches a worker that was taken for gone. */
+    @Tag("known-red")
+    @Test
+    void workersThatRestartAfterTheirEntriesLapsedWhileOwnersAreReplaced() {
+        for (long seed = 3200; seed < 3320; seed++) {
+            assertEquals(
+                    "", PoolScenario.workersRestartedLateAndOwnersReplaced(seed).violations(), "seed " + seed);
+        }
+    }
+
     /** Guards against late orders of a former owner, and its runs, that a restart hides from the next owner. */
     @Test
     void workersThatRestartWhileOwnersAreReplaced() {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
@@ -233,6 +233,23 @@
         });
     }
 
+    /**
+     * Runs while workers restart under their identifiers long after the registry has ceased to list them, and owners are killed or
+     * replaced. Late orders for a worker reach its next incarnation.
+     *
+     * @param seed  the seed of jobs and faults
+     * @return the result, not null
+     */
+    public static Result workersRestartedLateAndOwnersReplaced(long seed) {
+        return new PoolScenario(EmulatedPlatform.withRestarts(seed, WORKERS)).run(scenario -> {
+            scenario.platform.lostPerThousand(60);
+            scenario.injectEvery(1_500, () -> scenario.restartRandomWorker(LATE_RESTART_MILLIS));
+            scenario.injectEvery(5_000, scenario::killOwner);
+            scenario.injectEvery(4_000, scenario.platform::startOwner);
+            scenario.doEvery(700, scenario::cancelRandomJob);
+        });
+    }
+
     /**
      * Runs while workers are lost for good, some as a start is sent to them, and workers on other machines take their places.
      *
