Call workers that are taken for gone, so that one that starts again is noticed at once

Cause: a worker that the registry has not listed for 2.3 s was sent the stops of its released starts one at a time, each up to 0.7 s under way to an address where nothing answers, and a new owner sent it nothing at all. A process that started again under the identifier was unknown until the registry listed it, and could carry out a late order until a stop arrived.

Change: ReturnProbes sends such a worker a hold without a lease and without an acknowledgement every 100 ms, at most 8 at a time and 32 to all such workers, as long as an order of this owner that was released, or one of an earlier owner, may be late, unless a later worker is registered on its machine. The answer shows the restart, after which the late starts are stopped as before, and the token makes the worker refuse those of earlier owners. A status counts as one that was asked for with the first probe under way; other holds wait until none is. A worker that has ended and answers a probe as the same incarnation has not ended. Nothing waits for a probe.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -23,11 +23,13 @@
     private final PoolState state;
     private final OrderSender orderSender;
     private final WorkerLosses workerLosses;
+    private final ReturnProbes returnProbes;
 
     HoldScheduler(PoolState state, OrderSender orderSender, WorkerLosses workerLosses) {
         this.state = state;
         this.orderSender = orderSender;
         this.workerLosses = workerLosses;
+        this.returnProbes = new ReturnProbes(state, orderSender);
     }
 
     /**
@@ -35,6 +37,7 @@
      */
     void tick(Moment now) {
         long nowMillis = now.steadyMillis();
+        returnProbes.tick(nowMillis);
         for (PoolWorker worker : new ArrayList<>(state.workers.values())) {
             for (Run run : worker.runs.values()) {
                 if (!run.wanted) {
@@ -70,8 +73,9 @@
         return state.unresolvedWorkers.contains(worker) && !mayStartLater;
     }
 
-    private static boolean isDue(PoolWorker worker, long nowMillis) {
-        if (worker.ended || worker.holdInFlight || nowMillis < worker.nextHoldMillis) {
+    private boolean isDue(PoolWorker worker, long nowMillis) {
+        boolean probed = worker.probesInFlight > 0 || returnProbes.isNeeded(worker, nowMillis);
+        if (worker.ended || worker.holdInFlight || probed || nowMillis < worker.nextHoldMillis) {
             return false;
         }
         boolean endsUnstored = worker.processedEnd > worker.storedEnd;
@@ -111,10 +115,11 @@
     private void removeIfUnlisted(PoolWorker worker, long nowMillis) {
         boolean allRunsEnded = worker.ended || nowMillis > worker.lease.expiryMillis();
         boolean mayHaveLateOrders = worker.incarnation.isKnown() && nowMillis < worker.unansweredOrdersUntilMillis;
+        boolean called = worker.holdInFlight || worker.probesInFlight > 0 || returnProbes.isNeeded(worker, nowMillis);
         if (!worker.listed
                 && worker.runs.isEmpty()
                 && allRunsEnded
-                && !worker.holdInFlight
+                && !called
                 && !mayHaveLateOrders
                 && worker.notedIn.isEmpty()) {
             state.workers.remove(worker.id);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
@@ -28,14 +28,18 @@
         }
         Optional<Run> releasedStart = releasedStart(worker, order);
         releasedStart.ifPresent(start -> releasedStartStopped(start, result));
-        if (result == OrderResult.NO_ANSWER && releasedStart.isEmpty()) {
+        boolean probe = order instanceof WorkerOrder.Hold && worker.holdCompleted();
+        if (probe && result == OrderResult.NO_ANSWER) {
+            // One that was sent before the worker started again says nothing of its present incarnation.
+            worker.missedCalls += worker.gone.isPresent() ? 1 : 0;
+        } else if (result == OrderResult.NO_ANSWER && releasedStart.isEmpty()) {
             worker.callUnanswered(now.steadyMillis());
         }
         if (order instanceof WorkerOrder.Start start) {
             runTracker.startAnswered(worker, start.task(), start.run(), result, now);
         } else if (order instanceof WorkerOrder.Stop stop) {
             runTracker.stopAnswered(worker, stop.task(), stop.run(), result, now);
-        } else if (order instanceof WorkerOrder.Hold) {
+        } else if (order instanceof WorkerOrder.Hold && (!probe || result == OrderResult.OTHER_LIFE)) {
             runTracker.holdFailed(worker, result, now);
         } else if (order instanceof WorkerOrder.Pace pace) {
             Optional.ofNullable(worker.run(pace.task().text(), pace.run()))
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -114,6 +114,21 @@
                 worker.id, worker.registration.address(), leaseUntil, worker.ackSentEnd, waitMillis));
     }
 
+    /**
+     * Sends a hold that does nothing but show the worker this owner's fencing token and ask for its status. Several may be under way,
+     * so that a status counts as one that was asked for with the first of them.
+     */
+    void probe(PoolWorker worker, long nowMillis) {
+        if (worker.probesInFlight == 0) {
+            worker.holdSentMillis = nowMillis;
+            worker.holdWaitMillis = 0;
+            worker.ackSentEnd = 0;
+        }
+        worker.probesInFlight++;
+        worker.probeSentMillis = nowMillis;
+        state.actions.send(new WorkerOrder.Hold(worker.id, worker.registration.address(), Optional.empty(), 0, 0));
+    }
+
     /**
      * Limits the pace of a run to a percentage of full speed.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -56,6 +56,10 @@
     boolean evacuating;
     boolean holdInFlight;
     boolean holdUrgent;
+    /** The number of calls under way that ask whether the worker has started again; no other hold is sent meanwhile. */
+    int probesInFlight;
+
+    long probeSentMillis = Long.MIN_VALUE / 2;
     /** True if the worker is asked for its status although it has no runs, until it answers. */
     boolean answerWanted;
     /** Since when that is so. */
@@ -113,6 +117,7 @@
         worker.evacuating = former.evacuating;
         worker.holdInFlight = former.holdInFlight;
         worker.holdSentMillis = former.holdSentMillis;
+        worker.probesInFlight = former.probesInFlight;
         worker.startsInFlight = former.startsInFlight;
         if (former.holdInFlight) {
             former.holdUnanswered(nowMillis);
@@ -181,6 +186,14 @@
         }
     }
 
+    /** Records that a hold or a probe has been answered or has failed, and returns whether it was a probe. */
+    boolean holdCompleted() {
+        boolean probe = probesInFlight > 0;
+        probesInFlight -= probe ? 1 : 0;
+        holdInFlight &= probe;
+        return probe;
+    }
+
     private void silentBy(long answerDueMillis, long nowMillis) {
         silentByMillis = Math.min(silentByMillis, Math.min(answerDueMillis, nowMillis));
     }
@@ -246,6 +259,13 @@
         return incarnation.isKnown() && unanswered && !run.stopAnswered && !run.isOrderTooOld(nowMillis);
     }
 
+    /** Returns whether the worker may be sent late an unanswered start whose task may have been started elsewhere. */
+    boolean hasReleasedStarts(long nowMillis) {
+        return unansweredStarts.entrySet().stream()
+                .anyMatch(start ->
+                        !runs.containsKey(start.getKey()) && !start.getValue().isOrderTooOld(nowMillis));
+    }
+
     /** Returns whether the worker may start again under its identifier. */
     boolean mayRestart() {
         return incarnation.isKnown() && gone.isEmpty();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
@@ -63,7 +63,9 @@
      * incarnation then, or with the lease of that.
      */
     void workerGone(PoolWorker worker, GoneReason reason, Moment now) {
-        if (worker.gone.isPresent()) {
+        boolean proved =
+                reason != GoneReason.NOT_REGISTERED && worker.gone.equals(Optional.of(GoneReason.NOT_REGISTERED));
+        if (worker.gone.isPresent() && !proved) {
             return;
         }
         worker.gone = Optional.of(reason);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRestarts.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRestarts.java
@@ -37,7 +37,7 @@
      */
     Optional<PoolWorker> reported(PoolWorker worker, WorkerRunStatus status, Moment now) {
         WorkerIncarnation reported = status.incarnation();
-        worker.holdInFlight = false;
+        boolean probe = worker.holdCompleted();
         if (worker.incarnation.isAfter(reported)) {
             worker.nextHoldMillis = now.steadyMillis();
             state.actions.logDecision(Decision.of("worker-status-outdated")
@@ -50,6 +50,11 @@
             return Optional.of(begin(worker, reported, "status", now));
         }
         worker.learnIncarnation(reported);
+        if (probe && worker.ended) {
+            // The probe was sent after the end was learned.
+            worker.ended = false;
+            state.actions.logDecision(Decision.failure("worker-end-disproved").with("worker", worker.id));
+        }
         boolean clockWentBack = worker.incarnation.isKnown() && worker.lease.showsEarlierClock(status.clockMillis());
         return Optional.of(clockWentBack ? begin(worker, worker.incarnation, "clock-went-back", now) : worker);
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -41,6 +41,7 @@
     private final Map<String, FakeWorker> workers = new TreeMap<>();
     private final Map<String, byte[]> stored = new HashMap<>();
     private final Set<String> evacuating = new HashSet<>();
+    private final Set<String> unlisted = new HashSet<>();
     private Moment now = new Moment(1_000_000, 2_000_000);
     private RecordedActions actions;
     private List<WorkerOrder> sent;
@@ -77,11 +78,14 @@
         actions = new RecordedActions(sent);
         scheduler = new PoolScheduler("pool", TIMEOUTS, actions);
         scheduler.configure(Map.of(QUEUE, QUEUE_CONFIG, ADVISED_QUEUE, ADVISED_QUEUE_CONFIG), Teams.NONE);
-        scheduler.open(
-                Map.copyOf(stored),
-                workers.values().stream().map(worker -> worker.registration).toList(),
-                now.steadyMillis(),
-                now);
+        scheduler.open(Map.copyOf(stored), listedWorkers(), now.steadyMillis(), now);
+    }
+
+    private List<RegisteredWorker> listedWorkers() {
+        return workers.entrySet().stream()
+                .filter(worker -> !unlisted.contains(worker.getKey()))
+                .map(worker -> worker.getValue().registration)
+                .toList();
     }
 
     /** Has the registry cease to list the lost workers, as evidence that they do not start again under their identifiers. */
@@ -107,6 +111,24 @@
         workers.get(worker).lost = true;
     }
 
+    /** Has the machines and the registry cease to list the lost workers. */
+    void endLostWorkers() {
+        workers.forEach((id, worker) -> {
+            if (worker.lost) {
+                scheduler.workerEnded(id, "not-on-any-machine", now);
+                unlisted.add(id);
+            }
+        });
+        scheduler.updateWorkers(listedWorkers(), now);
+        lostWorkersAreGone();
+    }
+
+    /** Has a lost worker answer again, which started under its identifier at a time in milliseconds since 1970. */
+    void returnWorker(String worker, long born) {
+        workers.get(worker).lost = false;
+        workers.get(worker).born = born;
+    }
+
     /** Loses the worker to which the next start is sent, as that arrives. */
     void loseWorkerOfNextStart() {
         losesAtNextStart = true;
@@ -232,8 +254,10 @@
         private final List<WorkerOrder> calls = new ArrayList<>();
         private boolean lost;
         private boolean fails;
+        private long born;
 
         private FakeWorker(int number, long born) {
+            this.born = born;
             this.registration = new RegisteredWorker(
                     "w" + number,
                     "m" + number,
@@ -260,7 +284,7 @@
         private WorkerRunStatus status(Moment now) {
             List<WorkerRunStatus.Running> runs = new ArrayList<>();
             running.forEach((task, run) -> runs.add(new WorkerRunStatus.Running(task, run, "", 100, 0)));
-            return new WorkerRunStatus(now.steadyMillis(), runs, List.copyOf(ended), registration.born());
+            return new WorkerRunStatus(now.steadyMillis(), runs, List.copyOf(ended), born);
         }
     }
 
