Go on calling a worker that was taken for gone though its former entry is back

Change: that a worker was taken for gone without proof is kept apart (mayReturn), until it answers, restarts, or there is proof that it is gone.

ReturnProbesTest, LostWorkerTest and WorkerRestartTest pass.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/HoldScheduler.java
@@ -44,7 +44,7 @@
                     orderSender.sendStop(run, nowMillis);
                 }
             }
-            if (isUnregistered(worker)) {
+            if (worker.mayReturn) {
                 orderSender.stopReleasedStarts(worker, nowMillis);
             }
             if (isLeaseExpired(worker, nowMillis)) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderAnswers.java
@@ -31,7 +31,7 @@
         boolean probe = order instanceof WorkerOrder.Hold && worker.holdCompleted();
         if (probe && result == OrderResult.NO_ANSWER) {
             // One that was sent before the worker started again says nothing of its present incarnation.
-            worker.missedCalls += worker.gone.isPresent() ? 1 : 0;
+            worker.missedCalls += worker.mayReturn ? 1 : 0;
         } else if (result == OrderResult.NO_ANSWER && releasedStart.isEmpty()) {
             worker.callUnanswered(now.steadyMillis());
         }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -52,6 +52,8 @@
     boolean ended;
     /** From what the worker is known not to start again under its identifier, empty if it may. */
     Optional<GoneReason> gone = Optional.empty();
+    /** True if the worker was taken for gone without proof, until it answers or there is proof, also while it is listed again. */
+    boolean mayReturn;
 
     boolean evacuating;
     boolean holdInFlight;
@@ -214,6 +216,7 @@
     void answered(long nowMillis) {
         lastAnswerMillis = nowMillis;
         answerWanted = false;
+        mayReturn = false;
         silentByMillis = Long.MAX_VALUE;
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ReturnProbes.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/ReturnProbes.java
@@ -1,7 +1,6 @@
 package org.trefoilpost.decision.job;
 
 import java.util.List;
-import java.util.Optional;
 
 /**
  * Calls the workers of which only the registry says that they are gone. One that starts again under its identifier all the same is
@@ -48,8 +47,7 @@
      */
     boolean isNeeded(PoolWorker worker, long nowMillis) {
         boolean foreignOrders = nowMillis < state.foreignOrdersUntilMillis;
-        boolean released = worker.gone.equals(Optional.of(GoneReason.NOT_REGISTERED))
-                && (foreignOrders || worker.hasReleasedStarts(nowMillis));
+        boolean released = worker.mayReturn && (foreignOrders || worker.hasReleasedStarts(nowMillis));
         return (released || foreignOrders && isKnownFromStoreOnly(worker)) && !isReplaced(worker);
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLosses.java
@@ -63,12 +63,12 @@
      * incarnation then, or with the lease of that.
      */
     void workerGone(PoolWorker worker, GoneReason reason, Moment now) {
-        boolean proved =
-                reason != GoneReason.NOT_REGISTERED && worker.gone.equals(Optional.of(GoneReason.NOT_REGISTERED));
-        if (worker.gone.isPresent() && !proved) {
+        boolean proved = reason != GoneReason.NOT_REGISTERED;
+        if (worker.gone.isPresent() && !(proved && worker.mayReturn)) {
             return;
         }
         worker.gone = Optional.of(reason);
+        worker.mayReturn = !proved;
         state.actions.logDecision(Decision.of("worker-gone")
                 .with("worker", worker.id)
                 .with("reason", reason.text())
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -123,6 +123,12 @@
         lostWorkersAreGone();
     }
 
+    /** Has the registry list all workers as they registered first. */
+    void listAllWorkers() {
+        unlisted.clear();
+        scheduler.updateWorkers(listedWorkers(), now);
+    }
+
     /** Has a lost worker answer again, which started under its identifier at a time in milliseconds since 1970. */
     void returnWorker(String worker, long born) {
         workers.get(worker).lost = false;
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/ReturnProbesTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/ReturnProbesTest.java
@@ -34,6 +34,19 @@
         assertTrue(pool.countCalls(lost, WorkerOrder.Stop.class) > stops, "the late start must be refused");
     }
 
+    /** Guards against a former entry that is back for a while, and hides that the worker starts again. */
+    @Test
+    void restartIsNoticedThoughTheFormerEntryIsBack() {
+        PoolWithFakeWorkers pool = new PoolWithFakeWorkers(2, BORN);
+        String lost = loseWorkerOfAStart(pool);
+        pool.advance(1_000);
+        pool.listAllWorkers();
+        pool.advance(1_000);
+        pool.returnWorker(lost, REBORN);
+        pool.advance(200);
+        assertEquals(1, pool.decisions("worker-restarted").size());
+    }
+
     /** Guards against a late order of an earlier owner, which a new process carries out as it has not seen a fencing token. */
     @Test
     void newOwnerShowsItsTokenToAWorkerThatStartsAgain() {
