--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolSchedulerTest.java
@@ -10,6 +10,8 @@
 class PoolSchedulerTest {
     private static final long SEED_OF_CHANCE_CRASHES = 1037;
     private static final long SEED_OF_CHANCE_RESTARTS = 704;
+    private static final long SEED_OF_A_LATE_START = 6240;
+    private static final long SEED_OF_A_LATE_START_UNDER_A_NEW_OWNER = 6196;
 
     @Test
     void everyAcceptedJobCompletesWithoutFaults() {
@@ -80,7 +82,6 @@
     }
 
     /** Guards against a task that runs twice, as a late order of a former owner reaches a worker that was taken for gone. */
-    @Tag("known-red")
     @Test
     void workersThatRestartAfterTheirEntriesLapsedWhileOwnersAreReplaced() {
         for (long seed = 3200; seed < 3320; seed++) {
@@ -89,6 +90,17 @@
         }
     }
 
+    /** Guards against a task that runs twice, as a late order reaches a worker that starts again before the first call does. */
+    @Tag("known-red")
+    @Test
+    void workerThatRestartsJustBeforeALateOrderArrives() {
+        assertEquals("", PoolScenario.workersRestartedLate(SEED_OF_A_LATE_START).violations());
+        assertEquals(
+                "",
+                PoolScenario.workersRestartedLateAndOwnersReplaced(SEED_OF_A_LATE_START_UNDER_A_NEW_OWNER)
+                        .violations());
+    }
+
     /** Guards against late orders of a former owner, and its runs, that a restart hides from the next owner. */
     @Test
     void workersThatRestartWhileOwnersAreReplaced() {
