Never start a task on a worker that has yet to be asked

Cause: a task whose best worker has an old answer was passed on to the start if no worker was asked for it. That cannot happen, as the best one may always be asked, but nothing in Placer said so. Change: the task waits in any case.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -196,9 +196,8 @@
         for (JobTaskState task : step.tasks) {
             if (isStartable(task, now.steadyMillis())) {
                 PoolWorker worker = bestWorker(step, demand, perWorker, now);
-                if (worker != null
-                        && !worker.hasFreshAnswer(now.steadyMillis())
-                        && awaitRoom(step, demand, perWorker, now)) {
+                if (worker != null && !worker.hasFreshAnswer(now.steadyMillis())) {
+                    askWorkers(step, demand, perWorker, now);
                     answerAwaited = true;
                     continue;
                 }
@@ -254,17 +253,16 @@
     }
 
     /**
-     * Asks workers whose last answer is old, if a task could start there, and returns whether an answer is awaited.
+     * Asks workers whose last answer is old and on which a task could start, the one that suits it best first.
      */
-    private boolean awaitRoom(
-            JobStepState step, ResourceAmount demand, Map<PoolWorker, Integer> perWorker, Moment now) {
+    private void askWorkers(JobStepState step, ResourceAmount demand, Map<PoolWorker, Integer> perWorker, Moment now) {
         List<PoolWorker> candidates = state.workers.values().stream()
                 .filter(worker -> !worker.hasFreshAnswer(now.steadyMillis()) && mayStartOn(step, demand, worker, now))
                 .sorted(Comparator.comparingDouble(
                                 (PoolWorker worker) -> score(step, demand, worker, perWorker.getOrDefault(worker, 0)))
                         .reversed())
                 .toList();
-        return inquiries.awaitRoom(step, candidates, now.steadyMillis());
+        inquiries.awaitRoom(step, candidates, now.steadyMillis());
     }
 
     private boolean mayStartOn(JobStepState step, ResourceAmount demand, PoolWorker worker, Moment now) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerInquiries.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerInquiries.java
@@ -33,9 +33,8 @@
      * not answered in time.
      *
      * @param candidates  the workers whose last answer is old and that may run the task, the best first
-     * @return true if an answer is awaited that may bring room for the task
      */
-    boolean awaitRoom(JobStepState step, List<PoolWorker> candidates, long nowMillis) {
+    void awaitRoom(JobStepState step, List<PoolWorker> candidates, long nowMillis) {
         long overdue = candidates.stream()
                 .filter(worker -> isOverdue(worker, nowMillis))
                 .count();
@@ -48,7 +47,6 @@
                 awaited++;
             }
         }
-        return awaited > 0;
     }
 
     /**
