Say in one place whether a task may be started

Cause: whether a task has no run and none of an earlier owner that may continue unseen was asked by Placer, by WaitDiagnosis and, since the room for evacuated tasks counts those that may start, by EvacuationRoom, each with a condition of its own.

Change: PoolState.mayStart answers it for all three; nothing else changes.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
@@ -52,9 +52,8 @@
     private boolean mayStart(JobTaskState task) {
         return task.step.occurrence.job.stored
                 && task.step.readyMillis != JobStepState.NOT_READY
-                && task.isStartable(nowMillis)
+                && state.mayStart(task, nowMillis)
                 && !IsolatedPlacer.awaits(task, nowMillis)
-                && !(task.mayHaveUnseenRun && state.mayHaveUnseenRuns(nowMillis))
                 && state.teamGate.hasRoom(task.step);
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -83,7 +83,7 @@
         for (Candidate candidate : candidates) {
             if (!candidate.step.spec.gang() && advice.isReady(candidate.step, now)) {
                 for (JobTaskState task : candidate.step.tasks) {
-                    if (IsolatedPlacer.awaits(task, now.steadyMillis()) && mayStart(task, now.steadyMillis())) {
+                    if (IsolatedPlacer.awaits(task, now.steadyMillis()) && state.mayStart(task, now.steadyMillis())) {
                         isolated.add(task);
                     }
                 }
@@ -149,7 +149,7 @@
             return false;
         }
         for (JobTaskState task : step.tasks) {
-            if (mayStart(task, nowMillis)) {
+            if (state.mayStart(task, nowMillis)) {
                 return true;
             }
         }
@@ -166,12 +166,7 @@
      * Returns whether a task may start on any worker; others that may start are kept apart.
      */
     private boolean isStartable(JobTaskState task, long nowMillis) {
-        return mayStart(task, nowMillis) && !IsolatedPlacer.awaits(task, nowMillis);
-    }
-
-    private boolean mayStart(JobTaskState task, long nowMillis) {
-        boolean noUnseenRun = !task.mayHaveUnseenRun || !state.mayHaveUnseenRuns(nowMillis);
-        return noUnseenRun && task.isStartable(nowMillis);
+        return state.mayStart(task, nowMillis) && !IsolatedPlacer.awaits(task, nowMillis);
     }
 
     private void placeStep(JobStepState step, List<ResourceAmount> unplacedDemands, Moment now) {
@@ -331,7 +326,7 @@
     private void placeGang(JobStepState step, Moment now) {
         int runNumber = 1;
         for (JobTaskState task : step.tasks) {
-            if (!mayStart(task, now.steadyMillis())) {
+            if (!state.mayStart(task, now.steadyMillis())) {
                 return;
             }
             runNumber = Math.max(runNumber, task.lastRunNumber + 1);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -187,6 +187,14 @@
                 .orElse(null);
     }
 
+    /**
+     * Returns whether a run of a task may be started now: it has none, and none that an earlier owner started may continue unseen.
+     */
+    boolean mayStart(JobTaskState task, long nowMillis) {
+        boolean noUnseenRun = !task.mayHaveUnseenRun || !mayHaveUnseenRuns(nowMillis);
+        return noUnseenRun && task.isStartable(nowMillis);
+    }
+
     /**
      * Returns whether runs that an earlier owner started may continue on workers that have not reported yet.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
@@ -55,8 +55,7 @@
 
     private boolean isGangStartable(JobStepState step, long nowMillis) {
         for (JobTaskState member : step.tasks) {
-            boolean unseen = member.mayHaveUnseenRun && state.mayHaveUnseenRuns(nowMillis);
-            if (unseen || !member.isStartable(nowMillis)) {
+            if (!state.mayStart(member, nowMillis)) {
                 return false;
             }
         }
