--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -35,6 +35,8 @@
                 case "advice" -> run.advice();
                 case "long" -> run.longTask();
                 case "scheduled" -> run.scheduled();
+                case "scale-out" -> run.scaleOut();
+                case "lasting-gang" -> run.lastingGang();
                 default -> throw new IllegalArgumentException("no case " + arguments[0]);
             }
             result = lab.checks.broken.isEmpty() ? HELD : BROKEN;
@@ -227,7 +229,7 @@
     private void scheduled() throws Exception {
         lab.platform(4);
         lab.entries(3);
-        int count = Integer.getInteger("jobs", 9_000);
+        int count = Integer.getInteger("jobs", 11_000);
         List<Lab.Job> jobs = new ArrayList<>();
         java.util.concurrent.ExecutorService clients = java.util.concurrent.Executors.newFixedThreadPool(24);
         for (int i = 0; i < count; i++) {
@@ -275,4 +277,88 @@
                     + "got no answer or are not known");
         }
     }
+
+    /** Workers are added to a service whose steps need advice. */
+    private void scaleOut() throws Exception {
+        lab.advice = new Advice(lab, 500, 100, 10_000);
+        lab.platform(22);
+        lab.entries(3);
+        List<Lab.Job> jobs = new ArrayList<>();
+        List<Thread> clients = new ArrayList<>();
+        send(jobs, clients, 0.25, 12);
+        if (TROUBLE) {
+            for (int i = 0; i < 6; i++) {
+                lab.addWorker();
+                Lab.sleep(400);
+            }
+        }
+        send(jobs, clients, 0.25, 24);
+        lab.record("traffic", "has ended");
+        for (Thread client : clients) {
+            client.join();
+        }
+        Lab.sleep(14_000);
+        judgeIdle(jobs);
+        lab.record("advice", "answered " + lab.advice.answered + ", refused " + lab.advice.refused);
+    }
+
+    /** A worker crashes beneath a gang that lasts, while the service is full. */
+    private void lastingGang() throws Exception {
+        lab.platform(7);
+        lab.entries(3);
+        Lab.Step step = new Lab.Step();
+        step.count = 4;
+        step.cpu = 6_000;
+        step.memory = 2_000;
+        step.workMs = 700;
+        step.gang = !Boolean.getBoolean("single");
+        step.lasts = true;
+        step.maxPerServer = 1;
+        Lab.Job job = lab.job(List.of(step));
+        lab.submit(job);
+        Lab.sleep(4_000);
+        Thread traffic = new Thread(() -> {
+            long end = Lab.now() + 45_000;
+            while (Lab.now() < end) {
+                Lab.Step small = new Lab.Step();
+                small.count = 8;
+                small.cpu = 2_000;
+                small.memory = 500;
+                small.workMs = 1_200;
+                Lab.Job other = lab.job(List.of(small));
+                Http.THREADS.execute(() -> lab.submit(other));
+                Lab.sleep(110);
+            }
+        });
+        traffic.start();
+        Lab.sleep(8_000);
+        if (TROUBLE) {
+            Worker chosen = lab.workers.get(0);
+            synchronized (lab) {
+                for (Worker worker : lab.workers) {
+                    chosen = worker.running.containsKey(job.id + ".0.0.0") ? worker : chosen;
+                }
+            }
+            lab.crash(chosen, 4_500, false);
+        }
+        // The worker is back after 4.5 s; the 4 s after that are calm, and 6 s have passed since the last run.
+        Lab.sleep(8_500);
+        long longest = 0;
+        long since = Lab.now();
+        while (traffic.isAlive()) {
+            int present = 0;
+            for (int i = 0; i < 4; i++) {
+                present += lab.checks.isRunning(job.id + ".0.0." + i) ? 1 : 0;
+            }
+            if (present > 0) {
+                since = Lab.now();
+            }
+            longest = Math.max(longest, Lab.now() - since);
+            Lab.sleep(20);
+        }
+        lab.record("job", job.id + ": longest time without a run " + longest + " ms");
+        if (longest > 3_000) {
+            lab.checks.rule("LOST", "nothing of lasting job " + job.id + " has run for " + longest + " ms");
+        }
+    }
 }
--- a/review/standins-2/Lab.java
+++ b/review/standins-2/Lab.java
@@ -88,7 +88,7 @@
     final Random random;
     final Checks checks = new Checks(this);
     final Map<String, Job> jobs = new TreeMap<>();
-    final List<Worker> workers = new ArrayList<>();
+    final List<Worker> workers = new java.util.concurrent.CopyOnWriteArrayList<>();
     final List<Entry> entries = new ArrayList<>();
     final String service = "huvo11a";
     final String host = "pule25.example";
@@ -195,6 +195,17 @@
         });
     }
 
+    /** Adds an empty worker. */
+    void addWorker() throws Exception {
+        int number = workers.size();
+        Worker worker = new Worker(this, "m-" + number, service, List.of("a", "r1-" + number / 4), 16_000, 32_768);
+        synchronized (this) {
+            workers.add(worker);
+            record("worker", worker.machine + " is added as " + worker.id);
+        }
+        beat(worker);
+    }
+
     void beat(Worker worker) {
         if (worker.alive && !worker.dark && worker.registered) {
             Object entry;
