--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../run-2.sh" lasting-gang 10
+exec bash "$(dirname "$0")/../run-2.sh" scale-out 10
