Log why a request for placement advice gave nothing

The port reports the outcome now, and the scheduler logs advice-failed with the reason and the duration of the call.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Requests placement advice for the steps of queues that require it, and stores the tickets received.
@@ -48,22 +47,26 @@
     }
 
     /**
-     * Stores the tickets received. An empty map also represents a call that was not answered.
+     * Stores the tickets received.
      */
-    void adviceReceived(
-            JobStepState step, AdviceRequest request, Map<String, String> tickets, long validMillis, Moment now) {
+    void adviceReceived(JobStepState step, AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
         step.adviceInFlight = false;
-        long expiryMillis = step.adviceRequestedMillis + validMillis - TICKET_EXPIRY_MARGIN_MILLIS;
-        tickets.forEach((workerId, ticketText) ->
-                step.tickets.put(workerId, new JobStepState.Ticket(ticketText, expiryMillis)));
-        if (tickets.isEmpty()) {
+        long expiryMillis = step.adviceRequestedMillis + result.validMillis() - TICKET_EXPIRY_MARGIN_MILLIS;
+        result.tickets()
+                .forEach((workerId, ticketText) ->
+                        step.tickets.put(workerId, new JobStepState.Ticket(ticketText, expiryMillis)));
+        if (result.tickets().isEmpty()) {
             step.adviceOffset += request.workers().size();
         }
         state.placementDue = true;
-        state.actions.logDecision(Decision.of("advice-received")
-                .with("step", request.step())
+        boolean answered = result.outcome() == AdviceOutcome.ANSWERED;
+        Decision decision = answered ? Decision.of("advice-received") : Decision.failure("advice-failed");
+        state.actions.logDecision(decision.with("step", request.step())
+                .with("reason", result.outcome().text())
                 .with("asked", request.workers().size())
-                .with("good", tickets.size())
+                .with("good", result.tickets().size())
+                .with("valid", result.validMillis())
+                .with("call", callMillis)
                 .with("age", now.steadyMillis() - step.adviceRequestedMillis));
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -256,17 +256,17 @@
     }
 
     /**
-     * Handles placement advice.
+     * Handles the result of a request for placement advice.
      *
      * @param request  the request, not null
-     * @param tickets  the tickets by worker, empty if the request was not answered, not null
-     * @param validMillis  how long the tickets are valid, in milliseconds
+     * @param result  the result, not null
+     * @param callMillis  the time from the sending of the request to its end, in milliseconds
      * @param now  the present time, not null
      */
-    public void adviceReceived(AdviceRequest request, Map<String, String> tickets, long validMillis, Moment now) {
+    public void adviceReceived(AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
         JobTaskState first = state.task(request.step() + ".0");
         if (first != null) {
-            advice.adviceReceived(first.step, request, tickets, validMillis, now);
+            advice.adviceReceived(first.step, request, result, callMillis, now);
         }
     }
 
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -4,7 +4,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.trefoilpost.decision.job.AdviceOutcome;
 import org.trefoilpost.decision.job.AdviceRequest;
+import org.trefoilpost.decision.job.AdviceResult;
 import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobPhase;
@@ -321,15 +323,14 @@
 
     @Override
     public void requestAdvice(AdviceRequest request) {
-        context.call(() -> context.ports().advice().requestAdvice(request), (advice, failure) -> {
+        long sentMillis = context.now().steadyMillis();
+        context.call(() -> context.ports().advice().requestAdvice(request), (result, failure) -> {
             if (closed) {
                 return;
             }
-            if (failure == null) {
-                scheduler.adviceReceived(request, advice.tickets(), advice.validMillis(), context.now());
-            } else {
-                scheduler.adviceReceived(request, Map.of(), 0, context.now());
-            }
+            Moment now = context.now();
+            AdviceResult known = failure == null ? result : AdviceResult.failed(AdviceOutcome.FAILED);
+            scheduler.adviceReceived(request, known, now.steadyMillis() - sentMillis, now);
             tickSoon();
         });
     }
