Give a request for advice the time that its policy says

Cause: AdviceClient gave each request up after 3 s, whatever the queue's policy says it takes. The service finishes what was given up, and handles one request at a time for each machine; requests of other steps and pools of the same entry are served before. So neither a longer constant nor a time for the single request would do.

An entry sends a request when the one before has ended, the pools in turn, so that its time is known: the time by the policy, and an allowance for the network and for pauses. The allowance follows what is observed: twice the latest lateness, doubled by a request without an answer, as the service may still work on that one.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceRequest.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceRequest.java
@@ -7,8 +7,9 @@
  *
  * @param step  the step as {@code JOB.OCCURRENCE.STEP}, not null
  * @param workers  the identifiers of the candidate workers, not null
+ * @param durationMillis  how long the service takes for the request by the queue's policy, in milliseconds
  */
-public record AdviceRequest(String step, List<String> workers) {
+public record AdviceRequest(String step, List<String> workers, long durationMillis) {
     /**
      * Constructs a request with a copy of the list.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -99,6 +99,7 @@
         }
         step.adviceInFlight = true;
         step.adviceRequestedMillis = nowMillis;
-        state.actions.requestAdvice(new AdviceRequest(step.name(), names));
+        long durationMillis = step.occurrence.job.queue.advice().orElseThrow().durationMillis(names.size());
+        state.actions.requestAdvice(new AdviceRequest(step.name(), names, durationMillis));
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/QueueConfig.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/QueueConfig.java
@@ -39,11 +39,37 @@
     }
 
     /**
-     * The timing of placement advice.
+     * The timing of placement advice. Durations outside the range from 0 to {@link #MAX_MILLIS} are limited to it.
      *
      * @param callMillis  the fixed duration of a request, in milliseconds
      * @param perWorkerMillis  the additional duration for each worker named, in milliseconds
      * @param validMillis  how long a ticket is valid, in milliseconds
      */
-    public record AdvicePolicy(long callMillis, long perWorkerMillis, long validMillis) {}
+    public record AdvicePolicy(long callMillis, long perWorkerMillis, long validMillis) {
+        /** The longest duration of a policy, one day. */
+        public static final long MAX_MILLIS = 86_400_000;
+
+        /**
+         * Constructs a policy.
+         */
+        public AdvicePolicy {
+            callMillis = limit(callMillis);
+            perWorkerMillis = limit(perWorkerMillis);
+            validMillis = limit(validMillis);
+        }
+
+        /**
+         * Returns how long a request takes.
+         *
+         * @param workers  the number of workers named, not negative
+         * @return the duration in milliseconds, not negative
+         */
+        public long durationMillis(int workers) {
+            return callMillis + perWorkerMillis * workers;
+        }
+
+        private static long limit(long millis) {
+            return Math.max(0, Math.min(MAX_MILLIS, millis));
+        }
+    }
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdvicePort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdvicePort.java
@@ -12,7 +12,8 @@
      * Requests advice on the candidate workers of a step. The future does not fail; a failure is reported in the result.
      *
      * @param request  the step and its candidate workers, not null
+     * @param timeoutMillis  the time after which the call is given up, in milliseconds
      * @return the result, not null
      */
-    CompletableFuture<AdviceResult> requestAdvice(AdviceRequest request);
+    CompletableFuture<AdviceResult> requestAdvice(AdviceRequest request, long timeoutMillis);
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobContext.java
@@ -24,6 +24,7 @@
     private final MillisClock wallClock;
     private final DecisionLog log;
     private final JobMetrics metrics;
+    private final AdviceCalls adviceCalls = new AdviceCalls(this);
     private volatile long lastTaskMillis;
 
     JobContext(
@@ -60,6 +61,13 @@
         return metrics;
     }
 
+    /**
+     * Returns the calls to the advice service, which all pools of this entry share.
+     */
+    AdviceCalls adviceCalls() {
+        return adviceCalls;
+    }
+
     /**
      * Returns the present moment. A thread that is preempted between the readings of the two clocks reads them again, so that
      * this does not look like a suspension of the process.
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -4,9 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
-import org.trefoilpost.decision.job.AdviceOutcome;
 import org.trefoilpost.decision.job.AdviceRequest;
-import org.trefoilpost.decision.job.AdviceResult;
 import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.Decision;
 import org.trefoilpost.decision.job.JobPhase;
@@ -323,15 +321,11 @@
 
     @Override
     public void requestAdvice(AdviceRequest request) {
-        long sentMillis = context.now().steadyMillis();
-        context.call(() -> context.ports().advice().requestAdvice(request), (result, failure) -> {
-            if (closed) {
-                return;
+        context.adviceCalls().request(request, () -> !closed, (result, callMillis) -> {
+            if (!closed) {
+                scheduler.adviceReceived(request, result, callMillis, context.now());
+                tickSoon();
             }
-            Moment now = context.now();
-            AdviceResult known = failure == null ? result : AdviceResult.failed(AdviceOutcome.FAILED);
-            scheduler.adviceReceived(request, known, now.steadyMillis() - sentMillis, now);
-            tickSoon();
         });
     }
 
