Count the validity of a ticket from its answer

Cause: the validity was counted from the moment of the request, less a constant 500 ms. The service makes the tickets when it has decided, so each had "expired" as it arrived.

It counts from the answer now, less the time that the answer travelled, as a start takes about as long, and a quarter of the validity at most.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -10,7 +10,8 @@
 final class PlacementAdvice {
     private static final int MAX_WORKERS_PER_REQUEST = 30;
     private static final long REQUEST_INTERVAL_MILLIS = 400;
-    private static final long TICKET_EXPIRY_MARGIN_MILLIS = 500;
+    /** The largest part of a ticket's validity that is given up for the time that a start takes to arrive: one of so many. */
+    private static final long VALIDITY_PARTS = 4;
 
     private final PoolState state;
 
@@ -51,7 +52,11 @@
      */
     void adviceReceived(JobStepState step, AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
         step.adviceInFlight = false;
-        long expiryMillis = step.adviceRequestedMillis + result.validMillis() - TICKET_EXPIRY_MARGIN_MILLIS;
+        // The tickets were made just before the answer was sent, and a start takes about as long to arrive as the
+        // answer did.
+        long travelMillis = Math.max(0, callMillis - request.durationMillis());
+        long validMillis = result.validMillis();
+        long expiryMillis = now.steadyMillis() + validMillis - Math.min(travelMillis, validMillis / VALIDITY_PARTS);
         result.tickets()
                 .forEach((workerId, ticketText) ->
                         step.tickets.put(workerId, new JobStepState.Ticket(ticketText, expiryMillis)));
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -47,6 +47,8 @@
     private List<WorkerOrder> sent;
     private List<Answer> answers;
     private PoolScheduler scheduler;
+    private final Set<String> advisedJobs = new HashSet<>();
+    private Optional<FakeAdvice> advice = Optional.empty();
     private Optional<WorkerEvidence> evidence = Optional.empty();
     private boolean losesAtNextStart;
     private boolean storeAnswers = true;
@@ -77,10 +79,24 @@
         answers = new ArrayList<>();
         actions = new RecordedActions(sent);
         scheduler = new PoolScheduler("pool", TIMEOUTS, actions);
-        scheduler.configure(Map.of(QUEUE, QUEUE_CONFIG, ADVISED_QUEUE, ADVISED_QUEUE_CONFIG), Teams.NONE);
+        configure();
         scheduler.open(Map.copyOf(stored), listedWorkers(), now.steadyMillis(), now);
     }
 
+    /** Has an advice service answer the requests of the steps of {@link #ADVISED_QUEUE}. */
+    void answerAdvice(FakeAdvice service) {
+        advice = Optional.of(service);
+        configure();
+    }
+
+    private void configure() {
+        QueueConfig advised = advice.map(FakeAdvice::policy)
+                .map(policy ->
+                        new QueueConfig(ADVISED_QUEUE, "h", "/a/", "pool", 0, 3, 5, 10_000, Optional.of(policy), false))
+                .orElse(ADVISED_QUEUE_CONFIG);
+        scheduler.configure(Map.of(QUEUE, QUEUE_CONFIG, ADVISED_QUEUE, advised), Teams.NONE);
+    }
+
     private List<RegisteredWorker> listedWorkers() {
         return workers.entrySet().stream()
                 .filter(worker -> !unlisted.contains(worker.getKey()))
@@ -177,7 +193,26 @@
 
     /** Submits a job of one step to a queue. */
     void submit(String id, String queue, StepSpec step) {
-        scheduler.submit(new JobSpec(id, queue, "text", List.of(step), JobSpec.Schedule.ONCE), true, now);
+        trySubmit(id, queue, step);
+    }
+
+    /** Submits a job of one step to a queue, and returns whether it is accepted. */
+    boolean trySubmit(String id, String queue, StepSpec step) {
+        if (queue.equals(ADVISED_QUEUE)) {
+            advisedJobs.add(id);
+        }
+        JobSpec job = new JobSpec(id, queue, "text", List.of(step), JobSpec.Schedule.ONCE);
+        return scheduler.submit(job, true, now).kind() == SubmitResult.Kind.PENDING;
+    }
+
+    /** Ends all runs of a job as done. */
+    void finish(String job) {
+        workers.values().forEach(worker -> worker.finish(job));
+    }
+
+    /** Returns the phase of a job that is reported to callers. */
+    JobPhase phase(String job) {
+        return scheduler.phase(job).orElseThrow();
     }
 
     /** Returns the worker on which a task runs, empty if it runs nowhere. */
@@ -212,6 +247,7 @@
             List<WorkerOrder> orders = List.copyOf(sent);
             sent.clear();
             orders.forEach(this::carryOut);
+            actions.takeAdviceRequests().forEach(this::answerAdvice);
         }
     }
 
@@ -222,6 +258,21 @@
         });
     }
 
+    private void answerAdvice(AdviceRequest request) {
+        advice.ifPresent(service -> {
+            long sentMillis = now.steadyMillis();
+            answerAfter(service.accept(request, sentMillis), () -> {
+                AdviceResult result = service.answer(request, now.steadyMillis());
+                scheduler.adviceReceived(request, result, now.steadyMillis() - sentMillis, now);
+            });
+        });
+    }
+
+    private boolean hasValidTicket(WorkerOrder.Start start) {
+        boolean advised = advisedJobs.contains(start.task().job());
+        return advice.isEmpty() || !advised || advice.get().isValid(start, now.steadyMillis());
+    }
+
     private void carryOut(WorkerOrder order) {
         FakeWorker worker = workers.get(order.worker());
         worker.calls.add(order);
@@ -235,6 +286,8 @@
             answerAfter(
                     Math.max(STEP_MILLIS, hold.waitMillis()),
                     () -> scheduler.statusReceived(order.worker(), worker.status(now), now));
+        } else if (order instanceof WorkerOrder.Start start && !hasValidTicket(start)) {
+            answerAfter(STEP_MILLIS, () -> scheduler.orderAnswered(order, OrderResult.BAD_TICKET, now));
         } else {
             worker.carryOut(order);
             answerAfter(STEP_MILLIS, () -> scheduler.orderAnswered(order, OrderResult.OK, now));
@@ -285,6 +338,15 @@
             }
         }
 
+        private void finish(String job) {
+            Map.copyOf(running).forEach((task, run) -> {
+                if (task.startsWith(job + '.')) {
+                    running.remove(task);
+                    ended.add(new WorkerRunStatus.Ended(ended.size() + 1, task, run, RunEnd.DONE, ""));
+                }
+            });
+        }
+
         private WorkerRunStatus status(Moment now) {
             List<WorkerRunStatus.Running> runs = new ArrayList<>();
             running.forEach((task, run) -> runs.add(new WorkerRunStatus.Running(task, run, "", 100, 0)));
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RecordedActions.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/RecordedActions.java
@@ -11,6 +11,7 @@
     private final List<WorkerOrder> sent;
     private final List<Commit> commits = new ArrayList<>();
     private final List<Decision> decisions = new ArrayList<>();
+    private final List<AdviceRequest> adviceRequests = new ArrayList<>();
     private int takenCommits;
 
     RecordedActions(List<WorkerOrder> sent) {
@@ -29,6 +30,13 @@
         return isNew ? OptionalLong.of(lastCommit().number()) : OptionalLong.empty();
     }
 
+    /** Returns the requests for advice since the last call, the earliest first. */
+    List<AdviceRequest> takeAdviceRequests() {
+        List<AdviceRequest> taken = List.copyOf(adviceRequests);
+        adviceRequests.clear();
+        return taken;
+    }
+
     /** Returns the logged decisions of a name, the earliest first. */
     List<Decision> decisions(String name) {
         return decisions.stream()
@@ -42,7 +50,9 @@
     }
 
     @Override
-    public void requestAdvice(AdviceRequest request) {}
+    public void requestAdvice(AdviceRequest request) {
+        adviceRequests.add(request);
+    }
 
     @Override
     public void commit(Commit commit) {
