Ask the advice service about the workers worth asking

Cause: each step of a pool had a request of its own under way, naming up to 30 workers whatever one costs, and asked again about workers for which it had an answer already, so that the service was busy with requests of no use.

A pool has one request under way, for the most urgent step that has no ticket to start with. What the policy has said about a step and a worker is kept as long as the worker lives: a worker that was denied is not asked about again, unless all are; a ticket that has expired is renewed by itself. The number of workers named has the least expected time for each worker found, by the times of the policy, the free room, the tasks that wait and the share of workers allowed so far; a gang is asked about enough workers at once.

--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceChoice.java
@@ -0,0 +1,181 @@
+package org.trefoilpost.decision.job;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.trefoilpost.decision.job.advice.RequestSize;
+
+/**
+ * The workers to name in the next request for advice on a step.
+ */
+final class AdviceChoice {
+    private final JobStepState step;
+    private final Set<PoolWorker> excluded;
+    private final RequestSize size;
+    private final long nowMillis;
+    private final List<PoolWorker> suiting = new ArrayList<>();
+
+    /**
+     * Constructs a choice.
+     *
+     * @param workers  all workers of the pool, not null
+     * @param excluded  the workers that are not to be counted on, as they are reserved for others, not null
+     */
+    AdviceChoice(
+            JobStepState step,
+            Iterable<PoolWorker> workers,
+            Set<PoolWorker> excluded,
+            RequestSize size,
+            long nowMillis) {
+        this.step = step;
+        this.excluded = excluded;
+        this.size = size;
+        this.nowMillis = nowMillis;
+        for (PoolWorker worker : workers) {
+            if (worker.suits(step.spec, nowMillis)) {
+                suiting.add(worker);
+            }
+        }
+        suiting.sort(preference(step));
+    }
+
+    private static Comparator<PoolWorker> preference(JobStepState step) {
+        String rack = step.spec.preferredRack();
+        return Comparator.comparing(
+                        (PoolWorker worker) -> !worker.registration.rack().equals(rack))
+                .thenComparing(worker -> worker.freeResources().cpuMillis(), Comparator.reverseOrder());
+    }
+
+    /**
+     * Returns the request for a number of tasks, empty if no worker is worth asking about at present.
+     *
+     * @param tasks  the number of tasks that could start
+     * @param duration  the time that a request takes
+     */
+    Optional<Named> forTasks(long tasks, QueueConfig.AdvicePolicy duration) {
+        Optional<Named> named = step.spec.gang() ? forGang(tasks, duration) : forSeparateTasks(tasks);
+        return named.or(() -> firstAllowedWorker());
+    }
+
+    /**
+     * Returns the request that asks again about the worker asked about least recently, empty unless none is allowed.
+     */
+    Optional<Named> recheck() {
+        if (suiting.isEmpty() || step.advice.allowsAny() || !suiting.stream().allMatch(step.advice::isKnown)) {
+            return Optional.empty();
+        }
+        return suiting.stream()
+                .min(Comparator.comparingLong(step.advice::answeredMillis))
+                .map(worker -> new Named(List.of(worker), Purpose.RECHECK));
+    }
+
+    private Optional<Named> forSeparateTasks(long tasks) {
+        long missing = tasks;
+        for (PoolWorker worker : suiting) {
+            missing -= step.advice.hasTicket(worker, nowMillis) ? room(worker) : 0;
+        }
+        if (missing <= 0) {
+            return Optional.empty();
+        }
+        List<PoolWorker> renewable = suiting.stream()
+                .filter(worker ->
+                        step.advice.allows(worker) && !step.advice.hasTicket(worker, nowMillis) && room(worker) > 0)
+                .toList();
+        if (!renewable.isEmpty()) {
+            int count = Math.min(size.limit(), workersFor(missing, renewable));
+            return Optional.of(new Named(renewable.subList(0, count), Purpose.RENEWAL));
+        }
+        List<PoolWorker> unknown = unknownWithRoom();
+        return unknown.isEmpty()
+                ? Optional.empty()
+                : Optional.of(first(size.forAny(workersFor(missing, unknown), unknown.size()), unknown));
+    }
+
+    /**
+     * Finds enough workers first, and then renews the tickets that would expire before all are there.
+     */
+    private Optional<Named> forGang(long tasks, QueueConfig.AdvicePolicy policy) {
+        List<PoolWorker> allowed = suiting.stream()
+                .filter(worker -> step.advice.allows(worker) && room(worker) > 0)
+                .toList();
+        long missing = tasks - allowed.stream().mapToLong(this::room).sum();
+        if (missing > 0) {
+            List<PoolWorker> unknown = unknownWithRoom();
+            return unknown.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(first(size.forAll(workersFor(missing, unknown), unknown.size()), unknown));
+        }
+        List<PoolWorker> members = allowed.subList(0, workersFor(tasks, allowed));
+        if (members.stream().allMatch(worker -> step.advice.hasTicket(worker, nowMillis))) {
+            return Optional.empty();
+        }
+        long endMillis = nowMillis + policy.durationMillis(members.size());
+        List<PoolWorker> expiring = members.stream()
+                .filter(worker -> !step.advice.hasTicket(worker, endMillis))
+                .limit(RequestSize.MAX_WORKERS)
+                .toList();
+        return Optional.of(new Named(expiring, Purpose.RENEWAL));
+    }
+
+    /**
+     * Returns a request that finds a first worker on which the step is allowed, though none has room at present.
+     */
+    private Optional<Named> firstAllowedWorker() {
+        List<PoolWorker> unknown =
+                suiting.stream().filter(worker -> !step.advice.isKnown(worker)).toList();
+        return step.advice.allowsAny() || unknown.isEmpty()
+                ? Optional.empty()
+                : Optional.of(first(size.forAny(1, unknown.size()), unknown));
+    }
+
+    private static Named first(int count, List<PoolWorker> workers) {
+        return new Named(workers.subList(0, count), Purpose.DISCOVERY);
+    }
+
+    private List<PoolWorker> unknownWithRoom() {
+        return suiting.stream()
+                .filter(worker -> !step.advice.isKnown(worker) && room(worker) > 0)
+                .toList();
+    }
+
+    /**
+     * Returns how many of the workers, from the first on, have room for a number of tasks, at least one.
+     */
+    private int workersFor(long tasks, List<PoolWorker> workers) {
+        long missing = tasks;
+        int count = 0;
+        while (count < workers.size() && (missing > 0 || count == 0)) {
+            missing -= room(workers.get(count));
+            count++;
+        }
+        return count;
+    }
+
+    private long room(PoolWorker worker) {
+        if (excluded.contains(worker)) {
+            return 0;
+        }
+        long room = step.spec.reservedDemand().timesIn(worker.freeResources());
+        int limit = step.spec.maxPerWorker();
+        return limit == 0 ? room : Math.max(0, Math.min(room, limit - worker.countTasksOf(step)));
+    }
+
+    /**
+     * What a request is for.
+     */
+    enum Purpose {
+        /** To find workers on which the step is allowed. */
+        DISCOVERY,
+        /** To renew tickets. */
+        RENEWAL,
+        /** To ask about a worker again on which the step was not allowed. */
+        RECHECK;
+    }
+
+    /**
+     * The workers named in a request.
+     */
+    record Named(List<PoolWorker> workers, Purpose purpose) {}
+}
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
@@ -31,7 +31,7 @@
             boolean advised = job.queue != null && job.queue.advice().isPresent();
             for (OccurrenceState occurrence : job.openOccurrences()) {
                 for (JobStepState step : occurrence.steps) {
-                    if (step.spec.longRunning() && (!advised || !step.tickets.isEmpty())) {
+                    if (step.spec.longRunning() && (!advised || step.advice.hasTicket(nowMillis, worker -> true))) {
                         room.takeForWaiting(step);
                     }
                 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobStepState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobStepState.java
@@ -1,7 +1,5 @@
 package org.trefoilpost.decision.job;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.stream.Stream;
 import org.trefoilpost.decision.job.crash.Isolation;
 
@@ -17,13 +15,10 @@
     final StepSpec spec;
     final JobTaskState[] tasks;
     final FailedRuns failedGangs = new FailedRuns();
-    final Map<String, Ticket> tickets = new HashMap<>();
+    final StepAdvice advice = new StepAdvice();
     long readyMillis = NOT_READY;
     int doneTasks;
-    long adviceRequestedMillis = Long.MIN_VALUE / 2;
-    boolean adviceInFlight;
     long waitingLoggedMillis = Long.MIN_VALUE / 2;
-    int adviceOffset;
 
     JobStepState(OccurrenceState occurrence, int number, StepSpec spec) {
         this.occurrence = occurrence;
@@ -63,11 +58,6 @@
         return occurrence.job.spec.id() + '.' + occurrence.number + '.' + number;
     }
 
-    /**
-     * A permission to run the step on a worker, with its expiry on the steady clock.
-     */
-    record Ticket(String text, long expiryMillis) {}
-
     /**
      * Returns the resources that the tasks without a run reserve once they start. No machines are asked for to run tasks that
      * may crash them.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -30,7 +30,6 @@
         worker.add(run);
         worker.startsInFlight++;
         JobState job = task.step.occurrence.job;
-        JobStepState.Ticket ticket = task.step.tickets.get(worker.id);
         state.actions.send(new WorkerOrder.Start(
                 worker.id,
                 worker.registration.address(),
@@ -39,7 +38,7 @@
                 job.spec.text(),
                 worker.lease.grant(nowMillis, Math.min(START_LEASE_MILLIS, state.timeouts.leaseMillis())),
                 task.checkpoint.isEmpty() ? Optional.empty() : Optional.of(task.checkpoint),
-                Optional.ofNullable(ticket).map(JobStepState.Ticket::text)));
+                task.step.advice.useTicket(worker)));
         state.actions.logDecision(Decision.of("task-placed")
                 .with("job", task.id.job())
                 .with("task", task.id.text())
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -2,109 +2,211 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.trefoilpost.decision.job.AdviceChoice.Named;
+import org.trefoilpost.decision.job.AdviceChoice.Purpose;
+import org.trefoilpost.decision.job.advice.GoodShare;
+import org.trefoilpost.decision.job.advice.RequestSize;
 
 /**
- * Requests placement advice for the steps of queues that require it, and stores the tickets received.
+ * Requests placement advice for the steps of queues that require it, one at a time, and stores the tickets received.
+ *
+ * <p>The service handles the requests of a machine one after the other, so which step is asked about next decides which one
+ * starts next: in each round the most urgent one that has no ticket to start with, of those that use the tickets they get.
  */
 final class PlacementAdvice {
-    private static final int MAX_WORKERS_PER_REQUEST = 30;
-    private static final long REQUEST_INTERVAL_MILLIS = 400;
+    /** Time after a request that failed until the next one. */
+    private static final long RETRY_MILLIS = 400;
+
     /** The largest part of a ticket's validity that is given up for the time that a start takes to arrive: one of so many. */
     private static final long VALIDITY_PARTS = 4;
 
     private final PoolState state;
+    /** The share of workers on which steps are allowed, by queue. */
+    private final Map<String, GoodShare> goodShares = new HashMap<>();
+    /** The steps of the present round that need advice, the most urgent first, with the workers that are reserved for others. */
+    private final Map<JobStepState, Set<PoolWorker>> waiting = new LinkedHashMap<>();
+
+    private Optional<Call> underWay = Optional.empty();
+    private long pausedUntilMillis = Long.MIN_VALUE;
 
     PlacementAdvice(PoolState state) {
         this.state = state;
     }
 
     /**
-     * Returns whether a step can be placed now; requests advice if the step has no usable ticket.
+     * Returns whether a step can be placed now. One that lacks advice takes part in the choice of the next request.
+     *
+     * @param reserved  the workers that are reserved for more urgent steps, not null
      */
-    boolean isReady(JobStepState step, Moment now) {
-        QueueConfig queue = step.occurrence.job.queue;
-        if (queue.advice().isEmpty()) {
+    boolean isReady(JobStepState step, Set<PoolWorker> reserved, Moment now) {
+        if (!isNeeded(step)) {
             return true;
         }
-        long nowMillis = now.steadyMillis();
-        step.tickets.values().removeIf(ticket -> ticket.expiryMillis() <= nowMillis);
-        boolean requestDue = nowMillis - step.adviceRequestedMillis >= REQUEST_INTERVAL_MILLIS;
-        if (!step.adviceInFlight && requestDue && countUsableTickets(step, nowMillis) == 0) {
-            requestAdvice(step, nowMillis);
-        }
-        return !step.tickets.isEmpty();
+        waiting.put(step, Set.copyOf(reserved));
+        return step.advice.hasTicket(now.steadyMillis(), worker -> true);
+    }
+
+    private static boolean isNeeded(JobStepState step) {
+        QueueConfig queue = step.occurrence.job.queue;
+        return queue != null && queue.advice().isPresent();
     }
 
     /**
-     * Returns whether the advice permits a step to run on a worker.
+     * Returns whether the advice permits a step to run on a worker, and there is a valid ticket.
      */
-    boolean allows(JobStepState step, PoolWorker worker, Moment now) {
-        if (step.occurrence.job.queue.advice().isEmpty()) {
-            return true;
+    boolean allows(JobStepState step, PoolWorker worker, long nowMillis) {
+        return !isNeeded(step) || step.advice.hasTicket(worker, nowMillis);
+    }
+
+    /**
+     * Ends a round of placements: requests advice for one of the steps that need it, unless a request is under way.
+     */
+    void requestNext(Moment now) {
+        if (underWay.isEmpty() && now.steadyMillis() >= pausedUntilMillis) {
+            List<Map.Entry<JobStepState, Set<PoolWorker>>> ordered = new ArrayList<>(waiting.entrySet());
+            ordered.sort(Comparator.comparingInt((Map.Entry<JobStepState, Set<PoolWorker>> entry) ->
+                            entry.getKey().advice.unusedRenewals())
+                    .thenComparing(entry -> hasUsableTicket(entry.getKey(), now.steadyMillis())));
+            requestFirst(ordered, now);
+        }
+        waiting.clear();
+    }
+
+    private void requestFirst(List<Map.Entry<JobStepState, Set<PoolWorker>>> steps, Moment now) {
+        for (Map.Entry<JobStepState, Set<PoolWorker>> entry : steps) {
+            JobStepState step = entry.getKey();
+            Optional<Named> named = state.teamGate.hasRoom(step)
+                    ? choice(step, entry.getValue(), now).forTasks(tasks(step, now), policy(step))
+                    : Optional.empty();
+            if (named.isPresent()) {
+                request(step, named.get(), now);
+                return;
+            }
+        }
+        for (Map.Entry<JobStepState, Set<PoolWorker>> entry : steps) {
+            JobStepState step = entry.getKey();
+            Optional<Named> named = step.advice.isRecheckDue(now.steadyMillis())
+                    ? choice(step, entry.getValue(), now).recheck()
+                    : Optional.empty();
+            if (named.isPresent()) {
+                request(step, named.get(), now);
+                return;
+            }
+        }
+    }
+
+    private static boolean hasUsableTicket(JobStepState step, long nowMillis) {
+        return step.advice.hasTicket(
+                nowMillis, worker -> step.spec.reservedDemand().fitsIn(worker.freeResources()));
+    }
+
+    private AdviceChoice choice(JobStepState step, Set<PoolWorker> reserved, Moment now) {
+        return new AdviceChoice(
+                step, state.workers.values(), reserved, requestSize(step.occurrence.job), now.steadyMillis());
+    }
+
+    private RequestSize requestSize(JobState job) {
+        return RequestSize.of(job.queue.advice().orElseThrow(), goodShare(job).estimate());
+    }
+
+    private static QueueConfig.AdvicePolicy policy(JobStepState step) {
+        return step.occurrence.job.queue.advice().orElseThrow();
+    }
+
+    private GoodShare goodShare(JobState job) {
+        return goodShares.computeIfAbsent(job.spec.queue(), queue -> new GoodShare());
+    }
+
+    private long tasks(JobStepState step, Moment now) {
+        long startable = 0;
+        for (JobTaskState task : step.tasks) {
+            startable += state.mayStart(task, now.steadyMillis()) ? 1 : 0;
         }
-        JobStepState.Ticket ticket = step.tickets.get(worker.id);
-        return ticket != null && ticket.expiryMillis() > now.steadyMillis();
+        return startable;
+    }
+
+    private void request(JobStepState step, Named named, Moment now) {
+        List<String> names = named.workers().stream().map(worker -> worker.id).toList();
+        AdviceRequest request =
+                new AdviceRequest(step.name(), names, policy(step).durationMillis(names.size()));
+        if (named.purpose() == Purpose.RENEWAL) {
+            step.advice.renewalRequested();
+        } else if (named.purpose() == Purpose.RECHECK) {
+            step.advice.recheckRequested(now.steadyMillis());
+        }
+        underWay = Optional.of(new Call(step, request, named, now.steadyMillis()));
+        state.actions.requestAdvice(request);
     }
 
     /**
-     * Stores the tickets received.
+     * Stores what a request has told.
      */
-    void adviceReceived(JobStepState step, AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
-        step.adviceInFlight = false;
+    void adviceReceived(AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
+        Optional<Call> ended = underWay.filter(call -> call.request.equals(request));
+        ended.ifPresent(call -> {
+            underWay = Optional.empty();
+            if (result.outcome() == AdviceOutcome.ANSWERED) {
+                store(call, result, callMillis, now);
+            } else {
+                boolean overloaded = result.outcome() == AdviceOutcome.OVERLOADED;
+                // Each call that ends frees a place in the queue of the service.
+                long pauseMillis = overloaded ? Math.max(RETRY_MILLIS, request.durationMillis()) : RETRY_MILLIS;
+                pausedUntilMillis = now.steadyMillis() + pauseMillis;
+            }
+            state.placementDue = true;
+            log(call, result, callMillis, now);
+        });
+    }
+
+    private void store(Call call, AdviceResult result, long callMillis, Moment now) {
+        StepAdvice advice = call.step.advice;
+        long validMillis = result.validMillis() > 0
+                ? result.validMillis()
+                : policy(call.step).validMillis();
         // The tickets were made just before the answer was sent, and a start takes about as long to arrive as the
         // answer did.
-        long travelMillis = Math.max(0, callMillis - request.durationMillis());
-        long validMillis = result.validMillis();
+        long travelMillis = Math.max(0, callMillis - call.request.durationMillis());
         long expiryMillis = now.steadyMillis() + validMillis - Math.min(travelMillis, validMillis / VALIDITY_PARTS);
-        result.tickets()
-                .forEach((workerId, ticketText) ->
-                        step.tickets.put(workerId, new JobStepState.Ticket(ticketText, expiryMillis)));
-        if (result.tickets().isEmpty()) {
-            step.adviceOffset += request.workers().size();
+        for (PoolWorker worker : call.named.workers()) {
+            String ticket = result.tickets().get(worker.id);
+            if (ticket == null) {
+                advice.denied(worker, now.steadyMillis());
+            } else {
+                advice.allowed(worker, ticket, expiryMillis, now.steadyMillis());
+            }
         }
-        state.placementDue = true;
+        advice.retain(worker -> state.workers.get(worker.id) == worker);
+        if (call.named.purpose() == Purpose.DISCOVERY) {
+            long allowed = call.named.workers().stream()
+                    .filter(worker -> result.tickets().containsKey(worker.id))
+                    .count();
+            goodShare(call.step.occurrence.job).observe(call.named.workers().size(), allowed);
+        }
+    }
+
+    private void log(Call call, AdviceResult result, long callMillis, Moment now) {
         boolean answered = result.outcome() == AdviceOutcome.ANSWERED;
         Decision decision = answered ? Decision.of("advice-received") : Decision.failure("advice-failed");
-        state.actions.logDecision(decision.with("step", request.step())
+        state.actions.logDecision(decision.with("step", call.request.step())
                 .with("reason", result.outcome().text())
-                .with("asked", request.workers().size())
+                .with("purpose", call.named.purpose().name().toLowerCase(Locale.ROOT))
+                .with("asked", call.request.workers().size())
                 .with("good", result.tickets().size())
                 .with("valid", result.validMillis())
+                .with("expected", call.request.durationMillis())
                 .with("call", callMillis)
-                .with("age", now.steadyMillis() - step.adviceRequestedMillis));
-    }
-
-    private int countUsableTickets(JobStepState step, long nowMillis) {
-        int count = 0;
-        for (String workerId : step.tickets.keySet()) {
-            PoolWorker worker = state.workers.get(workerId);
-            if (worker != null
-                    && worker.acceptsWork(nowMillis)
-                    && step.spec.reservedDemand().fitsIn(worker.freeResources())) {
-                count++;
-            }
-        }
-        return count;
+                .with("age", now.steadyMillis() - call.requestedMillis));
     }
 
-    private void requestAdvice(JobStepState step, long nowMillis) {
-        List<PoolWorker> workers = new ArrayList<>(state.workers.values());
-        workers.removeIf(worker -> !worker.suits(step.spec, nowMillis));
-        workers.sort(Comparator.comparingLong(
-                        (PoolWorker worker) -> worker.freeResources().cpuMillis())
-                .reversed());
-        if (workers.isEmpty()) {
-            return;
-        }
-        int offset = step.adviceOffset % workers.size();
-        List<String> names = new ArrayList<>();
-        for (int i = offset; i < workers.size() && names.size() < MAX_WORKERS_PER_REQUEST; i++) {
-            names.add(workers.get(i).id);
-        }
-        step.adviceInFlight = true;
-        step.adviceRequestedMillis = nowMillis;
-        long durationMillis = step.occurrence.job.queue.advice().orElseThrow().durationMillis(names.size());
-        state.actions.requestAdvice(new AdviceRequest(step.name(), names, durationMillis));
-    }
+    /**
+     * A request that has not ended.
+     */
+    private record Call(JobStepState step, AdviceRequest request, Named named, long requestedMillis) {}
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -76,12 +76,13 @@
         for (Candidate candidate : candidates) {
             placeStep(candidate.step, unplacedDemands, now);
         }
+        advice.requestNext(now);
     }
 
     private List<JobTaskState> isolatedTasks(List<Candidate> candidates, Moment now) {
         List<JobTaskState> isolated = new ArrayList<>();
         for (Candidate candidate : candidates) {
-            if (!candidate.step.spec.gang() && advice.isReady(candidate.step, now)) {
+            if (!candidate.step.spec.gang() && advice.isReady(candidate.step, reservedWorkers, now)) {
                 for (JobTaskState task : candidate.step.tasks) {
                     if (IsolatedPlacer.awaits(task, now.steadyMillis()) && state.mayStart(task, now.steadyMillis())) {
                         isolated.add(task);
@@ -170,7 +171,7 @@
     }
 
     private void placeStep(JobStepState step, List<ResourceAmount> unplacedDemands, Moment now) {
-        if (!advice.isReady(step, now)) {
+        if (!advice.isReady(step, reservedWorkers, now)) {
             return;
         }
         if (step.spec.gang()) {
@@ -220,7 +221,7 @@
         if (state.teamGate.hasRoom(step)) {
             reserveIfStarving(step, demand, now);
         }
-        if (isUnconstrained(step) && step.tickets.isEmpty()) {
+        if (isUnconstrained(step) && step.occurrence.job.queue.advice().isEmpty()) {
             unplacedDemands.add(demand);
         }
     }
@@ -307,7 +308,7 @@
                 && worker.lease.isClockKnown()
                 && !reservedWorkers.contains(worker)
                 && demand.fitsIn(worker.freeResources())
-                && advice.allows(step, worker, now);
+                && advice.allows(step, worker, now.steadyMillis());
     }
 
     private static double score(JobStepState step, ResourceAmount demand, PoolWorker worker, int placedTasks) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -264,10 +264,7 @@
      * @param now  the present time, not null
      */
     public void adviceReceived(AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
-        JobTaskState first = state.task(request.step() + ".0");
-        if (first != null) {
-            advice.adviceReceived(first.step, request, result, callMillis, now);
-        }
+        advice.adviceReceived(request, result, callMillis, now);
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.trefoilpost.decision.job.team.Teams;
 
 /**
@@ -140,6 +141,7 @@
         job.phase = phase;
         job.endedWallMillis = now.wallMillis();
         openJobs.remove(job.spec.id());
+        job.openOccurrences().forEach(occurrence -> Stream.of(occurrence.steps).forEach(step -> step.advice.clear()));
         markDirty(job, now.steadyMillis(), true);
         long ageMillis = now.steadyMillis() - job.submittedMillis;
         actions.logDecision(Decision.of("job-ended")
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -93,7 +93,7 @@
         switch (result) {
             case OTHER_LIFE -> workerLosses.otherWorkerAnswered(worker, now);
             case NO_ROOM -> worker.suspicion.refused(nowMillis, NO_ROOM_PAUSE_MILLIS);
-            case BAD_TICKET -> run.task.step.tickets.remove(worker.id);
+            case BAD_TICKET -> run.task.step.advice.ticketRefused(worker);
             case LEASE_PASSED -> askForClock(worker, nowMillis);
             case REFUSED -> worker.suspicion.refused(nowMillis, REFUSAL_PAUSE_MILLIS);
             default -> state.placementDue = true;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WaitDiagnosis.java
@@ -130,6 +130,8 @@
                 .with("suiting", counts.suiting)
                 .with("withRoom", counts.withRoom)
                 .with("advised", counts.advised)
+                .with("allowed", counts.allowed)
+                .with("denied", counts.denied)
                 .with("ready", counts.ready)
                 .with("silent", counts.silent)
                 .with("paused", counts.paused);
@@ -151,11 +153,13 @@
                 continue;
             }
             counts.suiting++;
+            counts.allowed += step.advice.allows(worker) ? 1 : 0;
+            counts.denied += step.advice.denies(worker) ? 1 : 0;
             if (!demand.fitsIn(worker.freeResources()) || !worker.isBelowTaskLimit(step)) {
                 continue;
             }
             counts.withRoom++;
-            if (advice.allows(step, worker, now)) {
+            if (advice.allows(step, worker, now.steadyMillis())) {
                 counts.advised++;
                 counts.ready += isReady(worker, now.steadyMillis()) ? 1 : 0;
             }
@@ -177,6 +181,11 @@
         private int suiting;
         private int withRoom;
         private int advised;
+        /** The number of suiting workers on which advice allows the step, with a valid ticket or without one. */
+        private int allowed;
+        /** The number of suiting workers on which advice does not allow the step. */
+        private int denied;
+
         private int ready;
         private int silent;
         private int paused;
--- /dev/null
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/RequestSize.java
@@ -0,0 +1,105 @@
+package org.trefoilpost.decision.job.advice;
+
+import org.trefoilpost.decision.job.QueueConfig.AdvicePolicy;
+
+/**
+ * Chooses how many workers a request for placement advice names, of those that have not been asked about a step.
+ *
+ * <p>Each worker named makes the answer later and the chance greater that enough of them may run the step. The number with the
+ * least expected time for each worker found is chosen, within a limit that keeps long requests from delaying other steps.
+ */
+public final class RequestSize {
+    /** The maximum number of workers that the service accepts in a request. */
+    public static final int MAX_WORKERS = 100;
+
+    private final AdvicePolicy policy;
+    private final double share;
+
+    private RequestSize(AdvicePolicy policy, double share) {
+        this.policy = policy;
+        this.share = share;
+    }
+
+    /**
+     * Obtains an instance.
+     *
+     * @param policy  the timing of the requests, not null
+     * @param share  the expected share of workers that may run a step, greater than 0 and less than 1
+     * @return the instance, not null
+     */
+    public static RequestSize of(AdvicePolicy policy, double share) {
+        return new RequestSize(policy, share);
+    }
+
+    /**
+     * Returns the largest number of workers to name in a request for a step each of whose tasks can start by itself: as many as
+     * take the time of one request without any, but never fewer than the best number for one task.
+     *
+     * @return the number, from 1 to {@link #MAX_WORKERS}
+     */
+    public int limit() {
+        long withinFixedTime = policy.perWorkerMillis() == 0
+                ? MAX_WORKERS
+                : Math.min(MAX_WORKERS, policy.callMillis() / policy.perWorkerMillis());
+        return Math.max((int) withinFixedTime, best(1, MAX_WORKERS, false));
+    }
+
+    /**
+     * Returns how many workers to name for tasks that can start one by one.
+     *
+     * @param needed  the number of workers that the tasks need, positive
+     * @param candidates  the number of workers that can be named, positive
+     * @return the number, from 1 to {@code candidates}
+     */
+    public int forAny(int needed, int candidates) {
+        return Math.min(limit(), best(needed, candidates, false));
+    }
+
+    /**
+     * Returns how many workers to name for tasks that can only start together.
+     *
+     * @param needed  the number of workers that the tasks need, positive
+     * @param candidates  the number of workers that can be named, positive
+     * @return the number, from 1 to {@code candidates}
+     */
+    public int forAll(int needed, int candidates) {
+        return best(needed, candidates, true);
+    }
+
+    private int best(int needed, int candidates, boolean together) {
+        int most = Math.min(candidates, MAX_WORKERS);
+        int wanted = Math.min(needed, most);
+        // The probabilities that a number of the workers named so far may run the step; the last one stands for all
+        // that are wanted.
+        double[] found = new double[wanted + 1];
+        found[0] = 1;
+        int best = most;
+        double bestYield = 0;
+        for (int named = 1; named <= most; named++) {
+            addWorker(found);
+            double yield = (together ? found[wanted] : mean(found)) / Math.max(1, policy.durationMillis(named));
+            if (yield > bestYield) {
+                best = named;
+                bestYield = yield;
+            }
+        }
+        return best;
+    }
+
+    private void addWorker(double[] found) {
+        int last = found.length - 1;
+        found[last] += found[last - 1] * share;
+        for (int i = last - 1; i > 0; i--) {
+            found[i] = found[i] * (1 - share) + found[i - 1] * share;
+        }
+        found[0] *= 1 - share;
+    }
+
+    private static double mean(double[] found) {
+        double mean = 0;
+        for (int i = 1; i < found.length; i++) {
+            mean += i * found[i];
+        }
+        return mean;
+    }
+}
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
@@ -1,18 +1,30 @@
 package org.trefoilpost.decision.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.trefoilpost.decision.job.QueueConfig.AdvicePolicy;
 
 /**
  * Starts steps that need placement advice, of a service that takes as long as its policy says.
  */
 class PlacementAdviceTest {
+    private static final int RANDOM_POLICIES = 60;
     private static final ResourceAmount SMALL = new ResourceAmount(1_000, 1_000, 0);
+    private static final ResourceAmount WHOLE = new ResourceAmount(4_000, 1_000, 0);
+    /** Allows a step on about half of the workers. */
+    private static final BiPredicate<String, String> HALF =
+            (step, worker) -> Math.floorMod(new Random((step + worker).hashCode()).nextInt(), 2) == 0;
 
     private static final long RUN_MILLIS = 200;
 
@@ -22,6 +34,28 @@
     private PoolWithFakeWorkers pool;
     private FakeAdvice service;
 
+    /**
+     * Guards against accepted jobs that never start because tickets count as expired when they arrive, or because the time of a
+     * request grows with the number of workers.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "500, 100, 3000, 22",
+        "500, 100, 10000, 28",
+        "500, 1000, 1000, 22",
+        "3500, 10, 400, 22",
+        "20, 1, 100, 22",
+        "0, 300, 500, 40",
+        "2000, 0, 200, 120"
+    })
+    void jobsStartWhateverTheTimesOfThePolicy(long callMillis, long perWorkerMillis, long validMillis, int workers) {
+        start(workers, new AdvicePolicy(callMillis, perWorkerMillis, validMillis), HALF);
+        long callsMillis = Math.max(1_000, 3 * service.policy().durationMillis(3));
+        submitJobs(8, callsMillis);
+        advance(callsMillis);
+        assertCompleted();
+    }
+
     /** Guards against tickets whose time counts from the request, so that they have expired when they arrive. */
     @Test
     void ticketIsValidFromItsAnswerOn() {
@@ -31,6 +65,105 @@
         assertCompleted();
     }
 
+    /** Guards against policies that the listed ones do not stand for. */
+    @Test
+    void jobsStartUnderPoliciesDrawnAtRandom() {
+        for (int seed = 1; seed <= RANDOM_POLICIES; seed++) {
+            Random random = new Random(seed);
+            AdvicePolicy policy =
+                    new AdvicePolicy(random.nextInt(4_000), random.nextInt(600), 200 + random.nextInt(9_800));
+            start(6 + random.nextInt(40), policy, HALF);
+            long callsMillis = 5 * policy.durationMillis(3);
+            submitJobs(4, callsMillis);
+            advance(2 * callsMillis);
+            assertTrue(submitted.isEmpty(), "seed " + seed + ": " + submitted + " under " + policy);
+        }
+    }
+
+    /** Guards against steps that are asked about again and again while others wait, see the burst of review case 8. */
+    @Test
+    void burstOfJobsIsServedAtTheRateOfTheService() {
+        start(8, new AdvicePolicy(120, 10, 3_000), HALF);
+        submitJobs(60, 0);
+        advance(16_000);
+        assertCompleted();
+    }
+
+    /** Guards against requests that pile up at the service, which handles one of a machine at a time. */
+    @Test
+    void nextRequestIsSentWhenTheOneBeforeHasEnded() {
+        start(8, new AdvicePolicy(1_000, 0, 3_000), HALF);
+        submitJobs(10, 0);
+        pool.advance(900);
+        assertEquals(1, service.requests().size());
+        pool.advance(1_000);
+        assertEquals(2, service.requests().size());
+    }
+
+    /** Guards against time spent on what is known: the policy's answer about a step does not change. */
+    @Test
+    void workerOnWhichAStepIsNotAllowedIsNotAskedAboutAgain() {
+        start(12, new AdvicePolicy(200, 100, 500), (step, worker) -> worker.equals("w12"));
+        submit("job", SMALL, 1);
+        advance(12_000);
+        assertCompleted();
+        List<String> asked = service.requests().stream()
+                .flatMap(request -> request.workers().stream())
+                .toList();
+        assertEquals(new HashSet<>(asked).size(), asked.size(), asked.toString());
+    }
+
+    /** Guards against a request for all workers where one is known, when a ticket has expired before its use. */
+    @Test
+    void expiredTicketIsRenewedAlone() {
+        start(10, new AdvicePolicy(200, 100, 500), (step, worker) -> !worker.equals("w2"));
+        String job = "job";
+        pool.submit(
+                job,
+                PoolWithFakeWorkers.ADVISED_QUEUE,
+                step(SMALL, 1).longRunning(true).build());
+        pool.advance(3_000);
+        String first = pool.workerOf(task(job, 0)).orElseThrow();
+        int before = service.requests().size();
+        pool.lose(first);
+        pool.endLostWorkers();
+        pool.advance(3_000);
+        assertTrue(pool.workerOf(task(job, 0)).isPresent());
+        Set<String> later = new HashSet<>();
+        service.requests()
+                .subList(before, service.requests().size())
+                .forEach(request -> later.addAll(request.workers()));
+        assertFalse(later.contains(first));
+    }
+
+    /** Guards against a step of many tasks that stays on the first few workers found. */
+    @Test
+    void wideStepUsesAllWorkersOnWhichItIsAllowed() {
+        start(12, new AdvicePolicy(200, 100, 1_000), HALF);
+        String job = "job";
+        pool.submit(
+                job,
+                PoolWithFakeWorkers.ADVISED_QUEUE,
+                step(SMALL, 40).longRunning(true).build());
+        pool.advance(10_000);
+        for (int i = 1; i <= 12; i++) {
+            if (HALF.test(job + ".0.0", "w" + i)) {
+                assertEquals(4, pool.countCalls("w" + i, WorkerOrder.Start.class), "w" + i);
+            }
+        }
+    }
+
+    /** Guards against a gang that never starts as the tickets of its members do not live at the same time. */
+    @Test
+    void gangStartsThoughItsTicketsLiveForAShortTime() {
+        start(16, new AdvicePolicy(300, 100, 250), (step, worker) -> Integer.parseInt(worker.substring(1)) % 4 == 0);
+        StepSpec gang = step(WHOLE, 4).gang(true, false).build();
+        pool.submit("gang", PoolWithFakeWorkers.ADVISED_QUEUE, gang);
+        submitted.add("gang");
+        advance(8_000);
+        assertCompleted();
+    }
+
     private void start(int workers, AdvicePolicy policy, BiPredicate<String, String> allows) {
         submitted.clear();
         pool = new PoolWithFakeWorkers(workers, 0);
@@ -39,6 +172,13 @@
         pool.advance(1_000);
     }
 
+    private void submitJobs(int count, long intervalMillis) {
+        for (int i = 0; i < count; i++) {
+            submit("job" + i, SMALL, 1);
+            advance(intervalMillis);
+        }
+    }
+
     private void submit(String job, ResourceAmount demand, int tasks) {
         pool.submit(job, PoolWithFakeWorkers.ADVISED_QUEUE, step(demand, tasks).build());
         submitted.add(job);
@@ -60,4 +200,8 @@
     private void assertCompleted() {
         assertEquals(List.of(), submitted, "not completed");
     }
+
+    private static String task(String job, int index) {
+        return job + ".0.0." + index;
+    }
 }
