Reserve a worker only where advice allows the step

A worker was kept free for a starving step although the step was not allowed there: it stayed idle while the step waited for another one. A step that knows where it is allowed but whose ticket had expired had no worker reserved at all.

A worker is reserved where the step is allowed, with a ticket or with one that can be had: not while the service does not answer, so that nothing is kept idle for tickets that do not come.

PlacementAdviceTest.workerIsReservedOnlyWhereTheStepIsAllowed fails without the change.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -34,6 +34,7 @@
     private final Map<JobStepState, Set<PoolWorker>> waiting = new LinkedHashMap<>();
 
     private Optional<Call> underWay = Optional.empty();
+    private boolean answering = true;
     private long pausedUntilMillis = Long.MIN_VALUE;
 
     PlacementAdvice(PoolState state) {
@@ -65,6 +66,13 @@
         return !isNeeded(step) || step.advice.hasTicket(worker, nowMillis);
     }
 
+    /**
+     * Returns whether a step may wait for a worker: it is allowed there, and if there is no valid ticket, one can be had.
+     */
+    boolean mayAwait(JobStepState step, PoolWorker worker, long nowMillis) {
+        return allows(step, worker, nowMillis) || answering && step.advice.allows(worker);
+    }
+
     /**
      * Ends a round of placements: requests advice for one of the steps that need it, unless a request is under way.
      */
@@ -152,7 +160,8 @@
         Optional<Call> ended = underWay.filter(call -> call.request.equals(request));
         ended.ifPresent(call -> {
             underWay = Optional.empty();
-            if (result.outcome() == AdviceOutcome.ANSWERED) {
+            answering = result.outcome() == AdviceOutcome.ANSWERED;
+            if (answering) {
                 store(call, result, callMillis, now);
             } else {
                 boolean overloaded = result.outcome() == AdviceOutcome.OVERLOADED;
@@ -192,8 +201,7 @@
     }
 
     private void log(Call call, AdviceResult result, long callMillis, Moment now) {
-        boolean answered = result.outcome() == AdviceOutcome.ANSWERED;
-        Decision decision = answered ? Decision.of("advice-received") : Decision.failure("advice-failed");
+        Decision decision = answering ? Decision.of("advice-received") : Decision.failure("advice-failed");
         state.actions.logDecision(decision.with("step", call.request.step())
                 .with("reason", result.outcome().text())
                 .with("purpose", call.named.purpose().name().toLowerCase(Locale.ROOT))
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -172,6 +172,10 @@
 
     private void placeStep(JobStepState step, List<ResourceAmount> unplacedDemands, Moment now) {
         if (!advice.isReady(step, reservedWorkers, now)) {
+            boolean waits = step.advice.allowsAny() && countStartable(step, now.steadyMillis()) > 0;
+            if (waits && !step.spec.gang() && state.teamGate.hasRoom(step)) {
+                reserveIfStarving(step, step.spec.reservedDemand(), now);
+            }
             return;
         }
         if (step.spec.gang()) {
@@ -282,6 +286,7 @@
             boolean eligible = worker.suits(step.spec, now.steadyMillis())
                     && !reservedWorkers.contains(worker)
                     && worker.isBelowTaskLimit(step)
+                    && advice.mayAwait(step, worker, now.steadyMillis())
                     && demand.fitsIn(worker.capacityBesideLongRunning());
             if (eligible
                     && (bestWorker == null
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
@@ -164,6 +164,41 @@
         assertCompleted();
     }
 
+    /** Guards against a reserved worker on which the step that it is kept for is not allowed. */
+    @Test
+    void workerIsReservedOnlyWhereTheStepIsAllowed() {
+        start(2, new AdvicePolicy(20, 10, 1_000), (step, worker) -> worker.equals("w1"));
+        pool.submit("small", PoolWithFakeWorkers.QUEUE, step(SMALL, 8).build());
+        pool.advance(500);
+        String large = "large";
+        pool.submit(
+                large,
+                PoolWithFakeWorkers.ADVISED_QUEUE,
+                step(WHOLE, 1).longRunning(true).build());
+        pool.advance(1_000);
+        pool.finish("small");
+        for (int i = 0; i < 12; i++) {
+            pool.submit("small" + i, PoolWithFakeWorkers.QUEUE, step(SMALL, 2).build());
+        }
+        pool.advance(1_500);
+        assertEquals("w1", pool.workerOf(task(large, 0)).orElse("none"));
+        assertTrue(pool.countCalls("w2", WorkerOrder.Start.class) > 4, "w2 is not kept idle");
+    }
+
+    /** Guards against workers that are kept for a step though the service gives no tickets. */
+    @Test
+    void noWorkerIsKeptWhileTheServiceDoesNotAnswer() {
+        pool = new PoolWithFakeWorkers(2, 0);
+        pool.advance(1_000);
+        submit("waits", SMALL, 4);
+        pool.advance(2_000);
+        pool.submit("small", PoolWithFakeWorkers.QUEUE, step(SMALL, 8).build());
+        pool.advance(500);
+        for (int i = 0; i < 8; i++) {
+            assertTrue(pool.workerOf(task("small", i)).isPresent(), "task " + i);
+        }
+    }
+
     private void start(int workers, AdvicePolicy policy, BiPredicate<String, String> allows) {
         submitted.clear();
         pool = new PoolWithFakeWorkers(workers, 0);
