Get a ticket elsewhere before a task is evacuated

A long-running task of a queue with advice was stopped as soon as another worker had room, and then waited for a request, or for workers on which it is allowed, with nothing running. Found by reading.

It is stopped once there is a valid ticket for the worker that is to take it; until then advice is requested beside that of waiting steps.

PlacementAdviceTest.evacuatedTaskIsStoppedOnceThereIsATicketElsewhere fails without the change.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
@@ -8,30 +8,31 @@
 import java.util.Optional;
 
 /**
- * The room that long-running tasks find on other workers when they are stopped: that of workers which have answered lately,
- * without what the tasks need that only wait for a worker already. Each amount is given to one task only.
+ * The room that long-running tasks find on other workers when they are stopped: that of workers which have answered lately
+ * and on which placement advice permits them, without what the tasks need that only wait for a worker already. Each amount is given to one task only.
  */
 final class EvacuationRoom {
     private final PoolState state;
+    private final PlacementAdvice advice;
     private final long nowMillis;
     private final Map<PoolWorker, ResourceAmount> taken = new HashMap<>();
     private final Map<PoolWorker, List<JobStepState>> takers = new HashMap<>();
 
-    private EvacuationRoom(PoolState state, long nowMillis) {
+    private EvacuationRoom(PoolState state, PlacementAdvice advice, long nowMillis) {
         this.state = state;
+        this.advice = advice;
         this.nowMillis = nowMillis;
     }
 
     /**
      * Returns the room that the tasks which wait for a worker leave.
      */
-    static EvacuationRoom besideWaitingTasks(PoolState state, long nowMillis) {
-        EvacuationRoom room = new EvacuationRoom(state, nowMillis);
+    static EvacuationRoom besideWaitingTasks(PoolState state, PlacementAdvice advice, long nowMillis) {
+        EvacuationRoom room = new EvacuationRoom(state, advice, nowMillis);
         for (JobState job : state.openJobs.values()) {
-            boolean advised = job.queue != null && job.queue.advice().isPresent();
             for (OccurrenceState occurrence : job.openOccurrences()) {
                 for (JobStepState step : occurrence.steps) {
-                    if (step.spec.longRunning() && (!advised || step.advice.hasTicket(nowMillis, worker -> true))) {
+                    if (step.spec.longRunning()) {
                         room.takeForWaiting(step);
                     }
                 }
@@ -87,7 +88,8 @@
         ResourceAmount free = worker.freeResources().minus(taken.getOrDefault(worker, ResourceAmount.NONE));
         return worker.suits(step.spec, nowMillis)
                 && step.spec.reservedDemand().fitsIn(free)
-                && isBelowTaskLimit(step, worker);
+                && isBelowTaskLimit(step, worker)
+                && advice.allows(step, worker, nowMillis);
     }
 
     private boolean isBelowTaskLimit(JobStepState step, PoolWorker worker) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -32,6 +32,8 @@
     private final Map<String, GoodShare> goodShares = new HashMap<>();
     /** The steps of the present round that need advice, the most urgent first, with the workers that are reserved for others. */
     private final Map<JobStepState, Set<PoolWorker>> waiting = new LinkedHashMap<>();
+    /** The steps with tasks that are to leave their worker. */
+    private final Map<JobStepState, Set<PoolWorker>> leaving = new LinkedHashMap<>();
 
     private Optional<Call> underWay = Optional.empty();
     private boolean answering = true;
@@ -54,6 +56,15 @@
         return step.advice.hasTicket(now.steadyMillis(), worker -> true);
     }
 
+    /**
+     * Has advice requested for a task that is to leave its worker.
+     */
+    void wantOtherWorker(JobStepState step) {
+        if (isNeeded(step)) {
+            leaving.put(step, Set.of());
+        }
+    }
+
     private static boolean isNeeded(JobStepState step) {
         QueueConfig queue = step.occurrence.job.queue;
         return queue != null && queue.advice().isPresent();
@@ -78,19 +89,22 @@
      */
     void requestNext(Moment now) {
         if (underWay.isEmpty() && now.steadyMillis() >= pausedUntilMillis) {
-            List<Map.Entry<JobStepState, Set<PoolWorker>>> ordered = new ArrayList<>(waiting.entrySet());
+            Map<JobStepState, Set<PoolWorker>> steps = new LinkedHashMap<>(leaving);
+            waiting.forEach(steps::putIfAbsent);
+            List<Map.Entry<JobStepState, Set<PoolWorker>>> ordered = new ArrayList<>(steps.entrySet());
             ordered.sort(Comparator.comparingInt((Map.Entry<JobStepState, Set<PoolWorker>> entry) ->
                             entry.getKey().advice.unusedRenewals())
                     .thenComparing(entry -> hasUsableTicket(entry.getKey(), now.steadyMillis())));
             requestFirst(ordered, now);
         }
         waiting.clear();
+        leaving.clear();
     }
 
     private void requestFirst(List<Map.Entry<JobStepState, Set<PoolWorker>>> steps, Moment now) {
         for (Map.Entry<JobStepState, Set<PoolWorker>> entry : steps) {
             JobStepState step = entry.getKey();
-            Optional<Named> named = state.teamGate.hasRoom(step)
+            Optional<Named> named = leaving.containsKey(step) || state.teamGate.hasRoom(step)
                     ? choice(step, entry.getValue(), now).forTasks(tasks(step, now), policy(step))
                     : Optional.empty();
             if (named.isPresent()) {
@@ -132,12 +146,15 @@
         return goodShares.computeIfAbsent(job.spec.queue(), queue -> new GoodShare());
     }
 
+    /**
+     * Returns the number of tasks to find workers for; one if the tasks of the step are only to leave theirs.
+     */
     private long tasks(JobStepState step, Moment now) {
         long startable = 0;
         for (JobTaskState task : step.tasks) {
             startable += state.mayStart(task, now.steadyMillis()) ? 1 : 0;
         }
-        return startable;
+        return Math.max(1, startable);
     }
 
     private void request(JobStepState step, Named named, Moment now) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -63,7 +63,7 @@
         this.holdScheduler = new HoldScheduler(state, orderSender, workerLosses);
         this.restarts = new WorkerRestarts(state, workerLosses);
         this.registrations = new WorkerRegistrations(state, restarts);
-        this.evacuator = new WorkerEvacuator(state, orderSender);
+        this.evacuator = new WorkerEvacuator(state, orderSender, advice);
         this.throttle = new BestEffortThrottle(state, orderSender);
         this.takeover = new PoolTakeover(state);
         this.demandCalculator = new PoolDemandCalculator(state, runStatistics);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerEvacuator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerEvacuator.java
@@ -19,15 +19,17 @@
 
     private final PoolState state;
     private final OrderSender orderSender;
+    private final PlacementAdvice advice;
     private final WorkerInquiries inquiries;
     /** The room on other workers, null as long as the present tick has not asked for it. */
     private EvacuationRoom room;
 
     private long lastRoundMillis = Long.MIN_VALUE / 2;
 
-    WorkerEvacuator(PoolState state, OrderSender orderSender) {
+    WorkerEvacuator(PoolState state, OrderSender orderSender, PlacementAdvice advice) {
         this.state = state;
         this.orderSender = orderSender;
+        this.advice = advice;
         this.inquiries = new WorkerInquiries(orderSender);
     }
 
@@ -95,10 +97,11 @@
      */
     private boolean findsRoom(Run run, Moment now) {
         if (room == null) {
-            room = EvacuationRoom.besideWaitingTasks(state, now.steadyMillis());
+            room = EvacuationRoom.besideWaitingTasks(state, advice, now.steadyMillis());
         }
         Optional<PoolWorker> other = room.take(run.task.step);
         if (other.isEmpty()) {
+            advice.wantOtherWorker(run.task.step);
             inquiries.awaitRoom(run.task.step, room.workersToAsk(run.task.step), now.steadyMillis());
             return false;
         }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
@@ -185,6 +185,22 @@
         assertTrue(pool.countCalls("w2", WorkerOrder.Start.class) > 4, "w2 is not kept idle");
     }
 
+    /** Guards against a long-running task that is stopped before there is a ticket for the worker that is to take it. */
+    @Test
+    void evacuatedTaskIsStoppedOnceThereIsATicketElsewhere() {
+        start(6, new AdvicePolicy(2_000, 100, 3_000), (step, worker) -> true);
+        StepSpec spec = step(SMALL, 1).longRunning(true).build();
+        pool.submit("lasting", PoolWithFakeWorkers.ADVISED_QUEUE, spec);
+        pool.advance(9_000);
+        String first = pool.workerOf(task("lasting", 0)).orElseThrow();
+        pool.evacuate(first);
+        pool.advance(1_500);
+        assertEquals(first, pool.workerOf(task("lasting", 0)).orElse("none"));
+        pool.advance(2_500);
+        String second = pool.workerOf(task("lasting", 0)).orElseThrow();
+        assertFalse(second.equals(first));
+    }
+
     /** Guards against workers that are kept for a step though the service gives no tickets. */
     @Test
     void noWorkerIsKeptWhileTheServiceDoesNotAnswer() {
