Ask for machines when a step is allowed on none of the workers

A pool asks for more machines as long as a waiting step is allowed on none of the present workers, as many as are likely to have one on which it is; not once so many have denied it that the policy hardly allows it anywhere.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -129,6 +129,33 @@
                 nowMillis, worker -> step.spec.reservedDemand().fitsIn(worker.freeResources()));
     }
 
+    /**
+     * Returns how many more machines the pool needs to have a worker for a step that is allowed on none of the present ones, 0 if
+     * there is no such step.
+     */
+    int missingMachines() {
+        int missing = 0;
+        for (JobState job : state.openJobs.values()) {
+            for (OccurrenceState occurrence : job.openOccurrences()) {
+                for (JobStepState step : occurrence.steps) {
+                    boolean waits = step.readyMillis != JobStepState.NOT_READY && !step.ended() && isNeeded(step);
+                    missing = waits ? Math.max(missing, missingMachines(step)) : missing;
+                }
+            }
+        }
+        return Math.min(missing, state.workers.size());
+    }
+
+    private int missingMachines(JobStepState step) {
+        List<PoolWorker> candidates = state.workers.values().stream()
+                .filter(worker -> worker.listed && !worker.evacuating && !worker.registration.draining())
+                .filter(worker -> step.spec.allowsLabels(worker.registration.labels()))
+                .toList();
+        GoodShare share = goodShare(step.occurrence.job);
+        boolean denied = candidates.stream().allMatch(step.advice::denies);
+        return denied && share.mayAllowOthers(candidates.size()) ? (int) Math.ceil(1 / share.estimate()) : 0;
+    }
+
     private AdviceChoice choice(JobStepState step, Set<PoolWorker> reserved, Moment now) {
         return new AdviceChoice(
                 step, state.workers.values(), reserved, requestSize(step.occurrence.job), now.steadyMillis());
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
@@ -15,11 +15,13 @@
     private static final double MAX_BACKLOG_FACTOR = 1.3;
 
     private final PoolState state;
+    private final PlacementAdvice advice;
     private final RefusedDemand refusedDemand = new RefusedDemand(REFUSED_DEMAND_WINDOW_MILLIS);
     private final ArrivalRate arrivalRate;
 
-    PoolDemandCalculator(PoolState state, RunStatistics runStatistics) {
+    PoolDemandCalculator(PoolState state, RunStatistics runStatistics, PlacementAdvice advice) {
         this.state = state;
+        this.advice = advice;
         this.arrivalRate = new ArrivalRate(runStatistics);
     }
 
@@ -66,7 +68,9 @@
                             worker.acceptsWork(now.steadyMillis())));
         }
         double needed = neededMachines(used, longRunning, size, now);
-        return new PoolDemand(Math.max(needed, machinesForTaskLimits()), workers);
+        int missing = advice.missingMachines();
+        double advised = missing == 0 ? 0 : size.workers() + missing;
+        return new PoolDemand(Math.max(needed, Math.max(advised, machinesForTaskLimits())), workers);
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -66,7 +66,7 @@
         this.evacuator = new WorkerEvacuator(state, orderSender, advice);
         this.throttle = new BestEffortThrottle(state, orderSender);
         this.takeover = new PoolTakeover(state);
-        this.demandCalculator = new PoolDemandCalculator(state, runStatistics);
+        this.demandCalculator = new PoolDemandCalculator(state, runStatistics, advice);
         this.submissions = new JobSubmissions(state, admission, demandCalculator);
         this.waits = new LongRunningWaits(state, advice);
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/GoodShare.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/GoodShare.java
@@ -7,6 +7,9 @@
     /** The number of observations after which earlier ones count half. */
     private static final int WINDOW = 100;
 
+    /** The probability below which a series of denials is not taken for chance. */
+    private static final double MIN_DENIAL_PROBABILITY = 0.001;
+
     private double asked;
     private double good;
 
@@ -25,6 +28,16 @@
         }
     }
 
+    /**
+     * Returns whether a step that has been denied on a number of workers may still be allowed on others.
+     *
+     * @param denied  the number of workers, not negative
+     * @return false if so many denials show that the policy hardly allows the step anywhere
+     */
+    public boolean mayAllowOthers(long denied) {
+        return Math.pow(1 - estimate(), denied) >= MIN_DENIAL_PROBABILITY;
+    }
+
     /**
      * Returns the estimated share, one half before there is an observation.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
@@ -201,6 +201,18 @@
         assertFalse(second.equals(first));
     }
 
+    /** Guards against a job that never starts as its step is allowed only on workers that the pool has given away. */
+    @Test
+    void poolNeedsMoreMachinesForAStepThatIsAllowedOnNoneOfItsWorkers() {
+        start(3, new AdvicePolicy(100, 10, 1_000), (step, worker) -> !step.startsWith("denied"));
+        submit("allowed", SMALL, 1);
+        advance(1_000);
+        assertTrue(pool.scheduler().demand(pool.now()).neededMachines() < 3);
+        submit("denied", SMALL, 1);
+        advance(1_000);
+        assertTrue(pool.scheduler().demand(pool.now()).neededMachines() > 3);
+    }
+
     /** Guards against workers that are kept for a step though the service gives no tickets. */
     @Test
     void noWorkerIsKeptWhileTheServiceDoesNotAnswer() {
