Refuse jobs whose advice would come too late

Jobs were accepted without regard to the requests for advice that are waited for, which the service answers one by one: 200 of 200 jobs at once, at 1 s and more a request, with an objective of about 10 s.

A job is refused, with the time to come back, if the requests before it take longer than it may wait. The critical path of a job includes the request that the platform's objective allows for each step.

PlacementAdviceTest.jobsBeyondTheRateOfTheServiceAreRefused fails without the change (200 accepted).

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
@@ -26,11 +26,13 @@
 
     private final PoolState state;
     private final StartDeadlines startDeadlines;
+    private final PlacementAdvice advice;
     private final Backlog backlog;
     private final TeamRates teamRates;
 
-    Admission(PoolState state, RunStatistics runStatistics, StartDeadlines startDeadlines) {
+    Admission(PoolState state, RunStatistics runStatistics, StartDeadlines startDeadlines, PlacementAdvice advice) {
         this.state = state;
+        this.advice = advice;
         this.startDeadlines = startDeadlines;
         this.backlog = new Backlog(state, runStatistics, startDeadlines);
         this.teamRates = new TeamRates(state);
@@ -130,7 +132,12 @@
         if (!job.spec.onDemand()) {
             return OptionalLong.empty();
         }
-        boolean late = startDeadlines.latestStartsMillis(job)[0] < now.steadyMillis();
+        long spareMillis = startDeadlines.latestStartsMillis(job)[0] - now.steadyMillis();
+        boolean late = spareMillis < 0;
+        long adviceShortMillis = adviceShortMillis(job, late ? MAX_LATE_JOB_WAIT_MILLIS : spareMillis);
+        if (adviceShortMillis > 0) {
+            return OptionalLong.of(adviceShortMillis);
+        }
         long shortMillis = late
                 ? (long) backlog.waitMillis(now) - MAX_LATE_JOB_WAIT_MILLIS
                 : (long) backlog.shortageMillis(job, now);
@@ -139,6 +146,14 @@
         return accepted ? OptionalLong.empty() : OptionalLong.of(shortMillis);
     }
 
+    /**
+     * Returns by how many milliseconds the advice for a job comes too late, as other steps are served before; not positive if it
+     * comes in time or none is needed.
+     */
+    private long adviceShortMillis(JobState job, long spareMillis) {
+        return job.queue.advice().isEmpty() ? 0 : (long) advice.waitMillis() - spareMillis;
+    }
+
     /**
      * Returns whether a job meets its objective with the share of its team alone, whatever waits of other teams.
      *
@@ -166,6 +181,9 @@
         inputs.put("objective", objectiveMillis);
         inputs.put("spare", (long) -backlog.overrunMillis(job, now));
         inputs.put("wait", (long) backlog.waitMillis(now));
+        if (job.queue.advice().isPresent()) {
+            inputs.put("adviceWait", (long) advice.waitMillis());
+        }
         inputs.put("workers", state.workers.size());
         inputs.put("arriving", state.arrivingMachines);
         return inputs;
@@ -183,5 +201,6 @@
      */
     void jobAccepted(JobState job) {
         backlog.add(job);
+        advice.jobAccepted(job);
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -38,6 +38,8 @@
     private Optional<Call> underWay = Optional.empty();
     private boolean answering = true;
     private long pausedUntilMillis = Long.MIN_VALUE;
+    /** How long the requests for the waiting steps take, as of the last round. */
+    private double waitMillis;
 
     PlacementAdvice(PoolState state) {
         this.state = state;
@@ -97,10 +99,33 @@
                     .thenComparing(entry -> hasUsableTicket(entry.getKey(), now.steadyMillis())));
             requestFirst(ordered, now);
         }
+        waitMillis = waiting.keySet().stream()
+                .filter(step -> !hasUsableTicket(step, now.steadyMillis()))
+                .mapToDouble(step -> requestSize(step.occurrence.job).millisForOne())
+                .sum();
         waiting.clear();
         leaving.clear();
     }
 
+    /**
+     * Returns how long the requests for the waiting steps take that have no ticket to start with, in milliseconds.
+     */
+    double waitMillis() {
+        return waitMillis;
+    }
+
+    /**
+     * Adds the requests for the steps of a job that was accepted to those that are waited for.
+     */
+    void jobAccepted(JobState job) {
+        if (job.queue.advice().isPresent() && job.spec.onDemand()) {
+            long first = job.spec.steps().stream()
+                    .filter(step -> step.after().isEmpty())
+                    .count();
+            waitMillis += first * requestSize(job).millisForOne();
+        }
+    }
+
     private void requestFirst(List<Map.Entry<JobStepState, Set<PoolWorker>>> steps, Moment now) {
         for (Map.Entry<JobStepState, Set<PoolWorker>> entry : steps) {
             JobStepState step = entry.getKey();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -58,7 +58,7 @@
         StartDeadlines startDeadlines = new StartDeadlines(runStatistics);
         this.advice = new PlacementAdvice(state);
         this.placer = new Placer(state, orderSender, startDeadlines, advice);
-        this.admission = new Admission(state, runStatistics, startDeadlines);
+        this.admission = new Admission(state, runStatistics, startDeadlines, advice);
         this.jobWriter = new JobWriter(state, jobEnds);
         this.holdScheduler = new HoldScheduler(state, orderSender, workerLosses);
         this.restarts = new WorkerRestarts(state, workerLosses);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StartDeadlines.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StartDeadlines.java
@@ -6,6 +6,9 @@
 final class StartDeadlines {
     private static final long LONG_RUNNING_START_MILLIS = 2_500;
 
+    /** The number of workers in the request for advice that the objective of a job allows for each of its steps. */
+    private static final int ADVISED_WORKERS = 30;
+
     private final RunStatistics runStatistics;
 
     StartDeadlines(RunStatistics runStatistics) {
@@ -80,8 +83,13 @@
         int steps = job.spec.steps().size();
         long[] remaining = new long[steps];
         long longest = 0;
+        long adviceMillis = job.queue
+                .advice()
+                .map(policy -> policy.durationMillis(ADVISED_WORKERS))
+                .orElse(0L);
         for (int i = steps - 1; i >= 0; i--) {
-            remaining[i] += runStatistics.expectedMillis(job, job.spec.steps().get(i));
+            remaining[i] += adviceMillis
+                    + runStatistics.expectedMillis(job, job.spec.steps().get(i));
             longest = Math.max(longest, remaining[i]);
             for (int earlier : job.spec.steps().get(i).after()) {
                 remaining[earlier] = Math.max(remaining[earlier], remaining[i]);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/RequestSize.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/RequestSize.java
@@ -66,6 +66,16 @@
         return best(needed, candidates, true);
     }
 
+    /**
+     * Returns the expected time until a worker is found for a step, with as many requests as that takes.
+     *
+     * @return the time in milliseconds, positive
+     */
+    public double millisForOne() {
+        int named = best(1, MAX_WORKERS, false);
+        return Math.max(1, policy.durationMillis(named)) / (1 - Math.pow(1 - share, named));
+    }
+
     private int best(int needed, int candidates, boolean together) {
         int most = Math.min(candidates, MAX_WORKERS);
         int wanted = Math.min(needed, most);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
@@ -89,6 +89,25 @@
         assertCompleted();
     }
 
+    /** Guards against jobs that are accepted though the requests of those before them take longer than they may wait. */
+    @Test
+    void jobsBeyondTheRateOfTheServiceAreRefused() {
+        start(40, new AdvicePolicy(1_000, 10, 3_000), HALF);
+        int accepted = 0;
+        for (int i = 0; i < 200; i++) {
+            accepted += pool.trySubmit(
+                            "job" + i,
+                            PoolWithFakeWorkers.ADVISED_QUEUE,
+                            step(SMALL, 1).build())
+                    ? 1
+                    : 0;
+        }
+        assertTrue(accepted >= 8 && accepted <= 24, accepted + " are accepted");
+        advance(10_000);
+        assertTrue(pool.trySubmit(
+                "later", PoolWithFakeWorkers.ADVISED_QUEUE, step(SMALL, 1).build()));
+    }
+
     /** Guards against requests that pile up at the service, which handles one of a machine at a time. */
     @Test
     void nextRequestIsSentWhenTheOneBeforeHasEnded() {
