Judge a run without progress by what its task has shown

Cause: a run whose percentage had not changed for 2.5 s counted as stalled, whatever the length of the task. How long a percent takes is said by nobody but the run itself.

Each stalled run of a task doubles the time for its next one, a run may take three times its longest step so far, and a run of an earlier owner, whose steps are not known, counts as having stalled twice. Only the first stall of a task is held against its worker. run-stalled is logged.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobTaskState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobTaskState.java
@@ -27,6 +27,9 @@
     int lastRunNumber;
     String checkpoint = "";
     long blockedUntilMillis = Long.MIN_VALUE;
+    /** The number of runs that were stopped as they made no progress. */
+    int stalledRuns;
+
     long notReadySinceMillis = Long.MIN_VALUE;
     /** When {@link LongRunningWaits} last saw the task running, {@link Long#MIN_VALUE} if never. */
     long lastRunningMillis = Long.MIN_VALUE;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -37,6 +37,9 @@
     String checkpoint = "";
     int percent;
     long progressMillis;
+    /** The longest time between two changes of the percentage, in milliseconds. */
+    long longestStepMillis;
+
     RunPace pace = RunPace.FULL;
     long load;
     boolean wanted = true;
@@ -71,6 +74,18 @@
         return phase == RunPhase.RUNNING && percent >= READY_PERCENT;
     }
 
+    /**
+     * Records the progress that a status reports.
+     */
+    void recordProgress(int reportedPercent, long nowMillis) {
+        if (reportedPercent != percent) {
+            // The first change also shows how far a run of an earlier owner had come.
+            longestStepMillis = adopted && percent == 0 ? 0 : Math.max(longestStepMillis, nowMillis - progressMillis);
+            percent = reportedPercent;
+            progressMillis = nowMillis;
+        }
+    }
+
     /**
      * Returns whether the start of the run is so old that it is no longer carried out.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunStatistics.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunStatistics.java
@@ -19,7 +19,16 @@
 
     private static final long BASE_PAUSE_MILLIS = 3_000;
     private static final long MAX_PAUSE_MILLIS = 12_000;
-    private static final long STALL_TIMEOUT_MILLIS = 2_500;
+    /** Time without progress after which the first run of a task counts as stalled. */
+    private static final long MIN_PATIENCE_MILLIS = 2_500;
+
+    /** How many times as long as its longest step so far a run may take for the next one. */
+    private static final long PATIENCE_STEPS = 3;
+
+    /** How many stalled runs a run of an earlier owner counts as having had, as its own steps are not known. */
+    private static final int ADOPTED_STALLS = 2;
+
+    private static final int MAX_DOUBLINGS = 16;
     private static final double LEARNING_RATE = 0.1;
     private static final long DEFAULT_DURATION_MILLIS = 1_000;
     private static final double MIN_UNSUSPECTED_SHARE = 0.5;
@@ -110,6 +119,15 @@
         return listed == 0 ? 0 : (double) unsuspected / listed;
     }
 
+    /**
+     * Returns the time without progress after which a run counts as stalled, in milliseconds. How long a task takes for a percent
+     * is not known, so each stalled run doubles the time for the next one, and what the run itself has shown counts as well.
+     */
+    static long patienceMillis(Run run) {
+        int doublings = Math.min(MAX_DOUBLINGS, run.task.stalledRuns + (run.adopted ? ADOPTED_STALLS : 0));
+        return Math.max(MIN_PATIENCE_MILLIS << doublings, PATIENCE_STEPS * run.longestStepMillis);
+    }
+
     /**
      * Returns the runs without recent progress on a worker that has answered since. Not those that may have ended.
      */
@@ -117,7 +135,7 @@
         List<Run> stalled = new ArrayList<>();
         for (Run run : worker.runs.values()) {
             boolean ordinary = !run.task.step.spec.longRunning() && !run.task.step.spec.bestEffort();
-            boolean noProgress = nowMillis - run.progressMillis > STALL_TIMEOUT_MILLIS;
+            boolean noProgress = nowMillis - run.progressMillis > patienceMillis(run);
             if (ordinary
                     && run.phase == RunPhase.RUNNING
                     && !run.mayHaveEnded
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -208,10 +208,7 @@
             run.phase = RunPhase.RUNNING;
             run.confirmedMillis = now.steadyMillis();
         }
-        if (running.percent() != run.percent) {
-            run.percent = running.percent();
-            run.progressMillis = now.steadyMillis();
-        }
+        run.recordProgress(running.percent(), now.steadyMillis());
         run.load = running.load();
         if (!running.checkpoint().isEmpty()) {
             run.checkpoint = running.checkpoint();
@@ -373,8 +370,16 @@
     void stopStalled(Moment now) {
         for (PoolWorker worker : state.workers.values()) {
             for (Run run : runStatistics.stalledRuns(worker, now.steadyMillis())) {
+                state.actions.logDecision(run.describe(Decision.of("run-stalled"))
+                        .with("percent", run.percent)
+                        .with("patience", RunStatistics.patienceMillis(run))
+                        .with("stalledBefore", run.task.stalledRuns));
                 orderSender.stop(run, "no-progress", now);
-                runStatistics.blameStall(worker, now.steadyMillis());
+                // A task that stalls again may be slow everywhere, which says nothing of its worker.
+                if (run.task.stalledRuns == 0) {
+                    runStatistics.blameStall(worker, now.steadyMillis());
+                }
+                run.task.stalledRuns++;
             }
         }
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -115,6 +115,11 @@
         workers.get(worker).fails = true;
     }
 
+    /** Has all workers take some time for each percent of a task that they start from now on; they report 100 at once otherwise. */
+    void slowTasks(long millisPerPercent) {
+        workers.values().forEach(worker -> worker.millisPerPercent = millisPerPercent);
+    }
+
     /** Returns the number of calls of a kind that were sent to a worker. */
     long countCalls(String worker, Class<? extends WorkerOrder> kind) {
         return workers.get(worker).calls.stream().filter(kind::isInstance).count();
@@ -309,6 +314,8 @@
         private final Map<String, Integer> running = new TreeMap<>();
         private final List<WorkerRunStatus.Ended> ended = new ArrayList<>();
         private final List<WorkerOrder> calls = new ArrayList<>();
+        private final Map<String, Long> startedMillis = new HashMap<>();
+        private long millisPerPercent;
         private boolean lost;
         private boolean fails;
         private long born;
@@ -333,11 +340,17 @@
                         ended.size() + 1, start.task().text(), start.run(), RunEnd.FAILED, ""));
             } else if (order instanceof WorkerOrder.Start start) {
                 running.put(start.task().text(), start.run());
+                startedMillis.remove(start.task().text());
             } else if (order instanceof WorkerOrder.Stop stop && running.remove(stop.task(), stop.run())) {
                 ended.add(new WorkerRunStatus.Ended(ended.size() + 1, stop.task(), stop.run(), RunEnd.STOPPED, ""));
             }
         }
 
+        private int percent(String task, long nowMillis) {
+            long ageMillis = nowMillis - startedMillis.computeIfAbsent(task, key -> nowMillis);
+            return millisPerPercent == 0 ? 100 : (int) Math.min(100, ageMillis / millisPerPercent);
+        }
+
         private void finish(String job) {
             Map.copyOf(running).forEach((task, run) -> {
                 if (task.startsWith(job + '.')) {
@@ -349,7 +362,8 @@
 
         private WorkerRunStatus status(Moment now) {
             List<WorkerRunStatus.Running> runs = new ArrayList<>();
-            running.forEach((task, run) -> runs.add(new WorkerRunStatus.Running(task, run, "", 100, 0)));
+            running.forEach((task, run) ->
+                    runs.add(new WorkerRunStatus.Running(task, run, "", percent(task, now.steadyMillis()), 0)));
             return new WorkerRunStatus(now.steadyMillis(), runs, List.copyOf(ended), born);
         }
     }
