Reserve the workers of a gang that is starving

Cause: workers are reserved for a step that does not fit, one at a time and two at the most, but not for a gang: Placer.placeGang returned before. It needs room on several workers at the same moment, and small tasks took each processor that became free.

The reservations have a class of their own.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/GangPlacement.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/GangPlacement.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 /**
  * Chooses workers for all tasks of a gang, a step whose tasks only work together.
@@ -19,25 +20,38 @@
      * @return a worker for each task, empty if the tasks do not all fit, not null
      */
     static List<PoolWorker> chooseWorkers(JobStepState step, List<PoolWorker> workers) {
+        return chooseWorkers(step, workers, PoolWorker::freeResources);
+    }
+
+    /**
+     * Chooses a worker for each task as if other resources were free than are. Of workers with the same amount the first ones are
+     * preferred.
+     *
+     * @param available  returns the resources to count on, not null
+     * @return a worker for each task, empty if the tasks do not all fit, not null
+     */
+    static List<PoolWorker> chooseWorkers(
+            JobStepState step, List<PoolWorker> workers, Function<PoolWorker, ResourceAmount> available) {
         if (step.spec.sameRack()) {
             Map<String, List<PoolWorker>> racks = new LinkedHashMap<>();
             workers.forEach(
                     worker -> racks.computeIfAbsent(worker.registration.rack(), rackWorkers -> new ArrayList<>())
                             .add(worker));
             for (List<PoolWorker> rackWorkers : racks.values()) {
-                List<PoolWorker> chosen = assign(step, rackWorkers);
+                List<PoolWorker> chosen = assign(step, rackWorkers, available);
                 if (!chosen.isEmpty()) {
                     return chosen;
                 }
             }
         }
-        return assign(step, workers);
+        return assign(step, workers, available);
     }
 
-    private static List<PoolWorker> assign(JobStepState step, List<PoolWorker> workers) {
+    private static List<PoolWorker> assign(
+            JobStepState step, List<PoolWorker> workers, Function<PoolWorker, ResourceAmount> available) {
         Map<PoolWorker, ResourceAmount> free = new HashMap<>();
         Map<PoolWorker, Integer> taskCounts = new HashMap<>();
-        workers.forEach(worker -> free.put(worker, worker.freeResources()));
+        workers.forEach(worker -> free.put(worker, available.apply(worker)));
         workers.forEach(worker -> taskCounts.put(worker, worker.countTasksOf(step)));
         ResourceAmount taskDemand = step.spec.reservedDemand();
         int maxPerWorker = step.spec.maxPerWorker() == 0 ? Integer.MAX_VALUE : step.spec.maxPerWorker();
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/IsolatedPlacer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/IsolatedPlacer.java
@@ -73,7 +73,7 @@
 
     /**
      * Returns whether a gang may use a worker: one that meets the isolation of each of its tasks, unless that has waited for
-     * {@link #GANG_PATIENCE_MILLIS}, as no workers are reserved for a gang.
+     * {@link #GANG_PATIENCE_MILLIS}, as the workers that are reserved for a gang need not meet it.
      */
     boolean mayRunGang(JobStepState step, PoolWorker worker, long nowMillis) {
         for (JobTaskState task : step.tasks) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Placer.java
@@ -4,10 +4,8 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -22,11 +20,7 @@
     static final int MAX_STARTS_IN_FLIGHT = 8;
 
     private static final long ROUND_INTERVAL_MILLIS = 100;
-    /** Time after which a worker is reserved for a ready step that does not fit. */
-    private static final long STARVATION_MILLIS = 700;
 
-    /** The maximum number of workers reserved for steps that do not fit. */
-    private static final int MAX_RESERVED_WORKERS = 2;
     /** Score penalty of a worker that has to be asked first, so that it is not preferred to one like it. */
     private static final double OLD_ANSWER_PENALTY = 0.01;
     /** Score penalty for each task of the same long-running step just placed on a worker, in shares of a worker. */
@@ -39,8 +33,7 @@
     private final TeamOrder teamOrder;
     private final IsolatedPlacer isolatedPlacer;
     private final WorkerInquiries inquiries;
-    private final WaitingStepLog waitingSteps;
-    private final Set<PoolWorker> reservedWorkers = new HashSet<>();
+    private final ReservedWorkers reservedWorkers;
     private long lastRoundMillis;
 
     Placer(PoolState state, OrderSender orderSender, StartDeadlines startDeadlines, PlacementAdvice advice) {
@@ -51,7 +44,7 @@
         this.teamOrder = new TeamOrder(state);
         this.isolatedPlacer = new IsolatedPlacer(state, new IsolatedStarter());
         this.inquiries = new WorkerInquiries(orderSender);
-        this.waitingSteps = new WaitingStepLog(state);
+        this.reservedWorkers = new ReservedWorkers(state, advice);
     }
 
     /**
@@ -72,7 +65,8 @@
         reservedWorkers.clear();
         state.teamGate.beginRound();
         inquiries.beginRound();
-        isolatedPlacer.place(isolatedTasks(candidates, now), othersDemand(candidates, now), reservedWorkers, now);
+        isolatedPlacer.place(
+                isolatedTasks(candidates, now), othersDemand(candidates, now), reservedWorkers.workers(), now);
         for (Candidate candidate : candidates) {
             placeStep(candidate.step, unplacedDemands, now);
         }
@@ -82,7 +76,7 @@
     private List<JobTaskState> isolatedTasks(List<Candidate> candidates, Moment now) {
         List<JobTaskState> isolated = new ArrayList<>();
         for (Candidate candidate : candidates) {
-            if (!candidate.step.spec.gang() && advice.isReady(candidate.step, reservedWorkers, now)) {
+            if (!candidate.step.spec.gang() && advice.isReady(candidate.step, reservedWorkers.workers(), now)) {
                 for (JobTaskState task : candidate.step.tasks) {
                     if (IsolatedPlacer.awaits(task, now.steadyMillis()) && state.mayStart(task, now.steadyMillis())) {
                         isolated.add(task);
@@ -171,10 +165,9 @@
     }
 
     private void placeStep(JobStepState step, List<ResourceAmount> unplacedDemands, Moment now) {
-        if (!advice.isReady(step, reservedWorkers, now)) {
-            boolean waits = step.advice.allowsAny() && countStartable(step, now.steadyMillis()) > 0;
-            if (waits && !step.spec.gang() && state.teamGate.hasRoom(step)) {
-                reserveIfStarving(step, step.spec.reservedDemand(), now);
+        if (!advice.isReady(step, reservedWorkers.workers(), now)) {
+            if (step.advice.allowsAny() && hasStartableTask(step, now.steadyMillis())) {
+                reservedWorkers.reserveFor(step, now);
             }
             return;
         }
@@ -222,9 +215,7 @@
 
     private void recordUnplaced(JobStepState step, List<ResourceAmount> unplacedDemands, Moment now) {
         ResourceAmount demand = step.spec.reservedDemand();
-        if (state.teamGate.hasRoom(step)) {
-            reserveIfStarving(step, demand, now);
-        }
+        reservedWorkers.reserveFor(step, now);
         if (isUnconstrained(step) && step.occurrence.job.queue.advice().isEmpty()) {
             unplacedDemands.add(demand);
         }
@@ -271,36 +262,6 @@
                 && worker.isBelowTaskLimit(step);
     }
 
-    /**
-     * Reserves a worker for a step that is long-running or has waited for {@link #STARVATION_MILLIS}, so that smaller
-     * tasks do not keep taking the free capacity first. Not one on which other long-running tasks leave no room, as that
-     * would stay idle.
-     */
-    private void reserveIfStarving(JobStepState step, ResourceAmount demand, Moment now) {
-        boolean starving = step.spec.longRunning() || now.steadyMillis() - step.readyMillis > STARVATION_MILLIS;
-        if (!starving || step.spec.bestEffort() || reservedWorkers.size() >= MAX_RESERVED_WORKERS) {
-            return;
-        }
-        PoolWorker bestWorker = null;
-        for (PoolWorker worker : state.workers.values()) {
-            boolean eligible = worker.suits(step.spec, now.steadyMillis())
-                    && !reservedWorkers.contains(worker)
-                    && worker.isBelowTaskLimit(step)
-                    && advice.mayAwait(step, worker, now.steadyMillis())
-                    && demand.fitsIn(worker.capacityBesideLongRunning());
-            if (eligible
-                    && (bestWorker == null
-                            || worker.freeResources().memoryMb()
-                                    > bestWorker.freeResources().memoryMb())) {
-                bestWorker = worker;
-            }
-        }
-        if (bestWorker != null) {
-            reservedWorkers.add(bestWorker);
-        }
-        waitingSteps.log(step, demand, Optional.ofNullable(bestWorker), now);
-    }
-
     private boolean mayRun(JobStepState step, ResourceAmount demand, PoolWorker worker, Moment now) {
         return maySuit(step, demand, worker, now) && !worker.isOnProbation();
     }
@@ -345,7 +306,11 @@
         List<PoolWorker> toAsk = new ArrayList<>(chosen);
         toAsk.removeIf(worker -> worker.hasFreshAnswer(now.steadyMillis()));
         inquiries.ask(toAsk, now.steadyMillis());
-        if (chosen.isEmpty() || !toAsk.isEmpty()) {
+        if (chosen.isEmpty()) {
+            reservedWorkers.reserveFor(step, now);
+            return;
+        }
+        if (!toAsk.isEmpty()) {
             return;
         }
         if (!state.teamGate.admitGang(step, now)) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacerTest.java
@@ -61,6 +61,56 @@
         assertEquals(longRunning.spec.id(), startedJobs().get(8));
     }
 
+    /** Guards against a gang that lasts and does not start again on a full service, as small tasks take what becomes free. */
+    @Test
+    void workersAreReservedForAllTasksOfAGangThatDoesNotFit() {
+        List<PoolWorker> workers = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) {
+            workers.add(worker("w" + i, new ResourceAmount(32_000, 64_000, 0), "r1"));
+        }
+        job(step(48, SMALL).build(), 0);
+        for (int round = 0; round < 6; round++) {
+            place(NOW);
+            workers.forEach(worker -> worker.startsInFlight = 0);
+        }
+        assertEquals(48, sent.size());
+        JobState gang = job(
+                step(3, new ResourceAmount(8_000, 4_000, 0))
+                        .placement("", "", 1)
+                        .gang(true, false)
+                        .longRunning(true)
+                        .build(),
+                5_000);
+        job(step(24, SMALL).build(), 0);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(48, sent.size(), "the freed capacity is reserved");
+            free(workers.get(i), 4);
+            place(NOW.plus(200 + 200 * i));
+        }
+        assertEquals(
+                List.of(gang.spec.id(), gang.spec.id(), gang.spec.id()),
+                startedJobs().subList(48, 51));
+    }
+
+    /** Guards against workers kept idle for a gang that does not fit the pool. */
+    @Test
+    void nothingIsReservedForAGangThatDoesNotFitThePool() {
+        PoolWorker only = worker("w1", new ResourceAmount(32_000, 64_000, 0), "r1");
+        job(step(8, SMALL).build(), 0);
+        place(NOW);
+        job(
+                step(2, LARGE)
+                        .placement("", "", 1)
+                        .gang(true, false)
+                        .longRunning(true)
+                        .build(),
+                5_000);
+        job(step(8, SMALL).build(), 0);
+        only.startsInFlight = 0;
+        place(NOW.plus(200));
+        assertEquals(16, sent.size());
+    }
+
     /** Guards against workers that stay idle for a task that cannot start there before other long-running tasks are cancelled. */
     @Test
     void noWorkerIsReservedWhoseLongRunningTasksLeaveNoRoom() {
