Decode the jobs of a pool page by page

Cause: a take-over held the documents of all jobs beside the jobs that are decoded from them, so it needed about twice what the owner needs.

The documents are decoded as the pages are read.

PoolStoreTest.documentsArePassedOnPageByPage shows the order. What is not mended: jobs are accepted without regard to the memory that they take in the end.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -72,19 +72,23 @@
     }
 
     /**
-     * Loads the stored jobs and takes over the pool.
+     * Loads stored jobs, before the pool is opened.
+     *
+     * @param documents  some of the stored documents by job identifier, none of which was loaded before, not null
+     * @param now  the present time, not null
+     */
+    public void load(Map<String, byte[]> documents, Moment now) {
+        takeover.read(documents, now);
+    }
+
+    /**
+     * Takes over the pool, after all stored jobs have been loaded.
      *
-     * @param documents  the stored documents by job identifier, not null
      * @param listed  the workers of the pool that the registry lists, not null
      * @param registryCompleteMillis  when the registry lists all live workers, on the steady clock in milliseconds
      * @param now  the present time, not null
      */
-    public void open(
-            Map<String, byte[]> documents,
-            Collection<RegisteredWorker> listed,
-            long registryCompleteMillis,
-            Moment now) {
-        takeover.read(documents, now);
+    public void open(Collection<RegisteredWorker> listed, long registryCompleteMillis, Moment now) {
         updateWorkers(listed, now);
         takeover.begin(registryCompleteMillis, now);
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/InheritedOccurrenceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/InheritedOccurrenceTest.java
@@ -121,7 +121,8 @@
         actions = new RecordedActions(sent);
         scheduler = new PoolScheduler("pool", new PoolTimeouts(LEASE_MILLIS, 120_000, 2_000), actions);
         scheduler.configure(Map.of("q", QUEUE), Teams.NONE);
-        scheduler.open(Map.copyOf(stored), List.of(worker("w1"), worker("w2")), now.steadyMillis(), now);
+        scheduler.load(Map.copyOf(stored), now);
+        scheduler.open(List.of(worker("w1"), worker("w2")), now.steadyMillis(), now);
         scheduler.tick(OrderPermission.ALL, now);
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/JobWriterTest.java
@@ -170,7 +170,8 @@
                 List.of(),
                 new ResourceAmount(10_000, 10_000, 0),
                 false);
-        scheduler.open(Map.copyOf(stored), List.of(worker), 0, now);
+        scheduler.load(Map.copyOf(stored), now);
+        scheduler.open(List.of(worker), 0, now);
     }
 
     private static QueueConfig queue(String name) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/LostWorkerTest.java
@@ -260,7 +260,8 @@
         actions = new RecordedActions(sent);
         scheduler = new PoolScheduler("pool", TIMEOUTS, actions);
         scheduler.configure(Map.of("q", QUEUE), Teams.NONE);
-        scheduler.open(Map.copyOf(stored), List.of(workers), now.steadyMillis(), now);
+        scheduler.load(Map.copyOf(stored), now);
+        scheduler.open(List.of(workers), now.steadyMillis(), now);
         tick();
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PartialStatusTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PartialStatusTest.java
@@ -126,7 +126,8 @@
                 List.of(),
                 new ResourceAmount(8_000, 8_000, 0),
                 false);
-        scheduler.open(Map.copyOf(stored), List.of(worker), now.steadyMillis(), now);
+        scheduler.load(Map.copyOf(stored), now);
+        scheduler.open(List.of(worker), now.steadyMillis(), now);
         advance();
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -80,7 +80,8 @@
         actions = new RecordedActions(sent);
         scheduler = new PoolScheduler("pool", TIMEOUTS, actions);
         configure();
-        scheduler.open(Map.copyOf(stored), listedWorkers(), now.steadyMillis(), now);
+        scheduler.load(Map.copyOf(stored), now);
+        scheduler.open(listedWorkers(), now.steadyMillis(), now);
     }
 
     /** Has an advice service answer the requests of the steps of {@link #ADVISED_QUEUE}. */
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithOneWorker.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithOneWorker.java
@@ -53,7 +53,8 @@
         scheduler.configure(Map.of(QUEUE, QUEUE_CONFIG), Teams.NONE);
         RegisteredWorker worker = new RegisteredWorker(
                 WORKER, "m", "pool", WorkerAddress.of("10.0.0.1", 80), "dc", List.of(), CAPACITY, false);
-        scheduler.open(Map.copyOf(stored), List.of(worker), now.steadyMillis(), now);
+        scheduler.load(Map.copyOf(stored), now);
+        scheduler.open(List.of(worker), now.steadyMillis(), now);
         advance();
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/WorkerRestartTest.java
@@ -33,7 +33,7 @@
     @BeforeEach
     void openAPoolWithOneWorker() {
         scheduler.configure(Map.of("q", QUEUE), Teams.NONE);
-        scheduler.open(Map.of(), List.of(registration(BORN)), now.steadyMillis(), now);
+        scheduler.open(List.of(registration(BORN)), now.steadyMillis(), now);
         tick();
         status(BORN, CLOCK, List.of(), List.of());
         tick();
@@ -269,7 +269,8 @@
         Actions successorActions = new Actions();
         PoolScheduler successor = new PoolScheduler("pool", new PoolTimeouts(5_000, 120_000, 2_000), successorActions);
         successor.configure(Map.of("q", QUEUE), Teams.NONE);
-        successor.open(Map.of(JOB, document), List.of(registration(BORN)), now.steadyMillis(), now);
+        successor.load(Map.of(JOB, document), now);
+        successor.open(List.of(registration(BORN)), now.steadyMillis(), now);
         successor.tick(OrderPermission.ALL, now);
         successor.statusReceived("w", new WorkerRunStatus(5, List.of(), List.of(), REBORN), now);
         successor.updateWorkers(List.of(registration(BORN)), now);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedOwner.java
@@ -46,7 +46,8 @@
         this.ownershipConfirmedMillis = time.nowMillis();
         scheduler.configure(queues, platform.teams());
         Moment now = time.moment();
-        scheduler.open(platform.store().documents(), platform.listedWorkers(), now.steadyMillis(), now);
+        scheduler.load(platform.store().documents(), now);
+        scheduler.open(platform.listedWorkers(), now.steadyMillis(), now);
         instruct();
         tick();
         checkOwnership();
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TeamPoolOwner.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/TeamPoolOwner.java
@@ -70,7 +70,8 @@
             return;
         }
         Moment now = time.moment();
-        scheduler.open(pools.jobs(pool).documents(), pools.listedWorkers(pool), now.steadyMillis(), now);
+        scheduler.load(pools.jobs(pool).documents(), now);
+        scheduler.open(pools.listedWorkers(pool), now.steadyMillis(), now);
         open = true;
         // The grants are read apart from the jobs, so they may come before or after the first rounds of placements.
         later(random.nextInt(200), this::loadGrants);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -146,13 +146,17 @@
     }
 
     private void load() {
-        store.load(this::open, failure -> loseOwnership("load-failed: " + failure), () -> closed);
+        store.load(
+                documents -> scheduler.load(documents, context.now()),
+                this::open,
+                failure -> loseOwnership("load-failed: " + failure),
+                () -> closed);
     }
 
-    private void open(Map<String, byte[]> documents) {
+    private void open() {
         Moment now = context.now();
         long registryCompleteMillis = registry.reconnectedMillis() + RegistryAbsences.REGISTRATION_MILLIS;
-        scheduler.open(documents, registry.workersOfPool(pool), registryCompleteMillis, now);
+        scheduler.open(registry.workersOfPool(pool), registryCompleteMillis, now);
         scheduler.instruct(instructions);
         open = true;
         tick();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -111,13 +111,19 @@
     }
 
     /**
-     * Reads the pool's jobs, and retries until the store answers or the load is cancelled.
+     * Reads the pool's jobs, and retries until the store answers or the load is cancelled. The documents are passed on page by
+     * page, so that they need not all be held beside the jobs that are decoded from them.
      *
-     * @param loaded  receives the documents by job identifier
-     * @param unusable  receives the failure if the answer cannot be used, or {@code loaded} has failed
+     * @param page  receives some of the documents by job identifier, each of them once
+     * @param loaded  is run when all documents have been passed on
+     * @param unusable  receives the failure if an answer cannot be used, or {@code page} or {@code loaded} has failed
      */
-    void load(Consumer<Map<String, byte[]>> loaded, Consumer<RuntimeException> unusable, BooleanSupplier cancelled) {
-        readPage(new Load(loaded, unusable, cancelled), "");
+    void load(
+            Consumer<Map<String, byte[]>> page,
+            Runnable loaded,
+            Consumer<RuntimeException> unusable,
+            BooleanSupplier cancelled) {
+        readPage(new Load(page, loaded, unusable, cancelled), "");
     }
 
     /**
@@ -155,9 +161,11 @@
     }
 
     private void pageRead(Load load, String prefix, StorePort.Page page) {
+        Map<String, byte[]> documents = new LinkedHashMap<>();
         for (StorePort.Item item : page.items()) {
-            load.documents.put(item.key().substring(prefix.length()), item.value());
+            documents.put(item.key().substring(prefix.length()), item.value());
         }
+        load.page.accept(documents);
         page.nextAfter().ifPresentOrElse(next -> readPage(load, next), () -> readQueues(load));
     }
 
@@ -175,7 +183,7 @@
             }
             storedQueues = item.map(found -> StoredQueues.decode(found.value())).orElse(StoredQueues.NONE);
             try {
-                load.loaded.accept(load.documents);
+                load.loaded.run();
             } catch (RuntimeException e) {
                 load.unusable.accept(e);
             }
@@ -310,17 +318,13 @@
     }
 
     /**
-     * A load of the pool's jobs, with the documents read so far.
+     * A load of the pool's jobs.
      */
     private record Load(
-            Map<String, byte[]> documents,
-            Consumer<Map<String, byte[]>> loaded,
+            Consumer<Map<String, byte[]>> page,
+            Runnable loaded,
             Consumer<RuntimeException> unusable,
-            BooleanSupplier cancelled) {
-        Load(Consumer<Map<String, byte[]>> loaded, Consumer<RuntimeException> unusable, BooleanSupplier cancelled) {
-            this(new LinkedHashMap<>(), loaded, unusable, cancelled);
-        }
-    }
+            BooleanSupplier cancelled) {}
 
     /**
      * A commit whose outcome is not known yet.
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolStoreTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolStoreTest.java
@@ -67,6 +67,28 @@
         }
     }
 
+    /** Guards against a take-over that holds the documents of all jobs of a large pool beside the jobs themselves. */
+    @Test
+    void documentsArePassedOnPageByPage() {
+        MemoryStore store = new MemoryStore();
+        for (int i = 0; i < 5; i++) {
+            store.put(PoolStore.jobKey(POOL, "job" + i), "document");
+        }
+        store.pageSize(2);
+        List<Set<String>> pages = new ArrayList<>();
+        try (TestService service = new TestService(store, null, null, new UnusedFormats())) {
+            PoolStore poolStore = new PoolStore(POOL, 1, service.context());
+            CompletableFuture<Boolean> loaded = new CompletableFuture<>();
+            service.run(() -> poolStore.load(
+                    page -> pages.add(Set.copyOf(page.keySet())),
+                    () -> loaded.complete(true),
+                    loaded::completeExceptionally,
+                    () -> false));
+            loaded.join();
+        }
+        assertEquals(List.of(Set.of("job0", "job1"), Set.of("job2", "job3"), Set.of("job4")), pages);
+    }
+
     /** Guards against a change that the platform's store refuses because it is too large. */
     @Test
     void changeOfAllDocumentsAndTheQueuesIsNotTooLarge() {
