Count all requests for advice that accepted jobs still need

A step also counted as allowed somewhere when the worker had left.

All steps without a run count, and the time of a request is taken as observed, with its wait for the requests of other pools. What is known of workers that have left is forgotten in each round, and whether a first worker has to be found is judged by the workers that accept work.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceChoice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceChoice.java
@@ -63,7 +63,7 @@
      * Returns the request that asks again about the worker asked about least recently, empty unless none is allowed.
      */
     Optional<Named> recheck() {
-        if (suiting.isEmpty() || step.advice.allowsAny() || !suiting.stream().allMatch(step.advice::isKnown)) {
+        if (!suiting.stream().allMatch(step.advice::denies)) {
             return Optional.empty();
         }
         return suiting.stream()
@@ -125,7 +125,7 @@
     private Optional<Named> firstAllowedWorker() {
         List<PoolWorker> unknown =
                 suiting.stream().filter(worker -> !step.advice.isKnown(worker)).toList();
-        return step.advice.allowsAny() || unknown.isEmpty()
+        return suiting.stream().anyMatch(step.advice::allows) || unknown.isEmpty()
                 ? Optional.empty()
                 : Optional.of(first(size.forAny(1, unknown.size()), unknown));
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobStepState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobStepState.java
@@ -34,6 +34,13 @@
         return doneTasks == tasks.length;
     }
 
+    /**
+     * Returns whether a task of the step has a run or is done.
+     */
+    boolean hasStarted() {
+        return doneTasks > 0 || Stream.of(tasks).anyMatch(task -> !task.runs.isEmpty());
+    }
+
     /**
      * Returns whether a worker has begun a task of the step, as far as its ends and checkpoints show.
      */
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.trefoilpost.decision.job.AdviceChoice.Named;
 import org.trefoilpost.decision.job.AdviceChoice.Purpose;
 import org.trefoilpost.decision.job.advice.GoodShare;
@@ -24,6 +25,9 @@
     /** Time after a request that failed until the next one. */
     private static final long RETRY_MILLIS = 400;
 
+    /** The weight of the latest request in the mean of how long requests take. */
+    private static final double LEARNING_RATE = 0.2;
+
     /** The largest part of a ticket's validity that is given up for the time that a start takes to arrive: one of so many. */
     private static final long VALIDITY_PARTS = 4;
 
@@ -38,7 +42,10 @@
     private Optional<Call> underWay = Optional.empty();
     private boolean answering = true;
     private long pausedUntilMillis = Long.MIN_VALUE;
-    /** How long the requests for the waiting steps take, as of the last round. */
+    /** How many times as long as its policy says a request takes, with its wait for those of other pools, as observed lately. */
+    private double slowdown = 1;
+
+    /** How long the requests take that the steps of accepted jobs still need, as of the last round. */
     private double waitMillis;
 
     PlacementAdvice(PoolState state) {
@@ -54,6 +61,7 @@
         if (!isNeeded(step)) {
             return true;
         }
+        step.advice.retain(worker -> state.workers.get(worker.id) == worker);
         waiting.put(step, Set.copyOf(reserved));
         return step.advice.hasTicket(now.steadyMillis(), worker -> true);
     }
@@ -99,30 +107,38 @@
                     .thenComparing(entry -> hasUsableTicket(entry.getKey(), now.steadyMillis())));
             requestFirst(ordered, now);
         }
-        waitMillis = waiting.keySet().stream()
-                .filter(step -> !hasUsableTicket(step, now.steadyMillis()))
-                .mapToDouble(step -> requestSize(step.occurrence.job).millisForOne())
-                .sum();
+        waitMillis = waitMillis(now);
         waiting.clear();
         leaving.clear();
     }
 
     /**
-     * Returns how long the requests for the waiting steps take that have no ticket to start with, in milliseconds.
+     * Returns the time in milliseconds until the requests have been answered that the steps of accepted jobs still need.
      */
     double waitMillis() {
         return waitMillis;
     }
 
+    private double waitMillis(Moment now) {
+        double millis = 0;
+        for (JobState job : state.openJobs.values()) {
+            if (job.queue != null && job.queue.advice().isPresent()) {
+                long steps = job.openOccurrences().stream()
+                        .flatMap(occurrence -> Stream.of(occurrence.steps))
+                        .filter(step -> !step.hasStarted() && !hasUsableTicket(step, now.steadyMillis()))
+                        .count();
+                millis += steps == 0 ? 0 : steps * requestSize(job).millisForOne();
+            }
+        }
+        return millis * slowdown;
+    }
+
     /**
      * Adds the requests for the steps of a job that was accepted to those that are waited for.
      */
     void jobAccepted(JobState job) {
         if (job.queue.advice().isPresent() && job.spec.onDemand()) {
-            long first = job.spec.steps().stream()
-                    .filter(step -> step.after().isEmpty())
-                    .count();
-            waitMillis += first * requestSize(job).millisForOne();
+            waitMillis += job.spec.steps().size() * requestSize(job).millisForOne() * slowdown;
         }
     }
 
@@ -229,6 +245,7 @@
         Optional<Call> ended = underWay.filter(call -> call.request.equals(request));
         ended.ifPresent(call -> {
             underWay = Optional.empty();
+            observeDuration(call, now);
             answering = result.outcome() == AdviceOutcome.ANSWERED;
             if (answering) {
                 store(call, result, callMillis, now);
@@ -243,6 +260,12 @@
         });
     }
 
+    private void observeDuration(Call call, Moment now) {
+        double durationMillis = Math.max(1, call.request.durationMillis());
+        double observed = Math.max(1, (now.steadyMillis() - call.requestedMillis) / durationMillis);
+        slowdown += LEARNING_RATE * (observed - slowdown);
+    }
+
     private void store(Call call, AdviceResult result, long callMillis, Moment now) {
         StepAdvice advice = call.step.advice;
         long validMillis = result.validMillis() > 0
