--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceChoice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceChoice.java
@@ -52,11 +52,11 @@
      * Returns the request for a number of tasks, empty if no worker is worth asking about at present.
      *
      * @param tasks  the number of tasks that could start
-     * @param duration  the time that a request takes
+     * @param policy  the timing of requests, not null
      */
-    Optional<Named> forTasks(long tasks, QueueConfig.AdvicePolicy duration) {
-        Optional<Named> named = step.spec.gang() ? forGang(tasks, duration) : forSeparateTasks(tasks);
-        return named.or(() -> firstAllowedWorker());
+    Optional<Named> forTasks(long tasks, QueueConfig.AdvicePolicy policy) {
+        Optional<Named> named = step.spec.gang() ? forGang(tasks, policy) : forSeparateTasks(tasks);
+        return named.or(this::firstAllowedWorker);
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/EvacuationRoom.java
@@ -8,8 +8,9 @@
 import java.util.Optional;
 
 /**
- * The room that long-running tasks find on other workers when they are stopped: that of workers which have answered lately
- * and on which placement advice permits them, without what the tasks need that only wait for a worker already. Each amount is given to one task only.
+ * The room that long-running tasks find on other workers when they are stopped: that of workers which have answered lately and
+ * on which placement advice permits them, without what the tasks need that only wait for a worker already. Each amount is given
+ * to one task only.
  */
 final class EvacuationRoom {
     private final PoolState state;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -4,11 +4,13 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.stream.Stream;
 import org.trefoilpost.decision.job.AdviceChoice.Named;
 import org.trefoilpost.decision.job.AdviceChoice.Purpose;
@@ -37,7 +39,7 @@
     /** The steps of the present round that need advice, the most urgent first, with the workers that are reserved for others. */
     private final Map<JobStepState, Set<PoolWorker>> waiting = new LinkedHashMap<>();
     /** The steps with tasks that are to leave their worker. */
-    private final Map<JobStepState, Set<PoolWorker>> leaving = new LinkedHashMap<>();
+    private final Set<JobStepState> leaving = new LinkedHashSet<>();
 
     private Optional<Call> underWay = Optional.empty();
     private boolean answering = true;
@@ -71,7 +73,7 @@
      */
     void wantOtherWorker(JobStepState step) {
         if (isNeeded(step)) {
-            leaving.put(step, Set.of());
+            leaving.add(step);
         }
     }
 
@@ -99,15 +101,18 @@
      */
     void requestNext(Moment now) {
         if (underWay.isEmpty() && now.steadyMillis() >= pausedUntilMillis) {
-            Map<JobStepState, Set<PoolWorker>> steps = new LinkedHashMap<>(leaving);
+            Map<JobStepState, Set<PoolWorker>> steps = new LinkedHashMap<>();
+            leaving.forEach(step -> steps.put(step, Set.of()));
             waiting.forEach(steps::putIfAbsent);
             List<Map.Entry<JobStepState, Set<PoolWorker>>> ordered = new ArrayList<>(steps.entrySet());
             ordered.sort(Comparator.comparingInt((Map.Entry<JobStepState, Set<PoolWorker>> entry) ->
                             entry.getKey().advice.unusedRenewals())
                     .thenComparing(entry -> hasUsableTicket(entry.getKey(), now.steadyMillis())));
-            requestFirst(ordered, now);
+            if (!requestFirst(ordered, (step, reserved) -> nextWorkers(step, reserved, now), now)) {
+                requestFirst(ordered, (step, reserved) -> workerToRecheck(step, reserved, now), now);
+            }
         }
-        waitMillis = waitMillis(now);
+        waitMillis = remainingMillis(now);
         waiting.clear();
         leaving.clear();
     }
@@ -119,7 +124,7 @@
         return waitMillis;
     }
 
-    private double waitMillis(Moment now) {
+    private double remainingMillis(Moment now) {
         double millis = 0;
         for (JobState job : state.openJobs.values()) {
             if (job.queue != null && job.queue.advice().isPresent()) {
@@ -142,27 +147,33 @@
         }
     }
 
-    private void requestFirst(List<Map.Entry<JobStepState, Set<PoolWorker>>> steps, Moment now) {
-        for (Map.Entry<JobStepState, Set<PoolWorker>> entry : steps) {
-            JobStepState step = entry.getKey();
-            Optional<Named> named = leaving.containsKey(step) || state.teamGate.hasRoom(step)
-                    ? choice(step, entry.getValue(), now).forTasks(tasks(step, now), policy(step))
-                    : Optional.empty();
-            if (named.isPresent()) {
-                request(step, named.get(), now);
-                return;
-            }
-        }
+    /**
+     * Sends the request for the first step for which there are workers to name, and returns whether there was one.
+     */
+    private boolean requestFirst(
+            List<Map.Entry<JobStepState, Set<PoolWorker>>> steps,
+            BiFunction<JobStepState, Set<PoolWorker>, Optional<Named>> choose,
+            Moment now) {
         for (Map.Entry<JobStepState, Set<PoolWorker>> entry : steps) {
-            JobStepState step = entry.getKey();
-            Optional<Named> named = step.advice.isRecheckDue(now.steadyMillis())
-                    ? choice(step, entry.getValue(), now).recheck()
-                    : Optional.empty();
+            Optional<Named> named = choose.apply(entry.getKey(), entry.getValue());
             if (named.isPresent()) {
-                request(step, named.get(), now);
-                return;
+                request(entry.getKey(), named.get(), now);
+                return true;
             }
         }
+        return false;
+    }
+
+    private Optional<Named> nextWorkers(JobStepState step, Set<PoolWorker> reserved, Moment now) {
+        return leaving.contains(step) || state.teamGate.hasRoom(step)
+                ? choice(step, reserved, now).forTasks(tasks(step, now), policy(step))
+                : Optional.empty();
+    }
+
+    private Optional<Named> workerToRecheck(JobStepState step, Set<PoolWorker> reserved, Moment now) {
+        return step.advice.isRecheckDue(now.steadyMillis())
+                ? choice(step, reserved, now).recheck()
+                : Optional.empty();
     }
 
     private static boolean hasUsableTicket(JobStepState step, long nowMillis) {
@@ -179,14 +190,22 @@
         for (JobState job : state.openJobs.values()) {
             for (OccurrenceState occurrence : job.openOccurrences()) {
                 for (JobStepState step : occurrence.steps) {
-                    boolean waits = step.readyMillis != JobStepState.NOT_READY && !step.ended() && isNeeded(step);
-                    missing = waits ? Math.max(missing, missingMachines(step)) : missing;
+                    missing = Math.max(missing, isNeeded(step) && mayNeedWorker(step) ? missingMachines(step) : 0);
                 }
             }
         }
         return Math.min(missing, state.workers.size());
     }
 
+    /**
+     * Returns whether a task of a step waits for a worker, or lasts and may have to leave its own.
+     */
+    private static boolean mayNeedWorker(JobStepState step) {
+        return step.readyMillis != JobStepState.NOT_READY
+                && Stream.of(step.tasks)
+                        .anyMatch(task -> !task.done && (task.runs.isEmpty() || step.spec.longRunning()));
+    }
+
     private int missingMachines(JobStepState step) {
         List<PoolWorker> candidates = state.workers.values().stream()
                 .filter(worker -> worker.listed && !worker.evacuating && !worker.registration.draining())
@@ -245,7 +264,7 @@
         Optional<Call> ended = underWay.filter(call -> call.request.equals(request));
         ended.ifPresent(call -> {
             underWay = Optional.empty();
-            observeDuration(call, now);
+            observeDuration(call, result, now);
             answering = result.outcome() == AdviceOutcome.ANSWERED;
             if (answering) {
                 store(call, result, callMillis, now);
@@ -260,7 +279,10 @@
         });
     }
 
-    private void observeDuration(Call call, Moment now) {
+    private void observeDuration(Call call, AdviceResult result, Moment now) {
+        if (result.outcome() != AdviceOutcome.ANSWERED && result.outcome() != AdviceOutcome.UNANSWERED) {
+            return;
+        }
         double durationMillis = Math.max(1, call.request.durationMillis());
         double observed = Math.max(1, (now.steadyMillis() - call.requestedMillis) / durationMillis);
         slowdown += LEARNING_RATE * (observed - slowdown);
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StepAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/StepAdvice.java
@@ -77,7 +77,7 @@
     }
 
     /**
-     * Returns whether the step is known to be allowed on a worker.
+     * Returns whether the step is known to be allowed on any worker.
      */
     boolean allowsAny() {
         return verdicts.values().stream().anyMatch(verdict -> verdict.ticket.isPresent());
