--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/FakeAdvice.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/FakeAdvice.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiPredicate;
 
 /**
@@ -71,9 +70,4 @@
     List<AdviceRequest> requests() {
         return List.copyOf(requests);
     }
-
-    /** Returns the names of the steps that were asked about. */
-    Set<String> steps() {
-        return Set.copyOf(requests.stream().map(AdviceRequest::step).toList());
-    }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -216,11 +216,6 @@
         workers.values().forEach(worker -> worker.finish(job));
     }
 
-    /** Returns whether a job is known and has not ended. */
-    boolean isOpen(String job) {
-        return scheduler.phase(job).filter(phase -> !phase.ended()).isPresent();
-    }
-
     /** Returns the phase of a job that is reported to callers. */
     JobPhase phase(String job) {
         return scheduler.phase(job).orElseThrow();
