--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/FakeAdvice.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/FakeAdvice.java
@@ -7,14 +7,15 @@
 import java.util.function.BiPredicate;
 
 /**
- * An advice service in virtual time: it handles one request after the other, takes as long as the policy says, and its tickets are
- * valid from the answer on.
+ * An advice service in virtual time: it handles one request after the other, also those that were given up, takes as long as the
+ * policy says, and its tickets are valid from the answer on.
  */
 final class FakeAdvice {
     private final QueueConfig.AdvicePolicy policy;
     private final BiPredicate<String, String> allows;
     private final Map<String, Long> expiryMillis = new HashMap<>();
     private final List<AdviceRequest> requests = new ArrayList<>();
+    private long travelMillis;
     private long busyUntilMillis;
     private long lastTicket;
 
@@ -28,6 +29,17 @@
         this.allows = allows;
     }
 
+    /** Sets how long each request and each answer is on its way. */
+    FakeAdvice withTravelMillis(long value) {
+        travelMillis = value;
+        return this;
+    }
+
+    /** Has the service handle nothing else for some time. */
+    void pause(long nowMillis, long millis) {
+        busyUntilMillis = Math.max(busyUntilMillis, nowMillis) + millis;
+    }
+
     QueueConfig.AdvicePolicy policy() {
         return policy;
     }
@@ -35,9 +47,9 @@
     /** Takes a request, and returns the time until its answer. */
     long accept(AdviceRequest request, long nowMillis) {
         requests.add(request);
-        busyUntilMillis = Math.max(busyUntilMillis, nowMillis)
+        busyUntilMillis = Math.max(busyUntilMillis, nowMillis + travelMillis)
                 + policy.durationMillis(request.workers().size());
-        return busyUntilMillis - nowMillis;
+        return busyUntilMillis + travelMillis - nowMillis;
     }
 
     /** Returns the answer to a request at the time at which it is made. */
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
@@ -89,6 +89,22 @@
         assertCompleted();
     }
 
+    /**
+     * Guards against jobs that wait for good after a burst, see review case 8: a service that finishes requests which were given
+     * up falls ever further behind if each waiting step has one there, and is asked again when it is given up.
+     */
+    @Test
+    void jobsOfABurstCompleteThoughTheServiceFinishesRequestsThatWereGivenUp() {
+        start(8, new AdvicePolicy(120, 10, 3_000), HALF);
+        pool.setAdvisedObjective(2, 2_500);
+        pool.giveUpAdviceAfter(3_000);
+        submitAccepted("before", 32, 250);
+        submitAccepted("burst", 42, 96);
+        submitAccepted("after", 32, 250);
+        advance(8_000);
+        assertCompleted();
+    }
+
     /** Guards against jobs that are accepted though the requests of those before them take longer than they may wait. */
     @Test
     void jobsBeyondTheRateOfTheServiceAreRefused() {
@@ -261,6 +277,22 @@
         }
     }
 
+    /** Submits jobs of two tasks each, and returns how many of them are accepted. */
+    private int submitAccepted(String name, int count, long intervalMillis) {
+        int accepted = 0;
+        for (int i = 0; i < count; i++) {
+            String job = name + i;
+            StepSpec spec =
+                    StepSpec.builder().tasks(2, SMALL).estimateMillis(400).build();
+            if (pool.trySubmit(job, PoolWithFakeWorkers.ADVISED_QUEUE, spec)) {
+                submitted.add(job);
+                accepted++;
+            }
+            advance(intervalMillis);
+        }
+        return accepted;
+    }
+
     private void submit(String job, ResourceAmount demand, int tasks) {
         pool.submit(job, PoolWithFakeWorkers.ADVISED_QUEUE, step(demand, tasks).build());
         submitted.add(job);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -49,6 +49,9 @@
     private PoolScheduler scheduler;
     private final Set<String> advisedJobs = new HashSet<>();
     private Optional<FakeAdvice> advice = Optional.empty();
+    private long adviceTimeoutMillis = Long.MAX_VALUE;
+    private double advisedStretch = 5;
+    private long advisedTargetMillis = 10_000;
     private Optional<WorkerEvidence> evidence = Optional.empty();
     private boolean losesAtNextStart;
     private boolean storeAnswers = true;
@@ -90,10 +93,31 @@
         configure();
     }
 
+    /** Sets the objective of the jobs of {@link #ADVISED_QUEUE}. */
+    void setAdvisedObjective(double stretch, long targetMillis) {
+        advisedStretch = stretch;
+        advisedTargetMillis = targetMillis;
+        configure();
+    }
+
+    /** Has requests for advice given up that take longer than this. The service answers them all the same. */
+    void giveUpAdviceAfter(long millis) {
+        adviceTimeoutMillis = millis;
+    }
+
     private void configure() {
         QueueConfig advised = advice.map(FakeAdvice::policy)
-                .map(policy ->
-                        new QueueConfig(ADVISED_QUEUE, "h", "/a/", "pool", 0, 3, 5, 10_000, Optional.of(policy), false))
+                .map(policy -> new QueueConfig(
+                        ADVISED_QUEUE,
+                        "h",
+                        "/a/",
+                        "pool",
+                        0,
+                        3,
+                        advisedStretch,
+                        advisedTargetMillis,
+                        Optional.of(policy),
+                        false))
                 .orElse(ADVISED_QUEUE_CONFIG);
         scheduler.configure(Map.of(QUEUE, QUEUE_CONFIG, ADVISED_QUEUE, advised), Teams.NONE);
     }
@@ -267,13 +291,22 @@
     private void answerAdvice(AdviceRequest request) {
         advice.ifPresent(service -> {
             long sentMillis = now.steadyMillis();
-            answerAfter(service.accept(request, sentMillis), () -> {
-                AdviceResult result = service.answer(request, now.steadyMillis());
-                scheduler.adviceReceived(request, result, now.steadyMillis() - sentMillis, now);
-            });
+            long answerMillis = service.accept(request, sentMillis);
+            if (answerMillis > adviceTimeoutMillis) {
+                answerAfter(
+                        adviceTimeoutMillis,
+                        () -> adviceReceived(request, AdviceResult.failed(AdviceOutcome.UNANSWERED), sentMillis));
+            }
+            answerAfter(
+                    answerMillis,
+                    () -> adviceReceived(request, service.answer(request, now.steadyMillis()), sentMillis));
         });
     }
 
+    private void adviceReceived(AdviceRequest request, AdviceResult result, long sentMillis) {
+        scheduler.adviceReceived(request, result, now.steadyMillis() - sentMillis, now);
+    }
+
     private boolean hasValidTicket(WorkerOrder.Start start) {
         boolean advised = advisedJobs.contains(start.task().job());
         return advice.isEmpty() || !advised || advice.get().isValid(start, now.steadyMillis());
