Send the next request for advice before the service is idle

Cause: a call was sent when the one before it had ended and the next round of placements had chosen it, so the service was idle for the way of an answer, a round and the way of a request: 45 to 53 ms of 150 to 200 ms. Ruled out: a larger number of calls by itself. What must be bounded is the wait at the service, as a step that becomes more urgent meanwhile is served after it, and as calls must not pile up there again. Change: RequestQueue tells when the service is expected to be idle by the policy, and the next request is sent 200 ms before that; one request waits there while the first is late. A call is allowed the time of those before it, given up ones included. How many times as long as its policy the service takes is observed from the distance of answers of requests that waited, so the way there and back does not count as slowness. Conclusion: refusals without a burst came from time that the entry left unused.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,22 +15,18 @@
 import java.util.stream.Stream;
 import org.trefoilpost.decision.job.AdviceChoice.Named;
 import org.trefoilpost.decision.job.AdviceChoice.Purpose;
+import org.trefoilpost.decision.job.AdviceRequests.Sent;
 import org.trefoilpost.decision.job.advice.GoodShare;
 import org.trefoilpost.decision.job.advice.RequestSize;
 
 /**
- * Requests placement advice for the steps of queues that require it, one at a time, and stores the tickets received.
+ * Requests placement advice for the steps of queues that require it, and stores the tickets received.
  *
  * <p>The service handles the requests of a machine one after the other, so which step is asked about next decides which one
- * starts next: in each round the most urgent one that has no ticket to start with, of those that use the tickets they get.
+ * starts next: the most urgent one that has no ticket to start with, of those that use the tickets they get. It is chosen when
+ * the service is soon to be idle.
  */
 final class PlacementAdvice {
-    /** Time after a request that failed until the next one. */
-    private static final long RETRY_MILLIS = 400;
-
-    /** The weight of the latest request in the mean of how long requests take. */
-    private static final double LEARNING_RATE = 0.2;
-
     /** The largest part of a ticket's validity that is given up for the time that a start takes to arrive: one of so many. */
     private static final long VALIDITY_PARTS = 4;
 
@@ -41,12 +38,7 @@
     /** The steps with tasks that are to leave their worker. */
     private final Set<JobStepState> leaving = new LinkedHashSet<>();
 
-    private Optional<Call> underWay = Optional.empty();
-    private boolean answering = true;
-    private long pausedUntilMillis = Long.MIN_VALUE;
-    /** How many times as long as its policy says a request takes, with its wait for those of other pools, as observed lately. */
-    private double slowdown = 1;
-
+    private final AdviceRequests requests = new AdviceRequests();
     /** How long the requests take that the steps of accepted jobs still need, as of the last round. */
     private double waitMillis;
 
@@ -93,24 +85,24 @@
      * Returns whether a step may wait for a worker: it is allowed there, and if there is no valid ticket, one can be had.
      */
     boolean mayAwait(JobStepState step, PoolWorker worker, long nowMillis) {
-        return allows(step, worker, nowMillis) || answering && step.advice.allows(worker);
+        return allows(step, worker, nowMillis) || requests.isAnswering() && step.advice.allows(worker);
     }
 
     /**
-     * Ends a round of placements: requests advice for one of the steps that need it, unless a request is under way.
+     * Ends a round of placements: requests advice for steps that need it, until the service has enough to do.
      */
     void requestNext(Moment now) {
-        if (underWay.isEmpty() && now.steadyMillis() >= pausedUntilMillis) {
+        if (requests.mayAdd(now)) {
             Map<JobStepState, Set<PoolWorker>> steps = new LinkedHashMap<>();
             leaving.forEach(step -> steps.put(step, Set.of()));
             waiting.forEach(steps::putIfAbsent);
+            steps.keySet().removeIf(step -> requests.awaitedFor(step).isPresent());
             List<Map.Entry<JobStepState, Set<PoolWorker>>> ordered = new ArrayList<>(steps.entrySet());
             ordered.sort(Comparator.comparingInt((Map.Entry<JobStepState, Set<PoolWorker>> entry) ->
                             entry.getKey().advice.unusedRenewals())
                     .thenComparing(entry -> hasUsableTicket(entry.getKey(), now.steadyMillis())));
-            if (!requestFirst(ordered, (step, reserved) -> nextWorkers(step, reserved, now), now)) {
-                requestFirst(ordered, (step, reserved) -> workerToRecheck(step, reserved, now), now);
-            }
+            requestWhileDue(ordered, (step, reserved) -> nextWorkers(step, reserved, now), now);
+            requestWhileDue(ordered, (step, reserved) -> workerToRecheck(step, reserved, now), now);
         }
         waitMillis = remainingMillis(now);
         waiting.clear();
@@ -135,7 +127,7 @@
                 millis += steps == 0 ? 0 : steps * requestSize(job).millisForOne();
             }
         }
-        return millis * slowdown;
+        return millis * requests.slowdown();
     }
 
     /**
@@ -143,25 +135,29 @@
      */
     void jobAccepted(JobState job) {
         if (job.queue.advice().isPresent() && job.spec.onDemand()) {
-            waitMillis += job.spec.steps().size() * requestSize(job).millisForOne() * slowdown;
+            waitMillis += job.spec.steps().size() * requestSize(job).millisForOne() * requests.slowdown();
         }
     }
 
+    private RequestSize requestSize(JobState job) {
+        return RequestSize.of(job.queue.advice().orElseThrow(), goodShare(job).estimate());
+    }
+
     /**
-     * Sends the request for the first step for which there are workers to name, and returns whether there was one.
+     * Sends requests for the first steps for which there are workers to name, one for each, until the service has enough to do.
      */
-    private boolean requestFirst(
+    private void requestWhileDue(
             List<Map.Entry<JobStepState, Set<PoolWorker>>> steps,
             BiFunction<JobStepState, Set<PoolWorker>, Optional<Named>> choose,
             Moment now) {
-        for (Map.Entry<JobStepState, Set<PoolWorker>> entry : steps) {
-            Optional<Named> named = choose.apply(entry.getKey(), entry.getValue());
-            if (named.isPresent()) {
-                request(entry.getKey(), named.get(), now);
-                return true;
-            }
+        Iterator<Map.Entry<JobStepState, Set<PoolWorker>>> left = steps.iterator();
+        while (left.hasNext() && requests.mayAdd(now)) {
+            Map.Entry<JobStepState, Set<PoolWorker>> entry = left.next();
+            choose.apply(entry.getKey(), entry.getValue()).ifPresent(named -> {
+                request(entry.getKey(), named, now);
+                left.remove();
+            });
         }
-        return false;
     }
 
     private Optional<Named> nextWorkers(JobStepState step, Set<PoolWorker> reserved, Moment now) {
@@ -221,10 +217,6 @@
                 step, state.workers.values(), reserved, requestSize(step.occurrence.job), now.steadyMillis());
     }
 
-    private RequestSize requestSize(JobState job) {
-        return RequestSize.of(job.queue.advice().orElseThrow(), goodShare(job).estimate());
-    }
-
     private static QueueConfig.AdvicePolicy policy(JobStepState step) {
         return step.occurrence.job.queue.advice().orElseThrow();
     }
@@ -253,7 +245,7 @@
         } else if (named.purpose() == Purpose.RECHECK) {
             step.advice.recheckRequested(now.steadyMillis());
         }
-        underWay = Optional.of(new Call(step, request, named, now.steadyMillis()));
+        requests.add(new Sent(step, request, named, now.steadyMillis()), now);
         state.actions.requestAdvice(request);
     }
 
@@ -261,43 +253,25 @@
      * Stores what a request has told.
      */
     void adviceReceived(AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
-        Optional<Call> ended = underWay.filter(call -> call.request.equals(request));
-        ended.ifPresent(call -> {
-            underWay = Optional.empty();
-            observeDuration(call, result, now);
-            answering = result.outcome() == AdviceOutcome.ANSWERED;
-            if (answering) {
-                store(call, result, callMillis, now);
-            } else {
-                boolean overloaded = result.outcome() == AdviceOutcome.OVERLOADED;
-                // Each call that ends frees a place in the queue of the service.
-                long pauseMillis = overloaded ? Math.max(RETRY_MILLIS, request.durationMillis()) : RETRY_MILLIS;
-                pausedUntilMillis = now.steadyMillis() + pauseMillis;
+        requests.ended(request, result, now).ifPresent(sent -> {
+            if (result.outcome() == AdviceOutcome.ANSWERED) {
+                store(sent, result, callMillis, now);
             }
             state.placementDue = true;
-            log(call, result, callMillis, now);
+            log(sent, result, callMillis, now);
         });
     }
 
-    private void observeDuration(Call call, AdviceResult result, Moment now) {
-        if (result.outcome() != AdviceOutcome.ANSWERED && result.outcome() != AdviceOutcome.UNANSWERED) {
-            return;
-        }
-        double durationMillis = Math.max(1, call.request.durationMillis());
-        double observed = Math.max(1, (now.steadyMillis() - call.requestedMillis) / durationMillis);
-        slowdown += LEARNING_RATE * (observed - slowdown);
-    }
-
-    private void store(Call call, AdviceResult result, long callMillis, Moment now) {
-        StepAdvice advice = call.step.advice;
+    private void store(Sent sent, AdviceResult result, long callMillis, Moment now) {
+        StepAdvice advice = sent.step().advice;
         long validMillis = result.validMillis() > 0
                 ? result.validMillis()
-                : policy(call.step).validMillis();
+                : policy(sent.step()).validMillis();
         // The tickets were made just before the answer was sent, and a start takes about as long to arrive as the
         // answer did.
-        long travelMillis = Math.max(0, callMillis - call.request.durationMillis());
+        long travelMillis = Math.max(0, callMillis - sent.request().durationMillis());
         long expiryMillis = now.steadyMillis() + validMillis - Math.min(travelMillis, validMillis / VALIDITY_PARTS);
-        for (PoolWorker worker : call.named.workers()) {
+        for (PoolWorker worker : sent.named().workers()) {
             String ticket = result.tickets().get(worker.id);
             if (ticket == null) {
                 advice.denied(worker, now.steadyMillis());
@@ -306,29 +280,26 @@
             }
         }
         advice.retain(worker -> state.workers.get(worker.id) == worker);
-        if (call.named.purpose() == Purpose.DISCOVERY) {
-            long allowed = call.named.workers().stream()
+        if (sent.named().purpose() == Purpose.DISCOVERY) {
+            long allowed = sent.named().workers().stream()
                     .filter(worker -> result.tickets().containsKey(worker.id))
                     .count();
-            goodShare(call.step.occurrence.job).observe(call.named.workers().size(), allowed);
+            goodShare(sent.step().occurrence.job).observe(sent.named().workers().size(), allowed);
         }
     }
 
-    private void log(Call call, AdviceResult result, long callMillis, Moment now) {
-        Decision decision = answering ? Decision.of("advice-received") : Decision.failure("advice-failed");
-        state.actions.logDecision(decision.with("step", call.request.step())
+    private void log(Sent sent, AdviceResult result, long callMillis, Moment now) {
+        boolean answered = result.outcome() == AdviceOutcome.ANSWERED;
+        Decision decision = answered ? Decision.of("advice-received") : Decision.failure("advice-failed");
+        state.actions.logDecision(decision.with("step", sent.request().step())
                 .with("reason", result.outcome().text())
-                .with("purpose", call.named.purpose().name().toLowerCase(Locale.ROOT))
-                .with("asked", call.request.workers().size())
+                .with("purpose", sent.named().purpose().name().toLowerCase(Locale.ROOT))
+                .with("asked", sent.request().workers().size())
                 .with("good", result.tickets().size())
                 .with("valid", result.validMillis())
-                .with("expected", call.request.durationMillis())
+                .with("expected", sent.request().durationMillis())
                 .with("call", callMillis)
-                .with("age", now.steadyMillis() - call.requestedMillis));
+                .with("age", now.steadyMillis() - sent.requestedMillis())
+                .with("awaited", requests.countAwaited()));
     }
-
-    /**
-     * A request that has not ended.
-     */
-    private record Call(JobStepState step, AdviceRequest request, Named named, long requestedMillis) {}
 }
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdviceCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdviceCalls.java
@@ -6,18 +6,20 @@
 import org.trefoilpost.decision.job.AdviceOutcome;
 import org.trefoilpost.decision.job.AdviceRequest;
 import org.trefoilpost.decision.job.AdviceResult;
+import org.trefoilpost.decision.job.advice.RequestQueue;
 
 /**
  * The calls of this entry to the advice service. Used on the service's thread only.
  *
  * <p>The service handles one call at a time for each calling machine, and finishes those that were given up. So a call is sent
- * when the one before it has ended: each has the service for itself, and its time is known from the policy.
+ * when the service is soon to be idle, and is allowed the time that the service needs for those before it.
  */
 final class AdviceCalls {
     private final JobContext context;
     private final Queue<Call> waiting = new ArrayDeque<>();
+    private final RequestQueue<Call> sent = new RequestQueue<>();
     private final ResponseAllowance allowance = new ResponseAllowance();
-    private boolean callUnderWay;
+    private boolean timerScheduled;
 
     AdviceCalls(JobContext context) {
         this.context = context;
@@ -36,36 +38,60 @@
     }
 
     private void sendNext() {
-        while (!callUnderWay && !waiting.isEmpty()) {
+        while (!waiting.isEmpty() && sent.mayAdd(context.now().steadyMillis())) {
             Call next = waiting.remove();
             if (next.wanted.getAsBoolean()) {
-                callUnderWay = true;
                 send(next);
             }
         }
+        if (!waiting.isEmpty()) {
+            sendNextWhenDue();
+        }
+    }
+
+    private void sendNextWhenDue() {
+        long delayMillis = sent.waitMillis(context.now().steadyMillis()) - RequestQueue.LEAD_MILLIS;
+        if (!timerScheduled && delayMillis >= 0) {
+            timerScheduled = true;
+            context.schedule(delayMillis + 1, () -> {
+                timerScheduled = false;
+                sendNext();
+            });
+        }
     }
 
     private void send(Call call) {
         long sentMillis = context.now().steadyMillis();
-        long timeoutMillis = call.request.durationMillis() + allowance.millis();
-        context.call(() -> context.ports().advice().requestAdvice(call.request, timeoutMillis), (result, failure) -> {
-            callUnderWay = false;
-            try {
-                AdviceResult known = failure == null ? result : AdviceResult.failed(AdviceOutcome.FAILED);
-                ended(call, known, context.now().steadyMillis() - sentMillis);
-            } finally {
-                sendNext();
-            }
-        });
+        long expectedMillis = sent.waitMillis(sentMillis) + call.request.durationMillis();
+        sent.add(call, call.request.durationMillis(), sentMillis);
+        Listener timed = (result, callMillis) -> {
+            ended(call, result, callMillis - expectedMillis);
+            call.listener.ended(result, callMillis);
+        };
+        context.call(
+                () -> context.ports().advice().requestAdvice(call.request, expectedMillis + allowance.millis()),
+                (result, failure) ->
+                        end(timed, failure == null ? result : AdviceResult.failed(AdviceOutcome.FAILED), sentMillis));
+    }
+
+    private void end(Listener listener, AdviceResult result, long sentMillis) {
+        try {
+            listener.ended(result, context.now().steadyMillis() - sentMillis);
+        } finally {
+            sendNext();
+        }
     }
 
-    private void ended(Call call, AdviceResult result, long callMillis) {
+    private void ended(Call call, AdviceResult result, long latenessMillis) {
         if (result.outcome() == AdviceOutcome.ANSWERED) {
-            allowance.answered(callMillis - call.request.durationMillis());
+            sent.answered(call, context.now().steadyMillis());
+            allowance.answered(latenessMillis);
         } else if (result.outcome() == AdviceOutcome.UNANSWERED) {
+            sent.givenUp(call);
             allowance.unanswered();
+        } else {
+            sent.rejected(call);
         }
-        call.listener.ended(result, callMillis);
     }
 
     /**
