Use answers of the advice service that come after the call was given up

A service that is slower than its policy finishes calls that were given up, and its work was lost. Cause: the HTTP exchange was cancelled with the timeout. What it says is stored like any other; it is as true as one in time while its tickets live.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceRequests.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/AdviceRequests.java
@@ -16,9 +16,14 @@
     /** The weight of the latest request in the mean of how long requests take. */
     private static final double LEARNING_RATE = 0.2;
 
+    /** The maximum number of requests given up whose answers are still of use. */
+    private static final int MAX_GIVEN_UP = 16;
+
     private final RequestQueue<Sent> queue = new RequestQueue<>();
     /** The requests that are awaited. */
     private final List<Sent> awaited = new ArrayList<>();
+    /** The requests that are not awaited any more, the latest last. */
+    private final List<Sent> givenUp = new ArrayList<>();
 
     private boolean answering = true;
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -74,18 +79,20 @@
     }
 
     /**
-     * Records the result of a request, and returns what was sent, empty if it is not known.
+     * Records the result of a request, and returns what was sent, empty if it is not known. A request that was given up may be
+     * answered after that.
      */
     Optional<Sent> ended(AdviceRequest request, AdviceResult result, Moment now) {
         Optional<Sent> inTime = takeFrom(awaited, request);
         inTime.ifPresent(sent -> record(sent, result.outcome(), now));
+        Optional<Sent> ended = inTime.or(() -> takeFrom(givenUp, request));
         if (result.outcome() == AdviceOutcome.ANSWERED) {
-            inTime.ifPresent(sent -> {
+            ended.ifPresent(sent -> {
                 answering = true;
                 queue.answered(sent, now.steadyMillis());
             });
         }
-        return inTime;
+        return inTime.or(() -> ended.map(Sent::withLateAnswer));
     }
 
     private static Optional<Sent> takeFrom(List<Sent> requests, AdviceRequest request) {
@@ -102,6 +109,10 @@
         lastEndMillis = now.steadyMillis();
         if (outcome == AdviceOutcome.UNANSWERED) {
             queue.givenUp(sent);
+            givenUp.add(sent);
+            if (givenUp.size() > MAX_GIVEN_UP) {
+                givenUp.remove(0);
+            }
         } else if (outcome != AdviceOutcome.ANSWERED) {
             queue.rejected(sent);
         }
@@ -132,6 +143,11 @@
      * @param step  the step that it is about
      * @param named  the workers named
      * @param requestedMillis  when it was sent, on the steady clock in milliseconds
+     * @param late  true if it was given up before it was answered
      */
-    record Sent(JobStepState step, AdviceRequest request, Named named, long requestedMillis) {}
+    record Sent(JobStepState step, AdviceRequest request, Named named, long requestedMillis, boolean late) {
+        private Sent withLateAnswer() {
+            return new Sent(step, request, named, requestedMillis, true);
+        }
+    }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -245,12 +245,12 @@
         } else if (named.purpose() == Purpose.RECHECK) {
             step.advice.recheckRequested(now.steadyMillis());
         }
-        requests.add(new Sent(step, request, named, now.steadyMillis()), now);
+        requests.add(new Sent(step, request, named, now.steadyMillis(), false), now);
         state.actions.requestAdvice(request);
     }
 
     /**
-     * Stores what a request has told.
+     * Stores what a request has told. The answer to a request that was given up may follow, and is of use like any other.
      */
     void adviceReceived(AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
         requests.ended(request, result, now).ifPresent(sent -> {
@@ -300,6 +300,7 @@
                 .with("expected", sent.request().durationMillis())
                 .with("call", callMillis)
                 .with("age", now.steadyMillis() - sent.requestedMillis())
+                .with("late", sent.late())
                 .with("awaited", requests.countAwaited()));
     }
 }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
@@ -105,6 +105,19 @@
         assertCompleted();
     }
 
+    /** Guards against an answer that is lost because it comes after the request was given up. */
+    @Test
+    void answerToARequestThatWasGivenUpIsUsed() {
+        start(4, new AdvicePolicy(500, 0, 3_000), (step, worker) -> true);
+        pool.giveUpAdviceAfter(1_000);
+        service.pause(pool.now().steadyMillis(), 2_000);
+        submit("job", SMALL, 1);
+        pool.advance(2_400);
+        assertTrue(pool.workerOf(task("job", 0)).isEmpty());
+        pool.advance(400);
+        assertTrue(pool.workerOf(task("job", 0)).isPresent());
+    }
+
     /** Guards against jobs that are accepted though the requests of those before them take longer than they may wait. */
     @Test
     void jobsBeyondTheRateOfTheServiceAreRefused() {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdviceCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdviceCalls.java
@@ -30,7 +30,7 @@
      *
      * @param request  the request, not null
      * @param wanted  returns whether the result is still of use, not null; the call is dropped if it is not when its turn comes
-     * @param listener  receives the result unless the call is dropped, not null
+     * @param listener  receives the result unless the call is dropped, and the answer to a call that was given up, not null
      */
     void request(AdviceRequest request, BooleanSupplier wanted, Listener listener) {
         waiting.add(new Call(request, wanted, listener));
@@ -69,7 +69,12 @@
             call.listener.ended(result, callMillis);
         };
         context.call(
-                () -> context.ports().advice().requestAdvice(call.request, expectedMillis + allowance.millis()),
+                () -> context.ports()
+                        .advice()
+                        .requestAdvice(
+                                call.request,
+                                expectedMillis + allowance.millis(),
+                                late -> context.execute(() -> end(timed, late, sentMillis))),
                 (result, failure) ->
                         end(timed, failure == null ? result : AdviceResult.failed(AdviceOutcome.FAILED), sentMillis));
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/AdviceCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/AdviceCallsTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.AdviceOutcome;
@@ -92,6 +93,16 @@
         assertEquals(1_000 + LEAST_MILLIS, service.timeouts.get(3));
     }
 
+    /** Guards against work of the service that is lost: its answer is as true after the call was given up. */
+    @Test
+    void answerToACallThatWasGivenUpIsPassedOn() {
+        request("a", 1_000);
+        answer(0, UNANSWERED);
+        service.lateListeners.get(0).accept(NO_WORKERS);
+        entry.run(() -> {});
+        assertEquals(List.of("a unanswered", "a answered"), ended);
+    }
+
     @Test
     void callThatIsNoLongerWantedIsNotSent() {
         request("a", 1_000);
@@ -138,16 +149,19 @@
     private static final class HeldAdvice implements AdvicePort {
         private final List<String> steps = new ArrayList<>();
         private final List<Long> timeouts = new ArrayList<>();
+        private final List<Consumer<AdviceResult>> lateListeners = new ArrayList<>();
         private final List<CompletableFuture<AdviceResult>> answers = new ArrayList<>();
         private boolean broken;
 
         @Override
-        public CompletableFuture<AdviceResult> requestAdvice(AdviceRequest request, long timeoutMillis) {
+        public CompletableFuture<AdviceResult> requestAdvice(
+                AdviceRequest request, long timeoutMillis, Consumer<AdviceResult> lateListener) {
             if (broken) {
                 throw new IllegalStateException("broken");
             }
             steps.add(request.step());
             timeouts.add(timeoutMillis);
+            lateListeners.add(lateListener);
             answers.add(new CompletableFuture<>());
             return answers.get(answers.size() - 1);
         }
