Estimate the wait for advice in the order in which steps are served

What callers saw: jobs refused for the wait of others that can wait longer and are served after them, in a test; and an estimate that rested on one request a step whatever requests had found. Cause: Admission compared the time for all steps of accepted jobs with what the new job can wait, as if it were served last, and counted steps that had a request under way or were denied everywhere in full. Ruled out: leaving out steps that are late. They are served after those in time, so a queue that is always full of new jobs would never come to them; they count before any new job. Change: AdviceBacklog adds up the time of the service in the order of the placer. A job is refused if its own advice, or that of a job accepted before it that was in time without it, comes too late. StepCost observes how long the service takes for a step until a worker is found. Conclusion: what is refused now is what the service has no time for.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Admission.java
@@ -26,13 +26,13 @@
 
     private final PoolState state;
     private final StartDeadlines startDeadlines;
-    private final PlacementAdvice advice;
+    private final AdviceBacklog adviceBacklog;
     private final Backlog backlog;
     private final TeamRates teamRates;
 
     Admission(PoolState state, RunStatistics runStatistics, StartDeadlines startDeadlines, PlacementAdvice advice) {
         this.state = state;
-        this.advice = advice;
+        this.adviceBacklog = new AdviceBacklog(state, startDeadlines, advice);
         this.startDeadlines = startDeadlines;
         this.backlog = new Backlog(state, runStatistics, startDeadlines);
         this.teamRates = new TeamRates(state);
@@ -134,7 +134,7 @@
         }
         long spareMillis = startDeadlines.latestStartsMillis(job)[0] - now.steadyMillis();
         boolean late = spareMillis < 0;
-        long adviceShortMillis = adviceShortMillis(job, late ? MAX_LATE_JOB_WAIT_MILLIS : spareMillis);
+        long adviceShortMillis = job.queue.advice().isEmpty() ? 0 : adviceShortMillis(job, spareMillis, now);
         if (adviceShortMillis > 0) {
             return OptionalLong.of(adviceShortMillis);
         }
@@ -148,10 +148,12 @@
 
     /**
      * Returns by how many milliseconds the advice for a job comes too late, as other steps are served before; not positive if it
-     * comes in time or none is needed.
+     * comes in time.
      */
-    private long adviceShortMillis(JobState job, long spareMillis) {
-        return job.queue.advice().isEmpty() ? 0 : (long) advice.waitMillis() - spareMillis;
+    private long adviceShortMillis(JobState job, long spareMillis, Moment now) {
+        return spareMillis < 0
+                ? (long) adviceBacklog.waitMillis(now) - MAX_LATE_JOB_WAIT_MILLIS
+                : (long) adviceBacklog.shortageMillis(job, spareMillis, now);
     }
 
     /**
@@ -182,7 +184,7 @@
         inputs.put("spare", (long) -backlog.overrunMillis(job, now));
         inputs.put("wait", (long) backlog.waitMillis(now));
         if (job.queue.advice().isPresent()) {
-            inputs.put("adviceWait", (long) advice.waitMillis());
+            inputs.put("adviceWait", (long) adviceBacklog.waitMillis(now));
         }
         inputs.put("workers", state.workers.size());
         inputs.put("arriving", state.arrivingMachines);
@@ -201,6 +203,6 @@
      */
     void jobAccepted(JobState job) {
         backlog.add(job);
-        advice.jobAccepted(job);
+        adviceBacklog.jobAccepted(job);
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -18,7 +18,6 @@
 import org.trefoilpost.decision.job.AdviceRequests.Sent;
 import org.trefoilpost.decision.job.advice.GoodShare;
 import org.trefoilpost.decision.job.advice.PolicyObservations;
-import org.trefoilpost.decision.job.advice.RequestSize;
 
 /**
  * Requests placement advice for the steps of queues that require it, and stores the tickets received.
@@ -39,8 +38,7 @@
     private final Set<JobStepState> leaving = new LinkedHashSet<>();
 
     private final AdviceRequests requests = new AdviceRequests();
-    /** How long the requests take that the steps of accepted jobs still need, as of the last round. */
-    private double waitMillis;
+    private long round;
 
     PlacementAdvice(PoolState state) {
         this.state = state;
@@ -104,43 +102,54 @@
             requestWhileDue(ordered, (step, reserved) -> nextWorkers(step, reserved, now), now);
             requestWhileDue(ordered, (step, reserved) -> workerToRecheck(step, reserved, now), now);
         }
-        waitMillis = remainingMillis(now);
+        round++;
         waiting.clear();
         leaving.clear();
     }
 
     /**
-     * Returns the time in milliseconds until the requests have been answered that the steps of accepted jobs still need.
+     * Returns the number of rounds that have ended.
      */
-    double waitMillis() {
-        return waitMillis;
+    long round() {
+        return round;
     }
 
-    private double remainingMillis(Moment now) {
-        double millis = 0;
-        for (JobState job : state.openJobs.values()) {
-            if (job.queue != null && job.queue.advice().isPresent()) {
-                long steps = job.openOccurrences().stream()
-                        .flatMap(occurrence -> Stream.of(occurrence.steps))
-                        .filter(step -> !step.hasStarted() && !hasUsableTicket(step, now.steadyMillis()))
-                        .count();
-                millis += steps == 0 ? 0 : steps * requestSize(job).millisForOne();
-            }
-        }
-        return millis * requests.slowdown();
+    /**
+     * Returns the requests that were sent.
+     */
+    AdviceRequests requests() {
+        return requests;
     }
 
     /**
-     * Adds the requests for the steps of a job that was accepted to those that are waited for.
+     * Returns the time in milliseconds that the service takes by its policy until a worker is found for a step of a job.
      */
-    void jobAccepted(JobState job) {
-        if (job.queue.advice().isPresent() && job.spec.onDemand()) {
-            waitMillis += job.spec.steps().size() * requestSize(job).millisForOne() * requests.slowdown();
-        }
+    double stepMillis(JobState job) {
+        PolicyObservations observations = observations(job);
+        QueueConfig.AdvicePolicy policy = job.queue.advice().orElseThrow();
+        return observations.stepCost().millis(observations.requestSize(policy).millisForOne());
     }
 
-    private RequestSize requestSize(JobState job) {
-        return observations(job).requestSize(job.queue.advice().orElseThrow());
+    /**
+     * Returns the time in milliseconds that the service takes by its policy until a step can start, without requests that were
+     * sent.
+     *
+     * @param stepMillis  the time for a step that has not been asked about
+     */
+    double neededMillis(JobStepState step, double stepMillis, Moment now) {
+        if (step.hasStarted() || hasUsableTicket(step, now.steadyMillis())) {
+            return 0;
+        }
+        Optional<Sent> sent = requests.awaitedFor(step);
+        if (sent.isPresent()) {
+            return Math.max(0, stepMillis - sent.get().request().durationMillis());
+        }
+        boolean denied =
+                !state.workers.isEmpty() && state.workers.values().stream().allMatch(step.advice::denies);
+        if (denied) {
+            return 0;
+        }
+        return step.advice.allowsAny() ? policy(step).durationMillis(1) : stepMillis;
     }
 
     /**
@@ -270,6 +279,7 @@
 
     private void store(Sent sent, AdviceResult result, long callMillis, Moment now) {
         StepAdvice advice = sent.step().advice;
+        boolean knownBefore = advice.allowsAny();
         long validMillis = result.validMillis() > 0
                 ? result.validMillis()
                 : policy(sent.step()).validMillis();
@@ -288,6 +298,11 @@
         advice.retain(worker -> state.workers.get(worker.id) == worker);
         if (sent.named().purpose() == Purpose.DISCOVERY) {
             observeVerdicts(sent, result);
+            if (!knownBefore) {
+                observations(sent.step().occurrence.job)
+                        .stepCost()
+                        .observe(sent.request().durationMillis(), advice.allowsAny());
+            }
         }
     }
 
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/PolicyObservations.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/PolicyObservations.java
@@ -9,6 +9,7 @@
 public final class PolicyObservations {
     private final GoodShare goodShare = new GoodShare();
     private final VerdictHistory verdicts = new VerdictHistory();
+    private final StepCost stepCost = new StepCost();
 
     /**
      * Returns the share of workers on which steps are allowed.
@@ -38,6 +39,15 @@
         return verdicts.predict(goodShare.estimate(), known);
     }
 
+    /**
+     * Returns how long steps have taken until a worker was found.
+     *
+     * @return the cost of a step, not null
+     */
+    public StepCost stepCost() {
+        return stepCost;
+    }
+
     /**
      * Returns what decides how many workers a request names.
      *
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PlacementAdviceTest.java
@@ -140,6 +140,43 @@
         assertTrue(pool.workerOf(task("job", 0)).isPresent());
     }
 
+    /** Guards against a job that is refused because of others that can wait longer, and are served after it. */
+    @Test
+    void jobThatCannotWaitIsAcceptedBesideOthersThatCan() {
+        start(40, new AdvicePolicy(500, 10, 3_000), HALF);
+        pool.setAdvisedObjective(2, 1_500);
+        StepSpec patient =
+                StepSpec.builder().tasks(1, SMALL).estimateMillis(20_000).build();
+        for (int i = 0; i < 8; i++) {
+            pool.submit("patient" + i, PoolWithFakeWorkers.ADVISED_QUEUE, patient);
+        }
+        StepSpec urgent = StepSpec.builder().tasks(1, SMALL).estimateMillis(100).build();
+        assertTrue(pool.trySubmit("urgent", PoolWithFakeWorkers.ADVISED_QUEUE, urgent));
+        pool.advance(2_500);
+        assertTrue(pool.workerOf(task("urgent", 0)).isPresent());
+    }
+
+    /** Guards against a job that makes one late that was accepted before. */
+    @Test
+    void jobIsRefusedThatMakesAnotherOneLate() {
+        start(8, new AdvicePolicy(500, 10, 3_000), HALF);
+        pool.setAdvisedObjective(2, 1_500);
+        int accepted = 0;
+        for (int estimateMillis = 4_000; estimateMillis > 0; estimateMillis -= 100) {
+            StepSpec step = StepSpec.builder()
+                    .tasks(1, SMALL)
+                    .estimateMillis(estimateMillis)
+                    .build();
+            String job = "job" + estimateMillis;
+            if (pool.trySubmit(job, PoolWithFakeWorkers.ADVISED_QUEUE, step)) {
+                submitted.add(job);
+                accepted++;
+            }
+        }
+        // The first job can wait for less than 7 s, and each takes the service over half a second.
+        assertTrue(accepted >= 4 && accepted <= 13, accepted + " are accepted");
+    }
+
     /** Guards against jobs that are accepted though the requests of those before them take longer than they may wait. */
     @Test
     void jobsBeyondTheRateOfTheServiceAreRefused() {
