Keep the machines of a pool whose moves are not answered

Cause: moves to a pool that are not answered count as its machines, so that they are not ordered twice. The same count decided whether the pool gives machines up; the ones that it had were then moved elsewhere for others that may never come. Ruled out: leaving such moves out of the count for shortages, as each would then be ordered again for other machines. Change: the balance that decides what a pool gives up leaves moves without an answer out. PoolNeeds, the expected need of pools and its recent peak, is parted from the planner. Measured: FleetPlannerTest.poolGivesUpNoMachinesForMovesThatAreNotAnswered fails before (all four machines of the pool are given away) and passes after; the 62 tests of the fleet planner pass.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
@@ -38,9 +38,6 @@
     private static final long RETRY_MILLIS = 400;
     /** Time after a shortage in which another one is likely, as demand still grows. */
     private static final long RECENT_SHORTAGE_MILLIS = 2_000;
-    /** Minimum decay of the recent peak of a pool's need; a larger peak decays by its own value per second. */
-    private static final double MIN_PEAK_DECAY_MACHINES_PER_SECOND = 12.0;
-
     /** A pool with this many machines or fewer gives up none. */
     private static final int MIN_POOL_MACHINES = 2;
 
@@ -63,11 +60,8 @@
     /** The target pools of the moves that are decided but not done, by machine. */
     private final Map<String, String> decidedMoves = new TreeMap<>();
 
-    private final Map<String, Double> expectedNeeds = new HashMap<>();
-    private final Map<String, DemandForecast> forecasts = new HashMap<>();
-    private final Map<String, Double> recentPeaks = new HashMap<>();
+    private final PoolNeeds needs;
     private final ShortageLog shortageLog;
-    private long observedMillis;
     private long lastShortageMillis = Long.MIN_VALUE / 2;
 
     MachineMovePlanner(
@@ -76,6 +70,7 @@
         this.view = view;
         this.upkeepPlanner = upkeepPlanner;
         this.rateLimiter = rateLimiter;
+        this.needs = new PoolNeeds(view);
         this.shortageLog = new ShortageLog(actions);
     }
 
@@ -183,7 +178,7 @@
      * @return the machines to evacuate
      */
     List<MachineView> tick(long nowMillis) {
-        updateForecasts(nowMillis);
+        needs.update(nowMillis);
         Map<String, Double> balance = balance(nowMillis);
         Map<String, Double> peakBalance = peakBalance(balance);
         if (balance.values().stream().anyMatch(value -> value < 0)) {
@@ -200,43 +195,22 @@
     }
 
     /**
-     * Updates the expected need of each pool and its recent peak.
-     */
-    private void updateForecasts(long nowMillis) {
-        double seconds = Math.min(1, (nowMillis - observedMillis) / 1_000.0);
-        observedMillis = nowMillis;
-        for (String pool : view.runningPools()) {
-            view.demand(pool, nowMillis).ifPresent(demand -> {
-                double need = forecast(pool, demand);
-                expectedNeeds.put(pool, need);
-                recentPeaks.merge(
-                        pool,
-                        need,
-                        (peak, current) ->
-                                Math.max(current, peak - seconds * Math.max(MIN_PEAK_DECAY_MACHINES_PER_SECOND, peak)));
-            });
-        }
-    }
-
-    /**
-     * Returns the need that a pool is expected to have when a machine that is moved now would arrive.
-     */
-    private double forecast(String pool, PoolDemand demand) {
-        DemandForecast forecast = forecasts.computeIfAbsent(pool, name -> new DemandForecast());
-        forecast.add(demand);
-        return forecast.expectedMachines();
-    }
-
-    /**
-     * Returns the balance against the recent peak of each pool's need, which decides whether a pool gives up machines.
+     * Returns the balance against the recent peak of each pool's need, which decides whether a pool gives up machines. Those whose
+     * moves were not answered do not count, as they may never come.
      */
     private Map<String, Double> peakBalance(Map<String, Double> balance) {
         Map<String, Double> peakBalance = new TreeMap<>();
         balance.forEach((pool, value) -> peakBalance.put(
-                pool, value + expectedNeeds.getOrDefault(pool, 0.0) - recentPeaks.getOrDefault(pool, 0.0)));
+                pool, value + needs.expected(pool) - needs.recentPeak(pool) - countUnansweredMoves(pool)));
         return peakBalance;
     }
 
+    private long countUnansweredMoves(String pool) {
+        return orderedMoves.entrySet().stream()
+                .filter(move -> move.getValue().equals(pool) && unansweredUntilMillis.containsKey(move.getKey()))
+                .count();
+    }
+
     /**
      * Returns the number of machines that each pool has beyond its need, arriving ones included; negative in a shortage.
      */
@@ -245,7 +219,7 @@
         for (String pool : view.runningPools()) {
             Optional<PoolDemand> demand = view.demand(pool, nowMillis);
             if (demand.isPresent()) {
-                balance.put(pool, countMachines(pool) - expectedNeeds.getOrDefault(pool, 0.0));
+                balance.put(pool, countMachines(pool) - needs.expected(pool));
             }
         }
         return balance;
@@ -288,7 +262,7 @@
             while (balance.get(pool) < 0) {
                 Optional<MachineView> source = chooseSource(pool, -balance.get(pool), peakBalance, nowMillis);
                 if (source.isEmpty()) {
-                    shortageLog.log(pool, expectedNeeds, balance, peakBalance, nowMillis);
+                    shortageLog.log(pool, needs.expected(), balance, peakBalance, nowMillis);
                     break;
                 }
                 decideMove(source.get(), pool, evacuating);
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
@@ -27,6 +27,9 @@
     final Map<String, MachineView> machines = new TreeMap<>();
     final Map<String, Double> needs = new HashMap<>();
     final List<String> orders = new ArrayList<>();
+    /** The moves that were decided, as {@code FROM to TO: MACHINE}. */
+    final List<String> decidedMoves = new ArrayList<>();
+
     final Map<Long, String> storedWaves = new HashMap<>();
     FleetPlanner planner = new FleetPlanner(this, 64);
     OrderOutcome nextOutcome = OrderOutcome.DONE;
@@ -288,7 +291,10 @@
 
     @Override
     public void logDecision(Decision decision) {
-        // Decisions are not checked here.
+        if (decision.name().equals("move-decided")) {
+            Map<String, Object> move = decision.inputs();
+            decidedMoves.add(move.get("from") + " to " + move.get("to") + ": " + move.get("machine"));
+        }
     }
 
     void configure(Set<String> pools) {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
@@ -131,6 +131,26 @@
         assertEquals(List.of("move m4 a"), targets);
     }
 
+    /** Guards against a pool that is emptied of its machines for others whose moves may never be carried out. */
+    @Test
+    void poolGivesUpNoMachinesForMovesThatAreNotAnswered() {
+        fleet.add("a", 4);
+        fleet.add("b", 4);
+        fleet.add("spare", 6);
+        fleet.configure(Set.of("a", "b"));
+        fleet.needs.put("a", 10.0);
+        fleet.needs.put("b", 4.0);
+        fleet.nextOutcome = OrderOutcome.UNKNOWN;
+        fleet.runFor(2_000);
+        fleet.needs.put("a", 4.0);
+        fleet.needs.put("b", 8.0);
+        fleet.runFor(9_000);
+        List<String> givenUp = fleet.decidedMoves.stream()
+                .filter(move -> move.startsWith("a "))
+                .toList();
+        assertEquals(List.of(), givenUp);
+    }
+
     @Test
     void fencedOrderReportsLostOwnership() {
         fleet.add("a", 2);
