Bound the requests at a slow advice service, and notice lost answers

Cause, by the log of its owner: while the service took 2 s longer for each call, 12 requests were sent, one for each 190 ms that the policy says, as each one added moved the time on at which the service was expected to be idle. Answers came up to 20 s late, the allowance for the next calls followed, and then answers were lost: a call waits for up to a minute for an answer that was lost while later ones are answered. Ruled out: a request that is never ended (the counts of awaited requests return to 1 or 2), and the choice of the next step. Change: RequestQueue notes since when the service has handled the first request, and sends one more at the most while that takes longer than the policy says. AdviceCalls gives a call up once a later one is answered and the time of a call has passed: the service handles them in turn, so the answer is lost or overtaken. It is still used if it comes. Measured: RequestQueueTest and AdviceCallsTest have tests for both, which fail without the change (RequestQueue sent 16, now up to 4 in 10 s without an answer; a lost answer was awaited for its whole allowance). Conclusion: a slow service has one call to go on with, and a lost answer costs a step one call.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/RequestQueue.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/RequestQueue.java
@@ -24,6 +24,8 @@
 
     private final List<Entry<T>> entries = new ArrayList<>();
     private long busyUntilMillis = Long.MIN_VALUE / 2;
+    /** Since when the service has handled the first request. */
+    private long firstSinceMillis;
 
     /**
      * Returns whether the next request is to be sent now.
@@ -33,12 +35,20 @@
      */
     public boolean mayAdd(long nowMillis) {
         int awaited = awaited();
-        if (nowMillis > busyUntilMillis) {
+        if (isLate(nowMillis)) {
             return awaited < MAX_AWAITED_WHILE_LATE;
         }
         return awaited == 0 || awaited < MAX_AWAITED && waitMillis(nowMillis) < LEAD_MILLIS;
     }
 
+    /**
+     * Returns whether the service takes longer for the first request than it takes by itself, so that it is not known when the
+     * others will be handled.
+     */
+    private boolean isLate(long nowMillis) {
+        return !entries.isEmpty() && nowMillis > firstSinceMillis + entries.get(0).durationMillis + LEAD_MILLIS;
+    }
+
     /**
      * Returns how long the service is expected to be busy with the requests that it has, those that were given up included.
      *
@@ -60,6 +70,9 @@
         if (nowMillis > busyUntilMillis) {
             entries.removeIf(entry -> entry.givenUp);
         }
+        if (entries.isEmpty()) {
+            firstSinceMillis = nowMillis;
+        }
         entries.add(new Entry<>(request, durationMillis));
         busyUntilMillis = Math.max(busyUntilMillis, nowMillis) + durationMillis;
     }
@@ -75,6 +88,7 @@
         if (index >= 0) {
             entries.subList(0, index).removeIf(entry -> entry.givenUp);
             remove(request);
+            firstSinceMillis = nowMillis;
             busyUntilMillis = nowMillis
                     + entries.stream().mapToLong(Entry::durationMillis).sum();
         }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/advice/RequestQueueTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/advice/RequestQueueTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class RequestQueueTest {
@@ -46,10 +48,16 @@
     /** Guards against requests that pile up at a service that takes longer than its policy says. */
     @Test
     void fewRequestsWaitForALateAnswer() {
-        queue.add("a", 100, NOW);
-        assertTrue(queue.mayAdd(NOW + 5_000));
-        queue.add("b", 100, NOW + 5_000);
-        assertFalse(queue.mayAdd(NOW + 10_000));
+        List<String> sent = new ArrayList<>();
+        for (long millis = 0; millis < 10_000; millis += 20) {
+            if (queue.mayAdd(NOW + millis)) {
+                sent.add("r" + millis);
+                queue.add(sent.get(sent.size() - 1), 150, NOW + millis);
+            }
+        }
+        assertTrue(sent.size() >= 2 && sent.size() <= 4, "sent: " + sent);
+        sent.forEach(request -> queue.answered(request, NOW + 10_000));
+        assertTrue(queue.mayAdd(NOW + 10_000));
     }
 
     /** Guards against a wait that leaves out the requests that the service handles for nothing. */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdviceCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdviceCalls.java
@@ -1,7 +1,9 @@
 package org.trefoilpost.entry.job;
 
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
 import java.util.Queue;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.trefoilpost.decision.job.AdviceOutcome;
 import org.trefoilpost.decision.job.AdviceRequest;
@@ -19,6 +21,10 @@
     private final Queue<Call> waiting = new ArrayDeque<>();
     private final RequestQueue<Call> sent = new RequestQueue<>();
     private final ResponseAllowance allowance = new ResponseAllowance();
+    /** The calls that have not ended, in the order in which they were sent. */
+    private final Set<SentCall> awaited = new LinkedHashSet<>();
+
+    private long lastNumber;
     private boolean timerScheduled;
 
     AdviceCalls(JobContext context) {
@@ -63,39 +69,68 @@
     private void send(Call call) {
         long sentMillis = context.now().steadyMillis();
         long expectedMillis = sent.waitMillis(sentMillis) + call.request.durationMillis();
+        SentCall sentCall = new SentCall(call, ++lastNumber, sentMillis, expectedMillis);
         sent.add(call, call.request.durationMillis(), sentMillis);
-        Listener timed = (result, callMillis) -> {
-            ended(call, result, callMillis - expectedMillis);
-            call.listener.ended(result, callMillis);
-        };
+        awaited.add(sentCall);
         context.call(
                 () -> context.ports()
                         .advice()
                         .requestAdvice(
                                 call.request,
                                 expectedMillis + allowance.millis(),
-                                late -> context.execute(() -> end(timed, late, sentMillis))),
+                                late -> context.execute(() -> ended(sentCall, late))),
                 (result, failure) ->
-                        end(timed, failure == null ? result : AdviceResult.failed(AdviceOutcome.FAILED), sentMillis));
+                        ended(sentCall, failure == null ? result : AdviceResult.failed(AdviceOutcome.FAILED)));
+    }
+
+    private void ended(SentCall sentCall, AdviceResult result) {
+        boolean answered = result.outcome() == AdviceOutcome.ANSWERED;
+        if (answered) {
+            giveUpBefore(sentCall);
+        }
+        if (awaited.remove(sentCall) || answered) {
+            observe(sentCall, result.outcome());
+            passOn(sentCall, result);
+        }
+    }
+
+    private void observe(SentCall sentCall, AdviceOutcome outcome) {
+        long nowMillis = context.now().steadyMillis();
+        if (outcome == AdviceOutcome.ANSWERED) {
+            sent.answered(sentCall.call, nowMillis);
+            allowance.answered(nowMillis - sentCall.sentMillis - sentCall.expectedMillis);
+        } else if (outcome == AdviceOutcome.UNANSWERED) {
+            sent.givenUp(sentCall.call);
+            allowance.unanswered();
+        } else {
+            sent.rejected(sentCall.call);
+        }
     }
 
-    private void end(Listener listener, AdviceResult result, long sentMillis) {
+    private void passOn(SentCall sentCall, AdviceResult result) {
         try {
-            listener.ended(result, context.now().steadyMillis() - sentMillis);
+            sentCall.call.listener.ended(result, context.now().steadyMillis() - sentCall.sentMillis);
         } finally {
             sendNext();
         }
     }
 
-    private void ended(Call call, AdviceResult result, long latenessMillis) {
-        if (result.outcome() == AdviceOutcome.ANSWERED) {
-            sent.answered(call, context.now().steadyMillis());
-            allowance.answered(latenessMillis);
-        } else if (result.outcome() == AdviceOutcome.UNANSWERED) {
-            sent.givenUp(call);
-            allowance.unanswered();
-        } else {
-            sent.rejected(call);
+    /**
+     * Gives the calls up that were sent before an answered one: the service has handled them, so their answers are lost unless they
+     * are on their way or the calls overtook one another.
+     */
+    private void giveUpBefore(SentCall answered) {
+        for (SentCall earlier : awaited) {
+            if (earlier.number >= answered.number) {
+                return;
+            }
+            long delayMillis = earlier.call.request.durationMillis() + RequestQueue.LEAD_MILLIS;
+            context.schedule(delayMillis, () -> {
+                if (awaited.remove(earlier)) {
+                    sent.givenUp(earlier.call);
+                    passOn(earlier, AdviceResult.failed(AdviceOutcome.UNANSWERED));
+                }
+            });
         }
     }
 
@@ -114,4 +149,13 @@
     }
 
     private record Call(AdviceRequest request, BooleanSupplier wanted, Listener listener) {}
+
+    /**
+     * A call that was sent.
+     *
+     * @param number  the number of calls sent until then
+     * @param sentMillis  when it was sent, on the steady clock in milliseconds
+     * @param expectedMillis  the time within which the answer was expected, with the calls before this one
+     */
+    private record SentCall(Call call, long number, long sentMillis, long expectedMillis) {}
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/AdviceCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/AdviceCallsTest.java
@@ -103,6 +103,55 @@
         assertEquals(List.of("a unanswered", "a answered"), ended);
     }
 
+    /** Guards against a wait for an answer that is lost: the service handles the calls in turn, and has answered a later one. */
+    @Test
+    void callIsGivenUpAfterALaterOneWasAnswered() {
+        request("a", 150);
+        request("b", 100);
+        answer(1, NO_WORKERS);
+        advance(150 + RequestQueue.LEAD_MILLIS);
+        assertEquals(List.of("b answered", "a unanswered"), ended);
+        answer(0, UNANSWERED);
+        assertEquals(2, ended.size());
+        request("c", 100);
+        assertEquals(100 + LEAST_MILLIS, service.timeouts.get(2));
+    }
+
+    /** Guards against calls that are given up by an answer to one that was sent before them. */
+    @Test
+    void lateAnswerSaysNothingOfLaterCalls() {
+        request("a", 150);
+        answer(0, UNANSWERED);
+        request("b", 2_000);
+        entry.run(() -> service.lateListeners.get(0).accept(NO_WORKERS));
+        advance(2_000);
+        assertEquals(List.of("a unanswered", "a answered"), ended);
+    }
+
+    /** Guards against calls that overtake one another on their way. */
+    @Test
+    void callIsAwaitedForTheTimeOfItsAnswerAfterALaterOne() {
+        request("a", 150);
+        request("b", 100);
+        answer(1, NO_WORKERS);
+        advance(150);
+        answer(0, NO_WORKERS);
+        advance(RequestQueue.LEAD_MILLIS);
+        assertEquals(List.of("b answered", "a answered"), ended);
+    }
+
+    /** Guards against calls that pile up at a service that takes longer than its policy says. */
+    @Test
+    void fewCallsWaitAtASlowService() {
+        for (int i = 0; i < 20; i++) {
+            request("step" + i, 150);
+        }
+        for (int i = 0; i < 40; i++) {
+            advance(100);
+        }
+        assertTrue(service.steps.size() <= 4, service.steps.size() + " calls");
+    }
+
     @Test
     void callThatIsNoLongerWantedIsNotSent() {
         request("a", 1_000);
