Leave the wait for earlier calls out of the time of a call for advice

Cause: since calls are sent behind one another, the time of a call contains the wait for those before it. The scheduler takes what a call took beyond its policy for the time that a start takes to arrive, and gives up as much of a ticket's validity, a quarter of it at the most. Change: AdviceCalls passes on the time of a call without the wait that was expected as it was sent. Measured: AdviceCallsTest.timeOfACallIsWithoutThatOfThoseBeforeIt (260 ms for two calls of 150 and 100 ms count as 110); the tests of placement advice pass. Conclusion: tickets live as long as before the calls overlapped.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolScheduler.java
@@ -264,7 +264,8 @@
      *
      * @param request  the request, not null
      * @param result  the result, not null
-     * @param callMillis  the time from the sending of the request to its end, in milliseconds
+     * @param callMillis  the time from the sending of the request to its end, without that for the requests before it, in
+     *     milliseconds
      * @param now  the present time, not null
      */
     public void adviceReceived(AdviceRequest request, AdviceResult result, long callMillis, Moment now) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdviceCalls.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/AdviceCalls.java
@@ -109,7 +109,9 @@
 
     private void passOn(SentCall sentCall, AdviceResult result) {
         try {
-            sentCall.call.listener.ended(result, context.now().steadyMillis() - sentCall.sentMillis);
+            long waitMillis = sentCall.expectedMillis - sentCall.call.request.durationMillis();
+            long callMillis = context.now().steadyMillis() - sentCall.sentMillis - waitMillis;
+            sentCall.call.listener.ended(result, Math.max(0, callMillis));
         } finally {
             sendNext();
         }
@@ -143,7 +145,8 @@
          * Handles the result.
          *
          * @param result  the result, not null
-         * @param callMillis  the time from the sending of the request to its end, in milliseconds
+         * @param callMillis  the time from the sending of the request to its end, without the time that the service was expected
+         *     to need for those before it, in milliseconds
          */
         void ended(AdviceResult result, long callMillis);
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/AdviceCallsTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/AdviceCallsTest.java
@@ -75,6 +75,17 @@
         assertEquals(List.of(150 + LEAST_MILLIS, 250 + LEAST_MILLIS), service.timeouts);
     }
 
+    /** Guards against tickets whose time is taken to have passed while the service handled other calls. */
+    @Test
+    void timeOfACallIsWithoutThatOfThoseBeforeIt() {
+        List<Long> callMillis = new ArrayList<>();
+        request("a", 150);
+        entry.run(() -> calls.request(adviceRequest("b", 100), () -> true, (result, millis) -> callMillis.add(millis)));
+        clock.addAndGet(260);
+        answer(1, NO_WORKERS);
+        assertEquals(List.of(110L), callMillis);
+    }
+
     /** Guards against a call given up again and again after the same time while the service works on earlier ones. */
     @Test
     void callAfterAnUnansweredOneIsAllowedMoreTime() {
