--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -52,6 +52,9 @@
     /** The runs that exist at this moment, by task, and what was seen of it. */
     final Map<String, List<String>> running = new HashMap<>();
     volatile String twice = "";
+    /** The tasks that have ended as done on a worker that was told to forget that end. */
+    final java.util.Set<String> done = ConcurrentHashMap.newKeySet();
+    final java.util.Set<String> noted = ConcurrentHashMap.newKeySet();
 
     Lab(Path folder, Path temp) throws IOException {
         this.folder = folder;
@@ -374,6 +377,10 @@
         private final List<Object[]> ended = new ArrayList<>();
         private boolean up;
         volatile boolean cut;
+        /** Whether the worker is cut off from the store, while the entries reach it. */
+        volatile boolean storeCut;
+        volatile long registeredMillis;
+        private boolean registered;
         volatile long lastCallMillis;
         private int holds;
         private long registerMillis;
@@ -427,6 +434,10 @@
         }
 
         private void register() {
+            if (storeCut) {
+                return;
+            }
+            registeredMillis = ms();
             ObjectNode entry = JSON.createObjectNode();
             synchronized (this) {
                 entry.put("service", service)
@@ -436,13 +447,23 @@
                         .put("born", born);
                 entry.putArray("labels").add("a").add(rack);
                 entry.putObject("capacity").put("cpu", 32000).put("memMb", 131072);
-                if (sequence == 1) {
+                if (sequence == 1 || !registered) {
                     note("worker " + id + " registers, born " + born);
                 }
+                registered = true;
             }
             store.put("servers/" + id, entry);
         }
 
+        /** The store removes the entry of a worker that has been silent for three heartbeats. */
+        private void removeIfSilent() {
+            if (registered && ms() - registeredMillis > 4500) {
+                registered = false;
+                note("the entry of worker " + id + " is removed after three heartbeats of silence");
+                store.delete("servers/" + id);
+            }
+        }
+
         /** Returns whether a task has ended here, its end was taken note of, and nothing else is to be done. */
         synchronized boolean idleAfter(String task) {
             return up && highestEnded.containsKey(task) && tasks.isEmpty() && ended.isEmpty() && holds == 0
@@ -489,6 +510,7 @@
         }
 
         synchronized void expire() {
+            removeIfSilent();
             if (!up) {
                 return;
             }
