--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -52,9 +52,10 @@
     /** The runs that exist at this moment, by task, and what was seen of it. */
     final Map<String, List<String>> running = new HashMap<>();
     volatile String twice = "";
-    /** The tasks that have ended as done on a worker that was told to forget that end. */
-    final java.util.Set<String> done = ConcurrentHashMap.newKeySet();
-    final java.util.Set<String> noted = ConcurrentHashMap.newKeySet();
+    /** The ends `done` that a worker still lists or that were taken note of, by task; those after which the task was started. */
+    final Map<String, List<String>> doneEnds = new ConcurrentHashMap<>();
+    final java.util.Set<String> notedEnds = ConcurrentHashMap.newKeySet();
+    final java.util.Set<String> startedAfterEnds = ConcurrentHashMap.newKeySet();
 
     Lab(Path folder, Path temp) throws IOException {
         this.folder = folder;
@@ -484,6 +485,9 @@
                 up = false;
                 new ArrayList<>(tasks.values()).forEach(task -> end(task, "crashed"));
                 tasks.clear();
+                for (Object[] end : ended) {
+                    doneEnds.getOrDefault((String) end[1], new ArrayList<>()).remove(endId((long) end[0]));
+                }
             }
             note("worker " + id + " crashes, its clock was " + clock());
             server.stop(0);
@@ -503,6 +507,10 @@
                 running.getOrDefault(task.name, new ArrayList<>()).remove(id + " run " + task.run);
             }
             note("worker " + id + " ends " + task.name + " run " + task.run + " " + how);
+            if (how.equals("done")) {
+                doneEnds.computeIfAbsent(task.name, any -> new java.util.concurrent.CopyOnWriteArrayList<>())
+                        .add(endId(lastEnd + 1));
+            }
             if (!how.equals("crashed")) {
                 ended.add(new Object[] {++lastEnd, task.name, task.run, how});
             }
@@ -589,6 +597,19 @@
             }
         }
 
+        private String endId(long number) {
+            return id + "/" + bornNanos + "/" + number;
+        }
+
+        /** Handles that an end `done` is taken note of; a start after that end breaks the rule. */
+        private void takenNoteOf(String name, String end) {
+            notedEnds.add(end);
+            if (startedAfterEnds.contains(end)) {
+                twice = name + " was started after a run had ended as done, of which note is taken on " + id;
+                note("TWICE: " + twice);
+            }
+        }
+
         private int start(JsonNode body, ObjectNode result) {
             String name = body.path("task").asText();
             int run = body.path("run").asInt();
@@ -617,6 +638,13 @@
             tasks.put(name + "#" + run, new Task(name, run, ms(), ms() + duration));
             note("worker " + id + " starts " + name + " run " + run + ", lease asked for " + asked + " ms more, has "
                     + (until - clock()) + " ms");
+            for (String end : doneEnds.getOrDefault(name, List.of())) {
+                startedAfterEnds.add(end);
+                if (notedEnds.contains(end)) {
+                    twice = name + " is started on " + id + " after a run has ended as done and was taken note of";
+                    note("TWICE: " + twice);
+                }
+            }
             synchronized (running) {
                 List<String> runs = running.computeIfAbsent(name, any -> new ArrayList<>());
                 if (!runs.isEmpty()) {
@@ -637,6 +665,11 @@
                 note("worker " + id + " is given a lease until " + body.path("untilMs").asLong() + " at " + clock()
                         + " on its clock, and shortens it to " + HOLD_MAX_MILLIS + " ms");
             }
+            for (Object[] end : ended) {
+                if ((long) end[0] <= seen && "done".equals(end[3])) {
+                    takenNoteOf((String) end[1], endId((long) end[0]));
+                }
+            }
             ended.removeIf(end -> (long) end[0] <= seen);
             long life = bornNanos;
             long waitUntil = ms() + Math.min(2000, body.path("waitMs").asLong());
