--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -33,6 +33,14 @@
 public class Lab {
     static final ObjectMapper JSON = new ObjectMapper();
     static final long START = System.nanoTime();
+    /** The host of all routes. */
+    static final String HOST = "jobs.example";
+
+    static {
+        // Without this the client replaces the header Host.
+        System.setProperty("sun.net.http.allowRestrictedHeaders", "true");
+    }
+
     final Path folder;
     final Path temp;
     final String net;
@@ -332,7 +340,7 @@
             ArrayNode list = result.putArray("machines");
             for (Worker worker : workers) {
                 ObjectNode machine = list.addObject();
-                machine.put("machine", worker.machine).put("pool", worker.service).put("state", "up")
+                machine.put("machine", worker.machine).put("pool", worker.service).put("state", worker.lost ? "down" : "up")
                         .put("zone", "hall").put("id", worker.id);
                 machine.putArray("labels").add("a").add(worker.rack);
                 machine.putObject("capacity").put("cpu", 32000).put("memMb", 131072);
@@ -380,6 +388,8 @@
         volatile boolean cut;
         /** Whether the worker is cut off from the store, while the entries reach it. */
         volatile boolean storeCut;
+        /** Whether the worker has been lost for good; its machine is down and answers nothing. */
+        volatile boolean lost;
         volatile long registeredMillis;
         private boolean registered;
         volatile long lastCallMillis;
@@ -479,6 +489,16 @@
             return until - clock();
         }
 
+        /** Loses the worker for good: what runs ends, and nothing is heard of it any more. */
+        synchronized void lose() {
+            note("worker " + id + " is lost for good, its machine is down");
+            new ArrayList<>(tasks.values()).forEach(task -> end(task, "crashed"));
+            tasks.clear();
+            up = false;
+            lost = true;
+            cut = true;
+        }
+
         /** Ends the process and starts another one under the same identifier and address. */
         void restart(long downMillis, long registersAfterMillis) throws IOException {
             synchronized (this) {
@@ -685,7 +705,8 @@
             lastCallMillis = ms();
             ArrayNode list = result.putArray("running");
             for (Task task : tasks.values()) {
-                long percent = Math.min(99, 100 * (ms() - task.startMillis) / Math.max(1, task.endMillis - task.startMillis));
+                boolean lasts = task.endMillis - task.startMillis >= 300_000;
+                long percent = lasts ? Math.min(100, (ms() - task.startMillis) / 5) : Math.min(99, 100 * (ms() - task.startMillis) / Math.max(1, task.endMillis - task.startMillis));
                 list.addArray().add(task.name).add(task.run).add("").add(percent).add(0);
             }
             ArrayNode ends = result.putArray("ended");
@@ -772,6 +793,7 @@
             connection.setRequestMethod(method);
             connection.setConnectTimeout(timeoutMillis);
             connection.setReadTimeout(timeoutMillis);
+            connection.setRequestProperty("Host", HOST);
             connection.setRequestProperty("X-Trefoilpost-Request-Deadline", Integer.toString(timeoutMillis));
             if (json != null) {
                 connection.setDoOutput(true);
@@ -795,9 +817,8 @@
     void configure(long version, String service) {
         ObjectNode root = JSON.createObjectNode().put("version", version);
         ObjectNode route = root.putArray("routes").addObject();
-        route.put("name", "q-" + service).put("host", "").put("prefix", "/" + service + "/").put("service", service)
+        route.put("name", "q-" + service).put("host", HOST).put("prefix", "/" + service + "/").put("service", service)
                 .put("priority", 0).put("attempts", 3).put("stretch", 3.0).put("targetDurationMs", 3000);
-        route.put("host", net + "11");
         root.putArray("services").addObject().put("name", service).put("rejectsOverload", false);
         root.putObject("limits").put("maxBodyBytes", 262144);
         store.put("op/config", root);
