--- a/review/standins-3/UnlistedWorker.java
+++ b/review/standins-3/UnlistedWorker.java
@@ -38,7 +38,7 @@
         lab.configure(10, "pricing");
         Lab.Worker worker = lab.new Worker("w1", "pricing", "r1-1", 400_000);
         lab.workers.add(worker);
-        for (int i = 2; i <= 4; i++) {
+        for (int i = 2; i <= 8; i++) {
             lab.workers.add(lab.new Worker("w" + i, "pricing", "r1-" + i, 400_000 + 1000L * i));
         }
         for (int i = 0; i < 3; i++) {
