Send orders that name a worker's clock to that incarnation only

A task runs on two workers for 0.5 s: a worker restarts under its identifier between two calls, takes a start that names a time on the clock of its former incarnation, and is cut off 1.5 s later. On the clock of the new process, which begins at 0, it is 411,160 ms ahead, and the worker shortens that to holdMaxMs, 10 s. The owner counts on the 3 s that it named, and on 5 s renewals: the worker is silent from 10.2 s on, its run is given up at 15.1 s and goes on until 18.7 s. The owner knows of the restart 61 ms after the start, so what was missing is not the notice of it but what the order had done by then. Ruled out: waiting for holdMaxMs. It costs each lost worker that restarted lately 5 s where holdMaxMs is 10 s, more where it is larger, and a next owner, which sees no restart, would have to wait so for every silent worker (19.6 s in place of 14.4 s). Stopping the run does not shorten the lease, which is the worker's. Asking each idle worker before a start costs each start a call.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderResult.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderResult.java
@@ -20,6 +20,8 @@
     REFUSED,
     /** The address belongs to another incarnation of the worker, so the incarnation addressed has ended. */
     OTHER_LIFE,
+    /** The worker has restarted under its identifier. The order was meant for an earlier incarnation and was not sent. */
+    OTHER_INCARNATION,
     /** No answer arrived; the order may have been carried out, or may still be. */
     NO_ANSWER
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderSender.java
@@ -33,6 +33,7 @@
         state.actions.send(new WorkerOrder.Start(
                 worker.id,
                 worker.registration.address(),
+                worker.incarnation,
                 task.id,
                 number,
                 job.spec.text(),
@@ -109,8 +110,14 @@
         Optional<Long> leaseUntil = worker.needsLease()
                 ? Optional.of(worker.lease.grant(nowMillis, state.timeouts.leaseMillis()))
                 : Optional.empty();
+        boolean anyIncarnation = leaseUntil.isEmpty() && worker.ackSentEnd == 0;
         state.actions.send(new WorkerOrder.Hold(
-                worker.id, worker.registration.address(), leaseUntil, worker.ackSentEnd, waitMillis));
+                worker.id,
+                worker.registration.address(),
+                anyIncarnation ? WorkerIncarnation.UNKNOWN : worker.incarnation,
+                leaseUntil,
+                worker.ackSentEnd,
+                waitMillis));
     }
 
     /**
@@ -125,7 +132,7 @@
         }
         worker.probesInFlight++;
         worker.probeSentMillis = nowMillis;
-        state.actions.send(new WorkerOrder.Hold(worker.id, worker.registration.address(), Optional.empty(), 0, 0));
+        state.actions.send(WorkerOrder.Hold.statusOnly(worker.id, worker.registration.address()));
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolWorker.java
@@ -64,6 +64,8 @@
     boolean answerWanted;
     /** Since when that is so. */
     long answerWantedMillis;
+    /** True if an order was not sent as a later incarnation answers, until a status says which one that is. */
+    boolean restartReported;
 
     long drainingSinceMillis = Long.MAX_VALUE;
     long nextHoldMillis;
@@ -101,8 +103,11 @@
     /**
      * Returns a new incarnation of a worker. What the platform and the owner decided about the worker stays, and so do the
      * orders that are on their way; all else begins again.
+     *
+     * @param maxLeaseMillis  the longest lease that the worker accepts
      */
-    static PoolWorker afterRestart(PoolWorker former, WorkerIncarnation incarnation, long nowMillis) {
+    static PoolWorker afterRestart(
+            PoolWorker former, WorkerIncarnation incarnation, long maxLeaseMillis, long nowMillis) {
         PoolWorker worker = new PoolWorker(former.registration);
         worker.incarnation = incarnation;
         worker.listed = former.listed;
@@ -117,9 +122,9 @@
         } else if (former.startsInFlight > 0) {
             former.callUnanswered(nowMillis);
         }
-        boolean ordersMayArrive = nowMillis < former.unansweredOrdersUntilMillis;
-        worker.lease.assume(former.lease, ordersMayArrive);
-        if (ordersMayArrive) {
+        worker.lease.assume(former.lease);
+        if (nowMillis < former.unansweredOrdersUntilMillis) {
+            worker.lease.assumeLateOrders(former.lease, former.unansweredOrdersUntilMillis, maxLeaseMillis);
             worker.unansweredOrdersUntilMillis = former.unansweredOrdersUntilMillis;
             worker.unansweredAckUntilMillis = former.unansweredAckUntilMillis;
         }
@@ -207,6 +212,7 @@
     void answered(long nowMillis) {
         lastAnswerMillis = nowMillis;
         answerWanted = false;
+        restartReported = false;
         mayReturn = false;
         silentByMillis = Long.MAX_VALUE;
     }
@@ -335,7 +341,7 @@
 
     /** Returns whether the worker's last answer is recent, and no call has failed since. */
     boolean hasFreshAnswer(long nowMillis) {
-        return missedCalls == 0 && nowMillis - lastAnswerMillis <= ANSWER_VALID_MILLIS;
+        return missedCalls == 0 && !restartReported && nowMillis - lastAnswerMillis <= ANSWER_VALID_MILLIS;
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/Run.java
@@ -9,6 +9,8 @@
     /** Time after which an order without an answer is no longer carried out. Delays of up to 12 s are known. */
     static final long MAX_ORDER_DELAY_MILLIS = 15_000;
 
+    private static final int ABSENCES_UNTIL_LOST = 2;
+
     /** The progress of a run that is fully ready. */
     private static final int READY_PERCENT = 100;
 
@@ -116,6 +118,26 @@
         return run;
     }
 
+    /**
+     * Returns whether the run was stopped before its start was carried out, as a complete status does not list it.
+     *
+     * @param statusAskedMillis  when the status was asked for
+     */
+    boolean isStoppedBefore(long statusAskedMillis) {
+        return stopAnswered && stopAnsweredMillis <= statusAskedMillis;
+    }
+
+    /**
+     * Counts that a complete status does not list the run, and returns whether it is lost by that.
+     *
+     * @param statusAskedMillis  when the status was asked for
+     */
+    boolean isLostBefore(long statusAskedMillis) {
+        boolean expected = phase == RunPhase.RUNNING && confirmedMillis < statusAskedMillis;
+        absences += expected ? 1 : 0;
+        return expected && absences >= ABSENCES_UNTIL_LOST;
+    }
+
     JobState job() {
         return task.step.occurrence.job;
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -16,7 +16,6 @@
     private static final long NO_ROOM_PAUSE_MILLIS = 200;
     private static final long HOLD_DELAY_AFTER_ENDS_MILLIS = 40;
     private static final long HOLD_RETRY_MILLIS = 250;
-    private static final int ABSENCES_UNTIL_LOST = 2;
 
     private final PoolState state;
     private final OrderSender orderSender;
@@ -95,6 +94,10 @@
             case NO_ROOM -> worker.suspicion.refused(nowMillis, NO_ROOM_PAUSE_MILLIS);
             case BAD_TICKET -> run.task.step.advice.ticketRefused(worker);
             case LEASE_PASSED -> askForClock(worker, nowMillis);
+            case OTHER_INCARNATION -> {
+                worker.restartReported = true;
+                askForClock(worker, nowMillis);
+            }
             case REFUSED -> worker.suspicion.refused(nowMillis, REFUSAL_PAUSE_MILLIS);
             default -> state.placementDue = true;
         }
@@ -352,7 +355,7 @@
         for (Run run : new ArrayList<>(worker.runs.values())) {
             if (seen.contains(run)) {
                 run.absences = 0;
-            } else if (isStoppedBeforeStart(run, worker) || isLost(run, worker)) {
+            } else if (run.isStoppedBefore(worker.holdSentMillis) || run.isLostBefore(worker.holdSentMillis)) {
                 worker.remove(run);
                 state.actions.logDecision(run.describe(Decision.of("run-absent"))
                         .with("phase", run.phase.name())
@@ -384,16 +387,6 @@
         }
     }
 
-    private static boolean isStoppedBeforeStart(Run run, PoolWorker worker) {
-        return run.stopAnswered && run.stopAnsweredMillis <= worker.holdSentMillis;
-    }
-
-    private static boolean isLost(Run run, PoolWorker worker) {
-        boolean expected = run.phase == RunPhase.RUNNING && run.confirmedMillis < worker.holdSentMillis;
-        run.absences += expected ? 1 : 0;
-        return expected && run.absences >= ABSENCES_UNTIL_LOST;
-    }
-
     private void logRun(String name, Run run) {
         state.actions.logDecision(run.describe(Decision.of(name)));
     }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLease.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLease.java
@@ -28,16 +28,26 @@
     private long sentEnd;
     /** The latest end that was sent to previous incarnations and may still arrive. */
     private long formerEnd;
+    /** Until when leases may go on that orders sent to previous incarnations extend. */
+    private long formerOrdersEndMillis;
 
     /**
      * Assumes the lease of a previous incarnation, whose runs may go on, for the present one.
-     *
-     * @param ordersMayArrive  true if an order that was sent to the previous incarnation may still arrive
      */
-    void assume(WorkerLease former, boolean ordersMayArrive) {
+    void assume(WorkerLease former) {
         untilMillis = former.untilMillis;
         foreignUntilMillis = former.foreignUntilMillis;
-        formerEnd = ordersMayArrive ? Math.max(former.sentEnd, former.formerEnd) : 0;
+    }
+
+    /**
+     * Assumes that orders which were sent to a previous incarnation may still arrive.
+     *
+     * @param ordersUntilMillis  until when they may arrive
+     * @param maxLeaseMillis  the longest lease that the worker accepts
+     */
+    void assumeLateOrders(WorkerLease former, long ordersUntilMillis, long maxLeaseMillis) {
+        formerEnd = Math.max(former.sentEnd, former.formerEnd);
+        formerOrdersEndMillis = ordersUntilMillis + (long) (maxLeaseMillis / MIN_CLOCK_RATE);
     }
 
     /**
@@ -54,7 +64,7 @@
         if (formerEnd > workerMillis) {
             // The lease that a late order names is far off on a clock that began again.
             long remaining = (long) ((formerEnd - workerMillis) / MIN_CLOCK_RATE);
-            extendUntil(nowMillis + remaining + END_MARGIN_MILLIS);
+            extendUntil(Math.min(nowMillis + remaining, formerOrdersEndMillis) + END_MARGIN_MILLIS);
         }
         clockMillis = workerMillis;
         clockSeenMillis = nowMillis;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerOrder.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerOrder.java
@@ -25,6 +25,8 @@
      *
      * @param worker  the worker's identifier, not null
      * @param address  the worker's address, not null
+     * @param incarnation  the incarnation on whose clock the lease ends, the only one that may receive the order unless it is unknown,
+     *     not null
      * @param task  the task, not null
      * @param run  the number of the run
      * @param text  the payload of the job, not null
@@ -35,6 +37,7 @@
     record Start(
             String worker,
             WorkerAddress address,
+            WorkerIncarnation incarnation,
             TaskId task,
             int run,
             String text,
@@ -58,12 +61,31 @@
      *
      * @param worker  the worker's identifier, not null
      * @param address  the worker's address, not null
+     * @param incarnation  the incarnation whose clock and run ends the order names, the only one that may receive it unless it is
+     *     unknown, not null
      * @param leaseUntilMillis  the end of the lease on the worker's clock, empty to leave it unchanged, not null
      * @param lastEnd  the number of the last run end that is stored, which acknowledges it and earlier ones
      * @param waitMillis  how long the worker may wait for a run end before it answers, in milliseconds
      */
-    record Hold(String worker, WorkerAddress address, Optional<Long> leaseUntilMillis, long lastEnd, long waitMillis)
-            implements WorkerOrder {}
+    record Hold(
+            String worker,
+            WorkerAddress address,
+            WorkerIncarnation incarnation,
+            Optional<Long> leaseUntilMillis,
+            long lastEnd,
+            long waitMillis)
+            implements WorkerOrder {
+        /**
+         * Returns an order that only asks for the worker's status, which any incarnation may answer.
+         *
+         * @param worker  the worker's identifier, not null
+         * @param address  the worker's address, not null
+         * @return the order, not null
+         */
+        public static Hold statusOnly(String worker, WorkerAddress address) {
+            return new Hold(worker, address, WorkerIncarnation.UNKNOWN, Optional.empty(), 0, 0);
+        }
+    }
 
     /**
      * Limits the pace of a run.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRestarts.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerRestarts.java
@@ -65,7 +65,7 @@
         if (!former.ended) {
             workerLosses.workerCrashed(former, run -> !run.mayStartAfterRestart(), now);
         }
-        PoolWorker worker = PoolWorker.afterRestart(former, incarnation, nowMillis);
+        PoolWorker worker = PoolWorker.afterRestart(former, incarnation, state.timeouts.maxLeaseMillis(), nowMillis);
         state.workers.put(worker.id, worker);
         for (Run run : new ArrayList<>(former.runs.values())) {
             former.remove(run);
