Take a worker for ended whose machine is listed as down

A task that lasts has no run for 15 s after its worker was lost and its owner was killed: the machine service lists the machine as down and names the worker's identifier with it, so that the worker did not count as ended. Cause: SilentWorkerCheck looked at the identifier only. A machine in a state that this version does not know was decoded as down as well. Change: a silent worker has ended if two lists in a row show it on no machine or on one that is down (reason machine-down). States that are not known have a value of their own and prove nothing. Conclusion: bounds the wait of a new owner for workers that were lost where the machine service answers.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/MachinePort.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/MachinePort.java
@@ -66,8 +66,10 @@
         MOVING,
         /** The machine is being maintained. */
         UPKEEP,
-        /** The machine is down, or in a state that this version does not know. */
-        DOWN
+        /** The machine is down, so that nothing runs on it. */
+        DOWN,
+        /** The machine is in a state that this version does not know. */
+        UNKNOWN
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/SilentWorkerCheck.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/SilentWorkerCheck.java
@@ -9,8 +9,8 @@
 import org.trefoilpost.decision.job.Decision;
 
 /**
- * Finds out which silent workers have ended, by listing the machines: a worker that two lists in a row show on no machine
- * has ended. A single list may lack machines, as it is no snapshot.
+ * Finds out which silent workers have ended, by listing the machines: a worker that two lists in a row show on no machine, or on one
+ * that is down, has ended. A single list may lack machines, as it is no snapshot.
  */
 final class SilentWorkerCheck {
     private static final long MACHINE_LIST_INTERVAL_MILLIS = 700;
@@ -19,7 +19,7 @@
 
     private final JobContext context;
     private final BiConsumer<String, String> workerEnded;
-    /** The silent workers that the latest list shows on no machine. */
+    /** The silent workers that the latest list shows on no machine that may run them. */
     private Set<String> missingWorkers = Set.of();
 
     /** The states of the machines that are said to run silent workers, as last logged, by worker. */
@@ -62,11 +62,19 @@
 
     private void machinesListed(Set<String> silentWorkers, List<MachinePort.Machine> machines, long requestedMillis) {
         Set<String> missing = new HashSet<>(silentWorkers);
-        machines.forEach(machine -> missing.remove(machine.worker()));
+        Set<String> onMachinesDown = new HashSet<>();
+        for (MachinePort.Machine machine : machines) {
+            if (machine.state() == MachinePort.State.DOWN) {
+                onMachinesDown.add(machine.worker());
+            } else {
+                missing.remove(machine.worker());
+            }
+        }
         logListed(silentWorkers, machines, requestedMillis);
         missing.stream()
                 .filter(missingWorkers::contains)
-                .forEach(worker -> workerEnded.accept(worker, "not-on-any-machine"));
+                .forEach(worker -> workerEnded.accept(
+                        worker, onMachinesDown.contains(worker) ? "machine-down" : "not-on-any-machine"));
         missing.removeAll(missingWorkers);
         missingWorkers = missing;
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SilentWorkerCheckTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/SilentWorkerCheckTest.java
@@ -18,6 +18,7 @@
     private final TestService service =
             new TestService(new MemoryStore(), new EmptyOnceMachines(), new UnusedFormats());
     private final List<String> ended = new ArrayList<>();
+    private volatile MachinePort.State state = MachinePort.State.UP;
 
     @AfterEach
     void stop() {
@@ -36,6 +37,28 @@
         assertEquals(1, service.countDecisions("silent-worker-listed"));
     }
 
+    /** Guards against tasks that wait for a worker whose machine is known to be down (review case 13). */
+    @Test
+    void workerWhoseMachineIsDownHasEnded() throws InterruptedException {
+        state = MachinePort.State.DOWN;
+        assertEquals(List.of("w1"), endedAfterLists(3));
+    }
+
+    @Test
+    void workerWhoseMachineIsInAnUnknownStateHasNotEnded() throws InterruptedException {
+        state = MachinePort.State.UNKNOWN;
+        assertEquals(List.of(), endedAfterLists(3));
+    }
+
+    private List<String> endedAfterLists(int lists) throws InterruptedException {
+        SilentWorkerCheck check = new SilentWorkerCheck(service.context(), (worker, reason) -> ended.add(worker));
+        for (int i = 0; i < 60 && ended.isEmpty() && listCalls.get() < lists; i++) {
+            service.run(() -> check.run(Set.of("w1"), service.context().now().steadyMillis()));
+            Thread.sleep(50);
+        }
+        return List.copyOf(ended);
+    }
+
     /**
      * A machine whose first list lacks it.
      */
@@ -45,7 +68,7 @@
             return CompletableFuture.completedFuture(
                     listCalls.incrementAndGet() == 1
                             ? List.of()
-                            : List.of(new Machine("m1", "a", State.UP, "w1", 32_000)));
+                            : List.of(new Machine("m1", "a", state, "w1", 32_000)));
         }
 
         @Override
