Store which workers may have runs that the jobs do not name

A new owner expected runs on every worker that had ceased to be listed in the last 14.4 s, also where its predecessor had known that for long. An entry that had just started, on the other hand, had no earlier listing and expected nothing. Cause: that a worker is no longer listed says when it may have been used last only together with when its owner learned of it. Ruled out: the revision of the registry in each commit, as the revision of a removal is not known to an entry that reads the registry again. Change: a commit names the workers that may have runs which the stored jobs do not: those that are listed, and those on which runs of an earlier owner may continue. They are stored under a key of the pool, written only when they change. A worker is left out once a commit contains all changed jobs after it ceased to be listed, as no task is started there any more; with more changed jobs than a commit holds it stays. A new owner reads the key after the jobs and expects runs on those workers of it which the registry does not list, for as long as it knows them to have been unlisted, at most since it started. Without the key (a former version of the program) all delisted workers count, as before. PoolLoad, which reads a pool, is parted from PoolStore. Conclusion: the next owner expects what may be, also one that has just started.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/DelistedWorkers.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/DelistedWorkers.java
@@ -1,26 +1,31 @@
 package org.trefoilpost.decision.job;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
  * The workers that the registry has ceased to list lately. One that is cut off from the registry only runs on, and an owner may have
- * started tasks there as long as the registry listed it, so that the next owner of its pool must expect runs on it of which the store
- * does not know yet.
+ * started tasks there as long as it took the worker for listed, so that the next owner of its pool must expect runs on it of which the
+ * store does not know yet.
  */
 public final class DelistedWorkers {
     private final long retentionMillis;
     private final Map<String, DelistedWorker> workers = new HashMap<>();
+    /** From when on the workers are known that the registry ceases to list. */
+    private final long followedSinceMillis;
 
     /**
      * Constructs a set without workers.
      *
      * @param timeouts  the timeouts, which tell for how long runs may go on, not null
+     * @param nowMillis  the present time on the steady clock, in milliseconds
      */
-    public DelistedWorkers(PoolTimeouts timeouts) {
+    public DelistedWorkers(PoolTimeouts timeouts, long nowMillis) {
         this.retentionMillis = timeouts.maxForeignLeaseMillis();
+        this.followedSinceMillis = nowMillis;
     }
 
     /**
@@ -39,28 +44,47 @@
      * @param nowMillis  the present time on the steady clock, in milliseconds
      */
     public void removed(RegisteredWorker worker, long nowMillis) {
-        workers.values().removeIf(former -> isOver(former, nowMillis));
+        workers.values().removeIf(former -> isOver(former.sinceMillis(), nowMillis));
         workers.put(worker.id(), new DelistedWorker(worker, nowMillis));
     }
 
     /**
-     * Returns the workers of a pool that the registry has ceased to list and on which runs may go on.
+     * Returns the workers of a pool that the registry has ceased to list and on which runs may go on, as far as changes of the registry
+     * have shown them.
      *
      * @param pool  the name of the pool, not null
      * @param nowMillis  the present time on the steady clock, in milliseconds
      * @return the workers, not null
      */
     public List<DelistedWorker> ofPool(String pool, long nowMillis) {
-        List<DelistedWorker> matching = new ArrayList<>();
-        for (DelistedWorker worker : workers.values()) {
-            if (worker.registration().pool().equals(pool) && !isOver(worker, nowMillis)) {
-                matching.add(worker);
+        return workers.values().stream()
+                .filter(worker -> worker.registration().pool().equals(pool))
+                .filter(worker -> !isOver(worker.sinceMillis(), nowMillis))
+                .toList();
+    }
+
+    /**
+     * Returns those of some workers on which runs may go on, if the registry does not list them.
+     *
+     * @param unlisted  the workers, which the registry does not list, not null
+     * @param nowMillis  the present time on the steady clock, in milliseconds
+     * @return the workers, not null
+     */
+    public List<DelistedWorker> of(Collection<RegisteredWorker> unlisted, long nowMillis) {
+        List<DelistedWorker> found = new ArrayList<>();
+        for (RegisteredWorker worker : unlisted) {
+            DelistedWorker known = workers.get(worker.id());
+            if (known != null && !isOver(known.sinceMillis(), nowMillis)) {
+                found.add(known);
+            } else if (known == null && !isOver(followedSinceMillis, nowMillis)) {
+                // It may have ceased to be listed just before the registry was followed.
+                found.add(new DelistedWorker(worker, followedSinceMillis));
             }
         }
-        return matching;
+        return found;
     }
 
-    private boolean isOver(DelistedWorker worker, long nowMillis) {
-        return nowMillis - worker.sinceMillis() >= retentionMillis;
+    private boolean isOver(long sinceMillis, long nowMillis) {
+        return nowMillis - sinceMillis >= retentionMillis;
     }
 }
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/JobWriter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -29,6 +30,11 @@
     /** The queues that have stored jobs once the last commit is stored. */
     private Set<String> storedQueues = Set.of();
 
+    /** The workers that may have runs of which the store does not know, as the last commit names them, by identifier. */
+    private Map<String, RegisteredWorker> writtenWorkers = Map.of();
+    /** The same as the last stored commit names them. */
+    private Map<String, RegisteredWorker> storedWorkers = Map.of();
+
     private long lastNumber;
     private long lastSentMillis = Long.MIN_VALUE / 2;
     private long lastExpiryCheckMillis;
@@ -68,6 +74,7 @@
             return;
         }
         inFlight = false;
+        storedWorkers = writtenWorkers;
         coveredEnds.forEach((worker, end) -> worker.storedEnd = Math.max(worker.storedEnd, end));
         removedJobs.forEach(state.jobs::remove);
         writtenJobs.forEach((job, written) -> {
@@ -164,7 +171,26 @@
         storedQueues = queuesAfter(batch, expired);
         lastNumber++;
         boolean acceptsJobs = batch.stream().anyMatch(job -> !job.stored);
-        state.actions.commit(new Commit(lastNumber, puts, expired, Set.copyOf(storedQueues), acceptsJobs));
+        writtenWorkers = workersAfter(batch.size() == dirtyJobs.size());
+        state.actions.commit(new Commit(
+                lastNumber,
+                puts,
+                expired,
+                Set.copyOf(storedQueues),
+                acceptsJobs,
+                List.copyOf(writtenWorkers.values())));
+    }
+
+    /**
+     * Returns the workers that may have runs of which the store does not know once a commit is stored.
+     *
+     * @param allWritten  false if there are more changed jobs than the commit contains, of which those may be that have runs on workers
+     *     which are not listed any more
+     */
+    private Map<String, RegisteredWorker> workersAfter(boolean allWritten) {
+        Map<String, RegisteredWorker> workers = new TreeMap<>(allWritten ? Map.of() : storedWorkers);
+        state.workersWithUnstoredRuns().forEach(worker -> workers.put(worker.id(), worker));
+        return workers;
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolState.java
@@ -180,6 +180,17 @@
         worker.unreportedRuns = List.of();
     }
 
+    /**
+     * Returns the workers that may have runs of which the store does not know after all changed jobs are stored: those on which tasks
+     * may start from then on, and those on which runs of an earlier owner may continue.
+     */
+    List<RegisteredWorker> workersWithUnstoredRuns() {
+        return workers.values().stream()
+                .filter(worker -> worker.listed || unresolvedWorkers.contains(worker))
+                .map(worker -> worker.registration)
+                .toList();
+    }
+
     JobTaskState task(String name) {
         return TaskId.parse(name)
                 .map(id -> {
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -73,9 +73,11 @@
     private Teams teams = Teams.NONE;
     private CapacityKnowledge capacityKnowledge;
     private final RegistryAbsences absences = new RegistryAbsences(time.nowMillis());
-    private final DelistedWorkers delistedWorkers = new DelistedWorkers(TIMEOUTS);
+    private final DelistedWorkers delistedWorkers = new DelistedWorkers(TIMEOUTS, time.nowMillis());
     private final Map<String, RegisteredWorker> registered = new HashMap<>();
-    /** The workers whose entries have lapsed though they run. */
+    /** The workers that are cut off from the store. */
+    private final Set<String> cutOff = new HashSet<>();
+    /** Those of them whose entries have lapsed. */
     private final Set<String> lapsed = new HashSet<>();
 
     private final Set<String> evacuating = new HashSet<>();
@@ -186,7 +188,13 @@
         if (!storeDown) {
             followRegistry();
         }
-        return delistedWorkers.ofPool("pool", time.nowMillis());
+        Optional<List<RegisteredWorker>> unlisted = store.workers()
+                .map(stored -> stored.stream()
+                        .filter(worker -> !registered.containsKey(worker.id()))
+                        .toList());
+        return unlisted.isPresent()
+                ? delistedWorkers.of(unlisted.get(), time.nowMillis())
+                : delistedWorkers.ofPool("pool", time.nowMillis());
     }
 
     @Override
@@ -459,17 +467,28 @@
      */
     void cutOffFromStore(EmulatedWorker worker, long millis) {
         String id = worker.report().id();
+        cutOff.add(id);
         disturb(millis);
         time.schedule(ENTRY_LIFETIME_MILLIS, () -> {
             lapsed.add(id);
             owners.forEach(EmulatedOwner::registryChanged);
         });
         time.schedule(millis, () -> {
+            cutOff.remove(id);
             lapsed.remove(id);
             owners.forEach(EmulatedOwner::registryChanged);
         });
     }
 
+    /**
+     * Returns the workers that run and reach the store.
+     */
+    List<EmulatedWorker> reportingWorkers() {
+        return livingWorkers().stream()
+                .filter(worker -> !cutOff.contains(worker.report().id()))
+                .toList();
+    }
+
     /**
      * Sets what happens once as soon as a start is sent to a worker, in place of what was set before.
      */
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedStore.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedStore.java
@@ -1,8 +1,11 @@
 package org.trefoilpost.decision.job.emulator;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.trefoilpost.decision.job.Commit;
+import org.trefoilpost.decision.job.RegisteredWorker;
 
 /**
  * Stores the jobs of a pool. A commit has the same preconditions as in the entry's store adapter: the owner's fencing token
@@ -12,6 +15,7 @@
     private final Map<String, byte[]> documents = new LinkedHashMap<>();
     private long token;
     private String lastCommitId = "";
+    private Optional<List<RegisteredWorker>> workers = Optional.empty();
 
     long claim() {
         return ++token;
@@ -21,6 +25,13 @@
         return new LinkedHashMap<>(documents);
     }
 
+    /**
+     * Returns the workers that may have runs of which the store does not know, empty if no commit has named any.
+     */
+    Optional<List<RegisteredWorker>> workers() {
+        return workers;
+    }
+
     long token() {
         return token;
     }
@@ -44,6 +55,7 @@
         }
         lastCommitId = commitId;
         documents.putAll(commit.puts());
+        workers = Optional.of(commit.workers());
         commit.removed().forEach(documents::remove);
         return Outcome.DONE;
     }
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/PoolScenario.java
@@ -311,8 +311,10 @@
      * @return the result, not null
      */
     public static Result entriesLapseAsOwnersAreReplaced(long seed, boolean sendsBorn) {
-        EmulatedPlatform platform =
-                sendsBorn ? EmulatedPlatform.withRestarts(seed, WORKERS) : new EmulatedPlatform(seed, WORKERS);
+        // With room on the other workers, a task that seems to run nowhere starts at once.
+        EmulatedPlatform platform = sendsBorn
+                ? EmulatedPlatform.withRestarts(seed, WORKERS_AT_QUIET_LOAD)
+                : new EmulatedPlatform(seed, WORKERS_AT_QUIET_LOAD);
         return new PoolScenario(platform).run(scenario -> {
             scenario.injectEvery(2_000, scenario::replaceOwnerAsEntryLapses);
             scenario.doEvery(700, scenario::cancelRandomJob);
@@ -685,8 +687,11 @@
      * on until it learns of the other one.
      */
     private void replaceOwnerAsEntryLapses() {
-        List<EmulatedWorker> living = platform.livingWorkers();
-        EmulatedWorker worker = living.get(random.nextInt(living.size()));
+        List<EmulatedWorker> reporting = platform.reportingWorkers();
+        if (reporting.isEmpty()) {
+            return;
+        }
+        EmulatedWorker worker = reporting.get(random.nextInt(reporting.size()));
         platform.cutOffFromStore(worker, EmulatedPlatform.ENTRY_LIFETIME_MILLIS + 1_000 + random.nextInt(4_000));
         long beforeLapseMillis = 100 + random.nextInt(400);
         long replacedMillis = beforeLapseMillis + random.nextInt(300);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -156,7 +156,11 @@
     private void open() {
         Moment now = context.now();
         long registryCompleteMillis = registry.reconnectedMillis() + RegistryAbsences.REGISTRATION_MILLIS;
-        scheduler.open(registry.workersOfPool(pool), registry.delistedWorkersOfPool(pool), registryCompleteMillis, now);
+        scheduler.open(
+                registry.workersOfPool(pool),
+                registry.delistedWorkers(pool, store.loadedWorkers()),
+                registryCompleteMillis,
+                now);
         scheduler.instruct(instructions);
         open = true;
         tick();
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -11,9 +11,10 @@
 import java.util.function.Consumer;
 import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.Decision;
+import org.trefoilpost.decision.job.RegisteredWorker;
 
 /**
- * Stores a pool's jobs, and the queues that these jobs belong to.
+ * Stores a pool's jobs, the queues that these jobs belong to, and the workers that may have runs of which the jobs do not tell.
  *
  * <p>Every commit is conditional on the revisions of the owner's key and of the pool's counter key, which each commit
  * and each claim writes. So a commit of an earlier owner never takes effect after a take-over, and a commit whose answer was lost can
@@ -22,6 +23,7 @@
 final class PoolStore {
     private static final String JOB_KEY_PREFIX = "trefoilpost/job/";
     private static final String COUNTER_KEY_PREFIX = "trefoilpost/count/";
+    private static final String WORKERS_KEY_PREFIX = "trefoilpost/workers/";
     private static final long RETRY_DELAY_MILLIS = 120;
     /** A store that has not answered a commit for longer is treated as unreachable. */
     private static final long MAX_PENDING_MILLIS = 800;
@@ -40,6 +42,8 @@
     private PendingCommit pending;
     /** The queues as stored, as far as this owner has read or stored them. */
     private StoredQueues storedQueues = StoredQueues.NONE;
+    /** The workers as stored, as far as this owner has read or stored them, empty if none were stored. */
+    private Optional<String> storedWorkers = Optional.empty();
     /** The present address of each configured queue. */
     private Map<String, String> addresses = Map.of();
 
@@ -64,6 +68,17 @@
         return JOB_KEY_PREFIX + pool + '/' + job;
     }
 
+    static String workersKey(String pool) {
+        return WORKERS_KEY_PREFIX + pool;
+    }
+
+    /**
+     * Returns the workers that may have runs of which the store does not know, as an earlier owner has stored them, empty if none has.
+     */
+    Optional<List<RegisteredWorker>> loadedWorkers() {
+        return storedWorkers.map(text -> StoredWorkers.decode(text.getBytes(StandardCharsets.UTF_8), pool));
+    }
+
     /**
      * Returns whether the store has left the pending commit unanswered for long, or has failed it repeatedly.
      */
@@ -123,7 +138,12 @@
             Runnable loaded,
             Consumer<RuntimeException> unusable,
             BooleanSupplier cancelled) {
-        readPage(new Load(page, loaded, unusable, cancelled), "");
+        PoolLoad load = new PoolLoad(pool, context, page, unusable, cancelled);
+        load.start((queues, workers) -> {
+            storedQueues = queues;
+            storedWorkers = workers;
+            loaded.run();
+        });
     }
 
     /**
@@ -142,54 +162,6 @@
         return queues;
     }
 
-    private void readPage(Load load, String after) {
-        String prefix = JOB_KEY_PREFIX + pool + '/';
-        context.call(() -> context.store().range(prefix, after), (page, failure) -> {
-            if (load.cancelled.getAsBoolean()) {
-                return;
-            }
-            if (failure != null) {
-                context.schedule(RETRY_DELAY_MILLIS, () -> readPage(load, after));
-                return;
-            }
-            try {
-                pageRead(load, prefix, page);
-            } catch (RuntimeException e) {
-                load.unusable.accept(e);
-            }
-        });
-    }
-
-    private void pageRead(Load load, String prefix, StorePort.Page page) {
-        Map<String, byte[]> documents = new LinkedHashMap<>();
-        for (StorePort.Item item : page.items()) {
-            documents.put(item.key().substring(prefix.length()), item.value());
-        }
-        load.page.accept(documents);
-        page.nextAfter().ifPresentOrElse(next -> readPage(load, next), () -> readQueues(load));
-    }
-
-    /**
-     * Reads the queues, as only their stored form has the addresses that they have had.
-     */
-    private void readQueues(Load load) {
-        context.call(() -> context.store().read(LiveEntries.queuesKey(pool)), (item, failure) -> {
-            if (load.cancelled.getAsBoolean()) {
-                return;
-            }
-            if (failure != null) {
-                context.schedule(RETRY_DELAY_MILLIS, () -> readQueues(load));
-                return;
-            }
-            storedQueues = item.map(found -> StoredQueues.decode(found.value())).orElse(StoredQueues.NONE);
-            try {
-                load.loaded.run();
-            } catch (RuntimeException e) {
-                load.unusable.accept(e);
-            }
-        });
-    }
-
     /**
      * Stores a commit, and retries until its outcome is known or it is cancelled. There is at most one commit at a time.
      *
@@ -200,7 +172,8 @@
     void commit(Commit commit, Map<String, Long> configuration, long nowMillis, CommitListener listener) {
         String marker = firstToken + ":" + commit.number();
         StoredQueues queues = storedQueues.change(commit.queues(), addresses);
-        pending = new PendingCommit(commit, queues, configuration, marker, nowMillis, listener);
+        String workers = StoredWorkers.encode(commit.workers());
+        pending = new PendingCommit(commit, queues, workers, configuration, marker, nowMillis, listener);
         send(pending);
     }
 
@@ -256,6 +229,7 @@
         counterRevision = revision;
         pending = null;
         storedQueues = attempt.queues;
+        storedWorkers = Optional.of(attempt.workers);
         awaitsClaim = false;
         failedAttempts = 0;
         attempt.listener.committed(attempt.commit, confirmedMillis);
@@ -314,24 +288,19 @@
         } else if (!storedQueues.equals(attempt.queues)) {
             puts.add(new StorePort.Put(LiveEntries.queuesKey(pool), attempt.queues.encode(), 0));
         }
+        if (!storedWorkers.equals(Optional.of(attempt.workers))) {
+            puts.add(new StorePort.Put(workersKey(pool), attempt.workers.getBytes(StandardCharsets.UTF_8), 0));
+        }
         return new StorePort.Change(expected, puts, removedKeys);
     }
 
-    /**
-     * A load of the pool's jobs.
-     */
-    private record Load(
-            Consumer<Map<String, byte[]>> page,
-            Runnable loaded,
-            Consumer<RuntimeException> unusable,
-            BooleanSupplier cancelled) {}
-
     /**
      * A commit whose outcome is not known yet.
      */
     private record PendingCommit(
             Commit commit,
             StoredQueues queues,
+            String workers,
             Map<String, Long> configuration,
             String marker,
             long sinceMillis,
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -47,7 +47,8 @@
         this.context = context;
         this.onChange = onChange;
         this.absences = new RegistryAbsences(context.now().steadyMillis());
-        this.delistedWorkers = new DelistedWorkers(context.settings().timeouts());
+        this.delistedWorkers =
+                new DelistedWorkers(context.settings().timeouts(), context.now().steadyMillis());
         this.capacityKnowledge = CapacityKnowledge.none(context.settings().capacityBound(), context.now());
         this.mirror = new StoreMirror(
                 context.ports().formats().workerPrefix(), context, watchTimes(context), pauseMillis, this);
@@ -123,11 +124,20 @@
     }
 
     /**
-     * Returns the workers of a pool that the registry has ceased to list and on which runs may go on, as far as this entry has followed
-     * the registry.
+     * Returns the workers of a pool that the registry has ceased to list and on which runs may go on of which the store does not know.
+     *
+     * @param stored  the workers that an earlier owner has stored as those that may have such runs, empty if none has: then all count
+     *     that have ceased to be listed since this entry follows the registry
      */
-    Collection<DelistedWorker> delistedWorkersOfPool(String pool) {
-        return delistedWorkers.ofPool(pool, context.now().steadyMillis());
+    Collection<DelistedWorker> delistedWorkers(String pool, Optional<List<RegisteredWorker>> stored) {
+        long nowMillis = context.now().steadyMillis();
+        if (stored.isEmpty()) {
+            return delistedWorkers.ofPool(pool, nowMillis);
+        }
+        List<RegisteredWorker> unlisted = stored.get().stream()
+                .filter(worker -> !workers.containsKey(worker.id()))
+                .toList();
+        return delistedWorkers.of(unlisted, nowMillis);
     }
 
     /**
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -164,7 +164,7 @@
     }
 
     private void commit() {
-        Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of(), Set.of("q"), false);
+        Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of(), Set.of("q"), false, List.of());
         service.run(() -> poolStore.commit(commit, Map.of(), now().steadyMillis(), new CommitOutcome()));
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/GoneWorkerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/GoneWorkerTest.java
@@ -117,7 +117,7 @@
 
     private void assertDelisted(List<String> workers) {
         List<String> found = new ArrayList<>();
-        service.run(() -> registry.delistedWorkersOfPool("pool")
+        service.run(() -> registry.delistedWorkers("pool", Optional.empty())
                 .forEach(worker -> found.add(worker.registration().id())));
         assertEquals(workers, found);
     }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolStoreTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolStoreTest.java
@@ -8,11 +8,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.Commit;
+import org.trefoilpost.decision.job.RegisteredWorker;
+import org.trefoilpost.decision.job.ResourceAmount;
+import org.trefoilpost.decision.job.WorkerAddress;
 
 class PoolStoreTest {
     private static final String POOL = "pool";
@@ -61,12 +66,55 @@
             PoolStore next = claim(store, service);
             commit(service, first, written(4, "s"));
             assertEquals("q\nr", store.text(key), "a former owner changes nothing");
-            commit(service, next, new Commit(1, Map.of(), List.of(JOB), Set.of(), false));
+            commit(service, next, new Commit(1, Map.of(), List.of(JOB), Set.of(), false, List.of()));
             assertEquals("", store.text(key));
             assertEquals("", store.text(PoolStore.jobKey(POOL, JOB)));
         }
     }
 
+    /** Guards against a next owner that does not know of a worker whose entry has lapsed (review case 12). */
+    @Test
+    void workersAreStoredAndReadByTheNextOwner() {
+        MemoryStore store = new MemoryStore();
+        String key = PoolStore.workersKey(POOL);
+        try (TestService service = new TestService(store, null, null, new UnusedFormats())) {
+            PoolStore first = claim(store, service);
+            assertEquals(Optional.empty(), load(service, first));
+            commit(service, first, naming(1, "w1", "w2"));
+            long revision = store.revisionOf(key);
+            commit(service, first, naming(2, "w2", "w1"));
+            assertEquals(revision, store.revisionOf(key), "unchanged workers are not written again");
+            assertEquals(Optional.of(List.of(worker("w1"), worker("w2"))), load(service, claim(store, service)));
+        }
+    }
+
+    private static Optional<List<RegisteredWorker>> load(TestService service, PoolStore poolStore) {
+        CompletableFuture<Boolean> loaded = new CompletableFuture<>();
+        service.run(() ->
+                poolStore.load(page -> {}, () -> loaded.complete(true), loaded::completeExceptionally, () -> false));
+        loaded.join();
+        return poolStore.loadedWorkers();
+    }
+
+    private static Commit naming(long number, String... workers) {
+        List<RegisteredWorker> named =
+                Stream.of(workers).map(PoolStoreTest::worker).toList();
+        return new Commit(number, Map.of(JOB, new byte[] {1}), List.of(), Set.of("q"), true, named);
+    }
+
+    private static RegisteredWorker worker(String id) {
+        return new RegisteredWorker(
+                id,
+                "m-" + id,
+                POOL,
+                WorkerAddress.of("127.0.0.1", 80),
+                "",
+                List.of(),
+                ResourceAmount.NONE,
+                false,
+                1_764_800_000_000L);
+    }
+
     /** Guards against a take-over that holds the documents of all jobs of a large pool beside the jobs themselves. */
     @Test
     void documentsArePassedOnPageByPage() {
@@ -98,7 +146,10 @@
             for (int i = 0; i < Commit.MAX_DOCUMENTS; i++) {
                 documents.put(JOB + i, new byte[] {1});
             }
-            commit(service, claim(store, service), new Commit(1, documents, List.of(), Set.of("q"), true));
+            commit(
+                    service,
+                    claim(store, service),
+                    new Commit(1, documents, List.of(), Set.of("q"), true, List.of(worker("w"))));
             assertEquals("q", store.text(LiveEntries.queuesKey(POOL)));
             assertTrue(store.maxEntries <= MAX_ENTRIES, "entries: " + store.maxEntries);
         }
@@ -151,7 +202,7 @@
     }
 
     private static Commit written(long number, String... queues) {
-        return new Commit(number, Map.of(JOB, new byte[] {1}), List.of(), Set.of(queues), true);
+        return new Commit(number, Map.of(JOB, new byte[] {1}), List.of(), Set.of(queues), true, List.of());
     }
 
     private static void commit(TestService service, PoolStore store, Commit commit) {
