--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTimeouts.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTimeouts.java
@@ -10,20 +10,6 @@
  */
 public record PoolTimeouts(long leaseMillis, long maxLeaseMillis, long endedJobRetentionMillis, long minDrainMillis) {
     private static final long LEASE_END_MARGIN_MILLIS = 300;
-    /** By how much the wall clocks of a worker and of this entry may differ. */
-    private static final long CLOCK_DIFFERENCE_MILLIS = 5_000;
-
-    /**
-     * Returns the longest lease that an earlier owner may have given to an incarnation of a worker. One that has begun lately may have
-     * received a late order which names a time on the clock of the incarnation before.
-     *
-     * @param now  the present time, not null
-     * @return the lease in milliseconds
-     */
-    long longestLeaseMillis(WorkerIncarnation incarnation, Moment now) {
-        long lateOrdersMillis = Run.MAX_ORDER_DELAY_MILLIS + maxLeaseMillis + CLOCK_DIFFERENCE_MILLIS;
-        return incarnation.isYoungerThan(lateOrdersMillis, now) ? maxLeaseMillis : leaseMillis;
-    }
 
     /**
      * Returns for how long a worker's runs may go on by leases that an owner grants which cannot reach the store.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/RunTracker.java
@@ -160,7 +160,7 @@
         state.placementDue |= worker.answerWanted;
         worker.recordClock(status.clockMillis(), nowMillis);
         boolean firstStatus = !worker.fenced;
-        worker.fence(nowMillis, state.timeouts.longestLeaseMillis(worker.incarnation, now));
+        worker.fence(nowMillis, state.timeouts.leaseMillis());
         logIfPartial(worker, status);
         worker.statusComplete = status.complete();
         boolean newEnds = false;
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerIncarnation.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerIncarnation.java
@@ -18,17 +18,6 @@
         return born != UNKNOWN.born;
     }
 
-    /**
-     * Returns whether this incarnation may have begun within some time.
-     *
-     * @param millis  the time before the present one, in milliseconds
-     * @param now  the present time, whose wall clock is compared with that of the worker, not null
-     * @return false if the start is not known
-     */
-    boolean isYoungerThan(long millis, Moment now) {
-        return isKnown() && now.wallMillis() - born < millis;
-    }
-
     /**
      * Returns whether this incarnation is certain to have begun after the end of another one of the same worker.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLease.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/WorkerLease.java
@@ -111,7 +111,7 @@
     /**
      * Records that this incarnation of the worker has answered the present owner, so that it takes no more orders of earlier ones.
      *
-     * @param leaseMillis  the longest lease that an earlier owner may have given to this incarnation
+     * @param leaseMillis  the longest lease that an owner grants
      */
     void fence(long nowMillis, long leaseMillis) {
         long remaining = (long) (leaseMillis / MIN_CLOCK_RATE) + FOREIGN_CLOCK_MARGIN_MILLIS;
