Judge a claim by answers to calls under its present token only

An owner that renews its claim after an outage gives its pool up and loads it anew.

Cause: the owner took each answer for one about its present claim, and answers for handled in the order of the calls. A commit's conflict that is handled just before or after the renewal's answer, a read of the owner's key from before it, and a commit's answer between the renewal and its conflict all looked like another owner's claim.

Change: answers to calls under a former token decide nothing; the marker of the owner's own renewal or the revision of its own commit on the counter key, and its own token on the owner's key, show no other owner. The reads of both runners are one class.

--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/ClaimHolder.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/ClaimHolder.java
@@ -19,6 +19,11 @@
      */
     long token();
 
+    /**
+     * Returns the fencing token of the holder's first claim, which no other holder of the pool has.
+     */
+    long firstToken();
+
     /**
      * Returns the last known revision of the pool's counter key, which every claim and every commit writes.
      */
@@ -37,7 +42,8 @@
     /**
      * Handles that the claim was renewed, and that no other entry has held one in the meantime.
      *
-     * @param token  the fencing token of the new claim, which is also the new revision of the counter key
+     * @param token  the fencing token of the new claim, which is also a revision of the counter key; the present token if the claim has
+     *     not lapsed after all
      * @param requested  the time at which the renewal was sent, not null
      */
     void claimRenewed(long token, Moment requested);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/FleetRunner.java
@@ -37,16 +37,17 @@
     private final Supplier<Optional<Set<String>>> machinesWithWorkers;
     private final LongConsumer onOwnershipLost;
     private final RequestedWaves requestedWaves;
+    private final OwnerCheck ownerCheck;
     private final Set<String> poolsWithCallInFlight = new HashSet<>();
     private JobConfiguration configuration;
     private FleetPlanner plan;
+    private long firstToken;
     private long token;
     /** Counts the ownerships of this entry; a renewed claim continues the same ownership. */
     private long ownership;
 
     private boolean lapsed;
     private boolean listInFlight;
-    private boolean confirmationInFlight;
     private boolean stateLoaded;
     private volatile OrderWindow orderWindow = OrderWindow.UNLIMITED;
 
@@ -66,6 +67,7 @@
         this.machinesWithWorkers = machinesWithWorkers;
         this.onOwnershipLost = onOwnershipLost;
         this.requestedWaves = new RequestedWaves(context::logDecision);
+        this.ownerCheck = new OwnerCheck(this, context, this::ownerConfirmed);
     }
 
     @Override
@@ -78,6 +80,11 @@
         return token;
     }
 
+    @Override
+    public long firstToken() {
+        return firstToken;
+    }
+
     @Override
     public long counterRevision() {
         return token;
@@ -107,6 +114,13 @@
                 .with("formerToken", token));
         lapsed = false;
         token = newToken;
+        ownerConfirmed(requested);
+    }
+
+    /**
+     * Allows orders for a short time after the request of a read or a renewal that shows the claim unchanged.
+     */
+    private void ownerConfirmed(Moment requested) {
         orderWindow = orderWindow.withConfirmation(requested);
     }
 
@@ -121,6 +135,7 @@
     }
 
     void open(long newToken, JobConfiguration currentConfiguration) {
+        firstToken = newToken;
         token = newToken;
         ownership++;
         lapsed = false;
@@ -207,35 +222,11 @@
         if (plan != null && stateLoaded) {
             plan.tick(!lapsed && orderWindow.includes(now), now);
             if (plan.isActive() && orderWindow.isConfirmationDue(now)) {
-                confirmOwner(now);
+                ownerCheck.request(now);
             }
         }
     }
 
-    /**
-     * Reads the claim in the store; orders are allowed for a short time after a read that shows it unchanged.
-     */
-    private void confirmOwner(Moment requested) {
-        if (confirmationInFlight) {
-            return;
-        }
-        confirmationInFlight = true;
-        long callOwnership = ownership;
-        context.call(() -> context.store().read(LiveEntries.ownerKey(MACHINES_CLAIM)), (item, failure) -> {
-            confirmationInFlight = false;
-            if (ownership != callOwnership || plan == null || failure != null) {
-                return;
-            }
-            if (item.isEmpty()) {
-                claimLapsed();
-            } else if (item.get().revision() == token) {
-                orderWindow = orderWindow.withConfirmation(requested);
-            } else if (!lapsed) {
-                loseOwnership("store");
-            }
-        });
-    }
-
     private void loseOwnership(String reason) {
         context.logDecision(
                 Decision.failure("machines-lost").with("token", token).with("reason", reason));
@@ -323,6 +314,7 @@
                 new StorePort.Put(WAVE_KEY_PREFIX + wave, state.getBytes(StandardCharsets.UTF_8), 0),
                 new StorePort.Put(formats.waveStatusKey(wave), formats.waveStatus(wave, completed), 0));
         long callOwnership = ownership;
+        long callToken = token;
         context.call(
                 () -> context.store().commit(new StorePort.Change(expected, puts, List.of())),
                 (storedRevision, failure) -> {
@@ -332,17 +324,17 @@
                     if (failure == null) {
                         plan.waveStored(wave, state, storedRevision, context.now());
                     } else {
-                        handleStoreFailure(wave, state, revision, failure);
+                        handleStoreFailure(wave, state, revision, callToken, failure);
                     }
                 });
     }
 
-    private void handleStoreFailure(long wave, String state, long expectedRevision, Throwable failure) {
+    private void handleStoreFailure(long wave, String state, long expectedRevision, long callToken, Throwable failure) {
         context.logDecision(Decision.failure("wave-state-not-stored")
                 .with("wave", wave)
                 .with("failure", String.valueOf(failure.getMessage())));
         if (failure instanceof StoreFailure storeFailure && storeFailure.kind() == StoreFailure.Kind.CONFLICT) {
-            handleConflict(wave, state, expectedRevision, storeFailure);
+            handleConflict(wave, state, expectedRevision, callToken, storeFailure);
             return;
         }
         retryStoring(wave);
@@ -360,9 +352,10 @@
     /**
      * Handles a conflict. While the claim stands, only this owner changes the progress of waves, so a new revision is that
      * of an earlier change whose answer was lost. If neither has changed, operators have written a request that this entry
-     * has yet to learn of.
+     * has yet to learn of. A conflict under a claim that was renewed since says nothing of the present claim; while the claim has lapsed,
+     * a renewal whose answer has yet to be handled may have written the owner's key.
      */
-    private void handleConflict(long wave, String state, long expectedRevision, StoreFailure failure) {
+    private void handleConflict(long wave, String state, long expectedRevision, long callToken, StoreFailure failure) {
         Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(MACHINES_CLAIM));
         Optional<StorePort.Item> progress = failure.currentItem(WAVE_KEY_PREFIX + wave);
         long revision = progress.map(StorePort.Item::revision).orElse(0L);
@@ -370,6 +363,8 @@
                 .orElse(false);
         if (alreadyStored && revision != expectedRevision) {
             plan.waveStored(wave, state, revision, context.now());
+        } else if (callToken != token || lapsed) {
+            retryStoring(wave);
         } else if (owner.isEmpty()) {
             claimLapsed();
             retryStoring(wave);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
@@ -273,7 +273,7 @@
         lastRenewalNumber++;
         Map<String, Long> expected =
                 Map.of(LiveEntries.ownerKey(pool), 0L, PoolStore.counterKey(pool), holder.counterRevision());
-        List<StorePort.Put> puts = claimPuts(pool, renewalMarkerPrefix(pool) + lastRenewalNumber);
+        List<StorePort.Put> puts = claimPuts(pool, RenewalMarker.of(holder.firstToken(), lastRenewalNumber));
         context.call(
                 () -> context.store().commit(new StorePort.Change(expected, puts, List.of())), (revision, failure) -> {
                     claimsInFlight.remove(pool);
@@ -288,10 +288,6 @@
                 });
     }
 
-    private String renewalMarkerPrefix(String pool) {
-        return "renewal:" + self.incarnation() + ':' + pool + ':';
-    }
-
     private void renewalAnswered(ClaimHolder holder, long revision, long callLease, Moment requested) {
         // A claim under a lease that has ended meanwhile vanishes with it; the counter key has changed to its revision.
         holder.claimRenewed(revision, requested);
@@ -310,24 +306,29 @@
 
     /**
      * Handles a conflict: an earlier attempt without an answer has taken effect if the counter key has its marker, and
-     * the holder's own last commit may have changed the counter key. Otherwise another entry has claimed the pool.
+     * the holder's own last commit may have changed the counter key. Its answer may have been handled since the renewal was sent. The claim
+     * has not lapsed if the owner's key has its token. Otherwise another entry has claimed the pool.
      */
     private void resolveRenewalConflict(ClaimHolder holder, StoreFailure failure, Moment requested) {
         Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(holder.pool()));
         Optional<StorePort.Item> counter = failure.currentItem(PoolStore.counterKey(holder.pool()));
-        boolean renewedEarlier = counter.isPresent()
-                && new String(counter.get().value(), StandardCharsets.UTF_8)
-                        .startsWith(renewalMarkerPrefix(holder.pool()));
-        if (renewedEarlier) {
+        boolean stands = owner.isPresent() && owner.get().revision() == holder.token();
+        if (stands) {
+            holder.claimRenewed(holder.token(), requested);
+        } else if (counter.isPresent() && RenewalMarker.marks(counter.get(), holder.firstToken())) {
             holder.claimRenewed(counter.get().revision(), requested);
             if (owner.map(StorePort.Item::revision).orElse(0L) != counter.get().revision()) {
                 holder.claimLapsed();
             }
-        } else if (owner.isPresent() || counter.isEmpty() || !holder.isOwnCounter(counter.get())) {
+        } else if (owner.isPresent() || counter.isEmpty() || !isWrittenBy(holder, counter.get())) {
             holder.claimLost("claimed-by-another");
         }
     }
 
+    private static boolean isWrittenBy(ClaimHolder holder, StorePort.Item counter) {
+        return counter.revision() == holder.counterRevision() || holder.isOwnCounter(counter);
+    }
+
     /**
      * Receives the outcomes of claims.
      */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -41,11 +41,10 @@
     private final TeamStore teamStore;
     private final SilentWorkerCheck silentWorkerCheck;
     private final PoolRequests requests;
+    private final OwnerCheck ownerCheck;
     private long token;
     private boolean lapsed;
     private long ownerConfirmedMillis;
-    private long lastOwnerCheckMillis;
-    private boolean ownerCheckInFlight;
     private boolean tickScheduled;
     private boolean open;
     private boolean closed;
@@ -69,8 +68,8 @@
         this.teamStore = new TeamStore(pool, this::token, context, scheduler, this::tickSoon);
         this.requests = new PoolRequests(this, context, scheduler, store, configurationGuard, this::tickSoon);
         this.silentWorkerCheck = new SilentWorkerCheck(context, this::workerEnded);
+        this.ownerCheck = new OwnerCheck(this, context, this::ownerConfirmed);
         this.ownerConfirmedMillis = context.now().steadyMillis();
-        this.lastOwnerCheckMillis = ownerConfirmedMillis;
     }
 
     @Override
@@ -83,6 +82,11 @@
         return token;
     }
 
+    @Override
+    public long firstToken() {
+        return store.firstToken();
+    }
+
     @Override
     public long counterRevision() {
         return store.counterRevision();
@@ -114,7 +118,7 @@
                 .with("formerToken", token));
         lapsed = false;
         token = newToken;
-        ownerConfirmedMillis = Math.max(ownerConfirmedMillis, requested.steadyMillis());
+        ownerConfirmed(requested);
         store.claimRenewed(newToken);
         tick();
     }
@@ -205,7 +209,7 @@
      */
     void invalidateOwnerConfirmation() {
         ownerConfirmedMillis = Long.MIN_VALUE / 2;
-        lastOwnerCheckMillis = Long.MIN_VALUE / 2;
+        ownerCheck.forgetRequest();
     }
 
     void tick() {
@@ -225,7 +229,7 @@
         if (store.awaitsClaim()) {
             claimLapsed();
         }
-        checkOwner(now.steadyMillis());
+        checkOwner(now);
         teamStore.updateGauges(now.steadyMillis());
         context.metrics().waits().update(pool, scheduler.longestWaits());
         silentWorkerCheck.run(scheduler.silentWorkers(), now.steadyMillis());
@@ -247,26 +251,15 @@
     /**
      * Confirms in the store that this entry still owns the pool, if nothing has confirmed it recently.
      */
-    private void checkOwner(long nowMillis) {
-        if (ownerCheckInFlight
-                || nowMillis - Math.max(lastOwnerCheckMillis, ownerConfirmedMillis) < OWNER_CHECK_INTERVAL_MILLIS) {
-            return;
+    private void checkOwner(Moment now) {
+        long lastMillis = Math.max(ownerCheck.requestedMillis(), ownerConfirmedMillis);
+        if (now.steadyMillis() - lastMillis >= OWNER_CHECK_INTERVAL_MILLIS) {
+            ownerCheck.request(now);
         }
-        ownerCheckInFlight = true;
-        lastOwnerCheckMillis = nowMillis;
-        context.call(() -> context.store().read(LiveEntries.ownerKey(pool)), (item, failure) -> {
-            ownerCheckInFlight = false;
-            if (failure != null || closed) {
-                return;
-            }
-            if (item.isEmpty()) {
-                claimLapsed();
-            } else if (item.get().revision() == token) {
-                ownerConfirmedMillis = Math.max(ownerConfirmedMillis, nowMillis);
-            } else if (!lapsed) {
-                loseOwnership("store");
-            }
-        });
+    }
+
+    private void ownerConfirmed(Moment requested) {
+        ownerConfirmedMillis = Math.max(ownerConfirmedMillis, requested.steadyMillis());
     }
 
     private void loseOwnership(String reason) {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -91,6 +91,10 @@
         return !failing && waitedMillis < MAX_PENDING_MILLIS;
     }
 
+    long firstToken() {
+        return firstToken;
+    }
+
     long counterRevision() {
         return counterRevision;
     }
@@ -107,7 +111,7 @@
      */
     void claimRenewed(long newToken) {
         token = newToken;
-        counterRevision = newToken;
+        counterRevision = Math.max(counterRevision, newToken);
         if (awaitsClaim) {
             awaitsClaim = false;
             send(pending);
@@ -193,6 +197,7 @@
         long sentMillis = context.now().steadyMillis();
         callNumber++;
         long number = callNumber;
+        long callToken = token;
         context.call(() -> context.store().commit(toChange(attempt)), (revision, failure) -> {
             if (attempt != pending || attempt.listener.isCancelled()) {
                 return;
@@ -206,7 +211,7 @@
                 complete(attempt, revision, sentMillis);
             } else if (failure instanceof StoreFailure storeFailure
                     && storeFailure.kind() == StoreFailure.Kind.CONFLICT) {
-                resolveConflict(attempt, storeFailure);
+                resolveConflict(attempt, number, callToken, storeFailure);
             } else {
                 failedAttempts++;
                 context.logDecision(Decision.failure("commit-unanswered")
@@ -237,21 +242,26 @@
 
     /**
      * Handles a conflict. If the counter key holds the commit's own marker, an earlier attempt whose answer was lost
-     * has taken effect; this does not confirm the ownership. If the counter key is unchanged, the claim has lapsed or
-     * was renewed while the commit was under way, and the commit is sent again under the new claim; or the configuration has
-     * changed, and no attempt of the commit can take effect any more. Otherwise another entry has claimed the pool.
+     * has taken effect; this does not confirm the ownership. A conflict under a claim that was renewed since says nothing of the present
+     * claim. If the counter key is unchanged, the claim has lapsed or was renewed while the commit was under way, and the commit is sent
+     * again under the new claim; or the configuration has changed, and no attempt of the commit can take effect any more. If the counter
+     * key holds the marker of a renewal, the answer to that renewal has yet to be handled. Otherwise another entry has claimed the pool.
      */
-    private void resolveConflict(PendingCommit attempt, StoreFailure failure) {
+    private void resolveConflict(PendingCommit attempt, long number, long callToken, StoreFailure failure) {
         Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(pool));
         Optional<StorePort.Item> counter = failure.currentItem(counterKey(pool));
         boolean counterUnchanged = counter.map(StorePort.Item::revision).orElse(0L) == counterRevision;
         if (counter.isPresent() && attempt.isMarkedBy(counter.get())) {
             complete(attempt, counter.get().revision(), Long.MIN_VALUE / 2);
+        } else if (callToken != token) {
+            sendUnlessRepeated(attempt, number);
         } else if (counterUnchanged && owner.isEmpty()) {
             awaitsClaim = true;
         } else if (counterUnchanged && owner.get().revision() == token) {
             attempt.changedConfiguration(failure)
                     .ifPresentOrElse(item -> reject(attempt, item), () -> sendAfterConflict(attempt));
+        } else if (counter.isPresent() && RenewalMarker.marks(counter.get(), firstToken)) {
+            awaitsClaim = true;
         } else {
             attempt.listener.ownershipLost("conflict");
         }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -23,7 +23,7 @@
     private static final String OWNER_KEY = LiveEntries.ownerKey(POOL);
     private static final String COUNTER_KEY = PoolStore.counterKey(POOL);
 
-    private final MemoryStore store = new MemoryStore();
+    private final HeldAnswersStore store = new HeldAnswersStore();
     private final TestService service = new TestService(store, null, null);
     private final List<String> events = new ArrayList<>();
     private JobContext context;
@@ -114,6 +114,58 @@
         assertEquals(List.of("lapsed", "lost conflict"), events);
     }
 
+    /** Guards against a pool that is loaded anew as the conflict of a commit is handled before the answer to its renewal. */
+    @Test
+    void renewalThatIsAnsweredAfterTheConflictOfACommit() {
+        lapse();
+        store.holdAnswers(true);
+        renew();
+        store.holdAnswers(false);
+        commit();
+        release();
+        assertEquals(List.of("lapsed", "renewed", "committed 1"), events);
+    }
+
+    /** Guards against a pool that is loaded anew as the conflict of a commit is handled after the answer to its renewal. */
+    @Test
+    void conflictOfACommitThatArrivesAfterTheRenewal() {
+        lapse();
+        store.holdAnswers(true);
+        commit();
+        store.holdAnswers(false);
+        renew();
+        assertEquals(List.of("lapsed", "renewed"), events);
+        release();
+        assertEquals(List.of("lapsed", "renewed", "committed 1"), events);
+    }
+
+    /** Guards against a pool that is loaded anew as its last commit is answered between the renewal and its conflict. */
+    @Test
+    void commitBeforeTheLapseThatIsAnsweredAfterTheRenewalIsSent() throws InterruptedException {
+        store.holdAnswers(true);
+        commit();
+        lapse();
+        renew();
+        release();
+        assertEquals(List.of("lapsed", "committed 1"), events);
+        Thread.sleep(250);
+        renew();
+        assertEquals(List.of("lapsed", "committed 1", "renewed"), events);
+        assertEquals(store.revisionOf(OWNER_KEY), holder.token);
+    }
+
+    /** Guards against a pool that is loaded anew as its owner takes its claim for lapsed by mistake. */
+    @Test
+    void claimThatHasNotLapsedIsKept() {
+        commit();
+        long revision = poolStore.counterRevision();
+        service.run(holder::claimLapsed);
+        renew();
+        assertEquals(List.of("committed 1", "lapsed", "renewed"), events);
+        assertEquals(store.revisionOf(OWNER_KEY), holder.token);
+        assertEquals(revision, poolStore.counterRevision());
+    }
+
     @Test
     void storeThatFailsCommitsIsUnreachableBeforeOneThatIsSilent() throws InterruptedException {
         store.refuseCalls(true);
@@ -176,6 +228,11 @@
         service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
     }
 
+    private void release() {
+        store.holdAnswers(false);
+        service.run(store::releaseAnswers);
+    }
+
     private void renew() {
         service.run(() -> ownership.renewClaim(holder, now()));
     }
@@ -230,10 +287,12 @@
 
     /** A holder with a pool's store, which records what happens to its claim. */
     private final class Holder implements ClaimHolder {
+        private final long firstToken;
         private long token;
         private boolean lapsed;
 
         Holder(long token) {
+            this.firstToken = token;
             this.token = token;
             poolStore = new PoolStore(POOL, token, context);
         }
@@ -248,6 +307,11 @@
             return token;
         }
 
+        @Override
+        public long firstToken() {
+            return firstToken;
+        }
+
         @Override
         public long counterRevision() {
             return poolStore.counterRevision();
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/FleetRunnerTest.java
@@ -288,6 +288,49 @@
         assertEquals("true", store.text(STATUS_KEY));
     }
 
+    /** Guards against machines that are given up as the answer to a change arrives before that to the claim's renewal. */
+    @Test
+    void changeThatIsRefusedBeforeTheRenewalIsAnsweredIsStoredUnderTheRenewedClaim() throws InterruptedException {
+        store.put(OWNER_KEY, "entry-1");
+        store.holdAnswers(true);
+        request(1, "m1");
+        tickUntil(() -> store.heldAnswers() > 0);
+        service.run(runner::claimLapsed);
+        releaseAnswers();
+        service.run(() -> runner.claimRenewed(store.revisionOf(OWNER_KEY), context.now()));
+        tickUntil(() -> store.text(STATUS_KEY).equals("true"));
+        assertEquals(List.of(), lost);
+        assertEquals(List.of("m1"), machines.maintained);
+    }
+
+    /** Guards against a claim that is taken for lapsed as a change from before its renewal is answered after it. */
+    @Test
+    void changeThatIsRefusedBeforeTheRenewalAndAnsweredAfterItIsStoredUnderTheRenewedClaim()
+            throws InterruptedException {
+        store.remove(OWNER_KEY);
+        store.holdAnswers(true);
+        request(1, "m1");
+        tickUntil(() -> store.heldAnswers() > 0);
+        renewClaim();
+        releaseAnswers();
+        assertTrue(!runner.isLapsed(), "the renewed claim stands");
+        tickUntil(() -> store.text(STATUS_KEY).equals("true"));
+        assertEquals(List.of("m1"), machines.maintained);
+    }
+
+    private void renewClaim() {
+        store.put(OWNER_KEY, "entry-1");
+        service.run(() -> {
+            runner.claimLapsed();
+            runner.claimRenewed(store.revisionOf(OWNER_KEY), context.now());
+        });
+    }
+
+    private void releaseAnswers() {
+        store.holdAnswers(false);
+        service.run(store::releaseAnswers);
+    }
+
     private void open() {
         JobConfiguration configuration = new JobConfiguration(1, Map.of(), Set.of(), Set.of(SPARE), 1, Teams.NONE);
         service.run(() -> runner.open(store.revisionOf(OWNER_KEY), configuration));
@@ -302,7 +345,7 @@
     }
 
     /** A store whose answers to changes can be held back. */
-    private static final class HeldStore extends MemoryStore {
+    private static final class HeldStore extends HeldAnswersStore {
         private volatile CompletableFuture<Void> answersAfter = CompletableFuture.completedFuture(null);
 
         @Override
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -150,6 +150,26 @@
         assertFalse(service.context().metrics().text().contains("trefoilpost_jobs_long_running_wait_millis"));
     }
 
+    /** Guards against a claim that is taken for lapsed as a read from before its renewal is answered after it. */
+    @Test
+    void readOfTheOwnerFromBeforeARenewalIsIgnored() {
+        store.remove(LiveEntries.ownerKey(POOL));
+        store.holdReads(true);
+        tickUntil(() -> store.heldAnswers() == 1);
+        store.holdReads(false);
+        renewClaim();
+        service.run(store::releaseAnswers);
+        assertFalse(runner.isLapsed());
+        assertEquals(0, ownershipsLost);
+    }
+
+    private void renewClaim() {
+        service.run(() -> {
+            runner.claimLapsed();
+            runner.claimRenewed(store.commit(claim()).join(), service.context().now());
+        });
+    }
+
     private CompletableFuture<JobReply> submit() {
         return submit(StepSpec.builder()
                 .tasks(1, new ResourceAmount(1_000, 128, 0))
@@ -180,10 +200,8 @@
         assertTrue(condition.getAsBoolean(), "the condition holds in time");
     }
 
-    /** A store that can hold back the answers to commits, which take effect at once. */
-    private static final class LateStore extends MemoryStore {
-        private final List<Runnable> heldAnswers = new ArrayList<>();
-        private boolean holding;
+    /** A store that can fail commits, hold back answers, and have an item that cannot be read. */
+    private static final class LateStore extends HeldAnswersStore {
         private volatile boolean failing;
         private volatile int failed;
         private Optional<String> unreadableKey = Optional.empty();
@@ -201,39 +219,13 @@
                     : super.range(prefix, after);
         }
 
-        void holdAnswers(boolean hold) {
-            holding = hold;
-        }
-
-        int heldAnswers() {
-            return heldAnswers.size();
-        }
-
-        void releaseAnswers() {
-            List<Runnable> released = List.copyOf(heldAnswers);
-            heldAnswers.clear();
-            released.forEach(Runnable::run);
-        }
-
         @Override
         public CompletableFuture<Long> commit(Change change) {
             if (failing) {
                 failed++;
                 throw new IllegalStateException("cannot be sent");
             }
-            CompletableFuture<Long> answer = super.commit(change);
-            if (!holding) {
-                return answer;
-            }
-            CompletableFuture<Long> held = new CompletableFuture<>();
-            heldAnswers.add(() -> answer.whenComplete((revision, failure) -> {
-                if (failure == null) {
-                    held.complete(revision);
-                } else {
-                    held.completeExceptionally(failure);
-                }
-            }));
-            return held;
+            return super.commit(change);
         }
     }
 
