Keep a pool though a worker refuses an order from before a renewal

Cause: an order that was sent under a former token and arrives after one under the renewed claim is refused as fenced, which was taken for another owner's claim, so that the pool was given up and loaded anew.

Change: the refusal of such an order is OLD_TOKEN.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderResult.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/OrderResult.java
@@ -8,6 +8,8 @@
     OK,
     /** The worker has seen a higher fencing token. */
     FENCED,
+    /** The worker has seen a higher fencing token, and the owner has renewed its claim since it sent the order. */
+    OLD_TOKEN,
     /** The run is not newer than one that ended or was stopped on the worker. */
     OLD_RUN,
     /** The lease that the order named has expired on the worker's clock. */
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolRunner.java
@@ -302,7 +302,8 @@
     @Override
     public void send(WorkerOrder order) {
         long sentMillis = context.now().steadyMillis();
-        context.call(() -> context.ports().workers().send(order, token), (answer, failure) -> {
+        long orderToken = token;
+        context.call(() -> context.ports().workers().send(order, orderToken), (answer, failure) -> {
             if (closed) {
                 return;
             }
@@ -313,13 +314,18 @@
             } else if (answer.status().isPresent()) {
                 scheduler.statusReceived(order.worker(), answer.status().get(), now);
             } else {
-                scheduler.orderAnswered(order, answer.result(), now);
+                scheduler.orderAnswered(order, resultUnder(orderToken, answer.result()), now);
             }
             context.metrics().record("trefoilpost.jobs.order.time", kind, now.steadyMillis() - sentMillis);
             tickSoon();
         });
     }
 
+    private OrderResult resultUnder(long orderToken, OrderResult result) {
+        // A worker that has had an order under the renewed claim refuses those from before.
+        return result == OrderResult.FENCED && orderToken != token ? OrderResult.OLD_TOKEN : result;
+    }
+
     @Override
     public void requestAdvice(AdviceRequest request) {
         context.adviceCalls().request(request, () -> !closed, (result, callMillis) -> {
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +32,7 @@
     private static final String POOL = "pool";
     private static final String JOB = "0000000000000001";
     private static final long WAIT_MILLIS = 5_000;
+    private static final WorkerPort.Answer FENCED = new WorkerPort.Answer(OrderResult.FENCED, Optional.empty());
 
     private final LateStore store = new LateStore();
     private final Worker worker = new Worker();
@@ -150,6 +152,23 @@
         assertFalse(service.context().metrics().text().contains("trefoilpost_jobs_long_running_wait_millis"));
     }
 
+    /** Guards against a pool that is loaded anew as a worker refuses an order from before a renewal of the claim. */
+    @Test
+    void orderFromBeforeARenewalThatAWorkerRefusesShowsNoOtherOwner() {
+        worker.holding = true;
+        submit();
+        tickUntil(() -> !worker.held.isEmpty());
+        worker.holding = false;
+        renewClaim();
+        int answered = worker.answered;
+        service.run(() -> worker.held.forEach(answer -> answer.complete(FENCED)));
+        tickUntil(() -> worker.answered > answered);
+        assertEquals(0, ownershipsLost);
+        worker.fencing = true;
+        cancel();
+        tickUntil(() -> ownershipsLost == 1);
+    }
+
     /** Guards against a claim that is taken for lapsed as a read from before its renewal is answered after it. */
     @Test
     void readOfTheOwnerFromBeforeARenewalIsIgnored() {
@@ -229,9 +248,12 @@
         }
     }
 
-    /** A worker that starts and stops what it is told to. */
+    /** A worker that starts and stops what it is told to, and can hold back its answers or refuse all orders as fenced. */
     private static final class Worker implements WorkerPort {
         private final List<WorkerRunStatus.Running> running = new ArrayList<>();
+        private final List<CompletableFuture<Answer>> held = new CopyOnWriteArrayList<>();
+        private volatile boolean holding;
+        private volatile boolean fencing;
         private volatile boolean failing;
         private volatile int failed;
         private volatile int answered;
@@ -242,7 +264,15 @@
                 failed++;
                 throw new IllegalArgumentException("cannot be sent");
             }
+            if (holding) {
+                CompletableFuture<Answer> answer = new CompletableFuture<>();
+                held.add(answer);
+                return answer;
+            }
             answered++;
+            if (fencing) {
+                return CompletableFuture.completedFuture(FENCED);
+            }
             if (order instanceof WorkerOrder.Start start) {
                 running.add(new WorkerRunStatus.Running(start.task().text(), start.run(), "", 100, 0));
             } else if (order instanceof WorkerOrder.Stop stop) {
