--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolOwnership.java
@@ -305,9 +305,9 @@
     }
 
     /**
-     * Handles a conflict: an earlier attempt without an answer has taken effect if the counter key has its marker, and
-     * the holder's own last commit may have changed the counter key. Its answer may have been handled since the renewal was sent. The claim
-     * has not lapsed if the owner's key has its token. Otherwise another entry has claimed the pool.
+     * Handles a conflict. The claim has not lapsed if the owner's key has the holder's token; an earlier attempt without an answer has
+     * taken effect if the counter key has its marker; and the holder's own last commit may have changed the counter key, whether its
+     * answer was handled or not. Otherwise another entry has claimed the pool.
      */
     private void resolveRenewalConflict(ClaimHolder holder, StoreFailure failure, Moment requested) {
         Optional<StorePort.Item> owner = failure.currentItem(LiveEntries.ownerKey(holder.pool()));
