--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -29,7 +29,7 @@
     private JobContext context;
     private PoolOwnership ownership;
     private PoolStore poolStore;
-    private Holder holder;
+    private RecordingHolder holder;
 
     @BeforeEach
     void claim() {
@@ -37,7 +37,8 @@
         ownership = new PoolOwnership(context, new LiveEntries(), "incarnation", new ClaimListener());
         service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
         long token = store.commit(claimOfThisEntry()).join();
-        holder = new Holder(token);
+        holder = new RecordingHolder(POOL, token, context, events);
+        poolStore = holder.store();
     }
 
     private static StorePort.Change claimOfThisEntry() {
@@ -56,8 +57,8 @@
         lapse();
         renew();
         assertEquals(List.of("lapsed", "renewed"), events);
-        assertEquals(store.revisionOf(OWNER_KEY), holder.token);
-        assertEquals(holder.token, poolStore.counterRevision());
+        assertEquals(store.revisionOf(OWNER_KEY), holder.token());
+        assertEquals(holder.token(), poolStore.counterRevision());
     }
 
     @Test
@@ -78,7 +79,7 @@
         Thread.sleep(250);
         renew();
         assertEquals(List.of("lapsed", "renewed"), events);
-        assertEquals(store.revisionOf(OWNER_KEY), holder.token);
+        assertEquals(store.revisionOf(OWNER_KEY), holder.token());
     }
 
     @Test
@@ -151,7 +152,7 @@
         Thread.sleep(250);
         renew();
         assertEquals(List.of("lapsed", "committed 1", "renewed"), events);
-        assertEquals(store.revisionOf(OWNER_KEY), holder.token);
+        assertEquals(store.revisionOf(OWNER_KEY), holder.token());
     }
 
     /** Guards against a pool that is loaded anew as its owner takes its claim for lapsed by mistake. */
@@ -162,7 +163,7 @@
         service.run(holder::claimLapsed);
         renew();
         assertEquals(List.of("committed 1", "lapsed", "renewed"), events);
-        assertEquals(store.revisionOf(OWNER_KEY), holder.token);
+        assertEquals(store.revisionOf(OWNER_KEY), holder.token());
         assertEquals(revision, poolStore.counterRevision());
     }
 
@@ -208,16 +209,16 @@
 
     @Test
     void releasedClaimIsRemovedUnlessAnotherEntryHasClaimedThePool() {
-        service.run(() -> ownership.release(POOL, holder.token, now().steadyMillis()));
+        service.run(() -> ownership.release(POOL, holder.token(), now().steadyMillis()));
         assertEquals(0, store.revisionOf(OWNER_KEY));
         store.put(OWNER_KEY, "another entry");
-        service.run(() -> ownership.release(POOL, holder.token, now().steadyMillis() + 1_000));
+        service.run(() -> ownership.release(POOL, holder.token(), now().steadyMillis() + 1_000));
         assertTrue(store.revisionOf(OWNER_KEY) != 0);
     }
 
     private void commit() {
         Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of(), Set.of("q"), false, List.of());
-        service.run(() -> poolStore.commit(commit, Map.of(), now().steadyMillis(), new CommitOutcome()));
+        service.run(() -> poolStore.commit(commit, Map.of(), now().steadyMillis(), holder));
     }
 
     private void lapse() {
@@ -241,28 +242,6 @@
         return context.now();
     }
 
-    private final class CommitOutcome implements PoolStore.CommitListener {
-        @Override
-        public boolean isCancelled() {
-            return false;
-        }
-
-        @Override
-        public void committed(Commit commit, long confirmedMillis) {
-            events.add("committed " + commit.number());
-        }
-
-        @Override
-        public void rejected(Commit commit, StorePort.Item configuration) {
-            events.add("rejected " + commit.number());
-        }
-
-        @Override
-        public void ownershipLost(String reason) {
-            events.add("lost " + reason);
-        }
-    }
-
     private final class ClaimListener implements PoolOwnership.Listener {
         @Override
         public void poolClaimed(String pool, long token) {
@@ -284,67 +263,4 @@
             // The test renews the claim itself.
         }
     }
-
-    /** A holder with a pool's store, which records what happens to its claim. */
-    private final class Holder implements ClaimHolder {
-        private final long firstToken;
-        private long token;
-        private boolean lapsed;
-
-        Holder(long token) {
-            this.firstToken = token;
-            this.token = token;
-            poolStore = new PoolStore(POOL, token, context);
-        }
-
-        @Override
-        public String pool() {
-            return POOL;
-        }
-
-        @Override
-        public long token() {
-            return token;
-        }
-
-        @Override
-        public long firstToken() {
-            return firstToken;
-        }
-
-        @Override
-        public long counterRevision() {
-            return poolStore.counterRevision();
-        }
-
-        @Override
-        public boolean isLapsed() {
-            return lapsed;
-        }
-
-        @Override
-        public void claimLapsed() {
-            lapsed = true;
-            events.add("lapsed");
-        }
-
-        @Override
-        public void claimRenewed(long newToken, Moment requested) {
-            token = newToken;
-            lapsed = false;
-            events.add("renewed");
-            poolStore.claimRenewed(newToken);
-        }
-
-        @Override
-        public boolean isOwnCounter(StorePort.Item counter) {
-            return poolStore.isOwnCounter(counter);
-        }
-
-        @Override
-        public void claimLost(String reason) {
-            lapsed = false;
-            events.add("lost " + reason);
-        }
-    }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/HeldAnswersStore.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/HeldAnswersStore.java
@@ -31,6 +31,15 @@
         return heldAnswers.size();
     }
 
+    /**
+     * Gives one of the answers that are held back.
+     *
+     * @param index  the place of its call among those whose answers are held back
+     */
+    void releaseAnswer(int index) {
+        heldAnswers.remove(index).run();
+    }
+
     /**
      * Gives all answers that are held back, in the order of the calls.
      */
