--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/DelistedWorkers.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/DelistedWorkers.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 /**
  * The workers that the registry has ceased to list lately. One that is cut off from the registry only runs on, and an owner may have
@@ -49,14 +51,31 @@
     }
 
     /**
-     * Returns the workers of a pool that the registry has ceased to list and on which runs may go on, as far as changes of the registry
-     * have shown them.
+     * Returns the workers of a pool that the registry does not list and on which runs may go on of which the store does not know.
      *
      * @param pool  the name of the pool, not null
+     * @param stored  the workers that an earlier owner has stored as those that may have such runs, empty if none has: then all count
+     *     that have ceased to be listed since the registry is followed, not null
+     * @param listed  the identifiers of the workers that the registry lists, not null
      * @param nowMillis  the present time on the steady clock, in milliseconds
      * @return the workers, not null
      */
-    public List<DelistedWorker> ofPool(String pool, long nowMillis) {
+    public List<DelistedWorker> withUnstoredRuns(
+            String pool, Optional<List<RegisteredWorker>> stored, Set<String> listed, long nowMillis) {
+        if (stored.isEmpty()) {
+            return ofPool(pool, nowMillis);
+        }
+        List<RegisteredWorker> unlisted = stored.get().stream()
+                .filter(worker -> !listed.contains(worker.id()))
+                .toList();
+        return of(unlisted, nowMillis);
+    }
+
+    /**
+     * Returns the workers of a pool that the registry has ceased to list and on which runs may go on, as far as changes of the registry
+     * have shown them.
+     */
+    List<DelistedWorker> ofPool(String pool, long nowMillis) {
         return workers.values().stream()
                 .filter(worker -> worker.registration().pool().equals(pool))
                 .filter(worker -> !isOver(worker.sinceMillis(), nowMillis))
@@ -65,12 +84,8 @@
 
     /**
      * Returns those of some workers on which runs may go on, if the registry does not list them.
-     *
-     * @param unlisted  the workers, which the registry does not list, not null
-     * @param nowMillis  the present time on the steady clock, in milliseconds
-     * @return the workers, not null
      */
-    public List<DelistedWorker> of(Collection<RegisteredWorker> unlisted, long nowMillis) {
+    List<DelistedWorker> of(Collection<RegisteredWorker> unlisted, long nowMillis) {
         List<DelistedWorker> found = new ArrayList<>();
         for (RegisteredWorker worker : unlisted) {
             DelistedWorker known = workers.get(worker.id());
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTakeover.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTakeover.java
@@ -12,7 +12,6 @@
  */
 final class PoolTakeover {
     private static final long MAX_FENCE_WAIT_MILLIS = 900;
-    private static final long LEASE_END_MARGIN_MILLIS = 300;
 
     private final PoolState state;
     private final List<JobDocumentCodec.RunLocation> runLocations = new ArrayList<>();
@@ -104,7 +103,7 @@
     private long latestForeignLeaseEndMillis(PoolWorker worker, Moment now) {
         long longestMillis = state.timeouts.maxForeignLeaseMillis();
         long notedMillis = LeaseNotes.inheritedMillis(worker).orElse(longestMillis);
-        return now.steadyMillis() + Math.min(longestMillis, notedMillis + LEASE_END_MARGIN_MILLIS);
+        return now.steadyMillis() + Math.min(longestMillis, notedMillis + PoolTimeouts.LEASE_END_MARGIN_MILLIS);
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTimeouts.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolTimeouts.java
@@ -9,7 +9,8 @@
  * @param minDrainMillis  the minimum time that a draining worker continues to run tasks, in milliseconds
  */
 public record PoolTimeouts(long leaseMillis, long maxLeaseMillis, long endedJobRetentionMillis, long minDrainMillis) {
-    private static final long LEASE_END_MARGIN_MILLIS = 300;
+    /** Time that is added to the computed end of a lease that another owner may have granted. */
+    static final long LEASE_END_MARGIN_MILLIS = 300;
 
     /**
      * Returns for how long a worker's runs may go on by leases that an owner grants which cannot reach the store.
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/emulator/EmulatedPlatform.java
@@ -188,13 +188,7 @@
         if (!storeDown) {
             followRegistry();
         }
-        Optional<List<RegisteredWorker>> unlisted = store.workers()
-                .map(stored -> stored.stream()
-                        .filter(worker -> !registered.containsKey(worker.id()))
-                        .toList());
-        return unlisted.isPresent()
-                ? delistedWorkers.of(unlisted.get(), time.nowMillis())
-                : delistedWorkers.ofPool("pool", time.nowMillis());
+        return delistedWorkers.withUnstoredRuns("pool", store.workers(), registered.keySet(), time.nowMillis());
     }
 
     @Override
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolLoad.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolLoad.java
@@ -12,8 +12,6 @@
  * Reads what an earlier owner has stored of a pool, and retries until the store answers or the load is cancelled.
  */
 final class PoolLoad {
-    private static final long RETRY_DELAY_MILLIS = 120;
-
     private final String pool;
     private final JobContext context;
     private final Consumer<Map<String, byte[]>> page;
@@ -89,7 +87,7 @@
             return;
         }
         if (failure != null) {
-            context.schedule(RETRY_DELAY_MILLIS, retry);
+            context.schedule(PoolStore.RETRY_DELAY_MILLIS, retry);
             return;
         }
         try {
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/PoolStore.java
@@ -24,7 +24,7 @@
     private static final String JOB_KEY_PREFIX = "trefoilpost/job/";
     private static final String COUNTER_KEY_PREFIX = "trefoilpost/count/";
     private static final String WORKERS_KEY_PREFIX = "trefoilpost/workers/";
-    private static final long RETRY_DELAY_MILLIS = 120;
+    static final long RETRY_DELAY_MILLIS = 120;
     /** A store that has not answered a commit for longer is treated as unreachable. */
     private static final long MAX_PENDING_MILLIS = 800;
     /** A store that has refused or broken off all attempts of a commit for longer is treated as unreachable. */
@@ -76,7 +76,7 @@
      * Returns the workers that may have runs of which the store does not know, as an earlier owner has stored them, empty if none has.
      */
     Optional<List<RegisteredWorker>> loadedWorkers() {
-        return storedWorkers.map(text -> StoredWorkers.decode(text.getBytes(StandardCharsets.UTF_8), pool));
+        return storedWorkers.map(text -> StoredWorkers.decode(text, pool));
     }
 
     /**
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoredWorkers.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/StoredWorkers.java
@@ -1,6 +1,5 @@
 package org.trefoilpost.entry.job;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -39,9 +38,9 @@
      *
      * @param pool  the pool of the workers
      */
-    static List<RegisteredWorker> decode(byte[] bytes, String pool) {
+    static List<RegisteredWorker> decode(String text, String pool) {
         List<RegisteredWorker> workers = new ArrayList<>();
-        for (String line : new String(bytes, StandardCharsets.UTF_8).split(LINE_SEPARATOR)) {
+        for (String line : text.split(LINE_SEPARATOR)) {
             decodeLine(line, pool).ifPresent(workers::add);
         }
         return workers;
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/WorkerRegistry.java
@@ -130,14 +130,8 @@
      *     that have ceased to be listed since this entry follows the registry
      */
     Collection<DelistedWorker> delistedWorkers(String pool, Optional<List<RegisteredWorker>> stored) {
-        long nowMillis = context.now().steadyMillis();
-        if (stored.isEmpty()) {
-            return delistedWorkers.ofPool(pool, nowMillis);
-        }
-        List<RegisteredWorker> unlisted = stored.get().stream()
-                .filter(worker -> !workers.containsKey(worker.id()))
-                .toList();
-        return delistedWorkers.of(unlisted, nowMillis);
+        return delistedWorkers.withUnstoredRuns(
+                pool, stored, workers.keySet(), context.now().steadyMillis());
     }
 
     /**
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/ClaimRenewalTest.java
@@ -4,14 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.Moment;
 
 /**
@@ -19,37 +14,17 @@
  * has claimed the pool, and only then.
  */
 class ClaimRenewalTest {
-    private static final String POOL = "pool";
-    private static final String OWNER_KEY = LiveEntries.ownerKey(POOL);
-    private static final String COUNTER_KEY = PoolStore.counterKey(POOL);
-
-    private final HeldAnswersStore store = new HeldAnswersStore();
-    private final TestService service = new TestService(store, null, null);
-    private final List<String> events = new ArrayList<>();
-    private JobContext context;
-    private PoolOwnership ownership;
-    private PoolStore poolStore;
-    private RecordingHolder holder;
-
-    @BeforeEach
-    void claim() {
-        context = service.context();
-        ownership = new PoolOwnership(context, new LiveEntries(), "incarnation", new ClaimListener());
-        service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
-        long token = store.commit(claimOfThisEntry()).join();
-        holder = new RecordingHolder(POOL, token, context, events);
-        poolStore = holder.store();
-    }
-
-    private static StorePort.Change claimOfThisEntry() {
-        StorePort.Put owner = new StorePort.Put(OWNER_KEY, new byte[0], 1);
-        StorePort.Put counter = new StorePort.Put(COUNTER_KEY, new byte[0], 0);
-        return new StorePort.Change(Map.of(), List.of(owner, counter), List.of());
-    }
+    private final ClaimedPool pool = new ClaimedPool();
+    private final HeldAnswersStore store = pool.store();
+    private final TestService service = pool.service();
+    private final List<String> events = pool.events();
+    private final PoolOwnership ownership = pool.ownership();
+    private final RecordingHolder holder = pool.holder();
+    private final PoolStore poolStore = holder.store();
 
     @AfterEach
     void stop() {
-        service.close();
+        pool.close();
     }
 
     @Test
@@ -57,17 +32,17 @@
         lapse();
         renew();
         assertEquals(List.of("lapsed", "renewed"), events);
-        assertEquals(store.revisionOf(OWNER_KEY), holder.token());
+        assertEquals(store.revisionOf(ClaimedPool.OWNER_KEY), holder.token());
         assertEquals(holder.token(), poolStore.counterRevision());
     }
 
     @Test
     void claimOfAnotherEntryInBetweenIsNoticedThoughItsKeyIsGone() {
         lapse();
-        store.put(COUNTER_KEY, "claim of another entry");
+        store.put(ClaimedPool.COUNTER_KEY, "claim of another entry");
         renew();
         assertEquals(List.of("lapsed", "lost claimed-by-another"), events);
-        assertEquals(0, store.revisionOf(OWNER_KEY));
+        assertEquals(0, store.revisionOf(ClaimedPool.OWNER_KEY));
     }
 
     @Test
@@ -79,7 +54,7 @@
         Thread.sleep(250);
         renew();
         assertEquals(List.of("lapsed", "renewed"), events);
-        assertEquals(store.revisionOf(OWNER_KEY), holder.token());
+        assertEquals(store.revisionOf(ClaimedPool.OWNER_KEY), holder.token());
     }
 
     @Test
@@ -109,8 +84,8 @@
     @Test
     void commitOfAFormerOwnerIsLost() {
         lapse();
-        store.put(OWNER_KEY, "another entry");
-        store.put(COUNTER_KEY, "claim of another entry");
+        store.put(ClaimedPool.OWNER_KEY, "another entry");
+        store.put(ClaimedPool.COUNTER_KEY, "claim of another entry");
         commit();
         assertEquals(List.of("lapsed", "lost conflict"), events);
     }
@@ -152,7 +127,7 @@
         Thread.sleep(250);
         renew();
         assertEquals(List.of("lapsed", "committed 1", "renewed"), events);
-        assertEquals(store.revisionOf(OWNER_KEY), holder.token());
+        assertEquals(store.revisionOf(ClaimedPool.OWNER_KEY), holder.token());
     }
 
     /** Guards against a pool that is loaded anew as its owner takes its claim for lapsed by mistake. */
@@ -163,7 +138,7 @@
         service.run(holder::claimLapsed);
         renew();
         assertEquals(List.of("committed 1", "lapsed", "renewed"), events);
-        assertEquals(store.revisionOf(OWNER_KEY), holder.token());
+        assertEquals(store.revisionOf(ClaimedPool.OWNER_KEY), holder.token());
         assertEquals(revision, poolStore.counterRevision());
     }
 
@@ -185,13 +160,13 @@
     void returnOfASilentStoreIsNoticedByTheNextProbe() throws InterruptedException {
         store.silent(true);
         for (int i = 0; i < 60; i++) {
-            service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+            pool.tick();
             Thread.sleep(20);
         }
         assertEquals(List.of(), events);
         store.silent(false);
         for (int i = 0; i < 60 && events.isEmpty(); i++) {
-            service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+            pool.tick();
             Thread.sleep(20);
         }
         assertEquals(List.of("store returned"), events);
@@ -209,24 +184,19 @@
 
     @Test
     void releasedClaimIsRemovedUnlessAnotherEntryHasClaimedThePool() {
-        service.run(() -> ownership.release(POOL, holder.token(), now().steadyMillis()));
-        assertEquals(0, store.revisionOf(OWNER_KEY));
-        store.put(OWNER_KEY, "another entry");
-        service.run(() -> ownership.release(POOL, holder.token(), now().steadyMillis() + 1_000));
-        assertTrue(store.revisionOf(OWNER_KEY) != 0);
+        service.run(() -> ownership.release(ClaimedPool.POOL, holder.token(), now().steadyMillis()));
+        assertEquals(0, store.revisionOf(ClaimedPool.OWNER_KEY));
+        store.put(ClaimedPool.OWNER_KEY, "another entry");
+        service.run(() -> ownership.release(ClaimedPool.POOL, holder.token(), now().steadyMillis() + 1_000));
+        assertTrue(store.revisionOf(ClaimedPool.OWNER_KEY) != 0);
     }
 
     private void commit() {
-        Commit commit = new Commit(1, Map.of("job", new byte[] {1}), List.of(), Set.of("q"), false, List.of());
-        service.run(() -> poolStore.commit(commit, Map.of(), now().steadyMillis(), holder));
+        pool.commit(1);
     }
 
     private void lapse() {
-        store.expireAllLeases();
-        service.run(holder::claimLapsed);
-        service.run(() -> ownership.checkLease());
-        service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
-        service.run(() -> ownership.tick(Set.of(), now().steadyMillis()));
+        pool.lapse();
     }
 
     private void release() {
@@ -235,32 +205,10 @@
     }
 
     private void renew() {
-        service.run(() -> ownership.renewClaim(holder, now()));
+        pool.renew();
     }
 
     private Moment now() {
-        return context.now();
-    }
-
-    private final class ClaimListener implements PoolOwnership.Listener {
-        @Override
-        public void poolClaimed(String pool, long token) {
-            // These tests make no first claims.
-        }
-
-        @Override
-        public void allClaimsLapsed() {
-            // The holder is told of the lapse by the test.
-        }
-
-        @Override
-        public void storeReturned() {
-            events.add("store returned");
-        }
-
-        @Override
-        public void leaseObtained() {
-            // The test renews the claim itself.
-        }
+        return pool.now();
     }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/MemoryStore.java
@@ -78,6 +78,18 @@
         items.put(key, new Item(key, value.getBytes(StandardCharsets.UTF_8), revision, 0));
     }
 
+    /**
+     * Claims a pool, whoever has claimed it before.
+     *
+     * @param lease  the lease that the claim is bound to, 0 for none
+     * @return the fencing token of the claim
+     */
+    long claim(String pool, long lease) {
+        Put owner = new Put(LiveEntries.ownerKey(pool), new byte[0], lease);
+        Put counter = new Put(PoolStore.counterKey(pool), new byte[0], 0);
+        return commit(new Change(Map.of(), List.of(owner, counter), List.of())).join();
+    }
+
     void remove(String key) {
         items.remove(key);
         leaseOfKey.remove(key);
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolRunnerTest.java
@@ -42,7 +42,7 @@
 
     @BeforeEach
     void open() {
-        long token = store.commit(claim()).join();
+        long token = store.claim(POOL, 0);
         store.put("servers/w", "registered");
         QueueConfig queue = new QueueConfig("q", "host", "/q/", POOL, 0, 3, 1, 1_000, Optional.empty(), false);
         WorkerRegistry registry = new WorkerRegistry(service.context(), () -> 0, () -> {});
@@ -66,12 +66,6 @@
         assertEquals(1, ownershipsLost);
     }
 
-    private static StorePort.Change claim() {
-        StorePort.Put owner = new StorePort.Put(LiveEntries.ownerKey(POOL), new byte[0], 0);
-        StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(POOL), new byte[0], 0);
-        return new StorePort.Change(Map.of(), List.of(owner, counter), List.of());
-    }
-
     @AfterEach
     void stop() {
         service.close();
@@ -185,7 +179,7 @@
     private void renewClaim() {
         service.run(() -> {
             runner.claimLapsed();
-            runner.claimRenewed(store.commit(claim()).join(), service.context().now());
+            runner.claimRenewed(store.claim(POOL, 0), service.context().now());
         });
     }
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolStoreTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/PoolStoreTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -16,8 +15,6 @@
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.RegisteredWorker;
-import org.trefoilpost.decision.job.ResourceAmount;
-import org.trefoilpost.decision.job.WorkerAddress;
 
 class PoolStoreTest {
     private static final String POOL = "pool";
@@ -103,16 +100,7 @@
     }
 
     private static RegisteredWorker worker(String id) {
-        return new RegisteredWorker(
-                id,
-                "m-" + id,
-                POOL,
-                WorkerAddress.of("127.0.0.1", 80),
-                "",
-                List.of(),
-                ResourceAmount.NONE,
-                false,
-                1_764_800_000_000L);
+        return StoredWorkersTest.worker(id, 1_764_800_000_000L);
     }
 
     /** Guards against a take-over that holds the documents of all jobs of a large pool beside the jobs themselves. */
@@ -166,14 +154,14 @@
             store.put(CONFIGURATION_KEY, "2");
             RecordedOutcome outdated = new RecordedOutcome();
             service.run(() -> poolStore.commit(written(1, "q"), Map.of(CONFIGURATION_KEY, known), 0, outdated));
-            assertEquals(List.of("rejected 1 by 2"), outdated.events);
+            assertEquals(List.of("rejected 1 by 2"), outdated.events());
             assertEquals("", store.text(PoolStore.jobKey(POOL, JOB)));
             service.run(poolStore::sendAgain);
             assertEquals("", store.text(PoolStore.jobKey(POOL, JOB)));
             RecordedOutcome next = new RecordedOutcome();
             long newest = store.revisionOf(CONFIGURATION_KEY);
             service.run(() -> poolStore.commit(written(2, "q"), Map.of(CONFIGURATION_KEY, newest), 0, next));
-            assertEquals(List.of("committed 2"), next.events);
+            assertEquals(List.of("committed 2"), next.events());
         }
     }
 
@@ -190,15 +178,12 @@
             service.run(() -> poolStore.commit(written(1, "q"), Map.of(CONFIGURATION_KEY, known), 0, outcome));
             store.put(CONFIGURATION_KEY, "2");
             service.run(poolStore::sendAgain);
-            assertEquals(List.of("committed 1"), outcome.events);
+            assertEquals(List.of("committed 1"), outcome.events());
         }
     }
 
     private static PoolStore claim(MemoryStore store, TestService service) {
-        StorePort.Put owner = new StorePort.Put(LiveEntries.ownerKey(POOL), new byte[0], 0);
-        StorePort.Put counter = new StorePort.Put(PoolStore.counterKey(POOL), new byte[0], 0);
-        StorePort.Change claim = new StorePort.Change(Map.of(), List.of(owner, counter), List.of());
-        return new PoolStore(POOL, store.commit(claim).join(), service.context());
+        return new PoolStore(POOL, store.claim(POOL, 0), service.context());
     }
 
     private static Commit written(long number, String... queues) {
@@ -209,31 +194,6 @@
         service.run(() -> store.commit(commit, Map.of(CONFIGURATION_KEY, 0L), 0, new RecordedOutcome()));
     }
 
-    private static final class RecordedOutcome implements PoolStore.CommitListener {
-        private final List<String> events = new ArrayList<>();
-
-        @Override
-        public boolean isCancelled() {
-            return false;
-        }
-
-        @Override
-        public void committed(Commit commit, long confirmedMillis) {
-            events.add("committed " + commit.number());
-        }
-
-        @Override
-        public void rejected(Commit commit, StorePort.Item configuration) {
-            events.add(
-                    "rejected " + commit.number() + " by " + new String(configuration.value(), StandardCharsets.UTF_8));
-        }
-
-        @Override
-        public void ownershipLost(String reason) {
-            events.add("lost " + reason);
-        }
-    }
-
     private static final class CountingStore extends MemoryStore {
         private int maxEntries;
 
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/RecordingHolder.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/RecordingHolder.java
@@ -1,13 +1,12 @@
 package org.trefoilpost.entry.job;
 
 import java.util.List;
-import org.trefoilpost.decision.job.Commit;
 import org.trefoilpost.decision.job.Moment;
 
 /**
- * A holder with a pool's store, which records what happens to its claim and its commits. Used on the service's thread.
+ * A holder with a pool's store, which records what happens to its claim. Used on the service's thread.
  */
-final class RecordingHolder implements ClaimHolder, PoolStore.CommitListener {
+final class RecordingHolder implements ClaimHolder {
     private final String pool;
     private final List<String> events;
     private final PoolStore store;
@@ -74,24 +73,4 @@
         lapsed = false;
         events.add("lost " + reason);
     }
-
-    @Override
-    public boolean isCancelled() {
-        return false;
-    }
-
-    @Override
-    public void committed(Commit commit, long confirmedMillis) {
-        events.add("committed " + commit.number());
-    }
-
-    @Override
-    public void rejected(Commit commit, StorePort.Item configuration) {
-        events.add("rejected " + commit.number());
-    }
-
-    @Override
-    public void ownershipLost(String reason) {
-        events.add("lost " + reason);
-    }
 }
--- a/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoredWorkersTest.java
+++ b/trefoilpost-entry/src/test/java/org/trefoilpost/entry/job/StoredWorkersTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.trefoilpost.decision.job.RegisteredWorker;
@@ -45,10 +44,13 @@
     }
 
     private static List<RegisteredWorker> decode(String stored) {
-        return StoredWorkers.decode(stored.getBytes(StandardCharsets.UTF_8), POOL);
+        return StoredWorkers.decode(stored, POOL);
     }
 
-    private static RegisteredWorker worker(String id, long born) {
+    /**
+     * Returns a worker as it is decoded, without labels and resources.
+     */
+    static RegisteredWorker worker(String id, long born) {
         return new RegisteredWorker(
                 id,
                 "m-" + id,
