Keep machines on whose workers a step awaits advice

Cause: the planner of the machines takes a pool's need for a number. A small step that waits for placement advice needs a part of one machine, so after 2.5 s of surplus the others are given away, while a call for advice takes 3.5 s. What advice says holds for a worker's life, and a machine that comes back has a new worker: the step is answered about workers that have left, again and again.

Change: a pool's demand names the workers that it keeps beside its need: those named in the request for a waiting step, one for each waiting task on which the step is allowed, and if none of these has room, as many others as are likely to have one. The planner gives none of them away. The names follow the demand on the wire, so entries of both versions understand each other.

--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PlacementAdvice.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -12,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiFunction;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.trefoilpost.decision.job.AdviceChoice.Named;
 import org.trefoilpost.decision.job.AdviceChoice.Purpose;
@@ -191,34 +193,84 @@
      * there is no such step.
      */
     int missingMachines() {
-        int missing = 0;
-        for (JobState job : state.openJobs.values()) {
-            for (OccurrenceState occurrence : job.openOccurrences()) {
-                for (JobStepState step : occurrence.steps) {
-                    missing = Math.max(missing, isNeeded(step) && mayNeedWorker(step) ? missingMachines(step) : 0);
-                }
-            }
-        }
+        int missing = advisedSteps()
+                .filter(PlacementAdvice::mayNeedWorker)
+                .mapToInt(this::missingMachines)
+                .max()
+                .orElse(0);
         return Math.min(missing, state.workers.size());
     }
 
+    /**
+     * Returns the identifiers of the workers that the pool is to keep for waiting steps. What advice has told about a worker is of
+     * no use once the worker has left.
+     */
+    Set<String> awaitedWorkers() {
+        Set<String> awaited = new HashSet<>();
+        advisedSteps()
+                .filter(PlacementAdvice::waitsForWorker)
+                .flatMap(this::awaitedWorkers)
+                .forEach(worker -> awaited.add(worker.id));
+        return awaited;
+    }
+
+    private Stream<JobStepState> advisedSteps() {
+        return state.openJobs.values().stream()
+                .flatMap(job -> job.openOccurrences().stream())
+                .flatMap(occurrence -> Stream.of(occurrence.steps))
+                .filter(step -> isNeeded(step) && step.readyMillis != JobStepState.NOT_READY);
+    }
+
     /**
      * Returns whether a task of a step waits for a worker, or lasts and may have to leave its own.
      */
     private static boolean mayNeedWorker(JobStepState step) {
-        return step.readyMillis != JobStepState.NOT_READY
-                && Stream.of(step.tasks)
-                        .anyMatch(task -> !task.done && (task.runs.isEmpty() || step.spec.longRunning()));
+        return step.spec.longRunning() && !step.ended() || waitsForWorker(step);
+    }
+
+    private static boolean waitsForWorker(JobStepState step) {
+        return waitingTasks(step).findAny().isPresent();
+    }
+
+    private static Stream<JobTaskState> waitingTasks(JobStepState step) {
+        return Stream.of(step.tasks).filter(task -> !task.done && task.runs.isEmpty());
     }
 
     private int missingMachines(JobStepState step) {
-        List<PoolWorker> candidates = state.workers.values().stream()
-                .filter(worker -> worker.listed && !worker.evacuating && !worker.registration.draining())
-                .filter(worker -> step.spec.allowsLabels(worker.registration.labels()))
-                .toList();
-        GoodShare share = observations(step.occurrence.job).goodShare();
+        List<PoolWorker> candidates = candidates(step).toList();
         boolean denied = candidates.stream().allMatch(step.advice::denies);
-        return denied && share.mayAllowOthers(candidates.size()) ? (int) Math.ceil(1 / share.estimate()) : 0;
+        GoodShare share = observations(step.occurrence.job).goodShare();
+        return denied && share.mayAllowOthers(candidates.size()) ? share.workersForOne() : 0;
+    }
+
+    /**
+     * Returns the workers that a step's request names, one for each waiting task on which the step is allowed, and if it has room on
+     * none of these, as many others as are likely to have one on which it is allowed.
+     */
+    private Stream<PoolWorker> awaitedWorkers(JobStepState step) {
+        ResourceAmount demand = step.spec.reservedDemand();
+        Predicate<PoolWorker> hasRoom = worker -> demand.fitsIn(worker.freeResources());
+        List<PoolWorker> named = requests.awaitedFor(step).stream()
+                .flatMap(sent -> sent.named().workers().stream())
+                .toList();
+        List<PoolWorker> allowed = candidates(step)
+                .filter(step.advice::allows)
+                .sorted(Comparator.comparing(hasRoom::test, Comparator.reverseOrder()))
+                .limit(waitingTasks(step).count())
+                .toList();
+        int others = allowed.stream().anyMatch(hasRoom)
+                ? 0
+                : observations(step.occurrence.job).goodShare().workersForOne();
+        Stream<PoolWorker> unknown = candidates(step)
+                .filter(worker -> !step.advice.isKnown(worker) && !named.contains(worker))
+                .limit(others);
+        return Stream.of(named.stream(), allowed.stream(), unknown).flatMap(workers -> workers);
+    }
+
+    private Stream<PoolWorker> candidates(JobStepState step) {
+        return state.workers.values().stream()
+                .filter(worker -> worker.listed && !worker.evacuating && !worker.registration.draining())
+                .filter(worker -> step.spec.allowsLabels(worker.registration.labels()));
     }
 
     private AdviceChoice choice(JobStepState step, Set<PoolWorker> reserved, Moment now) {
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemand.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemand.java
@@ -1,19 +1,33 @@
 package org.trefoilpost.decision.job;
 
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The number of machines that a pool needs, and the usage of its workers.
  *
  * @param neededMachines  the number of machines that running, waiting and recently refused work would fill
  * @param workers  the workers by identifier, not null
+ * @param awaitedWorkers  the identifiers of the workers that the pool keeps even if it has more machines than it needs, as a
+ *     waiting step is allowed there by placement advice or may be, not null
  */
-public record PoolDemand(double neededMachines, Map<String, WorkerUsage> workers) {
+public record PoolDemand(double neededMachines, Map<String, WorkerUsage> workers, Set<String> awaitedWorkers) {
     /**
-     * Constructs a demand with a copy of the map.
+     * Constructs a demand with copies of the map and the set.
      */
     public PoolDemand {
         workers = Map.copyOf(workers);
+        awaitedWorkers = Set.copyOf(awaitedWorkers);
+    }
+
+    /**
+     * Constructs a demand of a pool in which no step waits for a certain worker.
+     *
+     * @param neededMachines  the number of machines needed
+     * @param workers  the workers by identifier, not null
+     */
+    public PoolDemand(double neededMachines, Map<String, WorkerUsage> workers) {
+        this(neededMachines, workers, Set.of());
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/PoolDemandCalculator.java
@@ -70,7 +70,8 @@
         double needed = neededMachines(used, longRunning, size, now);
         int missing = advice.missingMachines();
         double advised = missing == 0 ? 0 : size.workers() + missing;
-        return new PoolDemand(Math.max(needed, Math.max(advised, machinesForTaskLimits())), workers);
+        return new PoolDemand(
+                Math.max(needed, Math.max(advised, machinesForTaskLimits())), workers, advice.awaitedWorkers());
     }
 
     /**
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/GoodShare.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/advice/GoodShare.java
@@ -38,6 +38,15 @@
         return Math.pow(1 - estimate(), denied) >= MIN_DENIAL_PROBABILITY;
     }
 
+    /**
+     * Returns how many workers are expected to have one that the step is allowed on.
+     *
+     * @return the number of workers, at least 2
+     */
+    public int workersForOne() {
+        return (int) Math.ceil(1 / estimate());
+    }
+
     /**
      * Returns the estimated share, one half before there is an observation.
      *
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetView.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/FleetView.java
@@ -116,6 +116,14 @@
                 : Optional.ofNullable(report.demand().workers().get(machine.worker()));
     }
 
+    /**
+     * Returns whether the pool of a machine keeps its worker for steps that wait.
+     */
+    boolean isAwaited(MachineView machine) {
+        DemandReport report = demandReports.get(machine.pool());
+        return report != null && report.demand().awaitedWorkers().contains(machine.worker());
+    }
+
     /**
      * Returns whether nothing runs on a machine and its pool assigns no work to it; true for each machine of a pool that
      * runs no jobs.
--- a/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
+++ b/trefoilpost-decision/src/main/java/org/trefoilpost/decision/job/fleet/MachineMovePlanner.java
@@ -290,14 +290,14 @@
 
     /**
      * Returns the machine that can be emptied soonest: the one with the least processor use among those without
-     * long-running tasks.
+     * long-running tasks, of which no waiting step may need the worker.
      */
     private Optional<MachineView> leastUsedMachine(String pool, long nowMillis) {
         if (view.machinesOf(pool).size() <= MIN_POOL_MACHINES) {
             return Optional.empty();
         }
         return view.machinesOf(pool).stream()
-                .filter(machine -> isMovable(machine, nowMillis))
+                .filter(machine -> isMovable(machine, nowMillis) && !view.isAwaited(machine))
                 .filter(machine -> view.usage(machine)
                         .map(usage -> usage.acceptsWork() && !usage.hasLongRunning())
                         .orElse(false))
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/PoolWithFakeWorkers.java
@@ -63,11 +63,19 @@
      */
     PoolWithFakeWorkers(int workerCount, long born) {
         for (int i = 1; i <= workerCount; i++) {
-            workers.put("w" + i, new FakeWorker(i, born));
+            workers.put("w" + i, new FakeWorker(i, "m" + i, born));
         }
         replaceOwner();
     }
 
+    /** Adds a worker on a machine, and returns its identifier. */
+    String addWorker(String machine) {
+        int number = workers.size() + 1;
+        workers.put("w" + number, new FakeWorker(number, machine, 0));
+        scheduler.updateWorkers(listedWorkers(), now);
+        return "w" + number;
+    }
+
     Moment now() {
         return now;
     }
@@ -354,11 +362,11 @@
         private boolean fails;
         private long born;
 
-        private FakeWorker(int number, long born) {
+        private FakeWorker(int number, String machine, long born) {
             this.born = born;
             this.registration = new RegisteredWorker(
                     "w" + number,
-                    "m" + number,
+                    machine,
                     "pool",
                     WorkerAddress.of("10.0.0." + number, 80),
                     "dc",
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/EmulatedFleet.java
@@ -34,6 +34,8 @@
     FleetPlanner planner = new FleetPlanner(this, 64);
     OrderOutcome nextOutcome = OrderOutcome.DONE;
     boolean busyWorkers;
+    /** The machines whose pools keep their workers for waiting steps. */
+    final Set<String> awaited = new HashSet<>();
     /** The times that the workers of machines with long-running tasks take to be emptied, by machine. */
     final Map<String, Long> emptyingMillis = new HashMap<>();
 
@@ -149,15 +151,19 @@
     @Override
     public void instruct(String pool, PoolInstructions instructions) {
         Map<String, PoolDemand.WorkerUsage> workers = new HashMap<>();
+        Set<String> awaitedWorkers = new HashSet<>();
         for (MachineView machine : machines.values()) {
             if (machine.pool().equals(pool) && machine.up()) {
+                if (awaited.contains(machine.name())) {
+                    awaitedWorkers.add(machine.worker());
+                }
                 boolean evacuating = instructions.evacuating().contains(machine.worker());
                 boolean hasLongRunning = hasLongRunning(machine, evacuating);
                 boolean empty = evacuating && !busyWorkers && !hasLongRunning;
                 workers.put(machine.worker(), new PoolDemand.WorkerUsage(0, hasLongRunning, empty, !evacuating));
             }
         }
-        PoolDemand demand = new PoolDemand(needs.getOrDefault(pool, 0.0), workers);
+        PoolDemand demand = new PoolDemand(needs.getOrDefault(pool, 0.0), workers, awaitedWorkers);
         planner.load(pool, instructions.evacuating(), demand, moment());
     }
 
--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
@@ -34,6 +34,27 @@
         assertTrue(fleet.countUp("a") >= 2, "machines: " + fleet.countUp("a"));
     }
 
+    /** Guards against machines that are given away though advice on their workers is awaited or used. */
+    @Test
+    void awaitedMachinesStayBesideASurplusAndTheShortageOfAnotherPool() {
+        fleet.add("a", 8);
+        fleet.add("b", 2);
+        fleet.add("spare", 0);
+        fleet.configure(Set.of("a", "b"));
+        fleet.needs.put("a", 1.0);
+        fleet.awaited.addAll(List.of("m0", "m1", "m2", "m5", "m6"));
+        fleet.runFor(10_000);
+        fleet.needs.put("b", 9.0);
+        fleet.runFor(10_000);
+        for (String machine : fleet.awaited) {
+            assertEquals("a", fleet.machines.get(machine).pool(), machine);
+        }
+        assertEquals(5, fleet.countUp("a"));
+        fleet.awaited.clear();
+        fleet.runFor(10_000);
+        assertTrue(fleet.countUp("a") <= 2, "machines: " + fleet.countUp("a"));
+    }
+
     @Test
     void busyMachineIsNeitherMovedNorMaintained() {
         fleet.add("a", 8);
--- a/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReplyCodec.java
+++ b/trefoilpost-entry/src/main/java/org/trefoilpost/entry/job/JobReplyCodec.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -61,6 +63,10 @@
                         .packBoolean(worker.empty())
                         .packBoolean(worker.acceptsWork());
             }
+            packer.packArrayHeader(demand.awaitedWorkers().size());
+            for (String worker : demand.awaitedWorkers()) {
+                packer.packString(worker);
+            }
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("writing to an in-memory buffer failed", e);
@@ -86,9 +92,19 @@
                                 unpacker.unpackBoolean(),
                                 unpacker.unpackBoolean()));
             }
-            return new PoolDemand(neededMachines, workers);
+            return new PoolDemand(neededMachines, workers, decodeAwaitedWorkers(unpacker));
         } catch (IOException | MessagePackException e) {
             throw new IllegalArgumentException("pool demand cannot be decoded", e);
         }
     }
+
+    /** Entries of earlier versions send none. */
+    private static Set<String> decodeAwaitedWorkers(MessageUnpacker unpacker) throws IOException {
+        Set<String> awaited = new HashSet<>();
+        int count = unpacker.hasNext() ? unpacker.unpackArrayHeader() : 0;
+        for (int i = 0; i < count; i++) {
+            awaited.add(unpacker.unpackString());
+        }
+        return awaited;
+    }
 }
