Take an addition of no machines out of a test

Cause: FleetPlannerTest's test of awaited machines adds a spare pool of no machines, which does nothing.

Change: the line is left out. Its result is the same.

--- a/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
+++ b/trefoilpost-decision/src/test/java/org/trefoilpost/decision/job/fleet/FleetPlannerTest.java
@@ -39,7 +39,6 @@
     void awaitedMachinesStayBesideASurplusAndTheShortageOfAnotherPool() {
         fleet.add("a", 8);
         fleet.add("b", 2);
-        fleet.add("spare", 0);
         fleet.configure(Set.of("a", "b"));
         fleet.needs.put("a", 1.0);
         fleet.awaited.addAll(List.of("m0", "m1", "m2", "m5", "m6"));
